--- /dev/null
+++ b/src/libhost/bodystore.cpp
@@ -0,0 +1,135 @@
+#include "bodystore.h"
+
+namespace persimmon {
+
+void BodyStore::keepCallerBody(std::int64_t CallNumber, std::string Body) {
+  if (!Body.empty())
+    this->CallerBodies[CallNumber] = std::move(Body);
+}
+
+std::string_view BodyStore::callerBody(std::int64_t CallNumber) const {
+  const auto Found = this->CallerBodies.find(CallNumber);
+  return Found == this->CallerBodies.end() ? std::string_view()
+                                           : std::string_view(Found->second);
+}
+
+void BodyStore::dropCaller(std::int64_t CallNumber) {
+  this->CallerBodies.erase(CallNumber);
+}
+
+std::optional<wire::CallRequest> BodyStore::begin(wire::CallRequest Header,
+                                                  std::string Path) {
+  const wire::AttemptId Id = Header.Id;
+  Request Item;
+  Item.Body = std::move(Header.Body);
+  Header.Body.clear();
+  Item.Header = std::move(Header);
+  Item.Path = std::move(Path);
+  const auto Size = static_cast<std::int64_t>(Item.Body.size());
+  const bool Whole = Size == Item.Header.BodySize;
+  if (!Whole && Size != 0)
+    return std::nullopt;
+  const auto [Slot, Fresh] = this->Requests.emplace(Id, std::move(Item));
+  if (!Fresh || !Whole)
+    return std::nullopt;
+  return Slot->second.Header;
+}
+
+std::optional<wire::CallReply> BodyStore::begin(wire::CallReply Header) {
+  if (Header.Outcome != wire::CallOutcome::Finished)
+    return Header;
+  const wire::AttemptId Id = Header.Id;
+  Arriving Item;
+  Item.Body = std::move(Header.Body);
+  Header.Body.clear();
+  Item.Header = std::move(Header);
+  const auto Size = static_cast<std::int64_t>(Item.Body.size());
+  const bool Whole = Size == Item.Header.BodySize;
+  if (!Whole && Size != 0)
+    return std::nullopt;
+  Arriving &Slot = this->Arrivals[Id] = std::move(Item);
+  if (!Whole)
+    return std::nullopt;
+  return Slot.Header;
+}
+
+BodyStore::Completed BodyStore::addPart(const wire::BodyPart &Part) {
+  const auto Append = [&](auto &Map) -> Completed {
+    const auto Found = Map.find(Part.Id);
+    if (Found == Map.end())
+      return {};
+    auto &Item = Found->second;
+    const auto Size = static_cast<std::int64_t>(Item.Body.size());
+    const auto Added = static_cast<std::int64_t>(Part.Data.size());
+    if (Part.Offset != Size || Size + Added > Item.Header.BodySize) {
+      Map.erase(Found);
+      return {};
+    }
+    Item.Body += Part.Data;
+    if (Size + Added < Item.Header.BodySize)
+      return {};
+    return Item.Header;
+  };
+  return Part.OfAnswer ? Append(this->Arrivals) : Append(this->Requests);
+}
+
+void BodyStore::pathClosed(std::string_view Path) {
+  std::erase_if(this->Requests, [&](const auto &Item) {
+    const Request &R = Item.second;
+    return R.Path == Path &&
+           static_cast<std::int64_t>(R.Body.size()) < R.Header.BodySize;
+  });
+}
+
+const BodyStore::Request *BodyStore::request(const wire::AttemptId &Id) const {
+  const auto Found = this->Requests.find(Id);
+  return Found == this->Requests.end() ? nullptr : &Found->second;
+}
+
+void BodyStore::holdAnswer(const wire::AttemptId &Id, Answer Kept) {
+  this->Held[Id] = std::move(Kept);
+}
+
+const BodyStore::Answer *
+BodyStore::heldAnswer(const wire::AttemptId &Id) const {
+  const auto Found = this->Held.find(Id);
+  return Found == this->Held.end() ? nullptr : &Found->second;
+}
+
+std::optional<BodyStore::Answer>
+BodyStore::takeArrived(const wire::AttemptId &Id) {
+  const auto Found = this->Arrivals.find(Id);
+  if (Found == this->Arrivals.end())
+    return std::nullopt;
+  Answer Out;
+  Out.Status = Found->second.Header.Status;
+  Out.Headers = std::move(Found->second.Header.Headers);
+  Out.Body = std::move(Found->second.Body);
+  this->Arrivals.erase(Found);
+  return Out;
+}
+
+void BodyStore::drop(const wire::AttemptId &Id) {
+  this->Requests.erase(Id);
+  this->Held.erase(Id);
+  this->Arrivals.erase(Id);
+}
+
+std::vector<wire::BodyPart> cutBody(const wire::AttemptId &Id, bool OfAnswer,
+                                    std::string_view Body) {
+  std::vector<wire::BodyPart> Out;
+  std::int64_t Offset = 0;
+  while (!Body.empty()) {
+    wire::BodyPart Part;
+    Part.Id = Id;
+    Part.OfAnswer = OfAnswer;
+    Part.Offset = Offset;
+    Part.Data = std::string(Body.substr(0, InlineBodyBytes));
+    Body.remove_prefix(Part.Data.size());
+    Offset += static_cast<std::int64_t>(Part.Data.size());
+    Out.push_back(std::move(Part));
+  }
+  return Out;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/daemonhost.cpp
@@ -0,0 +1,282 @@
+#include "daemonhost.h"
+
+#include "logging.h"
+
+#include <csignal>
+#include <random>
+
+namespace persimmon {
+
+namespace {
+
+constexpr milliseconds TickInterval{20};
+
+std::uint64_t randomNumber() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+std::int64_t wallClockMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+DaemonHost::DaemonHost(const DaemonSettings &TheSettings)
+    : Settings(TheSettings), TickTimer(Io), Signals(Io, SIGTERM, SIGINT) {}
+
+DaemonHost::~DaemonHost() = default;
+
+leaf::result<std::unique_ptr<DaemonHost>>
+DaemonHost::open(const DaemonSettings &Settings) {
+  std::unique_ptr<DaemonHost> Out(new DaemonHost(Settings));
+  BOOST_LEAF_CHECK(Out->openNode());
+  BOOST_LEAF_CHECK(Out->openPorts());
+  Out->watchSignals();
+  Out->startTicks();
+  return Out;
+}
+
+leaf::result<void> DaemonHost::openNode() {
+  NodeIdentity Identity;
+  Identity.Name = this->Settings.Name;
+  Identity.Address = this->Settings.Advertise.text();
+  Identity.Zone = this->Settings.Zone;
+  Identity.Incarnation = wallClockMs();
+  Identity.Seed = randomNumber();
+  Identity.ControlInstances = this->Settings.ControlInstances;
+  if (this->Settings.Role == DaemonRole::Proxy) {
+    this->Daemon = Node::makeProxy(Identity, this->Policy);
+    return {};
+  }
+  BOOST_LEAF_ASSIGN(this->Disk,
+                    DiskStore::open(this->Settings.DataFolder, randomNumber()));
+  if (this->Disk->damage().failed())
+    logError("event=disk-lost disk=" + std::to_string(this->Disk->diskId()) +
+             " " + describe(this->Disk->damage()));
+  BOOST_LEAF_ASSIGN(this->Daemon,
+                    Node::makeControl(Identity, this->Disk->diskId(),
+                                      this->Disk->state(),
+                                      std::chrono::steady_clock::now()));
+  this->Disk->releaseState();
+  return {};
+}
+
+leaf::result<void> DaemonHost::openPorts() {
+  BOOST_LEAF_ASSIGN(this->Network,
+                    PeerNetwork::open(this->Io, this->Settings.Listen, *this));
+  if (this->Settings.Role == DaemonRole::Control) {
+    BOOST_LEAF_ASSIGN(
+        this->Operators,
+        OperatorApi::open(this->Io, *this->Settings.Operators, *this));
+    return {};
+  }
+  BOOST_LEAF_ASSIGN(this->Proxy, ProxyApi::open(this->Io, this->Settings, *this,
+                                                this->Bodies, this->Numbers));
+  return {};
+}
+
+void DaemonHost::startTicks() {
+  this->TickTimer.expires_after(TickInterval);
+  this->TickTimer.async_wait([this](std::error_code Error) {
+    if (Error)
+      return;
+    this->submit(Tick());
+    this->startTicks();
+  });
+}
+
+void DaemonHost::watchSignals() {
+  this->Signals.async_wait([this](std::error_code Error, int) {
+    if (Error)
+      return;
+    this->submit(StopRequested());
+    this->watchSignals();
+  });
+}
+
+leaf::result<void> DaemonHost::run() {
+  logInfo("event=started name=" + this->Settings.Name +
+          " address=" + this->Settings.Advertise.text());
+  this->Io.run();
+  if (this->Fatal.failed())
+    return fail(this->Fatal.Code, this->Fatal.Where, this->Fatal.What);
+  logInfo("event=stopped name=" + this->Settings.Name);
+  return {};
+}
+
+void DaemonHost::submit(EventBody Body) {
+  Event What;
+  What.At = std::chrono::steady_clock::now();
+  What.WallMs = wallClockMs();
+  What.Body = std::move(Body);
+  this->perform(this->Daemon->reduce(What));
+}
+
+void DaemonHost::perform(const Effects &All) {
+  for (const Effect &Item : All) {
+    if (this->Fatal.failed())
+      return;
+    std::visit([this](const auto &Body) { this->carryOut(Body); }, Item);
+  }
+}
+
+void DaemonHost::onMessage(std::string From, Message Body) {
+  if (auto *Request = std::get_if<wire::CallRequest>(&Body)) {
+    auto Whole = this->Bodies.begin(std::move(*Request), From);
+    if (Whole)
+      this->submit(MessageReceived{std::move(From), std::move(*Whole)});
+    return;
+  }
+  if (auto *Reply = std::get_if<wire::CallReply>(&Body)) {
+    auto Whole = this->Bodies.begin(std::move(*Reply));
+    if (Whole)
+      this->submit(MessageReceived{std::move(From), std::move(*Whole)});
+    return;
+  }
+  if (const auto *Part = std::get_if<wire::BodyPart>(&Body)) {
+    auto Completed = this->Bodies.addPart(*Part);
+    if (auto *Request = std::get_if<wire::CallRequest>(&Completed))
+      this->submit(MessageReceived{std::move(From), std::move(*Request)});
+    else if (auto *Reply = std::get_if<wire::CallReply>(&Completed))
+      this->submit(MessageReceived{std::move(From), std::move(*Reply)});
+    return;
+  }
+  this->submit(MessageReceived{std::move(From), std::move(Body)});
+}
+
+void DaemonHost::onStreamLost(std::string Address) {
+  this->submit(StreamLost{std::move(Address)});
+}
+
+void DaemonHost::onPathClosed(std::string Path) {
+  this->Bodies.pathClosed(Path);
+}
+
+template <typename RecordT> void DaemonHost::persist(const RecordT &Record) {
+  this->Fatal = settle([&] { return this->Disk->write(Record); }, [] {});
+  if (!this->Fatal.failed())
+    return;
+  // What the disk holds is not known any more; a new start reads it.
+  logError("event=disk-write-failed " + describe(this->Fatal));
+  this->Io.stop();
+}
+
+void DaemonHost::carryOut(const SendMessage &Item) {
+  this->Network->send(Item.Address, Item.Body, Item.Via);
+}
+
+void DaemonHost::carryOut(const AnswerOperator &Item) {
+  if (this->Operators)
+    this->Operators->answer(Item);
+}
+
+void DaemonHost::carryOut(const VersionInForce &Item) {
+  this->Numbers.set("persimmon_version_in_force",
+                    static_cast<double>(Item.Version));
+  logInfo("event=in-force version=" + std::to_string(Item.Version));
+}
+
+void DaemonHost::carryOut(const LogDecision &Item) { logDecision(Item.Line); }
+
+void DaemonHost::carryOut(const LogWarning &Item) { logWarning(Item.Line); }
+
+void DaemonHost::carryOut(const SendCall &Item) {
+  const std::string_view Body = this->Bodies.callerBody(Item.CallNumber);
+  wire::CallRequest Request = Item.Header;
+  if (Body.size() <= InlineBodyBytes) {
+    Request.Body = std::string(Body);
+    this->Network->send(Item.Address, Request, Channel::Stream);
+    return;
+  }
+  this->Network->send(Item.Address, Request, Channel::Stream);
+  for (wire::BodyPart &Part : cutBody(Item.Header.Id, false, Body))
+    this->Network->send(Item.Address, std::move(Part), Channel::Stream);
+}
+
+void DaemonHost::carryOut(const RefuseCaller &Item) {
+  if (this->Proxy)
+    this->Proxy->refuse(Item);
+}
+
+void DaemonHost::carryOut(const AnswerCaller &Item) {
+  if (this->Proxy)
+    this->Proxy->answer(Item);
+}
+
+void DaemonHost::carryOut(const RunOnTarget &Item) {
+  if (this->Proxy)
+    this->Proxy->run(Item);
+}
+
+void DaemonHost::carryOut(const CancelOnTarget &Item) {
+  if (this->Proxy)
+    this->Proxy->cancel(Item);
+}
+
+void DaemonHost::carryOut(const SendAnswer &Item) {
+  const BodyStore::Answer *Held = this->Bodies.heldAnswer(Item.Id);
+  wire::CallReply Reply;
+  Reply.Id = Item.Id;
+  Reply.TargetLoad = Item.TargetLoad;
+  if (Held == nullptr) {
+    Reply.Outcome = wire::CallOutcome::Unknown;
+    Reply.Code = static_cast<std::int32_t>(ResultCode::OutcomeUnknown);
+    this->Network->send(Item.Address, Reply, Channel::Stream);
+    return;
+  }
+  Reply.Outcome = wire::CallOutcome::Finished;
+  Reply.Status = Held->Status;
+  Reply.Headers = Held->Headers;
+  Reply.BodySize = static_cast<std::int64_t>(Held->Body.size());
+  if (Held->Body.size() <= InlineBodyBytes) {
+    Reply.Body = Held->Body;
+    this->Network->send(Item.Address, Reply, Channel::Stream);
+    return;
+  }
+  this->Network->send(Item.Address, Reply, Channel::Stream);
+  for (wire::BodyPart &Part : cutBody(Item.Id, true, Held->Body))
+    this->Network->send(Item.Address, std::move(Part), Channel::Stream);
+}
+
+void DaemonHost::carryOut(const DropAttempt &Item) {
+  this->Bodies.drop(Item.Id);
+}
+
+void DaemonHost::carryOut(const RenewConnection &Item) {
+  this->Network->renew(Item.Address);
+}
+
+void DaemonHost::carryOut(const ReadyToExit &) { this->Io.stop(); }
+
+std::string DaemonHost::metricsText() {
+  const Time Now = std::chrono::steady_clock::now();
+  const Membership &Members = this->Daemon->members();
+  this->Numbers.set("persimmon_members",
+                    static_cast<double>(Members.records().size()));
+  this->Numbers.set("persimmon_source_stale", Members.stale(Now) ? 1 : 0);
+  this->Numbers.set("persimmon_serving", this->Daemon->serving() ? 1 : 0);
+  if (const CallRouter *Router = this->Daemon->router())
+    this->Numbers.set("persimmon_call_retries",
+                      static_cast<double>(Router->retryCount()));
+  std::string Text = this->Numbers.text();
+  const auto &Traffic = this->Network->traffic();
+  Text += "# TYPE persimmon_peer_bytes_total counter\n";
+  const auto AddLine = [&](std::string_view Kind, const char *Direction,
+                           std::uint64_t Value) {
+    Text += "persimmon_peer_bytes_total{kind=\"" + std::string(Kind) +
+            "\",direction=\"" + Direction + "\"} " + std::to_string(Value) +
+            "\n";
+  };
+  for (std::size_t I = 0; I < Traffic.size(); ++I) {
+    if (Traffic[I].SentMessages + Traffic[I].ReceivedMessages == 0)
+      continue;
+    AddLine(messageKindName(I), "sent", Traffic[I].SentBytes);
+    AddLine(messageKindName(I), "received", Traffic[I].ReceivedBytes);
+  }
+  return Text;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/daemonhost.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "bodystore.h"
+#include "diskstore.h"
+#include "eventsink.h"
+#include "metrics.h"
+#include "operatorapi.h"
+#include "peernetwork.h"
+#include "proxyapi.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace persimmon {
+
+/// Runs one daemon: feeds what happens to its node as events and carries out
+/// the effects in order. Everything runs on one thread.
+class DaemonHost : public PeerListener, public EventSink {
+public:
+  /// Opens disk, ports and timers. Errors: as of the parts that are opened.
+  static leaf::result<std::unique_ptr<DaemonHost>>
+  open(const DaemonSettings &Settings);
+
+  ~DaemonHost() override;
+
+  /// Runs until the daemon was stopped and has drained. Errors:
+  /// DiskWriteFailed.
+  leaf::result<void> run();
+
+  void submit(EventBody Body) override;
+  const Node &node() const override { return *this->Daemon; }
+  std::string metricsText() override;
+
+private:
+  explicit DaemonHost(const DaemonSettings &Settings);
+
+  leaf::result<void> openNode();
+  leaf::result<void> openPorts();
+  void startTicks();
+  void watchSignals();
+
+  void onMessage(std::string From, Message Body) override;
+  void onStreamLost(std::string Address) override;
+  void onPathClosed(std::string Path) override;
+
+  void perform(const Effects &All);
+  template <typename RecordT> void persist(const RecordT &Record);
+  void carryOut(const PersistHardState &Item) { this->persist(Item); }
+  void carryOut(const PersistEntries &Item) { this->persist(Item); }
+  void carryOut(const PersistSnapshot &Item) { this->persist(Item); }
+  void carryOut(const SendMessage &Item);
+  void carryOut(const AnswerOperator &Item);
+  void carryOut(const VersionInForce &Item);
+  void carryOut(const LogDecision &Item);
+  void carryOut(const LogWarning &Item);
+  void carryOut(const SendCall &Item);
+  void carryOut(const RefuseCaller &Item);
+  void carryOut(const AnswerCaller &Item);
+  void carryOut(const RunOnTarget &Item);
+  void carryOut(const CancelOnTarget &Item);
+  void carryOut(const SendAnswer &Item);
+  void carryOut(const DropAttempt &Item);
+  void carryOut(const RenewConnection &Item);
+  void carryOut(const ReadyToExit &Item);
+
+  DaemonSettings Settings;
+  asio::io_context Io;
+  asio::steady_timer TickTimer;
+  asio::signal_set Signals;
+  LeastOfTwo Policy;
+  BodyStore Bodies;
+  Metrics Numbers;
+  std::optional<DiskStore> Disk;
+  std::unique_ptr<Node> Daemon;
+  std::unique_ptr<PeerNetwork> Network;
+  std::unique_ptr<OperatorApi> Operators;
+  std::unique_ptr<ProxyApi> Proxy;
+  Failure Fatal;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/daemonsettings.cpp
@@ -0,0 +1,149 @@
+#include "daemonsettings.h"
+
+#include "daemonschematext.h"
+
+#include <asio/ip/address.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace persimmon {
+
+namespace {
+
+using nlohmann::json;
+
+leaf::result<Endpoint> requiredEndpoint(const json &Document, const char *Key,
+                                        std::string_view Where) {
+  const std::string Place = std::string(Where) + "[" + Key + "]";
+  if (!Document.contains(Key))
+    return fail(ResultCode::SettingsInvalid, Place,
+                "the key is required for this role");
+  return Endpoint::parse(Document.at(Key).get<std::string>(), Place);
+}
+
+leaf::result<void> refuseKey(const json &Document, const char *Key,
+                             std::string_view Where) {
+  if (Document.contains(Key))
+    return fail(ResultCode::SettingsInvalid,
+                std::string(Where) + "[" + Key + "]",
+                "the key does not belong to this role");
+  return {};
+}
+
+leaf::result<void> readControl(const json &Document, std::string_view Where,
+                               DaemonSettings &Out) {
+  BOOST_LEAF_CHECK(refuseKey(Document, "callers", Where));
+  BOOST_LEAF_CHECK(refuseKey(Document, "local", Where));
+  BOOST_LEAF_AUTO(Operators, requiredEndpoint(Document, "operators", Where));
+  Out.Operators = Operators;
+  if (!Document.contains("dataFolder"))
+    return fail(ResultCode::SettingsInvalid,
+                std::string(Where) + "[dataFolder]",
+                "the key is required for this role");
+  Out.DataFolder = Document.at("dataFolder").get<std::string>();
+  for (const ControlPeer &Peer : Out.ControlInstances) {
+    if (Peer.Instance == Out.Name)
+      return {};
+  }
+  return fail(ResultCode::SettingsInvalid,
+              std::string(Where) + "[controlInstances]",
+              "the list must name this instance");
+}
+
+leaf::result<void> readProxy(const json &Document, std::string_view Where,
+                             DaemonSettings &Out) {
+  BOOST_LEAF_CHECK(refuseKey(Document, "operators", Where));
+  BOOST_LEAF_CHECK(refuseKey(Document, "dataFolder", Where));
+  BOOST_LEAF_AUTO(Callers, requiredEndpoint(Document, "callers", Where));
+  BOOST_LEAF_AUTO(Local, requiredEndpoint(Document, "local", Where));
+  Out.Callers = Callers;
+  Out.Local = Local;
+  return {};
+}
+
+leaf::result<void> readPeers(const json &Document, std::string_view Where,
+                             DaemonSettings &Out) {
+  const json &Peers = Document.at("controlInstances");
+  for (std::size_t I = 0; I < Peers.size(); ++I) {
+    const std::string Place = std::string(Where) + "[controlInstances][" +
+                              std::to_string(I) + "][address]";
+    BOOST_LEAF_AUTO(
+        Address,
+        Endpoint::parse(Peers[I].at("address").get<std::string>(), Place));
+    Out.ControlInstances.push_back(
+        {Peers[I].at("name").get<std::string>(), Address.text()});
+  }
+  return {};
+}
+
+} // namespace
+
+std::string Endpoint::text() const {
+  return this->Ip + ":" + std::to_string(this->Port);
+}
+
+leaf::result<Endpoint> Endpoint::parse(std::string_view Text,
+                                       std::string_view Where) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return fail(ResultCode::AddressInvalid, std::string(Where),
+                "expected IP:PORT");
+  Endpoint Out;
+  Out.Ip = std::string(Text.substr(0, Colon));
+  std::error_code Error;
+  asio::ip::make_address_v4(Out.Ip, Error);
+  const std::string_view Port = Text.substr(Colon + 1);
+  const auto [End, Status] =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Out.Port);
+  if (Error || Status != std::errc() || End != Port.data() + Port.size() ||
+      Out.Port == 0)
+    return fail(ResultCode::AddressInvalid, std::string(Where),
+                "expected IP:PORT, found " + std::string(Text));
+  return Out;
+}
+
+leaf::result<DaemonSettings> DaemonSettings::load(const std::string &File) {
+  std::ifstream In(File);
+  std::ostringstream Text;
+  if (!In || !(Text << In.rdbuf()))
+    return fail(ResultCode::FileUnreadable, File);
+  return DaemonSettings::parse(Text.str(), File);
+}
+
+leaf::result<DaemonSettings> DaemonSettings::parse(std::string_view Text,
+                                                   std::string_view Where) {
+  const json Document = json::parse(Text, nullptr, false);
+  if (Document.is_discarded())
+    return fail(ResultCode::SettingsNotJson, std::string(Where));
+  BOOST_LEAF_CHECK(checkAgainstSchema(Document, DaemonSchemaText, Where,
+                                      ResultCode::SettingsInvalid));
+  DaemonSettings Out;
+  Out.Role = Document.at("role") == "control" ? DaemonRole::Control
+                                              : DaemonRole::Proxy;
+  Out.Name = Document.at("name").get<std::string>();
+  Out.Zone = Document.at("availabilityZone").get<std::string>();
+  BOOST_LEAF_AUTO(Listen, requiredEndpoint(Document, "listen", Where));
+  Out.Listen = Listen;
+  Out.Advertise = Listen;
+  if (Document.contains("advertise")) {
+    BOOST_LEAF_AUTO(Advertise, requiredEndpoint(Document, "advertise", Where));
+    Out.Advertise = Advertise;
+  }
+  BOOST_LEAF_CHECK(readPeers(Document, Where, Out));
+  if (Out.Role == DaemonRole::Control)
+    BOOST_LEAF_CHECK(readControl(Document, Where, Out));
+  else
+    BOOST_LEAF_CHECK(readProxy(Document, Where, Out));
+  if (Document.contains("log")) {
+    const json &Log = Document.at("log");
+    Out.Log.Level = Log.value("level", Out.Log.Level);
+    Out.Log.Decisions = Log.value("decisions", Out.Log.Decisions);
+    Out.Log.File = Log.value("file", Out.Log.File);
+  }
+  return Out;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/diskstore.cpp
@@ -0,0 +1,334 @@
+#include "diskstore.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace persimmon {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t RecordHeaderBytes = 9;
+constexpr std::size_t SectorBytes = 512;
+constexpr char HardStateRecord = 'h';
+constexpr char EntryRecord = 'e';
+constexpr char SnapshotRecord = 's';
+
+std::string systemError() { return std::strerror(errno); }
+
+leaf::result<std::string> readFile(const std::string &Path) {
+  std::ifstream In(Path, std::ios::binary);
+  std::ostringstream Text;
+  if (!In || !(Text << In.rdbuf()).good())
+    return fail(ResultCode::DiskDamaged, Path, "the file cannot be read");
+  return Text.str();
+}
+
+leaf::result<void> writeAll(int File, std::string_view Bytes,
+                            const std::string &Path) {
+  while (!Bytes.empty()) {
+    const ssize_t Written = ::write(File, Bytes.data(), Bytes.size());
+    if (Written < 0 && errno == EINTR)
+      continue;
+    if (Written <= 0)
+      return fail(ResultCode::DiskWriteFailed, Path, systemError());
+    Bytes.remove_prefix(static_cast<std::size_t>(Written));
+  }
+  return {};
+}
+
+void putNumber(std::string &Out, std::uint32_t Value) {
+  for (int Shift = 0; Shift < 32; Shift += 8)
+    Out += static_cast<char>((Value >> Shift) & 0xffU);
+}
+
+std::uint32_t getNumber(std::string_view Bytes) {
+  std::uint32_t Value = 0;
+  for (int I = 3; I >= 0; --I)
+    Value = (Value << 8) |
+            static_cast<std::uint8_t>(Bytes[static_cast<std::size_t>(I)]);
+  return Value;
+}
+
+/// One record found in a journal.
+struct FoundRecord {
+  char Kind = 0;
+  std::string_view Payload;
+  std::size_t Size = 0;
+  bool Complete = false;
+  bool Valid = false;
+};
+
+FoundRecord findRecord(std::string_view Bytes) {
+  FoundRecord Out;
+  if (Bytes.size() < RecordHeaderBytes)
+    return Out;
+  Out.Kind = Bytes[0];
+  const std::size_t Length = getNumber(Bytes.substr(1));
+  const std::uint32_t Sum = getNumber(Bytes.substr(5));
+  Out.Size = RecordHeaderBytes + Length;
+  if (Out.Size > Bytes.size())
+    return Out;
+  Out.Complete = true;
+  Out.Payload = Bytes.substr(RecordHeaderBytes, Length);
+  const bool KnownKind = Out.Kind == HardStateRecord ||
+                         Out.Kind == EntryRecord || Out.Kind == SnapshotRecord;
+  Out.Valid = KnownKind && checksumOf(Out.Payload) == Sum;
+  return Out;
+}
+
+/// Returns whether a valid record begins anywhere in \p Bytes.
+bool holdsValidRecord(std::string_view Bytes) {
+  for (std::size_t I = 0; I + RecordHeaderBytes < Bytes.size(); ++I) {
+    const FoundRecord Found = findRecord(Bytes.substr(I));
+    if (Found.Valid && !Found.Payload.empty())
+      return true;
+  }
+  return false;
+}
+
+/// A write that was cut off leaves a record short, or with blocks that were
+/// never written and read as zeros. Anything else was damaged afterwards.
+bool looksTorn(std::string_view Rest, const FoundRecord &Found) {
+  if (holdsValidRecord(Rest.substr(1)))
+    return false;
+  if (!Found.Complete)
+    return true;
+  const std::size_t TailBytes = std::min(SectorBytes, Rest.size());
+  const std::string_view Tail = Rest.substr(Rest.size() - TailBytes);
+  const auto Zeros =
+      Tail.size() - std::min(Tail.size(), Tail.find_last_not_of('\0') + 1);
+  return Zeros >= RecordHeaderBytes;
+}
+
+} // namespace
+
+std::string makeRecord(char Kind, std::string_view Payload) {
+  std::string Out(1, Kind);
+  putNumber(Out, static_cast<std::uint32_t>(Payload.size()));
+  putNumber(Out, checksumOf(Payload));
+  Out += Payload;
+  return Out;
+}
+
+DiskStore::DiskStore(DiskStore &&Other) noexcept { *this = std::move(Other); }
+
+DiskStore &DiskStore::operator=(DiskStore &&Other) noexcept {
+  std::swap(this->Folder, Other.Folder);
+  std::swap(this->DiskId, Other.DiskId);
+  std::swap(this->State, Other.State);
+  std::swap(this->Damage, Other.Damage);
+  std::swap(this->JournalFile, Other.JournalFile);
+  std::swap(this->FolderFile, Other.FolderFile);
+  std::swap(this->Hard, Other.Hard);
+  std::swap(this->Tail, Other.Tail);
+  return *this;
+}
+
+DiskStore::~DiskStore() {
+  if (this->JournalFile >= 0)
+    ::close(this->JournalFile);
+  if (this->FolderFile >= 0)
+    ::close(this->FolderFile);
+}
+
+std::string DiskStore::path(std::string_view Name) const {
+  return this->Folder + "/" + std::string(Name);
+}
+
+leaf::result<DiskStore> DiskStore::open(const std::string &Folder,
+                                        std::uint64_t NewDiskId) {
+  DiskStore Out;
+  Out.Folder = Folder;
+  BOOST_LEAF_CHECK(Out.prepareFolder());
+  if (!fs::exists(Out.path("disk-id"))) {
+    BOOST_LEAF_CHECK(Out.startAfresh(NewDiskId));
+  } else {
+    Out.Damage = settle([&] { return Out.readAll(); }, [] {});
+    if (Out.Damage.failed())
+      BOOST_LEAF_CHECK(Out.startAfresh(NewDiskId));
+  }
+  BOOST_LEAF_CHECK(Out.openJournal());
+  Out.Hard = Out.State.Hard;
+  Out.Tail = Out.State.Entries;
+  return Out;
+}
+
+leaf::result<void> DiskStore::prepareFolder() {
+  std::error_code Error;
+  fs::create_directories(this->Folder, Error);
+  this->FolderFile = ::open(this->Folder.c_str(), O_RDONLY | O_DIRECTORY);
+  if (this->FolderFile < 0 || ::access(this->Folder.c_str(), W_OK) != 0)
+    return fail(ResultCode::DataFolderUnwritable, this->Folder, systemError());
+  if (::flock(this->FolderFile, LOCK_EX | LOCK_NB) != 0)
+    return fail(ResultCode::DataFolderUnwritable, this->Folder,
+                "another process uses the folder");
+  return {};
+}
+
+leaf::result<void> DiskStore::readAll() {
+  BOOST_LEAF_AUTO(Text, readFile(this->path("disk-id")));
+  const FoundRecord Found = findRecord(Text);
+  if (!Found.Valid)
+    return fail(ResultCode::DiskDamaged, this->path("disk-id"));
+  this->DiskId = std::stoll(std::string(Found.Payload));
+  BOOST_LEAF_CHECK(this->readSnapshot());
+  return this->readJournal();
+}
+
+leaf::result<void> DiskStore::readSnapshot() {
+  if (!fs::exists(this->path("snapshot")))
+    return {};
+  BOOST_LEAF_AUTO(Text, readFile(this->path("snapshot")));
+  const FoundRecord Found = findRecord(Text);
+  if (!Found.Valid || Found.Kind != SnapshotRecord)
+    return fail(ResultCode::DiskDamaged, this->path("snapshot"));
+  BOOST_LEAF_ASSIGN(this->State.Snapshot, decodeSnapshot(Found.Payload));
+  return {};
+}
+
+leaf::result<void> DiskStore::takeRecord(char Kind, std::string_view Payload) {
+  if (Kind == HardStateRecord) {
+    BOOST_LEAF_ASSIGN(this->State.Hard, decodeHardState(Payload));
+    return {};
+  }
+  BOOST_LEAF_AUTO(Entry, decodeLogEntry(Payload));
+  auto &Entries = this->State.Entries;
+  const std::int64_t Base = this->State.Snapshot.LastIndex;
+  if (Entry.Index <= Base)
+    return {};
+  const std::int64_t Expected =
+      Base + static_cast<std::int64_t>(Entries.size()) + 1;
+  if (Entry.Index > Expected)
+    return fail(ResultCode::DiskDamaged, this->path("journal"),
+                "an entry is missing before index " +
+                    std::to_string(Entry.Index));
+  Entries.resize(static_cast<std::size_t>(Entry.Index - Base - 1));
+  Entries.push_back(std::move(Entry));
+  return {};
+}
+
+leaf::result<void> DiskStore::readJournal() {
+  BOOST_LEAF_AUTO(Text, readFile(this->path("journal")));
+  std::string_view Rest = Text;
+  while (!Rest.empty()) {
+    const FoundRecord Found = findRecord(Rest);
+    if (!Found.Valid) {
+      if (!looksTorn(Rest, Found))
+        return fail(ResultCode::DiskDamaged, this->path("journal"),
+                    "damaged at byte " +
+                        std::to_string(Text.size() - Rest.size()));
+      std::error_code Error;
+      fs::resize_file(this->path("journal"), Text.size() - Rest.size(), Error);
+      if (Error)
+        return fail(ResultCode::DiskDamaged, this->path("journal"),
+                    Error.message());
+      return {};
+    }
+    BOOST_LEAF_CHECK(this->takeRecord(Found.Kind, Found.Payload));
+    Rest.remove_prefix(Found.Size);
+  }
+  return {};
+}
+
+leaf::result<void> DiskStore::startAfresh(std::uint64_t NewDiskId) {
+  std::error_code Error;
+  const std::string Aside = this->path("lost-" + std::to_string(this->DiskId) +
+                                       "-" + std::to_string(NewDiskId));
+  for (const char *Name : {"disk-id", "snapshot", "journal"}) {
+    if (!fs::exists(this->path(Name)))
+      continue;
+    fs::create_directories(Aside, Error);
+    fs::rename(this->path(Name), Aside + "/" + Name, Error);
+  }
+  this->State = DurableState();
+  // The highest bit is left out: disk ids are positive numbers.
+  this->DiskId = static_cast<std::int64_t>(NewDiskId >> 1) | 1;
+  BOOST_LEAF_CHECK(this->replaceFile("journal", ""));
+  return this->replaceFile("disk-id",
+                           makeRecord('h', std::to_string(this->DiskId)));
+}
+
+leaf::result<void> DiskStore::replaceFile(const std::string &Name,
+                                          std::string_view Bytes) {
+  const std::string Temporary = this->path(Name + ".new");
+  const int File =
+      ::open(Temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (File < 0)
+    return fail(ResultCode::DataFolderUnwritable, Temporary, systemError());
+  const Failure Error =
+      settle([&] { return writeAll(File, Bytes, Temporary); }, [] {});
+  const bool Synced = !Error.failed() && ::fsync(File) == 0;
+  ::close(File);
+  if (!Synced || ::rename(Temporary.c_str(), this->path(Name).c_str()) != 0 ||
+      ::fsync(this->FolderFile) != 0)
+    return fail(ResultCode::DiskWriteFailed, this->path(Name), systemError());
+  return {};
+}
+
+leaf::result<void> DiskStore::openJournal() {
+  if (this->JournalFile >= 0)
+    ::close(this->JournalFile);
+  this->JournalFile =
+      ::open(this->path("journal").c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (this->JournalFile < 0)
+    return fail(ResultCode::DataFolderUnwritable, this->path("journal"),
+                systemError());
+  return {};
+}
+
+leaf::result<void> DiskStore::append(std::string_view Bytes) {
+  BOOST_LEAF_CHECK(writeAll(this->JournalFile, Bytes, this->path("journal")));
+  if (::fdatasync(this->JournalFile) != 0)
+    return fail(ResultCode::DiskWriteFailed, this->path("journal"),
+                systemError());
+  return {};
+}
+
+leaf::result<void> DiskStore::write(const PersistHardState &Record) {
+  this->Hard = Record.State;
+  return this->append(makeRecord(HardStateRecord, encodeRecord(Record.State)));
+}
+
+leaf::result<void> DiskStore::write(const PersistEntries &Record) {
+  std::string Bytes;
+  for (const wire::LogEntry &Entry : Record.Entries)
+    Bytes += makeRecord(EntryRecord, encodeRecord(Entry));
+  std::erase_if(this->Tail, [&](const wire::LogEntry &Entry) {
+    return Entry.Index >= Record.Entries.front().Index;
+  });
+  this->Tail.insert(this->Tail.end(), Record.Entries.begin(),
+                    Record.Entries.end());
+  return this->append(Bytes);
+}
+
+leaf::result<void> DiskStore::write(const PersistSnapshot &Record) {
+  const wire::StoreSnapshot &Snapshot = Record.Snapshot;
+  BOOST_LEAF_CHECK(this->replaceFile(
+      "snapshot", makeRecord(SnapshotRecord, encodeRecord(Snapshot))));
+  // An installed snapshot replaces a tail that does not continue it.
+  const auto Last = std::find_if(this->Tail.begin(), this->Tail.end(),
+                                 [&](const wire::LogEntry &Entry) {
+                                   return Entry.Index == Snapshot.LastIndex;
+                                 });
+  if (Last == this->Tail.end() || Last->Term != Snapshot.LastTerm)
+    this->Tail.clear();
+  else
+    this->Tail.erase(this->Tail.begin(), Last + 1);
+  std::string Bytes = makeRecord(HardStateRecord, encodeRecord(this->Hard));
+  for (const wire::LogEntry &Entry : this->Tail)
+    Bytes += makeRecord(EntryRecord, encodeRecord(Entry));
+  BOOST_LEAF_CHECK(this->replaceFile("journal", Bytes));
+  return this->openJournal();
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/httpport.cpp
@@ -0,0 +1,220 @@
+#include "httpport.h"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace persimmon {
+
+namespace {
+
+constexpr std::size_t MaxUrlBytes = 16u << 10;
+constexpr std::size_t MaxFieldNameBytes = 1u << 10;
+constexpr std::size_t MaxFieldValueBytes = 64u << 10;
+constexpr std::size_t MaxFields = 200;
+constexpr std::size_t MaxBodyBytes = 34u << 20;
+constexpr std::size_t MaxPipelinedRequests = 4;
+constexpr std::chrono::seconds ReadTimeout{120};
+constexpr std::chrono::seconds HandleTimeout{660};
+
+char lower(char C) {
+  return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
+}
+
+/// Tells the port which connections were closed.
+class CloseWatch {
+public:
+  virtual ~CloseWatch() = default;
+  virtual void onConnectionClosed(std::uint64_t ConnectionId) = 0;
+};
+
+class StateListener {
+public:
+  explicit StateListener(CloseWatch &TheWatch) : Watch(TheWatch) {}
+
+  void state_changed(const restinio::connection_state::notice_t &Notice) {
+    if (std::holds_alternative<restinio::connection_state::closed_t>(
+            Notice.cause()))
+      this->Watch.onConnectionClosed(Notice.connection_id());
+  }
+
+private:
+  CloseWatch &Watch;
+};
+
+using RequestHandler = std::function<restinio::request_handling_status_t(
+    restinio::request_handle_t)>;
+
+struct Traits
+    : public restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
+                                              restinio::null_logger_t,
+                                              RequestHandler> {
+  using connection_state_listener_t = StateListener;
+};
+
+using Server = restinio::http_server_t<Traits>;
+
+std::string methodName(const restinio::http_request_header_t &Header) {
+  return std::string(Header.method().c_str());
+}
+
+} // namespace
+
+bool sameHeader(std::string_view Left, std::string_view Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](char A, char B) { return lower(A) == lower(B); });
+}
+
+std::string_view HttpRequest::header(std::string_view Name) const {
+  const auto Found = std::find_if(
+      this->Headers.begin(), this->Headers.end(),
+      [&](const wire::Header &H) { return sameHeader(H.Name, Name); });
+  return Found == this->Headers.end() ? std::string_view()
+                                      : std::string_view(Found->Value);
+}
+
+class HttpPort::Impl : public CloseWatch {
+public:
+  explicit Impl(HttpHandler &TheHandler) : Handler(TheHandler) {}
+
+  ~Impl() override {
+    this->Open.clear();
+    if (this->Http)
+      this->Http->close_async([] {}, [](const std::exception_ptr &) {});
+  }
+
+  leaf::result<void> listen(asio::io_context &Io, const Endpoint &Listen) {
+    auto Limits = restinio::incoming_http_msg_limits_t{}
+                      .max_url_size(MaxUrlBytes)
+                      .max_field_name_size(MaxFieldNameBytes)
+                      .max_field_value_size(MaxFieldValueBytes)
+                      .max_field_count(MaxFields)
+                      .max_body_size(MaxBodyBytes);
+    this->Http = std::make_unique<Server>(
+        restinio::external_io_context(Io), [&](auto &Settings) {
+          Settings.address(Listen.Ip)
+              .port(Listen.Port)
+              .incoming_http_msg_limits(Limits)
+              .max_pipelined_requests(MaxPipelinedRequests)
+              .read_next_http_message_timelimit(ReadTimeout)
+              .handle_request_timeout(HandleTimeout)
+              .connection_state_listener(std::make_shared<StateListener>(*this))
+              .socket_options_setter([](auto &Options) {
+                Options.set_option(asio::ip::tcp::no_delay(true));
+              })
+              .request_handler([this](restinio::request_handle_t Request) {
+                return this->accept(std::move(Request));
+              });
+        });
+    bool Done = false;
+    std::string Problem;
+    this->Http->open_async([&] { Done = true; },
+                           [&](const std::exception_ptr &Error) {
+                             Done = true;
+                             Problem = textOfException(Error);
+                           });
+    while (!Done)
+      Io.run_one();
+    if (!Problem.empty())
+      return fail(ResultCode::PortInUse, Listen.text(), Problem);
+    return {};
+  }
+
+  void answer(std::int64_t Id, HttpAnswer Answer) {
+    const auto Found = this->Open.find(Id);
+    if (Found == this->Open.end())
+      return;
+    const restinio::request_handle_t Request = std::move(Found->second);
+    this->forget(Found);
+    auto Response = Request->create_response(restinio::http_status_line_t(
+        restinio::http_status_code_t(static_cast<std::uint16_t>(Answer.Status)),
+        ""));
+    for (wire::Header &Item : Answer.Headers)
+      Response.append_header(std::move(Item.Name), std::move(Item.Value));
+    if (Answer.CloseConnection)
+      Response.connection_close();
+    Response.set_body(std::move(Answer.Body));
+    Response.done();
+  }
+
+  std::size_t openRequests() const { return this->Open.size(); }
+
+private:
+  using OpenMap = std::map<std::int64_t, restinio::request_handle_t>;
+
+  static std::string textOfException(const std::exception_ptr &Error) {
+    try {
+      std::rethrow_exception(Error);
+    } catch (const std::exception &What) {
+      return What.what();
+    }
+  }
+
+  restinio::request_handling_status_t
+  accept(restinio::request_handle_t Request) {
+    HttpRequest Out;
+    Out.Id = ++this->LastId;
+    Out.Method = methodName(Request->header());
+    Out.Url = std::string(Request->header().request_target());
+    for (const auto &Field : Request->header()) {
+      wire::Header Item;
+      Item.Name = Field.name();
+      Item.Value = Field.value();
+      Out.Headers.push_back(std::move(Item));
+    }
+    Out.Body = Request->body();
+    this->ByConnection.emplace(Request->connection_id(), Out.Id);
+    this->Open.emplace(Out.Id, std::move(Request));
+    this->Handler.onRequest(std::move(Out));
+    return restinio::request_accepted();
+  }
+
+  void forget(OpenMap::iterator Item) {
+    const std::int64_t Id = Item->first;
+    std::erase_if(this->ByConnection,
+                  [&](const auto &Entry) { return Entry.second == Id; });
+    this->Open.erase(Item);
+  }
+
+  void onConnectionClosed(std::uint64_t ConnectionId) override {
+    const auto [First, Last] = this->ByConnection.equal_range(ConnectionId);
+    std::vector<std::int64_t> Gone;
+    for (auto Item = First; Item != Last; ++Item)
+      Gone.push_back(Item->second);
+    this->ByConnection.erase(ConnectionId);
+    for (const std::int64_t Id : Gone) {
+      this->Open.erase(Id);
+      this->Handler.onRequestGone(Id);
+    }
+  }
+
+  HttpHandler &Handler;
+  std::unique_ptr<Server> Http;
+  OpenMap Open;
+  std::multimap<std::uint64_t, std::int64_t> ByConnection;
+  std::int64_t LastId = 0;
+};
+
+HttpPort::HttpPort(std::unique_ptr<Impl> Made)
+    : Implementation(std::move(Made)) {}
+
+HttpPort::~HttpPort() = default;
+
+leaf::result<std::unique_ptr<HttpPort>> HttpPort::open(asio::io_context &Io,
+                                                       const Endpoint &Listen,
+                                                       HttpHandler &Handler) {
+  auto Made = std::make_unique<Impl>(Handler);
+  BOOST_LEAF_CHECK(Made->listen(Io, Listen));
+  return std::unique_ptr<HttpPort>(new HttpPort(std::move(Made)));
+}
+
+void HttpPort::answer(std::int64_t Id, HttpAnswer Answer) {
+  this->Implementation->answer(Id, std::move(Answer));
+}
+
+std::size_t HttpPort::openRequests() const {
+  return this->Implementation->openRequests();
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/libhost.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file
+/// Public header of libhost: settings, logs and the host that runs a daemon.
+
+#include "daemonhost.h"
+#include "daemonsettings.h"
+#include "logging.h"
--- /dev/null
+++ b/src/libhost/logging.cpp
@@ -0,0 +1,75 @@
+#include "logging.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+
+namespace persimmon {
+
+namespace {
+
+using log4cplus::Logger;
+
+/// The two loggers, kept so that no line looks them up by name.
+struct Loggers {
+  log4cplus::Initializer Lifetime;
+  Logger Events = Logger::getInstance("events");
+  Logger Decisions = Logger::getInstance("decisions");
+};
+
+Loggers &loggers() {
+  static Loggers Instance;
+  return Instance;
+}
+
+log4cplus::LogLevel levelOf(std::string_view Name) {
+  if (Name == "debug")
+    return log4cplus::DEBUG_LOG_LEVEL;
+  if (Name == "warn")
+    return log4cplus::WARN_LOG_LEVEL;
+  if (Name == "error")
+    return log4cplus::ERROR_LOG_LEVEL;
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+} // namespace
+
+void startLogging(const LogSettings &Settings) {
+  loggers();
+  log4cplus::SharedAppenderPtr Appender;
+  if (Settings.File.empty())
+    Appender = new log4cplus::ConsoleAppender(true, true);
+  else
+    Appender = new log4cplus::FileAppender(Settings.File, std::ios::app, true);
+  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p log=%c %m%n"));
+  Logger Root = Logger::getRoot();
+  Root.addAppender(Appender);
+  Root.setLogLevel(levelOf(Settings.Level));
+  loggers().Decisions.setLogLevel(Settings.Decisions
+                                      ? log4cplus::INFO_LOG_LEVEL
+                                      : log4cplus::OFF_LOG_LEVEL);
+}
+
+void logDecision(std::string_view Line) {
+  LOG4CPLUS_INFO(loggers().Decisions, std::string(Line));
+}
+
+void logInfo(std::string_view Line) {
+  LOG4CPLUS_INFO(loggers().Events, std::string(Line));
+}
+
+void logWarning(std::string_view Line) {
+  LOG4CPLUS_WARN(loggers().Events, std::string(Line));
+}
+
+void logError(std::string_view Line) {
+  LOG4CPLUS_ERROR(loggers().Events, std::string(Line));
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/logging.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "daemonsettings.h"
+
+#include <string_view>
+
+namespace persimmon {
+
+/// Starts log4cplus as the settings say. Call once for each process.
+void startLogging(const LogSettings &Settings);
+
+/// Writes one line to the log of decisions.
+void logDecision(std::string_view Line);
+
+void logInfo(std::string_view Line);
+void logWarning(std::string_view Line);
+void logError(std::string_view Line);
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/operatorapi.cpp
@@ -0,0 +1,280 @@
+#include "operatorapi.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+
+#include <chrono>
+
+namespace persimmon {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t SaltDigits = 32;
+constexpr std::size_t MinTokenBytes = 8;
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+std::string_view bearerToken(const HttpRequest &Request) {
+  const std::string_view Value = Request.header("Authorization");
+  if (!Value.starts_with(BearerPrefix))
+    return {};
+  return Value.substr(BearerPrefix.size());
+}
+
+json describeJson(const Failure &Error) {
+  return {{"code", static_cast<int>(Error.Code)},
+          {"name", nameOf(Error.Code)},
+          {"where", Error.Where},
+          {"text",
+           Error.What.empty() ? std::string(textOf(Error.Code)) : Error.What}};
+}
+
+/// Reads one edit. Its value may be any JSON document.
+leaf::result<wire::PathEdit> readEdit(const json &Item) {
+  wire::PathEdit Edit;
+  if (!Item.is_object() || !Item.contains("path") ||
+      !Item.at("path").is_string())
+    return fail(ResultCode::ValueInvalid, "edits", "an edit needs a path");
+  Edit.Path = Item.at("path").get<std::string>();
+  Edit.Remove = Item.value("remove", false);
+  Edit.ExpectedVersion = Item.value("expectedVersion", std::int64_t{0});
+  if (!Edit.Remove && !Item.contains("value"))
+    return fail(ResultCode::ValueInvalid, Edit.Path, "a put needs a value");
+  if (!Edit.Remove)
+    Edit.Value = Item.at("value").dump();
+  return Edit;
+}
+
+leaf::result<wire::Change> readChange(const std::string &Text) {
+  try {
+    const json Document = json::parse(Text);
+    wire::Change Out;
+    Out.ChangeId = Document.at("changeId").get<std::string>();
+    Out.BasedOn = Document.at("basedOn").get<std::int64_t>();
+    Out.Team = Document.at("team").get<std::string>();
+    for (const json &Item : Document.at("edits")) {
+      BOOST_LEAF_AUTO(Edit, readEdit(Item));
+      Out.Edits.push_back(std::move(Edit));
+    }
+    return Out;
+  } catch (const json::exception &Error) {
+    return fail(ResultCode::ValueInvalid, "request", Error.what());
+  }
+}
+
+leaf::result<wire::TeamGrant> makeGrant(std::string Team,
+                                        std::string_view Token) {
+  if (Token.size() < MinTokenBytes)
+    return fail(ResultCode::ValueInvalid, "token",
+                "a token needs at least 8 bytes");
+  wire::TeamGrant Out;
+  Out.Team = std::move(Team);
+  Out.Salt = randomText(SaltDigits);
+  Out.TokenHash = hashToken(Out.Salt, Token);
+  return Out;
+}
+
+leaf::result<wire::TeamGrant> readGrant(const std::string &Text,
+                                        bool ForAdministrator) {
+  const json Document = json::parse(Text, nullptr, false);
+  if (!Document.is_object())
+    return fail(ResultCode::ValueInvalid, "request", "expected an object");
+  const char *Key = ForAdministrator ? "adminToken" : "token";
+  if (!Document.contains(Key) || !Document.at(Key).is_string())
+    return fail(ResultCode::ValueInvalid, Key, "expected a text");
+  const std::string Token = Document.at(Key).get<std::string>();
+  if (ForAdministrator)
+    return makeGrant("", Token);
+  if (!Document.contains("team") || !Document.at("team").is_string())
+    return fail(ResultCode::ValueInvalid, "team", "expected a text");
+  const std::string Team = Document.at("team").get<std::string>();
+  BOOST_LEAF_CHECK(parseSettingPath(Team + "/services/name"));
+  return makeGrant(Team, Token);
+}
+
+} // namespace
+
+std::string randomText(std::size_t Digits) {
+  constexpr std::string_view Alphabet = "0123456789abcdef";
+  std::string Out(Digits, '0');
+  std::string Bytes(Digits, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char *>(Bytes.data()),
+             static_cast<int>(Bytes.size()));
+  for (std::size_t I = 0; I < Digits; ++I)
+    Out[I] = Alphabet[static_cast<std::uint8_t>(Bytes[I]) % Alphabet.size()];
+  return Out;
+}
+
+leaf::result<std::unique_ptr<OperatorApi>>
+OperatorApi::open(asio::io_context &Io, const Endpoint &Listen,
+                  EventSink &Sink) {
+  std::unique_ptr<OperatorApi> Out(new OperatorApi(Sink));
+  BOOST_LEAF_ASSIGN(Out->Port, HttpPort::open(Io, Listen, *Out));
+  return Out;
+}
+
+void OperatorApi::reply(std::int64_t Id, int Status, const json &Body) {
+  HttpAnswer Answer;
+  Answer.Status = Status;
+  wire::Header Type;
+  Type.Name = "Content-Type";
+  Type.Value = "application/json";
+  Answer.Headers.push_back(std::move(Type));
+  Answer.Body = Body.dump() + "\n";
+  this->Port->answer(Id, std::move(Answer));
+}
+
+void OperatorApi::refuse(std::int64_t Id, const Failure &Error) {
+  const int Status = httpStatusOf(Error.Code);
+  this->reply(Id, Status, describeJson(Error));
+}
+
+void OperatorApi::onRequest(HttpRequest Request) {
+  const std::string Route = Request.Method + " " + Request.Url;
+  if (Route == "POST /v1/changes")
+    return this->change(Request);
+  if (Route == "POST /v1/teams")
+    return this->team(Request);
+  if (Route == "POST /v1/init")
+    return this->form(Request);
+  if (Route == "POST /v1/recover")
+    return this->recover(Request);
+  if (Route == "GET /v1/settings") {
+    this->Reads.insert(Request.Id);
+    return this->Sink.submit(ReadRequested{Request.Id});
+  }
+  if (Route == "GET /v1/status")
+    return this->reply(Request.Id, 200, this->status());
+  if (Route == "GET /v1/members")
+    return this->reply(Request.Id, 200, this->members());
+  if (Route == "GET /health")
+    return this->reply(Request.Id, 200, json{{"healthy", true}});
+  if (Route == "GET /ready") {
+    const bool Ready =
+        !this->Sink.node().control()->consensus().leaderAddress().empty();
+    constexpr int Unavailable = 503;
+    return this->reply(Request.Id, Ready ? 200 : Unavailable,
+                       json{{"ready", Ready}});
+  }
+  if (Route == "GET /metrics") {
+    HttpAnswer Answer;
+    Answer.Body = this->Sink.metricsText();
+    return this->Port->answer(Request.Id, std::move(Answer));
+  }
+  this->refuse(Request.Id, {ResultCode::PathUnknown, Request.Url,
+                            "there is no such request"});
+}
+
+void OperatorApi::onRequestGone(std::int64_t Id) { this->Reads.erase(Id); }
+
+void OperatorApi::change(const HttpRequest &Request) {
+  const Failure Error = settle(
+      [&] { return readChange(Request.Body); },
+      [&](wire::Change TheChange) {
+        this->Sink.submit(ChangeRequested{Request.Id, std::move(TheChange),
+                                          std::string(bearerToken(Request))});
+      });
+  if (Error.failed())
+    this->refuse(Request.Id, Error);
+}
+
+void OperatorApi::team(const HttpRequest &Request) {
+  const Failure Error = settle(
+      [&] { return readGrant(Request.Body, false); },
+      [&](wire::TeamGrant Grant) {
+        this->Sink.submit(TeamRequested{Request.Id, std::move(Grant),
+                                        std::string(bearerToken(Request))});
+      });
+  if (Error.failed())
+    this->refuse(Request.Id, Error);
+}
+
+void OperatorApi::form(const HttpRequest &Request) {
+  const Failure Error =
+      settle([&] { return readGrant(Request.Body, true); },
+             [&](wire::TeamGrant Grant) {
+               this->Sink.submit(FormRequested{Request.Id, std::move(Grant)});
+             });
+  if (Error.failed())
+    this->refuse(Request.Id, Error);
+}
+
+void OperatorApi::recover(const HttpRequest &Request) {
+  this->Sink.submit(
+      RecoverRequested{Request.Id, std::string(bearerToken(Request))});
+}
+
+void OperatorApi::answer(const AnswerOperator &Answer) {
+  const bool Read = this->Reads.erase(Answer.RequestId) != 0;
+  if (Answer.Error.failed()) {
+    json Body = describeJson(Answer.Error);
+    Body["leader"] = Answer.LeaderAddress;
+    this->reply(Answer.RequestId, httpStatusOf(Answer.Error.Code), Body);
+    return;
+  }
+  json Body = Read ? this->settings() : json::object();
+  Body["code"] = 0;
+  Body["version"] = Answer.Version;
+  this->reply(Answer.RequestId, 200, Body);
+}
+
+json OperatorApi::settings() const {
+  json Items = json::array();
+  for (const auto &[Path, Entry] :
+       this->Sink.node().control()->store().settings())
+    Items.push_back({{"path", Path},
+                     {"version", Entry.Version},
+                     {"value", json::parse(Entry.Value, nullptr, false)}});
+  return {{"settings", std::move(Items)}};
+}
+
+json OperatorApi::status() const {
+  const Node &Daemon = this->Sink.node();
+  const ControlService &Control = *Daemon.control();
+  const Time Now = std::chrono::steady_clock::now();
+  const auto Summary = Daemon.reports().summary(Daemon.members(), Now);
+  json Voters = json::array();
+  for (const wire::Replica &Voter : Control.consensus().voters())
+    Voters.push_back({{"instance", Voter.Instance},
+                      {"disk", std::to_string(Voter.DiskId)},
+                      {"address", Voter.Address}});
+  json Laggards = json::array();
+  for (const wire::Laggard &Item : Summary.Laggards) {
+    if (Item.Version < Control.store().version())
+      Laggards.push_back({{"name", Item.Name}, {"version", Item.Version}});
+  }
+  const std::string Leader = Control.consensus().leaderAddress();
+  return {{"instance", Daemon.members().self().Name},
+          {"formed", Control.consensus().formed()},
+          {"leader", Leader},
+          {"leading", Control.consensus().leader()},
+          {"term", Control.consensus().term()},
+          {"commitIndex", Control.consensus().commitIndex()},
+          {"version", Control.store().version()},
+          {"stale", Daemon.members().stale(Now)},
+          {"voters", std::move(Voters)},
+          {"inForce",
+           {{"leastVersion", Summary.LeastVersion},
+            {"reported", Summary.Reported},
+            {"expected", Summary.Expected},
+            {"complete", Summary.Complete},
+            {"laggards", std::move(Laggards)}}}};
+}
+
+json OperatorApi::members() const {
+  json Items = json::array();
+  for (const auto &[Name, Record] : this->Sink.node().members().records())
+    Items.push_back({{"name", Name},
+                     {"address", Record.Address},
+                     {"availabilityZone", Record.Zone},
+                     {"control", Record.Control},
+                     {"state", wire::to_string(Record.State)},
+                     {"service", Record.Service},
+                     {"target", wire::to_string(Record.Target)},
+                     {"unwell", Record.Unwell},
+                     {"slots", Record.Slots}});
+  return {{"members", std::move(Items)}};
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libhost/peernetwork.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "daemonsettings.h"
+
+#include <asio/io_context.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace persimmon {
+
+/// Receives what arrives from other daemons.
+class PeerListener {
+public:
+  virtual ~PeerListener() = default;
+
+  /// \p From is the path on which an answer reaches the sender: an address, or
+  /// the name of an accepted connection.
+  virtual void onMessage(std::string From, Message Body) = 0;
+
+  /// The connection to \p Address ended or could not be opened.
+  virtual void onStreamLost(std::string Address) = 0;
+
+  /// The accepted connection \p Path ended.
+  virtual void onPathClosed(std::string Path) = 0;
+};
+
+/// Bytes and messages by kind of message.
+struct TrafficCount {
+  std::uint64_t SentBytes = 0;
+  std::uint64_t SentMessages = 0;
+  std::uint64_t ReceivedBytes = 0;
+  std::uint64_t ReceivedMessages = 0;
+};
+
+/// Datagrams and streams to other daemons. A message is written to one
+/// connection only: when that ends, it is lost and the listener is told.
+class PeerNetwork {
+public:
+  /// Listens on \p Listen, TCP and UDP. \p Listener must outlive the network.
+  /// Errors: PortInUse, AddressInvalid.
+  static leaf::result<std::unique_ptr<PeerNetwork>>
+  open(asio::io_context &Io, const Endpoint &Listen, PeerListener &Listener);
+
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork &) = delete;
+  PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+  /// Sends to an address, opening a connection if there is none, or on the
+  /// path of an accepted connection. Never calls the listener.
+  void send(const std::string &To, const Message &Body, Channel Via);
+
+  /// Abandons the connection to \p Address; the listener is not told.
+  void renew(const std::string &Address);
+
+  const std::array<TrafficCount, std::variant_size_v<Message>> &traffic() const;
+
+private:
+  class Impl;
+
+  explicit PeerNetwork(std::unique_ptr<Impl> Implementation);
+
+  std::unique_ptr<Impl> Implementation;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/callrouter.cpp
@@ -0,0 +1,451 @@
+#include "callrouter.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+namespace {
+
+constexpr std::size_t MaxCalls = 4096;
+constexpr int MaxAttempts = 4;
+constexpr int MaxOverloadAttempts = 2;
+constexpr milliseconds AskInterval{250};
+constexpr milliseconds AskTimeout{3000};
+constexpr milliseconds HeartbeatInterval{250};
+constexpr milliseconds SilenceTimeout{1000};
+
+bool idempotentMethod(std::string_view Method) {
+  return Method == "GET" || Method == "HEAD" || Method == "OPTIONS" ||
+         Method == "PUT" || Method == "DELETE";
+}
+
+bool repeatable(const RouteSpec &Route, std::string_view Method) {
+  if (Route.Repeat == Repeatable::ByMethod)
+    return idempotentMethod(Method);
+  return Route.Repeat == Repeatable::Always;
+}
+
+} // namespace
+
+CallRouter::CallRouter(const Membership &Members, const Distribution &Config,
+                       ClaimKeeper Claims, std::uint64_t Seed,
+                       const ChoicePolicy &Policy)
+    : Members(Members), Config(Config), Claims(std::move(Claims)),
+      Chooser(Members.self().Zone, Seed, Policy),
+      OwnIncarnation(Members.self().Incarnation) {}
+
+void CallRouter::refuse(std::int64_t CallNumber, Failure Error,
+                        Effects &Out) const {
+  Out.emplace_back(RefuseCaller{CallNumber, std::move(Error)});
+}
+
+void CallRouter::arrive(const CallArrived &Arrived, bool Serving, Time Now,
+                        Effects &Out) {
+  const std::int64_t Number = Arrived.CallNumber;
+  if (this->Stopping)
+    return this->refuse(Number, {ResultCode::Stopping, {}, {}}, Out);
+  if (!Serving || !this->Config.table())
+    return this->refuse(Number, {ResultCode::NotCurrent, {}, {}}, Out);
+  if (this->Calls.size() >= MaxCalls)
+    return this->refuse(Number, {ResultCode::TooManyCalls, {}, {}}, Out);
+  const RouteTable &Table = *this->Config.table();
+  const RouteSpec *Route = Table.match(Arrived.Job, Arrived.Url);
+  if (Route == nullptr) {
+    Out.emplace_back(LogDecision{
+        "event=route call=" + Arrived.CallId + " job=" + Arrived.Job +
+        " route=none version=" + std::to_string(this->Config.version())});
+    return this->refuse(Number, {ResultCode::NoRoute, Arrived.Job, {}}, Out);
+  }
+  const ServiceSpec &Service = *Table.service(Route->Service);
+  if (Arrived.BodySize > Service.MaxBodyBytes)
+    return this->refuse(Number, {ResultCode::BodyTooLarge, Service.Name, {}},
+                        Out);
+  Call Fresh;
+  Fresh.Number = Number;
+  Fresh.CallId = Arrived.CallId;
+  Fresh.Method = Arrived.Method;
+  Fresh.Url = Arrived.Url;
+  Fresh.Headers = Arrived.Headers;
+  Fresh.BodySize = Arrived.BodySize;
+  Fresh.RoutePath = Route->Path;
+  Fresh.Service = Service.Name;
+  Fresh.Priority = Route->Priority;
+  Fresh.Repeat = repeatable(*Route, Arrived.Method);
+  const milliseconds Limit =
+      Route->CallTimeout.count() > 0 ? Route->CallTimeout : Service.CallTimeout;
+  Fresh.Deadline = std::min(Arrived.Deadline, Now + Limit);
+  this->Budget.earn(Service.Name, Service.RetryBudgetPercent);
+  Call &Stored = this->Calls.emplace(Number, std::move(Fresh)).first->second;
+  if (!Stored.Repeat && !Arrived.IdempotencyKey.empty()) {
+    Stored.State = Phase::Claiming;
+    Stored.HasClaim = true;
+    // Keys of different routes do not collide.
+    this->Claims.request(
+        Number, Stored.RoutePath + '\n' + Arrived.IdempotencyKey, Now, Out);
+    return;
+  }
+  this->dispatch(Stored, Now, Out);
+}
+
+wire::AttemptId CallRouter::attemptId(const Call &TheCall) const {
+  wire::AttemptId Id;
+  Id.Sender = this->Members.self().Name;
+  Id.SenderIncarnation = this->OwnIncarnation;
+  Id.Number = TheCall.AttemptNumber;
+  return Id;
+}
+
+void CallRouter::dispatch(Call &TheCall, Time Now, Effects &Out) {
+  const TargetChoice Choice = this->Chooser.choose(
+      this->Members, TheCall.Service, TheCall.Excluded, Now);
+  std::string Line = "event=place call=" + TheCall.CallId +
+                     " route=" + TheCall.RoutePath +
+                     " service=" + TheCall.Service +
+                     " version=" + std::to_string(this->Config.version()) +
+                     " attempt=" + std::to_string(TheCall.Attempts + 1) +
+                     " candidates=" + std::to_string(Choice.Candidates);
+  if (Choice.Record == nullptr) {
+    Out.emplace_back(LogDecision{Line + " choice=none"});
+    this->finish(TheCall.Number, {TheCall.LastRefusal, TheCall.Service, {}},
+                 false, Now, Out);
+    return;
+  }
+  Out.emplace_back(LogDecision{Line + " choice=" + Choice.Record->Name +
+                               " reason=" + std::string(Choice.Reason)});
+  TheCall.State = Phase::Sent;
+  TheCall.Attempts += 1;
+  TheCall.AttemptNumber = ++this->LastAttempt;
+  TheCall.Target = Choice.Record->Name;
+  TheCall.Address = Choice.Record->Address;
+  TheCall.TargetIncarnation = Choice.Record->Incarnation;
+  this->CallOfAttempt[TheCall.AttemptNumber] = TheCall.Number;
+  this->Chooser.started(TheCall.Target);
+  if (this->Links.find(TheCall.Address) == this->Links.end())
+    this->Links[TheCall.Address] = {Now + HeartbeatInterval,
+                                    Now + SilenceTimeout};
+  wire::CallRequest Request;
+  Request.Id = this->attemptId(TheCall);
+  Request.ReceiverIncarnation = TheCall.TargetIncarnation;
+  Request.Service = TheCall.Service;
+  Request.Method = TheCall.Method;
+  Request.Url = TheCall.Url;
+  Request.Headers = TheCall.Headers;
+  Request.BodySize = TheCall.BodySize;
+  Request.RemainingMs =
+      static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now));
+  Request.Priority = TheCall.Priority;
+  Request.CallId = TheCall.CallId;
+  Request.MayRepeat = TheCall.Repeat;
+  Out.emplace_back(
+      SendCall{TheCall.Number, TheCall.Address, std::move(Request)});
+}
+
+CallRouter::Call *CallRouter::find(std::int64_t Number) {
+  const auto Found = this->Calls.find(Number);
+  return Found == this->Calls.end() ? nullptr : &Found->second;
+}
+
+CallRouter::Call *CallRouter::findAttempt(const wire::AttemptId &Id) {
+  if (Id.Sender != this->Members.self().Name ||
+      Id.SenderIncarnation != this->OwnIncarnation)
+    return nullptr;
+  const auto Found = this->CallOfAttempt.find(Id.Number);
+  return Found == this->CallOfAttempt.end() ? nullptr
+                                            : this->find(Found->second);
+}
+
+void CallRouter::endAttempt(Call &TheCall, bool Failed, Time Now) {
+  this->CallOfAttempt.erase(TheCall.AttemptNumber);
+  this->Chooser.finished(TheCall.Target, Failed, Now);
+}
+
+void CallRouter::finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun,
+                        Time Now, Effects &Out) {
+  if (Error.failed())
+    this->refuse(CallNumber, std::move(Error), Out);
+  this->Claims.finished(CallNumber, MayHaveRun, Now, Out);
+  this->Calls.erase(CallNumber);
+}
+
+void CallRouter::receive(const wire::CallReply &Reply, Time Now, Effects &Out) {
+  Call *Found = this->findAttempt(Reply.Id);
+  if (Found == nullptr) {
+    // The answer of an attempt that no one waits for any more.
+    Out.emplace_back(DropAttempt{Reply.Id});
+    return;
+  }
+  Call &TheCall = *Found;
+  const auto Link = this->Links.find(TheCall.Address);
+  if (Link != this->Links.end())
+    Link->second.SilentAt = Now + SilenceTimeout;
+  this->Chooser.reported(TheCall.Target, Reply.TargetLoad, Now);
+  const auto Code = static_cast<ResultCode>(Reply.Code);
+  switch (Reply.Outcome) {
+  case wire::CallOutcome::NotRun:
+    this->attemptNotRun(TheCall, Code, Now, Out);
+    return;
+  case wire::CallOutcome::Running:
+    TheCall.State = Phase::Asking;
+    TheCall.NextAsk = Now + AskInterval;
+    TheCall.AskUntil = Now + AskTimeout;
+    return;
+  case wire::CallOutcome::Unknown:
+    this->attemptUnknown(TheCall, Code, Now, Out);
+    return;
+  case wire::CallOutcome::Finished:
+    break;
+  }
+  constexpr int FirstServerError = 500;
+  this->endAttempt(TheCall, Reply.Status >= FirstServerError, Now);
+  Out.emplace_back(AnswerCaller{TheCall.Number, Reply.Id});
+  wire::AnswerAck Ack;
+  Ack.Id = Reply.Id;
+  send(Out, TheCall.Address, std::move(Ack));
+  this->finish(TheCall.Number, {}, true, Now, Out);
+}
+
+void CallRouter::attemptNotRun(Call &TheCall, ResultCode Code, Time Now,
+                               Effects &Out) {
+  const bool Unreachable = Code == ResultCode::TargetUnreachable;
+  this->endAttempt(TheCall, Unreachable, Now);
+  Out.emplace_back(LogDecision{
+      "event=not-run call=" + TheCall.CallId + " choice=" + TheCall.Target +
+      " code=" + std::to_string(static_cast<int>(Code))});
+  TheCall.Excluded.insert(TheCall.Target);
+  TheCall.LastRefusal = Code;
+  const int Limit =
+      Code == ResultCode::Overloaded ? MaxOverloadAttempts : MaxAttempts;
+  const bool Worthwhile = Code != ResultCode::DeadlineCannotBeMet &&
+                          TheCall.Attempts < Limit && Now < TheCall.Deadline;
+  if (!Worthwhile) {
+    this->finish(TheCall.Number, {Code, TheCall.Service, {}}, false, Now, Out);
+    return;
+  }
+  this->Retries += 1;
+  this->dispatch(TheCall, Now, Out);
+}
+
+bool CallRouter::retryElsewhere(Call &TheCall, Time Now, Effects &Out) {
+  const bool Allowed = TheCall.Repeat && TheCall.Attempts < MaxAttempts &&
+                       Now < TheCall.Deadline &&
+                       this->Budget.spend(TheCall.Service);
+  if (!Allowed)
+    return false;
+  this->endAttempt(TheCall, true, Now);
+  TheCall.Excluded.insert(TheCall.Target);
+  TheCall.LastRefusal = ResultCode::OutcomeUnknown;
+  this->Retries += 1;
+  this->dispatch(TheCall, Now, Out);
+  return true;
+}
+
+void CallRouter::attemptUnknown(Call &TheCall, ResultCode Code, Time Now,
+                                Effects &Out) {
+  Out.emplace_back(LogDecision{
+      "event=outcome-unknown call=" + TheCall.CallId + " choice=" +
+      TheCall.Target + " repeatable=" + (TheCall.Repeat ? "yes" : "no") +
+      " code=" + std::to_string(static_cast<int>(Code))});
+  if (this->retryElsewhere(TheCall, Now, Out))
+    return;
+  this->endAttempt(TheCall, true, Now);
+  const ResultCode Told = Code == ResultCode::TargetBroke
+                              ? ResultCode::TargetBroke
+                              : ResultCode::OutcomeUnknown;
+  this->finish(TheCall.Number, {Told, TheCall.Service, {}}, true, Now, Out);
+}
+
+void CallRouter::ask(Call &TheCall, Time Now, Effects &Out) {
+  TheCall.NextAsk = Now + AskInterval;
+  wire::CallQuery Query;
+  Query.Id = this->attemptId(TheCall);
+  Query.ReceiverIncarnation = TheCall.TargetIncarnation;
+  send(Out, TheCall.Address, std::move(Query));
+}
+
+void CallRouter::connectionFailed(Call &TheCall, Time Now, Effects &Out) {
+  if (TheCall.State != Phase::Sent || this->retryElsewhere(TheCall, Now, Out))
+    return;
+  TheCall.State = Phase::Asking;
+  TheCall.AskUntil = Now + AskTimeout;
+  this->ask(TheCall, Now, Out);
+}
+
+std::vector<std::int64_t> CallRouter::callNumbers() const {
+  std::vector<std::int64_t> Out;
+  Out.reserve(this->Calls.size());
+  for (const auto &[Number, TheCall] : this->Calls)
+    Out.push_back(Number);
+  return Out;
+}
+
+void CallRouter::streamLost(std::string_view Address, Time Now, Effects &Out) {
+  for (const std::int64_t Number : this->callNumbers()) {
+    Call *TheCall = this->find(Number);
+    if (TheCall != nullptr && TheCall->Address == Address)
+      this->connectionFailed(*TheCall, Now, Out);
+  }
+}
+
+void CallRouter::receive(const wire::Heartbeat &Message, std::string_view From,
+                         Time Now, Effects &Out) {
+  if (!Message.IsReply) {
+    wire::Heartbeat Reply;
+    Reply.IsReply = true;
+    send(Out, From, Reply);
+    return;
+  }
+  const auto Link = this->Links.find(From);
+  if (Link != this->Links.end())
+    Link->second.SilentAt = Now + SilenceTimeout;
+}
+
+void CallRouter::watchLinks(Time Now, Effects &Out) {
+  std::set<std::string_view> Busy;
+  for (const auto &[Number, TheCall] : this->Calls) {
+    if (TheCall.dispatched())
+      Busy.insert(TheCall.Address);
+  }
+  std::erase_if(this->Links,
+                [&](const auto &Item) { return Busy.count(Item.first) == 0; });
+  std::vector<std::string> Silent;
+  for (auto &[Address, Link] : this->Links) {
+    if (Now >= Link.SilentAt) {
+      Link.SilentAt = Now + SilenceTimeout;
+      Silent.push_back(Address);
+    } else if (Now >= Link.NextHeartbeat) {
+      Link.NextHeartbeat = Now + HeartbeatInterval;
+      send(Out, Address, wire::Heartbeat());
+    }
+  }
+  for (const std::string &Address : Silent) {
+    Out.emplace_back(LogDecision{"event=connection-silent peer=" + Address});
+    Out.emplace_back(RenewConnection{Address});
+    this->streamLost(Address, Now, Out);
+  }
+}
+
+void CallRouter::deadlinePassed(Call &TheCall, Time Now, Effects &Out) {
+  if (!TheCall.dispatched()) {
+    this->finish(TheCall.Number,
+                 {ResultCode::ClaimUnavailable, TheCall.Service, {}}, false,
+                 Now, Out);
+    return;
+  }
+  wire::CallCancel Cancel;
+  Cancel.Id = this->attemptId(TheCall);
+  send(Out, TheCall.Address, std::move(Cancel));
+  this->endAttempt(TheCall, true, Now);
+  this->finish(TheCall.Number,
+               {ResultCode::DeadlinePassed, TheCall.Service, {}}, true, Now,
+               Out);
+}
+
+void CallRouter::tick(Time Now, Effects &Out) {
+  for (const std::int64_t Number : this->Claims.tick(Now, Out))
+    this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
+                 Out);
+  this->watchLinks(Now, Out);
+  for (const std::int64_t Number : this->callNumbers()) {
+    Call *TheCall = this->find(Number);
+    if (TheCall == nullptr)
+      continue;
+    if (Now >= TheCall->Deadline) {
+      this->deadlinePassed(*TheCall, Now, Out);
+      continue;
+    }
+    if (TheCall->State == Phase::KeyTaken && Now >= TheCall->AskUntil) {
+      this->finish(Number,
+                   {ResultCode::KeyClaimed,
+                    {},
+                    "the daemon of the first call does not answer"},
+                   false, Now, Out);
+      continue;
+    }
+    if (TheCall->State != Phase::Asking)
+      continue;
+    const wire::MemberRecord *Record = this->Members.find(TheCall->Target);
+    const bool Dead = Record == nullptr || !isAlive(*Record) ||
+                      Record->Incarnation != TheCall->TargetIncarnation;
+    if (Now >= TheCall->AskUntil || Dead)
+      this->attemptUnknown(*TheCall, ResultCode::OutcomeUnknown, Now, Out);
+    else if (Now >= TheCall->NextAsk)
+      this->ask(*TheCall, Now, Out);
+  }
+}
+
+void CallRouter::callerGone(std::int64_t CallNumber, Time Now, Effects &Out) {
+  Call *TheCall = this->find(CallNumber);
+  if (TheCall == nullptr)
+    return;
+  bool MayHaveRun = false;
+  if (TheCall->dispatched()) {
+    wire::CallCancel Cancel;
+    Cancel.Id = this->attemptId(*TheCall);
+    send(Out, TheCall->Address, std::move(Cancel));
+    this->endAttempt(*TheCall, false, Now);
+    MayHaveRun = true;
+  }
+  this->finish(CallNumber, {ResultCode::Cancelled, {}, {}}, MayHaveRun, Now,
+               Out);
+}
+
+void CallRouter::receive(const wire::ClaimReply &Reply, Time Now,
+                         Effects &Out) {
+  Call *TheCall = this->find(Reply.CallNumber);
+  if (TheCall == nullptr || TheCall->State != Phase::Claiming)
+    return;
+  switch (this->Claims.receive(Reply)) {
+  case ClaimKeeper::Verdict::Waiting:
+    return;
+  case ClaimKeeper::Verdict::Granted:
+    this->dispatch(*TheCall, Now, Out);
+    return;
+  case ClaimKeeper::Verdict::Unavailable:
+    this->finish(TheCall->Number, {ResultCode::ClaimUnavailable, {}, {}}, false,
+                 Now, Out);
+    return;
+  case ClaimKeeper::Verdict::Taken:
+    break;
+  }
+  if (Reply.Holder.Owner == this->Members.self().Name) {
+    const auto First = this->Claims.outcomeOf(Reply.Holder.OwnerIncarnation,
+                                              Reply.Holder.CallNumber);
+    this->finish(TheCall->Number,
+                 {ResultCode::KeyClaimed,
+                  {},
+                  "the first call is " + wire::to_string(First)},
+                 false, Now, Out);
+    return;
+  }
+  // The holder says what became of the first call, if it still lives.
+  wire::OutcomeQuery Query;
+  Query.RequestId = TheCall->Number;
+  Query.OwnerIncarnation = Reply.Holder.OwnerIncarnation;
+  Query.CallNumber = Reply.Holder.CallNumber;
+  send(Out, Reply.Holder.OwnerAddress, std::move(Query), Channel::Datagram);
+  TheCall->State = Phase::KeyTaken;
+  TheCall->AskUntil = Now + AskInterval;
+}
+
+void CallRouter::receive(const wire::OutcomeQuery &Query, std::string_view From,
+                         Effects &Out) const {
+  wire::OutcomeReply Reply;
+  Reply.RequestId = Query.RequestId;
+  Reply.Outcome =
+      this->Claims.outcomeOf(Query.OwnerIncarnation, Query.CallNumber);
+  send(Out, From, std::move(Reply), Channel::Datagram);
+}
+
+void CallRouter::receive(const wire::OutcomeReply &Reply, Time Now,
+                         Effects &Out) {
+  Call *TheCall = this->find(Reply.RequestId);
+  if (TheCall == nullptr || TheCall->State != Phase::KeyTaken)
+    return;
+  this->finish(TheCall->Number,
+               {ResultCode::KeyClaimed,
+                {},
+                "the first call is " + wire::to_string(Reply.Outcome)},
+               false, Now, Out);
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/callrouter.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "claimkeeper.h"
+#include "distribution.h"
+#include "events.h"
+#include "membership.h"
+#include "retrybudget.h"
+#include "targetchooser.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace persimmon {
+
+/// The caller's side of a call: matches it by the settings alone, chooses a
+/// target, and follows each attempt until the caller can be answered. Only a
+/// refusal by the target's daemon says "not run"; a call that may not be
+/// repeated is never sent again without one.
+class CallRouter {
+public:
+  CallRouter(const Membership &Members, const Distribution &Config,
+             ClaimKeeper Claims, std::uint64_t Seed,
+             const ChoicePolicy &Policy);
+
+  void arrive(const CallArrived &Call, bool Serving, Time Now, Effects &Out);
+  void callerGone(std::int64_t CallNumber, Time Now, Effects &Out);
+  void receive(const wire::CallReply &Reply, Time Now, Effects &Out);
+  void receive(const wire::ClaimReply &Reply, Time Now, Effects &Out);
+  void receive(const wire::OutcomeQuery &Query, std::string_view From,
+               Effects &Out) const;
+  void receive(const wire::OutcomeReply &Reply, Time Now, Effects &Out);
+  void receive(const wire::Heartbeat &Message, std::string_view From, Time Now,
+               Effects &Out);
+  void streamLost(std::string_view Address, Time Now, Effects &Out);
+  void tick(Time Now, Effects &Out);
+
+  /// Refuses new calls from now on.
+  void stop() { this->Stopping = true; }
+
+  std::size_t callCount() const { return this->Calls.size(); }
+  std::uint64_t retryCount() const { return this->Retries; }
+
+private:
+  enum class Phase { Claiming, KeyTaken, Sent, Asking };
+
+  struct Call {
+    std::int64_t Number = 0;
+    std::string CallId;
+    std::string Method;
+    std::string Url;
+    std::vector<wire::Header> Headers;
+    std::int64_t BodySize = 0;
+    std::string RoutePath;
+    std::string Service;
+    int Priority = 0;
+    bool Repeat = false;
+    bool HasClaim = false;
+    Time Deadline;
+    Phase State = Phase::Sent;
+    int Attempts = 0;
+    std::int64_t AttemptNumber = 0;
+    std::string Target;
+    std::string Address;
+    std::int64_t TargetIncarnation = 0;
+    std::set<std::string> Excluded;
+    Time NextAsk;
+    Time AskUntil;
+    ResultCode LastRefusal = ResultCode::NoTarget;
+
+    /// Returns whether an attempt is under way.
+    bool dispatched() const {
+      return this->State == Phase::Sent || this->State == Phase::Asking;
+    }
+  };
+
+  /// Liveness of a connection on which calls are outstanding.
+  struct LinkWatch {
+    Time NextHeartbeat;
+    Time SilentAt;
+  };
+
+  void dispatch(Call &TheCall, Time Now, Effects &Out);
+  void ask(Call &TheCall, Time Now, Effects &Out);
+  void connectionFailed(Call &TheCall, Time Now, Effects &Out);
+  void attemptNotRun(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
+  bool retryElsewhere(Call &TheCall, Time Now, Effects &Out);
+  void attemptUnknown(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
+  void endAttempt(Call &TheCall, bool Failed, Time Now);
+  void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
+  void finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun, Time Now,
+              Effects &Out);
+  void deadlinePassed(Call &TheCall, Time Now, Effects &Out);
+  void watchLinks(Time Now, Effects &Out);
+  wire::AttemptId attemptId(const Call &TheCall) const;
+  Call *findAttempt(const wire::AttemptId &Id);
+  std::vector<std::int64_t> callNumbers() const;
+  Call *find(std::int64_t Number);
+
+  const Membership &Members;
+  const Distribution &Config;
+  ClaimKeeper Claims;
+  TargetChooser Chooser;
+  RetryBudget Budget;
+  std::map<std::int64_t, Call> Calls;
+  std::map<std::int64_t, std::int64_t> CallOfAttempt;
+  std::map<std::string, LinkWatch, std::less<>> Links;
+  std::int64_t LastAttempt = 0;
+  std::int64_t OwnIncarnation;
+  std::uint64_t Retries = 0;
+  bool Stopping = false;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/distribution.cpp
@@ -0,0 +1,258 @@
+#include "distribution.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+namespace {
+
+constexpr std::size_t MaxHistory = 1024;
+constexpr std::size_t MaxSources = 8;
+constexpr std::size_t DeltaPullsPerWindow = 64;
+constexpr std::size_t SnapshotPullsPerWindow = 16;
+constexpr milliseconds PullWindow{200};
+constexpr milliseconds PullTimeout{800};
+constexpr milliseconds BusyRetryMin{50};
+constexpr milliseconds BusyRetryMax{400};
+
+} // namespace
+
+void Distribution::applyCommitted(const wire::Delta &Change, Effects &Out) {
+  SettingsMap Content = this->Settings;
+  for (const wire::Setting &Entry : Change.Puts)
+    Content[Entry.Path] = Entry;
+  for (const std::string &Path : Change.Removed)
+    Content.erase(Path);
+  const Failure Error = settle(
+      [&] {
+        return this->putInForce(std::move(Content), Change.To, Change.Hash);
+      },
+      [] {});
+  if (Error.failed()) {
+    Out.emplace_back(LogWarning{"event=update-rejected " + describe(Error)});
+    return;
+  }
+  this->remember(Change);
+  Out.emplace_back(VersionInForce{this->Version});
+}
+
+void Distribution::adopt(const SettingsMap &Content, std::int64_t NewVersion,
+                         Effects &Out) {
+  if (NewVersion <= this->Version)
+    return;
+  std::uint64_t Sum = 0;
+  for (const auto &[Path, Entry] : Content)
+    Sum += hashOf(Entry);
+  const Failure Error = settle(
+      [&] {
+        return this->putInForce(Content, NewVersion,
+                                static_cast<std::int64_t>(Sum));
+      },
+      [] {});
+  if (Error.failed()) {
+    Out.emplace_back(LogWarning{"event=update-rejected " + describe(Error)});
+    return;
+  }
+  this->History.clear();
+  this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
+  Out.emplace_back(VersionInForce{this->Version});
+}
+
+leaf::result<void> Distribution::putInForce(SettingsMap Content,
+                                            std::int64_t NewVersion,
+                                            std::int64_t ExpectedHash) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Path, Entry] : Content)
+    Sum += hashOf(Entry);
+  if (static_cast<std::int64_t>(Sum) != ExpectedHash)
+    return fail(ResultCode::UpdateRejected, std::to_string(NewVersion),
+                "the content does not have the announced hash");
+  BOOST_LEAF_AUTO(Built, RouteTable::build(Content, this->Table.get()));
+  this->Table = std::move(Built);
+  this->Settings = std::move(Content);
+  this->Version = NewVersion;
+  this->Hash = Sum;
+  return {};
+}
+
+void Distribution::remember(const wire::Delta &Change) {
+  this->History.push_back(Change);
+  while (this->History.size() > MaxHistory) {
+    this->HistoryBaseHash = this->History.front().Hash;
+    this->History.pop_front();
+  }
+}
+
+void Distribution::heard(std::string_view Address, std::int64_t PeerVersion,
+                         Time Now, Effects &Out) {
+  if (PeerVersion <= this->Version || Address.empty())
+    return;
+  const auto Known =
+      std::find_if(this->Sources.begin(), this->Sources.end(),
+                   [&](const Source &S) { return S.Address == Address; });
+  if (Known != this->Sources.end()) {
+    Known->Version = std::max(Known->Version, PeerVersion);
+  } else {
+    if (this->Sources.size() == MaxSources)
+      this->Sources.erase(this->Sources.begin());
+    this->Sources.push_back({std::string(Address), PeerVersion});
+  }
+  this->startPull(Now, Out);
+}
+
+void Distribution::startPull(Time Now, Effects &Out) {
+  std::erase_if(this->Sources,
+                [&](const Source &S) { return S.Version <= this->Version; });
+  if (!this->PullFrom.empty() || Now < this->NextPull || this->Sources.empty())
+    return;
+  const Source &Chosen = this->Sources[this->Rng.below(this->Sources.size())];
+  this->PullFrom = Chosen.Address;
+  this->PullDeadline = Now + PullTimeout;
+  wire::PullRequest Request;
+  Request.HaveVersion = this->NeedsSnapshot ? 0 : this->Version;
+  Request.HaveHash =
+      this->NeedsSnapshot ? 0 : static_cast<std::int64_t>(this->Hash);
+  send(Out, this->PullFrom, Request);
+}
+
+void Distribution::dropSource(std::string_view Address) {
+  std::erase_if(this->Sources,
+                [&](const Source &S) { return S.Address == Address; });
+}
+
+void Distribution::tick(Time Now, Effects &Out) {
+  if (!this->PullFrom.empty() && Now >= this->PullDeadline) {
+    Out.emplace_back(RenewConnection{this->PullFrom});
+    this->dropSource(this->PullFrom);
+    this->PullFrom.clear();
+    this->PullDeadline = NoDeadline;
+  }
+  this->startPull(Now, Out);
+}
+
+bool Distribution::admitPull(bool IsSnapshot, Time Now) {
+  if (Now >= this->WindowEnd) {
+    this->WindowEnd = Now + PullWindow;
+    this->DeltasInWindow = 0;
+    this->SnapshotsInWindow = 0;
+  }
+  std::size_t &Served =
+      IsSnapshot ? this->SnapshotsInWindow : this->DeltasInWindow;
+  if (Served >= (IsSnapshot ? SnapshotPullsPerWindow : DeltaPullsPerWindow))
+    return false;
+  ++Served;
+  return true;
+}
+
+bool Distribution::fillDeltas(std::int64_t Have, std::int64_t HaveHash,
+                              wire::PullReply &Reply) const {
+  const auto First =
+      std::find_if(this->History.begin(), this->History.end(),
+                   [&](const wire::Delta &D) { return D.From == Have; });
+  if (First == this->History.end())
+    return false;
+  const std::int64_t BaseHash = First == this->History.begin()
+                                    ? this->HistoryBaseHash
+                                    : std::prev(First)->Hash;
+  if (BaseHash != HaveHash)
+    return false;
+  Reply.Deltas.assign(First, this->History.end());
+  return true;
+}
+
+void Distribution::receive(const wire::PullRequest &Request,
+                           std::string_view From, Time Now, Effects &Out) {
+  wire::PullReply Reply;
+  Reply.Version = this->Version;
+  Reply.Hash = static_cast<std::int64_t>(this->Hash);
+  if (Request.HaveVersion >= this->Version) {
+    send(Out, From, std::move(Reply));
+    return;
+  }
+  const bool HasDeltas =
+      this->fillDeltas(Request.HaveVersion, Request.HaveHash, Reply);
+  if (!this->admitPull(!HasDeltas, Now)) {
+    Reply.Busy = true;
+    Reply.Deltas.clear();
+    Reply.RetryAfterMs = static_cast<std::int32_t>(
+        this->Rng.between(BusyRetryMin, BusyRetryMax).count());
+    send(Out, From, std::move(Reply));
+    return;
+  }
+  if (!HasDeltas) {
+    Reply.IsSnapshot = true;
+    for (const auto &[Path, Entry] : this->Settings)
+      Reply.Settings.push_back(Entry);
+  }
+  send(Out, From, std::move(Reply));
+}
+
+void Distribution::receive(const wire::PullReply &Reply, std::string_view From,
+                           Time Now, Effects &Out) {
+  if (From != this->PullFrom)
+    return;
+  this->PullFrom.clear();
+  this->PullDeadline = NoDeadline;
+  if (Reply.Busy) {
+    this->dropSource(From);
+    this->NextPull = Now + milliseconds(Reply.RetryAfterMs);
+    return;
+  }
+  if (Reply.Version <= this->Version) {
+    this->dropSource(From);
+    this->startPull(Now, Out);
+    return;
+  }
+  const Failure Error = settle([&] { return this->applyReply(Reply); }, [] {});
+  if (Error.failed()) {
+    Out.emplace_back(LogWarning{"event=update-rejected from=" +
+                                std::string(From) + " " + describe(Error)});
+    this->NeedsSnapshot = true;
+    this->dropSource(From);
+  } else {
+    this->NeedsSnapshot = false;
+    Out.emplace_back(VersionInForce{this->Version});
+  }
+  this->startPull(Now, Out);
+}
+
+leaf::result<void> Distribution::applyReply(const wire::PullReply &Reply) {
+  return Reply.IsSnapshot ? this->applySnapshot(Reply)
+                          : this->applyDeltas(Reply);
+}
+
+leaf::result<void> Distribution::applySnapshot(const wire::PullReply &Reply) {
+  SettingsMap Content;
+  for (const wire::Setting &Entry : Reply.Settings)
+    Content[Entry.Path] = Entry;
+  BOOST_LEAF_CHECK(
+      this->putInForce(std::move(Content), Reply.Version, Reply.Hash));
+  this->History.clear();
+  this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
+  return {};
+}
+
+leaf::result<void> Distribution::applyDeltas(const wire::PullReply &Reply) {
+  SettingsMap Content = this->Settings;
+  std::int64_t Reached = this->Version;
+  for (const wire::Delta &Change : Reply.Deltas) {
+    if (Change.From != Reached || Change.To <= Reached)
+      return fail(ResultCode::UpdateRejected, std::to_string(Change.To),
+                  "the deltas do not follow each other");
+    for (const wire::Setting &Entry : Change.Puts)
+      Content[Entry.Path] = Entry;
+    for (const std::string &Path : Change.Removed)
+      Content.erase(Path);
+    Reached = Change.To;
+  }
+  if (Reached != Reply.Version)
+    return fail(ResultCode::UpdateRejected, std::to_string(Reply.Version),
+                "the deltas end at another version");
+  BOOST_LEAF_CHECK(
+      this->putInForce(std::move(Content), Reply.Version, Reply.Hash));
+  for (const wire::Delta &Change : Reply.Deltas)
+    this->remember(Change);
+  return {};
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/distribution.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "effects.h"
+#include "random.h"
+#include "routetable.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmon {
+
+/// The configuration that one daemon holds, and its exchange with peers: a
+/// newer version is pulled from whoever has it, as deltas or as a snapshot,
+/// checked, compiled and put in force whole. Never goes to an older version.
+class Distribution {
+public:
+  explicit Distribution(std::uint64_t Seed) : Rng(Seed) {}
+
+  /// Takes a change that the local replica committed.
+  void applyCommitted(const wire::Delta &Change, Effects &Out);
+
+  /// Takes the whole content of the local replica.
+  void adopt(const SettingsMap &Content, std::int64_t NewVersion, Effects &Out);
+
+  /// Notes that the peer at \p Address holds \p PeerVersion; may start a pull.
+  void heard(std::string_view Address, std::int64_t PeerVersion, Time Now,
+             Effects &Out);
+
+  void receive(const wire::PullRequest &Request, std::string_view From,
+               Time Now, Effects &Out);
+  void receive(const wire::PullReply &Reply, std::string_view From, Time Now,
+               Effects &Out);
+  void tick(Time Now, Effects &Out);
+
+  std::int64_t version() const { return this->Version; }
+  std::uint64_t hash() const { return this->Hash; }
+  const SettingsMap &settings() const { return this->Settings; }
+
+  /// Returns the compiled table in force; null before the first version.
+  const std::shared_ptr<const RouteTable> &table() const { return this->Table; }
+
+private:
+  struct Source {
+    std::string Address;
+    std::int64_t Version = 0;
+  };
+
+  void startPull(Time Now, Effects &Out);
+  void dropSource(std::string_view Address);
+  leaf::result<void> applyReply(const wire::PullReply &Reply);
+  leaf::result<void> applyDeltas(const wire::PullReply &Reply);
+  leaf::result<void> applySnapshot(const wire::PullReply &Reply);
+  leaf::result<void> putInForce(SettingsMap Content, std::int64_t NewVersion,
+                                std::int64_t ExpectedHash);
+  void remember(const wire::Delta &Change);
+  bool fillDeltas(std::int64_t Have, std::int64_t HaveHash,
+                  wire::PullReply &Reply) const;
+  bool admitPull(bool IsSnapshot, Time Now);
+
+  Random Rng;
+  SettingsMap Settings;
+  std::shared_ptr<const RouteTable> Table;
+  std::int64_t Version = 0;
+  std::uint64_t Hash = 0;
+  std::deque<wire::Delta> History;
+  std::int64_t HistoryBaseHash = 0;
+  std::vector<Source> Sources;
+  std::string PullFrom;
+  Time PullDeadline = NoDeadline;
+  Time NextPull;
+  bool NeedsSnapshot = false;
+  Time WindowEnd;
+  std::size_t DeltasInWindow = 0;
+  std::size_t SnapshotsInWindow = 0;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/effects.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "libwire/libwire.h"
+
+#include "time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace persimmon {
+
+/// How a message travels: Datagram for small ones that may be lost, Stream for
+/// the rest.
+enum class Channel { Datagram, Stream };
+
+/// Writes term and vote to disk and syncs before the next effect.
+struct PersistHardState {
+  wire::HardState State;
+};
+
+/// Writes entries to disk and syncs before the next effect. Stored entries
+/// from the first index on are superseded.
+struct PersistEntries {
+  std::vector<wire::LogEntry> Entries;
+};
+
+/// Writes a snapshot to disk and syncs before the next effect; the log keeps
+/// only entries behind it.
+struct PersistSnapshot {
+  wire::StoreSnapshot Snapshot;
+};
+
+struct SendMessage {
+  std::string Address;
+  Message Body;
+  Channel Via = Channel::Stream;
+};
+
+/// Answers an operator's request.
+struct AnswerOperator {
+  std::int64_t RequestId = 0;
+  Failure Error;
+  std::int64_t Version = 0;
+  std::string LeaderAddress;
+};
+
+/// The proxy serves this configuration version from now on.
+struct VersionInForce {
+  std::int64_t Version = 0;
+};
+
+/// One line for the decision log, in key=value form.
+struct LogDecision {
+  std::string Line;
+};
+
+/// Something an operator should see in the log.
+struct LogWarning {
+  std::string Line;
+};
+
+/// Sends a call's header and body to the daemon beside the chosen target.
+/// The host holds the body under CallNumber.
+struct SendCall {
+  std::int64_t CallNumber = 0;
+  std::string Address;
+  wire::CallRequest Header;
+};
+
+/// Answers a caller with a failure of our own.
+struct RefuseCaller {
+  std::int64_t CallNumber = 0;
+  Failure Error;
+};
+
+/// Answers a caller with the target's answer, held by the host under Id.
+struct AnswerCaller {
+  std::int64_t CallNumber = 0;
+  wire::AttemptId Id;
+};
+
+/// Runs an admitted call on the target beside this daemon.
+struct RunOnTarget {
+  wire::AttemptId Id;
+  Time Deadline;
+};
+
+/// Ends a running call on the target by closing its connection.
+struct CancelOnTarget {
+  wire::AttemptId Id;
+};
+
+/// Sends the answer that the host holds for the attempt to the sender.
+struct SendAnswer {
+  wire::AttemptId Id;
+  std::string Address;
+  wire::Load TargetLoad;
+};
+
+/// Forgets the request and the answer that the host holds for the attempt.
+struct DropAttempt {
+  wire::AttemptId Id;
+};
+
+/// Abandons the connection to an address; the next message opens a new one.
+struct RenewConnection {
+  std::string Address;
+};
+
+/// Everything planned is done; the process may end.
+struct ReadyToExit {};
+
+using Effect =
+    std::variant<PersistHardState, PersistEntries, PersistSnapshot, SendMessage,
+                 AnswerOperator, VersionInForce, LogDecision, LogWarning,
+                 SendCall, RefuseCaller, AnswerCaller, RunOnTarget,
+                 CancelOnTarget, SendAnswer, DropAttempt, RenewConnection,
+                 ReadyToExit>;
+
+/// Effects in the order in which they must be carried out.
+using Effects = std::vector<Effect>;
+
+/// Appends a message to \p Out.
+inline void send(Effects &Out, std::string_view Address, Message Body,
+                 Channel Via = Channel::Stream) {
+  Out.emplace_back(SendMessage{std::string(Address), std::move(Body), Via});
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/events.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "libwire/libwire.h"
+
+#include "time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace persimmon {
+
+/// Time has passed.
+struct Tick {};
+
+/// A message arrived. From is the path on which an answer reaches its sender.
+struct MessageReceived {
+  std::string From;
+  Message Body;
+};
+
+/// The connection to a peer's address ended or could not be opened.
+struct StreamLost {
+  std::string Address;
+};
+
+/// A caller's whole request has arrived; the host holds its body.
+struct CallArrived {
+  std::int64_t CallNumber = 0;
+  std::string CallId;
+  std::string Job;
+  std::string Method;
+  std::string Url;
+  std::vector<wire::Header> Headers;
+  std::int64_t BodySize = 0;
+  Time Deadline = NoDeadline;
+  std::string IdempotencyKey;
+};
+
+/// The caller closed its connection before it was answered.
+struct CallerGone {
+  std::int64_t CallNumber = 0;
+};
+
+/// The target beside this daemon said what it is and how it is.
+struct TargetAnnounced {
+  std::string Service;
+  wire::TargetState::type State = wire::TargetState::None;
+  int Slots = 0;
+};
+
+/// The target's health endpoint was asked.
+struct TargetProbed {
+  bool Reachable = false;
+  bool Well = false;
+};
+
+/// How a call on the target beside this daemon ended.
+enum class RunEnd { Answered, NotConnected, Shed, Broken };
+
+struct RunFinished {
+  wire::AttemptId Id;
+  RunEnd End = RunEnd::Answered;
+  int Status = 0;
+  std::int64_t AnswerBytes = 0;
+};
+
+/// An operator's change, authorized by the team's token.
+struct ChangeRequested {
+  std::int64_t RequestId = 0;
+  wire::Change TheChange;
+  std::string Token;
+};
+
+/// The administrator gives a team its token.
+struct TeamRequested {
+  std::int64_t RequestId = 0;
+  wire::TeamGrant Grant;
+  std::string AdminToken;
+};
+
+/// An operator asks to read; answered once leadership is confirmed.
+struct ReadRequested {
+  std::int64_t RequestId = 0;
+};
+
+/// The administrator forms the cluster, once.
+struct FormRequested {
+  std::int64_t RequestId = 0;
+  wire::TeamGrant AdminGrant;
+};
+
+/// The administrator accepts that a quorum of disks is lost.
+struct RecoverRequested {
+  std::int64_t RequestId = 0;
+  std::string AdminToken;
+};
+
+/// The process was asked to stop gracefully.
+struct StopRequested {};
+
+using EventBody =
+    std::variant<Tick, MessageReceived, StreamLost, CallArrived, CallerGone,
+                 TargetAnnounced, TargetProbed, RunFinished, ChangeRequested,
+                 TeamRequested, ReadRequested, FormRequested, RecoverRequested,
+                 StopRequested>;
+
+/// Something that happened at a time. WallMs is the wall clock in milliseconds
+/// since 1970, for retention only.
+struct Event {
+  Time At;
+  std::int64_t WallMs = 0;
+  EventBody Body;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/membership.cpp
@@ -0,0 +1,430 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace persimmon {
+
+namespace {
+
+constexpr milliseconds ProbeInterval{1000};
+constexpr milliseconds AckTimeout{300};
+constexpr milliseconds IndirectTimeout{500};
+constexpr milliseconds SuspicionTimeout{1500};
+constexpr milliseconds ForgetTimeout{600'000};
+constexpr milliseconds PushInterval{100};
+constexpr milliseconds SyncInterval{10'000};
+constexpr milliseconds SyncSoon{1000};
+constexpr milliseconds JoinIntervalMin{200};
+constexpr milliseconds JoinIntervalMax{1000};
+constexpr milliseconds FreshTimeout{10'000};
+constexpr std::size_t IndirectProbers = 3;
+constexpr std::size_t PushPeers = 2;
+constexpr std::size_t UpdatesPerMessage = 8;
+constexpr std::size_t IntroducedMembers = 5;
+constexpr std::size_t SyncBuckets = 32;
+constexpr std::size_t ManyRecords = 50;
+constexpr std::size_t BaseTransmissions = 4;
+
+std::size_t bucketOf(std::string_view Name) {
+  return hashOf(Name) % SyncBuckets;
+}
+
+/// Orders states of one sequence number: bad news wins until it is refuted.
+bool supersedes(const wire::MemberRecord &New, const wire::MemberRecord &Old) {
+  if (New.Incarnation != Old.Incarnation)
+    return New.Incarnation > Old.Incarnation;
+  if (New.Sequence != Old.Sequence)
+    return New.Sequence > Old.Sequence;
+  return New.State > Old.State;
+}
+
+} // namespace
+
+Membership::Membership(wire::MemberRecord OwnRecord,
+                       std::vector<std::string> SeedAddresses,
+                       std::uint64_t Seed)
+    : Self(std::move(OwnRecord)), SeedAddresses(std::move(SeedAddresses)),
+      Rng(Seed) {
+  std::erase(this->SeedAddresses, this->Self.Address);
+  this->OwnIncarnations.insert(this->Self.Incarnation);
+  this->Records.emplace(this->Self.Name, this->Self);
+  this->spread(this->Self.Name);
+}
+
+std::size_t Membership::transmissionLimit() const {
+  return BaseTransmissions + std::bit_width(this->Records.size());
+}
+
+void Membership::spread(const std::string &Name) {
+  this->Pending[Name] = this->transmissionLimit();
+}
+
+void Membership::updateSelf(
+    const std::function<void(wire::MemberRecord &)> &Change) {
+  Change(this->Self);
+  this->Self.Sequence += 1;
+  this->Records[this->Self.Name] = this->Self;
+  this->Revision += 1;
+  this->spread(this->Self.Name);
+}
+
+void Membership::refute(const wire::MemberRecord &Record) {
+  if (Record.Incarnation > this->Self.Incarnation) {
+    // The clock went back since an earlier run of this daemon.
+    this->Self.Incarnation = Record.Incarnation + 1;
+    this->OwnIncarnations.insert(this->Self.Incarnation);
+  }
+  this->Self.Sequence = std::max(this->Self.Sequence, Record.Sequence);
+  this->updateSelf([](wire::MemberRecord &) {});
+}
+
+bool Membership::merge(const wire::MemberRecord &Record, Time Now) {
+  if (Record.Name.empty())
+    return false;
+  if (Record.Name == this->Self.Name) {
+    if (supersedes(Record, this->Self))
+      this->refute(Record);
+    return false;
+  }
+  const auto Found = this->Records.find(Record.Name);
+  if (Found != this->Records.end() && !supersedes(Record, Found->second))
+    return false;
+  this->store(Record, Now);
+  return true;
+}
+
+void Membership::store(const wire::MemberRecord &Record, Time Now) {
+  this->Records[Record.Name] = Record;
+  this->Revision += 1;
+  this->SuspectUntil.erase(Record.Name);
+  this->ForgetAt.erase(Record.Name);
+  if (Record.State == wire::Liveness::Suspect)
+    this->SuspectUntil[Record.Name] = Now + SuspicionTimeout;
+  if (!isAlive(Record))
+    this->ForgetAt[Record.Name] = Now + ForgetTimeout;
+  this->spread(Record.Name);
+}
+
+void Membership::suspect(const std::string &Name, Time Now) {
+  const auto Found = this->Records.find(Name);
+  if (Found == this->Records.end() ||
+      Found->second.State != wire::Liveness::Alive)
+    return;
+  wire::MemberRecord Record = Found->second;
+  Record.State = wire::Liveness::Suspect;
+  this->store(Record, Now);
+}
+
+void Membership::expire(Time Now) {
+  std::vector<std::string> Overdue;
+  for (const auto &[Name, Deadline] : this->SuspectUntil) {
+    if (Now >= Deadline)
+      Overdue.push_back(Name);
+  }
+  for (const std::string &Name : Overdue) {
+    wire::MemberRecord Record = this->Records[Name];
+    Record.State = wire::Liveness::Dead;
+    this->store(Record, Now);
+  }
+  std::erase_if(this->ForgetAt, [&](const auto &Item) {
+    if (Now < Item.second)
+      return false;
+    this->Records.erase(Item.first);
+    this->Pending.erase(Item.first);
+    this->Revision += 1;
+    return true;
+  });
+  std::erase_if(this->Relays,
+                [&](const auto &Item) { return Now >= Item.second.Deadline; });
+}
+
+void Membership::offerStamp(const wire::Stamp &Stamp, Time Now) {
+  const bool Newer =
+      Stamp.Term > this->Newest.Term ||
+      (Stamp.Term == this->Newest.Term && Stamp.Counter > this->Newest.Counter);
+  if (!Newer)
+    return;
+  this->Newest = Stamp;
+  this->FreshUntil = Now + FreshTimeout;
+}
+
+void Membership::absorb(const wire::Gossip &Head, Time Now) {
+  for (const wire::MemberRecord &Record : Head.Updates)
+    this->merge(Record, Now);
+  this->offerStamp(Head.Newest, Now);
+}
+
+wire::Gossip Membership::head() {
+  wire::Gossip Out;
+  Out.From = this->Self.Name;
+  Out.Address = this->Self.Address;
+  Out.Version = this->Version;
+  Out.Newest = this->Newest;
+  std::vector<std::pair<std::size_t, std::string>> Order;
+  for (const auto &[Name, Remaining] : this->Pending)
+    Order.emplace_back(Remaining, Name);
+  const std::size_t Count = std::min(Order.size(), UpdatesPerMessage);
+  std::partial_sort(Order.begin(),
+                    Order.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Order.end(), std::greater<>());
+  for (std::size_t I = 0; I < Count; ++I) {
+    const std::string &Name = Order[I].second;
+    Out.Updates.push_back(this->Records[Name]);
+    if (--this->Pending[Name] == 0)
+      this->Pending.erase(Name);
+  }
+  return Out;
+}
+
+std::vector<std::string> Membership::pickPeers(std::size_t Near,
+                                               std::size_t Far) {
+  std::vector<std::string> Own;
+  std::vector<std::string> Elsewhere;
+  for (const auto &[Name, Record] : this->Records) {
+    if (Name == this->Self.Name || !isAlive(Record))
+      continue;
+    (Record.Zone == this->Self.Zone ? Own : Elsewhere)
+        .push_back(Record.Address);
+  }
+  std::vector<std::string> Out;
+  const auto Draw = [&](std::vector<std::string> &From, std::size_t Count) {
+    while (Count-- > 0 && !From.empty()) {
+      const std::size_t Index = this->Rng.below(From.size());
+      Out.push_back(std::move(From[Index]));
+      From[Index] = std::move(From.back());
+      From.pop_back();
+    }
+  };
+  Draw(Own, Near);
+  Draw(Elsewhere, Far + (Near > Out.size() ? Near - Out.size() : 0));
+  if (Out.size() < Near + Far)
+    Draw(Own, Near + Far - Out.size());
+  return Out;
+}
+
+void Membership::announce(std::size_t Near, std::size_t Far, Effects &Out) {
+  for (const std::string &Address : this->pickPeers(Near, Far)) {
+    wire::Announce Message;
+    Message.Head = this->head();
+    send(Out, Address, std::move(Message), Channel::Datagram);
+  }
+}
+
+void Membership::tick(Time Now, Effects &Out) {
+  this->expire(Now);
+  this->joinSeeds(Now, Out);
+  if (Now >= this->Current.AckDeadline)
+    this->probeIndirectly(Now, Out);
+  if (Now >= this->NextProbe)
+    this->startProbe(Now, Out);
+  if (Now >= this->NextSync)
+    this->startSync(Now, Out);
+  if (Now >= this->NextPush && !this->Pending.empty()) {
+    this->NextPush = Now + PushInterval;
+    this->announce(1, PushPeers - 1, Out);
+  }
+}
+
+void Membership::joinSeeds(Time Now, Effects &Out) {
+  if (Now < this->NextJoin || this->SeedAddresses.empty())
+    return;
+  this->NextJoin = Now + this->Rng.between(JoinIntervalMin, JoinIntervalMax);
+  const bool Joined = std::any_of(
+      this->Records.begin(), this->Records.end(), [&](const auto &Item) {
+        return Item.first != this->Self.Name && isAlive(Item.second);
+      });
+  if (Joined && !this->stale(Now))
+    return;
+  const std::string &Address =
+      this->SeedAddresses[this->Rng.below(this->SeedAddresses.size())];
+  this->spread(this->Self.Name);
+  wire::Probe Message;
+  Message.Head = this->head();
+  send(Out, Address, std::move(Message), Channel::Datagram);
+}
+
+void Membership::startProbe(Time Now, Effects &Out) {
+  this->NextProbe = Now + ProbeInterval;
+  if (this->ProbeOrder.empty()) {
+    for (const auto &[Name, Record] : this->Records) {
+      if (Name != this->Self.Name && isAlive(Record))
+        this->ProbeOrder.push_back(Name);
+    }
+    for (std::size_t I = this->ProbeOrder.size(); I > 1; --I)
+      std::swap(this->ProbeOrder[I - 1], this->ProbeOrder[this->Rng.below(I)]);
+  }
+  while (!this->ProbeOrder.empty()) {
+    const std::string Name = this->ProbeOrder.back();
+    this->ProbeOrder.pop_back();
+    const wire::MemberRecord *Record = this->find(Name);
+    if (Record == nullptr || !isAlive(*Record))
+      continue;
+    this->Current = {++this->NextNumber, Name, Now + AckTimeout, false};
+    wire::Probe Message;
+    Message.Head = this->head();
+    Message.Number = this->Current.Number;
+    send(Out, Record->Address, std::move(Message), Channel::Datagram);
+    return;
+  }
+}
+
+void Membership::probeIndirectly(Time Now, Effects &Out) {
+  this->Current.AckDeadline = NoDeadline;
+  if (this->Current.Indirect) {
+    this->suspect(this->Current.Name, Now);
+    return;
+  }
+  const wire::MemberRecord *Record = this->find(this->Current.Name);
+  if (Record == nullptr || !isAlive(*Record))
+    return;
+  this->Current.Indirect = true;
+  this->Current.AckDeadline = Now + IndirectTimeout;
+  for (const std::string &Address : this->pickPeers(1, IndirectProbers - 1)) {
+    wire::IndirectProbe Message;
+    Message.Head = this->head();
+    Message.Number = this->Current.Number;
+    Message.SubjectAddress = Record->Address;
+    send(Out, Address, std::move(Message), Channel::Datagram);
+  }
+}
+
+void Membership::receive(const wire::Probe &Message, std::string_view From,
+                         Time Now, Effects &Out) {
+  const bool Known = this->find(Message.Head.From) != nullptr;
+  this->absorb(Message.Head, Now);
+  wire::ProbeAck Reply;
+  Reply.Head = this->head();
+  Reply.Number = Message.Number;
+  if (!Known) {
+    // Introduce a newcomer to a few members, so that it does not load the
+    // control instances with its first comparison.
+    std::vector<const wire::MemberRecord *> Alive;
+    for (const auto &[Name, Record] : this->Records) {
+      if (isAlive(Record))
+        Alive.push_back(&Record);
+    }
+    for (std::size_t I = 0; I < IntroducedMembers && !Alive.empty(); ++I)
+      Reply.Head.Updates.push_back(*Alive[this->Rng.below(Alive.size())]);
+    Reply.Head.Updates.push_back(this->Self);
+  }
+  send(Out, From, std::move(Reply), Channel::Datagram);
+}
+
+void Membership::receive(const wire::ProbeAck &Message, Time Now,
+                         Effects &Out) {
+  this->absorb(Message.Head, Now);
+  const auto Relayed = this->Relays.find(Message.Number);
+  if (Relayed != this->Relays.end()) {
+    wire::ProbeAck Forward;
+    Forward.Head = this->head();
+    Forward.Number = Relayed->second.Number;
+    send(Out, Relayed->second.Address, std::move(Forward), Channel::Datagram);
+    this->Relays.erase(Relayed);
+    return;
+  }
+  if (Message.Number == this->Current.Number && Message.Number != 0)
+    this->Current.AckDeadline = NoDeadline;
+}
+
+void Membership::receive(const wire::IndirectProbe &Message, Time Now,
+                         Effects &Out) {
+  this->absorb(Message.Head, Now);
+  const std::int64_t Number = ++this->NextNumber;
+  this->Relays[Number] = {Message.Head.Address, Message.Number,
+                          Now + IndirectTimeout};
+  wire::Probe Probe;
+  Probe.Head = this->head();
+  Probe.Number = Number;
+  send(Out, Message.SubjectAddress, std::move(Probe), Channel::Datagram);
+}
+
+std::vector<std::int64_t> Membership::buckets() const {
+  std::vector<std::uint64_t> Sums(SyncBuckets, 0);
+  for (const auto &[Name, Record] : this->Records)
+    Sums[bucketOf(Name)] += hashOf(Record);
+  return {Sums.begin(), Sums.end()};
+}
+
+void Membership::startSync(Time Now, Effects &Out) {
+  const std::vector<std::string> Peers = this->pickPeers(1, 1);
+  this->NextSync = Now + (Peers.empty() ? SyncSoon : SyncInterval);
+  if (Peers.empty())
+    return;
+  wire::SyncRequest Request;
+  Request.Buckets = this->buckets();
+  send(Out, Peers[this->Rng.below(Peers.size())], std::move(Request));
+}
+
+void Membership::receive(const wire::SyncRequest &Message,
+                         std::string_view From, Effects &Out) {
+  if (Message.Buckets.size() != SyncBuckets)
+    return;
+  const std::vector<std::int64_t> Own = this->buckets();
+  wire::SyncReply Reply;
+  Reply.WantsRecords = true;
+  for (std::size_t I = 0; I < SyncBuckets; ++I) {
+    if (Own[I] != Message.Buckets[I])
+      Reply.Buckets.push_back(static_cast<std::int32_t>(I));
+  }
+  if (Reply.Buckets.empty())
+    return;
+  for (const auto &[Name, Record] : this->Records) {
+    const auto Bucket = bucketOf(Name);
+    if (Own[Bucket] != Message.Buckets[Bucket])
+      Reply.Records.push_back(Record);
+  }
+  send(Out, From, std::move(Reply));
+}
+
+void Membership::receive(const wire::SyncReply &Message, std::string_view From,
+                         Time Now, Effects &Out) {
+  std::map<std::string_view, const wire::MemberRecord *> Theirs;
+  std::size_t News = 0;
+  for (const wire::MemberRecord &Record : Message.Records) {
+    Theirs.emplace(Record.Name, &Record);
+    News += this->merge(Record, Now) ? 1 : 0;
+  }
+  if (News >= ManyRecords)
+    this->NextSync = std::min(this->NextSync, Now + SyncSoon);
+  if (!Message.WantsRecords)
+    return;
+  const std::set<std::int32_t> Wanted(Message.Buckets.begin(),
+                                      Message.Buckets.end());
+  wire::SyncReply Back;
+  for (const auto &[Name, Record] : this->Records) {
+    if (Wanted.count(static_cast<std::int32_t>(bucketOf(Name))) == 0)
+      continue;
+    const auto Theirs1 = Theirs.find(Name);
+    if (Theirs1 == Theirs.end() || supersedes(Record, *Theirs1->second))
+      Back.Records.push_back(Record);
+  }
+  if (!Back.Records.empty())
+    send(Out, From, std::move(Back));
+}
+
+const wire::MemberRecord *Membership::find(std::string_view Name) const {
+  const auto Found = this->Records.find(Name);
+  return Found == this->Records.end() ? nullptr : &Found->second;
+}
+
+void Membership::indexTargets() const {
+  if (this->IndexedRevision == this->Revision)
+    return;
+  this->IndexedRevision = this->Revision;
+  this->Targets.clear();
+  for (const auto &[Name, Record] : this->Records) {
+    if (isAlive(Record) && Record.Target == wire::TargetState::Serving)
+      this->Targets[Record.Service].push_back(Name);
+  }
+}
+
+const std::vector<std::string> &
+Membership::targetsOf(std::string_view Service) const {
+  static const std::vector<std::string> None;
+  this->indexTargets();
+  const auto Found = this->Targets.find(Service);
+  return Found == this->Targets.end() ? None : Found->second;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/node.cpp
@@ -0,0 +1,284 @@
+#include "node.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+namespace {
+
+constexpr std::size_t AnnounceNear = 4;
+constexpr std::size_t AnnounceFar = 2;
+constexpr int MissedProbesUntilGone = 3;
+constexpr milliseconds LeaveNotice{300};
+constexpr milliseconds StaleWarningInterval{10'000};
+
+wire::MemberRecord recordOf(const NodeIdentity &Identity, bool IsControl) {
+  wire::MemberRecord Record;
+  Record.Name = Identity.Name;
+  Record.Address = Identity.Address;
+  Record.Zone = Identity.Zone;
+  Record.Control = IsControl;
+  Record.Incarnation = Identity.Incarnation;
+  Record.Sequence = 1;
+  Record.State = wire::Liveness::Alive;
+  Record.Target = wire::TargetState::None;
+  return Record;
+}
+
+std::vector<std::string> addressesOf(const std::vector<ControlPeer> &Peers) {
+  std::vector<std::string> Out;
+  Out.reserve(Peers.size());
+  for (const ControlPeer &Peer : Peers)
+    Out.push_back(Peer.Address);
+  return Out;
+}
+
+template <typename T> constexpr bool IsGossipHeaded = requires(const T &Body) {
+  Body.Head;
+};
+
+} // namespace
+
+Node::Node(const NodeIdentity &Identity, bool IsControl)
+    : Members(recordOf(Identity, IsControl),
+              addressesOf(Identity.ControlInstances), Identity.Seed + 1),
+      Config(Identity.Seed + 2),
+      Gate(addressesOf(Identity.ControlInstances), Identity.Seed + 3) {}
+
+std::unique_ptr<Node> Node::makeProxy(const NodeIdentity &Identity,
+                                      const ChoicePolicy &Policy) {
+  std::unique_ptr<Node> Out(new Node(Identity, false));
+  ClaimKeeper Claims(Identity.Name, Identity.Address, Identity.Incarnation,
+                     addressesOf(Identity.ControlInstances));
+  Out->Router.emplace(Out->Members, Out->Config, std::move(Claims),
+                      Identity.Seed + 4, Policy);
+  return Out;
+}
+
+leaf::result<std::unique_ptr<Node>>
+Node::makeControl(const NodeIdentity &Identity, std::int64_t DiskId,
+                  const DurableState &State, Time Now) {
+  std::unique_ptr<Node> Out(new Node(Identity, true));
+  wire::Replica Self;
+  Self.Instance = Identity.Name;
+  Self.DiskId = DiskId;
+  Self.Address = Identity.Address;
+  std::vector<ControlPeer> Others;
+  for (const ControlPeer &Peer : Identity.ControlInstances) {
+    if (Peer.Instance != Identity.Name)
+      Others.push_back(Peer);
+  }
+  Out->Control.emplace(std::move(Self), std::move(Others), Identity.Seed + 5);
+  BOOST_LEAF_CHECK(Out->Control->restore(State, Now));
+  return Out;
+}
+
+Effects Node::reduce(const Event &What) {
+  Effects Out;
+  std::visit([&](const auto &Body) { this->on(Body, What, Out); }, What.Body);
+  this->afterEvent(What.At, Out);
+  return Out;
+}
+
+void Node::afterEvent(Time Now, Effects &Out) {
+  if (this->Control) {
+    if (this->Control->takeReplaced())
+      this->Config.adopt(this->Control->store().settings(),
+                         this->Control->store().version(), Out);
+    for (const AppliedChange &Applied : this->Control->takeApplied())
+      this->Config.applyCommitted(Applied.Change, Out);
+    this->Members.offerStamp(this->Control->stamp(), Now);
+  }
+  if (this->Config.version() == this->AnnouncedVersion)
+    return;
+  this->AnnouncedVersion = this->Config.version();
+  this->Members.setVersion(this->AnnouncedVersion);
+  this->Members.announce(AnnounceNear, AnnounceFar, Out);
+}
+
+void Node::on(const Tick &, const Event &What, Effects &Out) {
+  const Time Now = What.At;
+  if (this->Control)
+    this->Control->tick(Now, What.WallMs, Out);
+  this->Members.tick(Now, Out);
+  this->Config.tick(Now, Out);
+  this->Reports.tick(this->Members, this->Config.version(), Now, Out);
+  if (this->Router) {
+    this->Gate.tick(Now, this->Config.version(), Out);
+    this->Router->tick(Now, Out);
+    this->Ledger.tick(Now, Out);
+  }
+  if (this->Members.stale(Now) && Now >= this->NextStaleWarning) {
+    this->NextStaleWarning = Now + StaleWarningInterval;
+    Out.emplace_back(LogWarning{
+        "event=source-stale version=" + std::to_string(this->Config.version()) +
+        " stamp=" + std::to_string(this->Members.stamp().Counter)});
+  }
+  if (this->Stopping && !this->ExitSent && this->drained()) {
+    if (this->LeaveUntil == NoDeadline) {
+      this->LeaveUntil = Now + LeaveNotice;
+      this->Members.updateSelf([](wire::MemberRecord &Record) {
+        Record.State = wire::Liveness::Left;
+        Record.Target = wire::TargetState::Gone;
+      });
+      this->Members.announce(AnnounceNear, AnnounceFar, Out);
+    } else if (Now >= this->LeaveUntil) {
+      this->ExitSent = true;
+      Out.emplace_back(ReadyToExit{});
+    }
+  }
+}
+
+bool Node::drained() const {
+  return this->Ledger.idle() &&
+         (!this->Router || this->Router->callCount() == 0);
+}
+
+void Node::on(const StopRequested &, const Event &What, Effects &Out) {
+  if (this->Stopping)
+    return;
+  this->Stopping = true;
+  if (this->Router)
+    this->Router->stop();
+  this->Ledger.drain(What.At, Out);
+  if (this->Target.State != wire::TargetState::None) {
+    this->Members.updateSelf([](wire::MemberRecord &Record) {
+      Record.Target = wire::TargetState::Draining;
+    });
+    this->Members.announce(AnnounceNear, AnnounceFar, Out);
+  }
+  Out.emplace_back(LogDecision{"event=stop-started"});
+}
+
+void Node::setTargetState(const TargetAnnounced &Announced, Time Now,
+                          Effects &Out) {
+  const bool Changed = Announced.State != this->Target.State ||
+                       Announced.Service != this->Target.Service ||
+                       Announced.Slots != this->Target.Slots;
+  this->Target = Announced;
+  if (!Changed)
+    return;
+  this->Ledger.setTarget(Announced, Now, Out);
+  if (this->Stopping)
+    return;
+  this->Members.updateSelf([&](wire::MemberRecord &Record) {
+    Record.Service = Announced.Service;
+    Record.Target = Announced.State;
+    Record.Slots = Announced.Slots;
+  });
+  this->Members.announce(AnnounceNear, AnnounceFar, Out);
+  Out.emplace_back(LogDecision{"event=target service=" + Announced.Service +
+                               " state=" + wire::to_string(Announced.State)});
+}
+
+void Node::on(const TargetAnnounced &Body, const Event &What, Effects &Out) {
+  this->MissedProbes = 0;
+  this->setTargetState(Body, What.At, Out);
+}
+
+void Node::on(const TargetProbed &Body, const Event &What, Effects &Out) {
+  this->MissedProbes = Body.Reachable ? 0 : this->MissedProbes + 1;
+  const bool Present = this->Target.State != wire::TargetState::None &&
+                       this->Target.State != wire::TargetState::Gone;
+  if (Present && this->MissedProbes >= MissedProbesUntilGone) {
+    TargetAnnounced Gone = this->Target;
+    Gone.State = wire::TargetState::Gone;
+    this->setTargetState(Gone, What.At, Out);
+    return;
+  }
+  if (!Present || !Body.Reachable || this->Stopping ||
+      this->Members.self().Unwell == !Body.Well)
+    return;
+  this->Members.updateSelf(
+      [&](wire::MemberRecord &Record) { Record.Unwell = !Body.Well; });
+}
+
+void Node::on(const RunFinished &Body, const Event &What, Effects &Out) {
+  this->Ledger.finished(Body, What.At, Out);
+}
+
+void Node::on(const StreamLost &Body, const Event &What, Effects &Out) {
+  if (this->Router)
+    this->Router->streamLost(Body.Address, What.At, Out);
+}
+
+void Node::on(const CallArrived &Body, const Event &What, Effects &Out) {
+  if (this->Router)
+    this->Router->arrive(Body, this->Gate.open(), What.At, Out);
+}
+
+void Node::on(const CallerGone &Body, const Event &What, Effects &Out) {
+  if (this->Router)
+    this->Router->callerGone(Body.CallNumber, What.At, Out);
+}
+
+template <typename RequestT>
+void Node::on(const RequestT &Body, const Event &What, Effects &Out) {
+  if (this->Control)
+    this->Control->handle(Body, What.At, Out);
+}
+
+void Node::on(const MessageReceived &Body, const Event &What, Effects &Out) {
+  std::visit(
+      [&](const auto &Content) {
+        this->receive(Content, Body.From, What.At, Out);
+      },
+      Body.Body);
+}
+
+template <typename MessageT>
+void Node::receive(const MessageT &Body, const std::string &From, Time Now,
+                   Effects &Out) {
+  using T = MessageT;
+  if constexpr (IsGossipHeaded<T>)
+    this->Config.heard(Body.Head.Address, Body.Head.Version, Now, Out);
+
+  if constexpr (std::is_same_v<T, wire::Probe>)
+    this->Members.receive(Body, From, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::Announce>)
+    this->Members.absorb(Body.Head, Now);
+  else if constexpr (std::is_same_v<T, wire::ProbeAck> ||
+                     std::is_same_v<T, wire::IndirectProbe>)
+    this->Members.receive(Body, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::SyncRequest>)
+    this->Members.receive(Body, From, Out);
+  else if constexpr (std::is_same_v<T, wire::SyncReply>)
+    this->Members.receive(Body, From, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::PullRequest> ||
+                     std::is_same_v<T, wire::PullReply>)
+    this->Config.receive(Body, From, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::Report>)
+    this->Reports.receive(Body, Now);
+  else if constexpr (std::is_same_v<T, wire::StampReply>)
+    this->Gate.receive(Body, this->Config.version(), Out);
+  else if constexpr (std::is_same_v<T, wire::CallRequest>) {
+    const auto &Table = this->Config.table();
+    this->Ledger.receive(
+        Body, From, this->Members.hadIncarnation(Body.ReceiverIncarnation),
+        Table ? Table->service(Body.Service) : nullptr, Now, Out);
+  } else if constexpr (std::is_same_v<T, wire::CallQuery>)
+    this->Ledger.receive(Body, From,
+                         this->Members.hadIncarnation(Body.ReceiverIncarnation),
+                         Now, Out);
+  else if constexpr (std::is_same_v<T, wire::CallCancel>)
+    this->Ledger.receive(Body, Out);
+  else if constexpr (std::is_same_v<T, wire::AnswerAck>)
+    this->Ledger.receive(Body, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::BodyPart>)
+    return; // The host joins the parts before the reducer sees the message.
+  else if constexpr (std::is_same_v<T, wire::CallReply> ||
+                     std::is_same_v<T, wire::ClaimReply> ||
+                     std::is_same_v<T, wire::OutcomeReply>) {
+    if (this->Router)
+      this->Router->receive(Body, Now, Out);
+  } else if constexpr (std::is_same_v<T, wire::OutcomeQuery>) {
+    if (this->Router)
+      this->Router->receive(Body, From, Out);
+  } else if constexpr (std::is_same_v<T, wire::Heartbeat>) {
+    if (this->Router)
+      this->Router->receive(Body, From, Now, Out);
+  } else if (this->Control)
+    this->Control->receive(Body, From, Now, Out);
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/node.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "callrouter.h"
+#include "controlservice.h"
+#include "distribution.h"
+#include "events.h"
+#include "membership.h"
+#include "reporttree.h"
+#include "servinggate.h"
+#include "targetledger.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmon {
+
+/// What a daemon is told of itself at start.
+struct NodeIdentity {
+  std::string Name;
+  std::string Address;
+  std::string Zone;
+  std::int64_t Incarnation = 0;
+  std::uint64_t Seed = 0;
+  /// Control instances, this one included if it is one.
+  std::vector<ControlPeer> ControlInstances;
+};
+
+/// All state of one daemon. reduce() is the only way to change it.
+class Node {
+public:
+  /// Makes a proxy daemon. \p Policy must outlive the node.
+  static std::unique_ptr<Node> makeProxy(const NodeIdentity &Identity,
+                                         const ChoicePolicy &Policy);
+
+  /// Makes a control daemon from what its disk holds. Errors: SnapshotDamaged.
+  static leaf::result<std::unique_ptr<Node>>
+  makeControl(const NodeIdentity &Identity, std::int64_t DiskId,
+              const DurableState &State, Time Now);
+
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+
+  /// Handles one event; returns its effects in the order to carry them out.
+  Effects reduce(const Event &What);
+
+  const Membership &members() const { return this->Members; }
+  const Distribution &distribution() const { return this->Config; }
+  const ReportTree &reports() const { return this->Reports; }
+  const ControlService *control() const {
+    return this->Control ? &*this->Control : nullptr;
+  }
+  const TargetLedger &ledger() const { return this->Ledger; }
+  const CallRouter *router() const {
+    return this->Router ? &*this->Router : nullptr;
+  }
+  bool serving() const { return this->Gate.open(); }
+  bool stopping() const { return this->Stopping; }
+
+private:
+  Node(const NodeIdentity &Identity, bool IsControl);
+
+  void on(const Tick &, const Event &What, Effects &Out);
+  void on(const MessageReceived &Body, const Event &What, Effects &Out);
+  void on(const StreamLost &Body, const Event &What, Effects &Out);
+  void on(const CallArrived &Body, const Event &What, Effects &Out);
+  void on(const CallerGone &Body, const Event &What, Effects &Out);
+  void on(const TargetAnnounced &Body, const Event &What, Effects &Out);
+  void on(const TargetProbed &Body, const Event &What, Effects &Out);
+  void on(const RunFinished &Body, const Event &What, Effects &Out);
+  void on(const StopRequested &Body, const Event &What, Effects &Out);
+  template <typename RequestT>
+  void on(const RequestT &Body, const Event &What, Effects &Out);
+
+  template <typename MessageT>
+  void receive(const MessageT &Body, const std::string &From, Time Now,
+               Effects &Out);
+  void afterEvent(Time Now, Effects &Out);
+  void setTargetState(const TargetAnnounced &Target, Time Now, Effects &Out);
+  bool drained() const;
+
+  Membership Members;
+  Distribution Config;
+  ReportTree Reports;
+  ServingGate Gate;
+  TargetLedger Ledger;
+  std::optional<ControlService> Control;
+  std::optional<CallRouter> Router;
+  TargetAnnounced Target;
+  int MissedProbes = 0;
+  std::int64_t AnnouncedVersion = 0;
+  bool Stopping = false;
+  bool ExitSent = false;
+  Time LeaveUntil = NoDeadline;
+  Time NextStaleWarning;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/schemas.cpp
@@ -0,0 +1,60 @@
+#include "schemas.h"
+
+#include "schematexts.h"
+
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include <map>
+#include <memory>
+
+namespace persimmon {
+
+namespace {
+
+using valijson::adapters::NlohmannJsonAdapter;
+
+/// Parses each schema once; the texts are constants of the program.
+const valijson::Schema &compiled(std::string_view Text) {
+  static std::map<std::string_view, std::unique_ptr<valijson::Schema>> Cache;
+  auto &Slot = Cache[Text];
+  if (!Slot) {
+    Slot = std::make_unique<valijson::Schema>();
+    const nlohmann::json Document = nlohmann::json::parse(Text);
+    valijson::SchemaParser Parser;
+    Parser.populateSchema(NlohmannJsonAdapter(Document), *Slot);
+  }
+  return *Slot;
+}
+
+} // namespace
+
+leaf::result<void> checkAgainstSchema(const nlohmann::json &Document,
+                                      std::string_view SchemaText,
+                                      std::string_view Where, ResultCode Code) {
+  valijson::Validator Validator;
+  valijson::ValidationResults Results;
+  const NlohmannJsonAdapter Adapter(Document);
+  if (Validator.validate(compiled(SchemaText), Adapter, &Results))
+    return {};
+  valijson::ValidationResults::Error Error;
+  std::string Place(Where);
+  std::string Why;
+  // The first error reported names the innermost key.
+  if (Results.popError(Error)) {
+    for (const std::string &Part : Error.context)
+      Place += Part == "<root>" ? "" : Part;
+    Why = Error.description;
+  }
+  return fail(Code, Place, Why);
+}
+
+std::string_view serviceSchema() { return ServiceSchemaText; }
+
+std::string_view routeSchema() { return RouteSchemaText; }
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/servinggate.cpp
@@ -0,0 +1,52 @@
+#include "servinggate.h"
+
+#include <limits>
+
+namespace persimmon {
+
+namespace {
+
+constexpr milliseconds RequestIntervalMin{100};
+constexpr milliseconds RequestIntervalMax{600};
+
+} // namespace
+
+ServingGate::ServingGate(std::vector<std::string> ControlAddresses,
+                         std::uint64_t Seed)
+    : ControlAddresses(std::move(ControlAddresses)), Rng(Seed),
+      Nonce(static_cast<std::int64_t>(
+          this->Rng.below(std::numeric_limits<std::int64_t>::max()))) {}
+
+void ServingGate::tick(Time Now, std::int64_t VersionInForce, Effects &Out) {
+  if (this->Open)
+    return;
+  this->check(VersionInForce, Out);
+  if (this->RequiredVersion || Now < this->NextRequest)
+    return;
+  this->NextRequest =
+      Now + this->Rng.between(RequestIntervalMin, RequestIntervalMax);
+  wire::StampRequest Request;
+  Request.Nonce = this->Nonce;
+  for (const std::string &Address : this->ControlAddresses)
+    send(Out, Address, Request, Channel::Datagram);
+}
+
+void ServingGate::receive(const wire::StampReply &Reply,
+                          std::int64_t VersionInForce, Effects &Out) {
+  if (Reply.Nonce != this->Nonce || this->RequiredVersion)
+    return;
+  this->RequiredVersion = Reply.Confirmed.Version;
+  this->check(VersionInForce, Out);
+}
+
+void ServingGate::check(std::int64_t VersionInForce, Effects &Out) {
+  if (this->Open || !this->RequiredVersion ||
+      VersionInForce < *this->RequiredVersion)
+    return;
+  this->Open = true;
+  Out.emplace_back(LogDecision{
+      "event=serving-opened version=" + std::to_string(VersionInForce) +
+      " required=" + std::to_string(*this->RequiredVersion)});
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/servinggate.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "effects.h"
+#include "random.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmon {
+
+/// Keeps a daemon that has just started from serving until its configuration
+/// is at least as new as one that a quorum confirmed after the start. A daemon
+/// has no disk; everything it served before was committed, hence not newer.
+class ServingGate {
+public:
+  ServingGate(std::vector<std::string> ControlAddresses, std::uint64_t Seed);
+
+  /// Asks the control instances while no confirmation has come.
+  void tick(Time Now, std::int64_t VersionInForce, Effects &Out);
+  void receive(const wire::StampReply &Reply, std::int64_t VersionInForce,
+               Effects &Out);
+
+  bool open() const { return this->Open; }
+
+private:
+  void check(std::int64_t VersionInForce, Effects &Out);
+
+  std::vector<std::string> ControlAddresses;
+  Random Rng;
+  std::int64_t Nonce;
+  std::optional<std::int64_t> RequiredVersion;
+  bool Open = false;
+  Time NextRequest;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/settingsstore.cpp
@@ -0,0 +1,200 @@
+#include "settingsstore.h"
+
+#include <algorithm>
+#include <set>
+
+namespace persimmon {
+
+namespace {
+
+constexpr std::size_t MaxOutcomes = 4096;
+constexpr std::size_t MaxSettings = 20'000;
+constexpr std::size_t MaxValueBytes = 16'384;
+constexpr std::size_t MaxEdits = 256;
+constexpr std::size_t MaxChangeIdBytes = 100;
+
+/// Carries out \p Edits, whose versions have been checked, as \p Version.
+wire::Delta carryOut(const std::vector<wire::PathEdit> &Edits,
+                     std::int64_t Version, SettingsMap &Settings) {
+  wire::Delta Out;
+  Out.To = Version;
+  for (const wire::PathEdit &Edit : Edits) {
+    if (Edit.Remove) {
+      Settings.erase(Edit.Path);
+      Out.Removed.push_back(Edit.Path);
+      continue;
+    }
+    wire::Setting Entry;
+    Entry.Path = Edit.Path;
+    Entry.Value = Edit.Value;
+    Entry.Version = Version;
+    Settings[Edit.Path] = Entry;
+    Out.Puts.push_back(std::move(Entry));
+  }
+  return Out;
+}
+
+std::uint64_t hashOfAll(const SettingsMap &Settings) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Path, Entry] : Settings)
+    Sum += hashOf(Entry);
+  return Sum;
+}
+
+} // namespace
+
+leaf::result<void> SettingsStore::checkEdits(const wire::Change &Candidate,
+                                             SettingsMap &After) const {
+  std::set<std::string_view> Seen;
+  for (const wire::PathEdit &Edit : Candidate.Edits) {
+    BOOST_LEAF_AUTO(Parts, parseSettingPath(Edit.Path));
+    if (Parts.Team != Candidate.Team)
+      return fail(ResultCode::OutsideSubtree, Edit.Path);
+    if (!Seen.insert(Edit.Path).second)
+      return fail(ResultCode::ValueInvalid, Edit.Path,
+                  "the path occurs twice in the change");
+    if (Edit.Value.size() > MaxValueBytes)
+      return fail(ResultCode::LimitExceeded, Edit.Path, "value too large");
+    const auto Found = After.find(Edit.Path);
+    const std::int64_t Current =
+        Found == After.end() ? 0 : Found->second.Version;
+    if (Current != Edit.ExpectedVersion)
+      return fail(ResultCode::Conflict, Edit.Path,
+                  "the current version is " + std::to_string(Current) +
+                      ", the change expects " +
+                      std::to_string(Edit.ExpectedVersion));
+    if (Edit.Remove && Current == 0)
+      return fail(ResultCode::PathUnknown, Edit.Path);
+  }
+  return {};
+}
+
+Failure SettingsStore::check(const wire::Change &Candidate) const {
+  if (Candidate.ChangeId.empty() ||
+      Candidate.ChangeId.size() > MaxChangeIdBytes || Candidate.Edits.empty())
+    return {ResultCode::ValueInvalid, Candidate.ChangeId,
+            "a change needs an id of 1 to 100 bytes and at least one edit"};
+  if (Candidate.BasedOn < this->OutcomesEvictedThrough)
+    return {ResultCode::ChangeTooOld, Candidate.ChangeId, {}};
+  if (Candidate.Edits.size() > MaxEdits)
+    return {ResultCode::LimitExceeded, Candidate.ChangeId, "too many edits"};
+  SettingsMap After = this->Settings;
+  Failure Refusal =
+      settle([&] { return this->checkEdits(Candidate, After); }, [] {});
+  if (Refusal.failed())
+    return Refusal;
+  carryOut(Candidate.Edits, this->Version + 1, After);
+  if (After.size() > MaxSettings)
+    return {ResultCode::LimitExceeded, Candidate.ChangeId, "too many settings"};
+  return settle([&] { return RouteTable::build(After, this->Table.get()); },
+                [](const auto &) {});
+}
+
+std::optional<std::int64_t>
+SettingsStore::outcomeOf(std::string_view ChangeId) const {
+  const auto Found = this->Outcomes.find(ChangeId);
+  if (Found == this->Outcomes.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void SettingsStore::remember(std::string ChangeId, std::int64_t Index) {
+  this->OutcomeOrder.push_back(ChangeId);
+  this->Outcomes.emplace(std::move(ChangeId), Index);
+  while (this->OutcomeOrder.size() > MaxOutcomes) {
+    const auto Oldest = this->Outcomes.find(this->OutcomeOrder.front());
+    this->OutcomesEvictedThrough = Oldest->second;
+    this->Outcomes.erase(Oldest);
+    this->OutcomeOrder.pop_front();
+  }
+}
+
+std::optional<AppliedChange>
+SettingsStore::applyChange(const wire::Change &TheChange, std::int64_t Index) {
+  if (this->outcomeOf(TheChange.ChangeId))
+    return std::nullopt;
+  AppliedChange Out;
+  Out.ChangeId = TheChange.ChangeId;
+  Out.Change = carryOut(TheChange.Edits, Index, this->Settings);
+  Out.Change.From = this->Version;
+  this->Version = Index;
+  this->Hash = hashOfAll(this->Settings);
+  Out.Change.Hash = static_cast<std::int64_t>(this->Hash);
+  this->remember(TheChange.ChangeId, Index);
+  settle([&] { return RouteTable::build(this->Settings, this->Table.get()); },
+         [&](auto Built) { this->Table = std::move(Built); });
+  return Out;
+}
+
+std::optional<AppliedChange> SettingsStore::apply(const wire::LogEntry &Entry) {
+  switch (Entry.Kind) {
+  case wire::EntryKind::Change:
+    return this->applyChange(Entry.TheChange, Entry.Index);
+  case wire::EntryKind::Team:
+    this->Teams[Entry.Team.Team] = Entry.Team;
+    return std::nullopt;
+  case wire::EntryKind::Claims:
+    this->Claims.apply(Entry.Claims, Entry.ExpireClaimsThrough);
+    return std::nullopt;
+  case wire::EntryKind::Noop:
+  case wire::EntryKind::Voters:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+bool SettingsStore::authorized(std::string_view Team,
+                               std::string_view Token) const {
+  const auto Found = this->Teams.find(Team);
+  if (Found == this->Teams.end())
+    return false;
+  return equalInConstantTime(hashToken(Found->second.Salt, Token),
+                             Found->second.TokenHash);
+}
+
+bool SettingsStore::hasTeam(std::string_view Team) const {
+  return this->Teams.find(Team) != this->Teams.end();
+}
+
+wire::StoreSnapshot SettingsStore::snapshot(std::int64_t LastIndex,
+                                            std::int64_t LastTerm) const {
+  wire::StoreSnapshot Out;
+  Out.LastIndex = LastIndex;
+  Out.LastTerm = LastTerm;
+  Out.ConfigurationVersion = this->Version;
+  for (const auto &[Path, Entry] : this->Settings)
+    Out.Settings.push_back(Entry);
+  for (const auto &[Name, Grant] : this->Teams)
+    Out.Teams.push_back(Grant);
+  for (const std::string &ChangeId : this->OutcomeOrder) {
+    wire::ChangeOutcome Outcome;
+    Outcome.ChangeId = ChangeId;
+    Outcome.Version = this->Outcomes.find(ChangeId)->second;
+    Out.Outcomes.push_back(std::move(Outcome));
+  }
+  Out.OutcomesEvictedThrough = this->OutcomesEvictedThrough;
+  Out.Claims = this->Claims.all();
+  return Out;
+}
+
+leaf::result<void> SettingsStore::restore(const wire::StoreSnapshot &Snapshot) {
+  SettingsStore Fresh;
+  for (const wire::Setting &Entry : Snapshot.Settings)
+    Fresh.Settings.emplace(Entry.Path, Entry);
+  for (const wire::TeamGrant &Grant : Snapshot.Teams)
+    Fresh.Teams.emplace(Grant.Team, Grant);
+  for (const wire::ChangeOutcome &Outcome : Snapshot.Outcomes) {
+    Fresh.OutcomeOrder.push_back(Outcome.ChangeId);
+    Fresh.Outcomes.emplace(Outcome.ChangeId, Outcome.Version);
+  }
+  Fresh.OutcomesEvictedThrough = Snapshot.OutcomesEvictedThrough;
+  Fresh.Claims.restore(Snapshot.Claims);
+  Fresh.Version = Snapshot.ConfigurationVersion;
+  Fresh.Hash = hashOfAll(Fresh.Settings);
+  BOOST_LEAF_AUTO(Built, RouteTable::build(Fresh.Settings, nullptr));
+  Fresh.Table = std::move(Built);
+  *this = std::move(Fresh);
+  return {};
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/settingsstore.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "claimtable.h"
+#include "routetable.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace persimmon {
+
+/// What applying a log entry did to the configuration.
+struct AppliedChange {
+  std::string ChangeId;
+  wire::Delta Change;
+};
+
+/// The replicated state: settings, teams, outcomes of changes and claims.
+/// Deterministic: the same entries give the same state on every replica.
+class SettingsStore {
+public:
+  /// Returns why \p Candidate must be refused, or Ok. Nothing changes.
+  Failure check(const wire::Change &Candidate) const;
+
+  /// Returns the version that the change got when it first ran, or nothing.
+  std::optional<std::int64_t> outcomeOf(std::string_view ChangeId) const;
+
+  /// Applies a committed entry. Returns what it did to the configuration.
+  std::optional<AppliedChange> apply(const wire::LogEntry &Entry);
+
+  /// Returns whether \p Token gives the right to \p Team's subtree.
+  bool authorized(std::string_view Team, std::string_view Token) const;
+  bool hasTeam(std::string_view Team) const;
+
+  wire::StoreSnapshot snapshot(std::int64_t LastIndex,
+                               std::int64_t LastTerm) const;
+
+  /// Replaces the state. Errors: SnapshotDamaged.
+  leaf::result<void> restore(const wire::StoreSnapshot &Snapshot);
+
+  std::int64_t version() const { return this->Version; }
+  std::uint64_t hash() const { return this->Hash; }
+  const SettingsMap &settings() const { return this->Settings; }
+  const ClaimTable &claims() const { return this->Claims; }
+
+private:
+  std::optional<AppliedChange> applyChange(const wire::Change &TheChange,
+                                           std::int64_t Index);
+  void remember(std::string ChangeId, std::int64_t Index);
+  leaf::result<void> checkEdits(const wire::Change &Candidate,
+                                SettingsMap &After) const;
+
+  SettingsMap Settings;
+  std::shared_ptr<const RouteTable> Table;
+  std::map<std::string, wire::TeamGrant, std::less<>> Teams;
+  std::map<std::string, std::int64_t, std::less<>> Outcomes;
+  std::deque<std::string> OutcomeOrder;
+  std::int64_t OutcomesEvictedThrough = 0;
+  ClaimTable Claims;
+  std::int64_t Version = 0;
+  std::uint64_t Hash = 0;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/targetchooser.cpp
@@ -0,0 +1,149 @@
+#include "targetchooser.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace persimmon {
+
+namespace {
+
+constexpr milliseconds ReportValidity{500};
+constexpr milliseconds RampDuration{5000};
+constexpr milliseconds EjectionDuration{5000};
+constexpr double FailureWeight = 0.2;
+constexpr double EjectionThreshold = 0.6;
+constexpr double RampStartShare = 0.1;
+constexpr double FailurePenalty = 4.0;
+constexpr double UnwellPenalty = 1.0;
+constexpr double SaturatedScore = 1.0;
+
+} // namespace
+
+TargetChooser::TargetChooser(std::string Zone, std::uint64_t Seed,
+                             const ChoicePolicy &Policy)
+    : Zone(std::move(Zone)), Rng(Seed), Policy(Policy) {}
+
+TargetChooser::Stats &TargetChooser::statsOf(const wire::MemberRecord &Record,
+                                             Time Now) {
+  Stats &Target = this->Targets[Record.Name];
+  if (Target.Incarnation != Record.Incarnation) {
+    // Targets known since this daemon's own start need no ramp.
+    const bool Restarted = Target.Incarnation != 0;
+    const int InFlight = Target.InFlight;
+    Target = Stats{};
+    Target.InFlight = InFlight;
+    Target.Incarnation = Record.Incarnation;
+    Target.RampUntil = Restarted ? Now + RampDuration : Now;
+  }
+  return Target;
+}
+
+double TargetChooser::score(const wire::MemberRecord &Record, Stats &Target,
+                            bool UseHints, Time Now) const {
+  const int Slots = std::max(1, Record.Slots);
+  int Load = Target.InFlight;
+  if (Now < Target.ReportValidUntil)
+    Load = std::max(Load, Target.ReportedRunning + Target.ReportedQueued);
+  double Score = static_cast<double>(Load) / Slots;
+  Score += FailurePenalty * Target.FailureRate;
+  if (UseHints && Record.Unwell)
+    Score += UnwellPenalty;
+  if (Now < Target.RampUntil) {
+    const double Left =
+        static_cast<double>(millisecondsUntil(Target.RampUntil, Now)) /
+        static_cast<double>(RampDuration.count());
+    const double Share = 1.0 - Left * (1.0 - RampStartShare);
+    Score = (Score + 1.0 / Slots) / Share;
+  }
+  return Score;
+}
+
+TargetChoice TargetChooser::choose(const Membership &Members,
+                                   std::string_view Service,
+                                   const std::set<std::string> &Excluded,
+                                   Time Now) {
+  std::vector<const wire::MemberRecord *> All;
+  std::size_t Unwell = 0;
+  std::size_t Ejected = 0;
+  for (const std::string &Name : Members.targetsOf(Service)) {
+    const wire::MemberRecord *Record = Members.find(Name);
+    if (Record == nullptr || Excluded.count(Name) != 0)
+      continue;
+    All.push_back(Record);
+    Unwell += Record->Unwell ? 1 : 0;
+    Ejected += Now < this->statsOf(*Record, Now).EjectedUntil ? 1 : 0;
+  }
+  // Hints and ejection are not believed when they rule out most targets.
+  const bool UseHints = Unwell * 2 <= All.size();
+  if (Ejected * 2 <= All.size()) {
+    std::erase_if(All, [&](const wire::MemberRecord *Record) {
+      return Now < this->statsOf(*Record, Now).EjectedUntil;
+    });
+  }
+  TargetChoice Out;
+  Out.Candidates = All.size();
+  if (All.empty())
+    return Out;
+  std::vector<const wire::MemberRecord *> Near;
+  for (const wire::MemberRecord *Record : All) {
+    if (Record->Zone == this->Zone)
+      Near.push_back(Record);
+  }
+  const auto PickOfTwo =
+      [&](const std::vector<const wire::MemberRecord *> &From) {
+        const std::size_t First = this->Rng.below(From.size());
+        std::size_t Second = First;
+        if (From.size() > 1) {
+          Second = this->Rng.below(From.size() - 1);
+          Second += Second >= First ? 1 : 0;
+        }
+        const double Scores[2] = {
+            this->score(*From[First], this->statsOf(*From[First], Now),
+                        UseHints, Now),
+            this->score(*From[Second], this->statsOf(*From[Second], Now),
+                        UseHints, Now)};
+        const std::size_t Best = this->Policy.pick(Scores[0], Scores[1]);
+        return std::pair(From[Best == 0 ? First : Second], Scores[Best]);
+      };
+  if (!Near.empty()) {
+    const auto [Record, Score] = PickOfTwo(Near);
+    if (Score < SaturatedScore || Near.size() == All.size()) {
+      Out.Record = Record;
+      Out.Reason = "own-zone";
+      return Out;
+    }
+  }
+  Out.Record = PickOfTwo(All).first;
+  Out.Reason = Near.empty() ? "no-target-in-zone" : "zone-loaded";
+  return Out;
+}
+
+void TargetChooser::started(std::string_view Name) {
+  const auto Found = this->Targets.find(Name);
+  if (Found != this->Targets.end())
+    Found->second.InFlight += 1;
+}
+
+void TargetChooser::finished(std::string_view Name, bool Failed, Time Now) {
+  const auto Found = this->Targets.find(Name);
+  if (Found == this->Targets.end())
+    return;
+  Stats &Target = Found->second;
+  Target.InFlight = std::max(0, Target.InFlight - 1);
+  Target.FailureRate +=
+      FailureWeight * ((Failed ? 1.0 : 0.0) - Target.FailureRate);
+  if (Failed && Target.FailureRate > EjectionThreshold)
+    Target.EjectedUntil = Now + EjectionDuration;
+}
+
+void TargetChooser::reported(std::string_view Name, const wire::Load &Load,
+                             Time Now) {
+  const auto Found = this->Targets.find(Name);
+  if (Found == this->Targets.end())
+    return;
+  Found->second.ReportedRunning = Load.Running;
+  Found->second.ReportedQueued = Load.Queued;
+  Found->second.ReportValidUntil = Now + ReportValidity;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/targetledger.cpp
@@ -0,0 +1,381 @@
+#include "targetledger.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+namespace {
+
+constexpr milliseconds KeepFinished{30'000};
+constexpr milliseconds KeepRefused{30'000};
+constexpr milliseconds KeepTaken{5'000};
+constexpr milliseconds SweepInterval{500};
+constexpr milliseconds AnswerTakenTimeout{2'000};
+constexpr std::int64_t MaxHeldBytes = 64 << 20;
+constexpr std::size_t MaxSenderFloors = 20'000;
+constexpr double RunTimeWeight = 0.1;
+
+} // namespace
+
+int TargetLedger::slots(const ServiceSpec *Limits) const {
+  const int Announced = std::max(1, this->Target.Slots);
+  if (Limits == nullptr || Limits->SlotsLimit == 0)
+    return Announced;
+  return std::min(Announced, Limits->SlotsLimit);
+}
+
+wire::Load TargetLedger::load() const {
+  wire::Load Out;
+  Out.Running = this->Running;
+  Out.Queued = static_cast<std::int32_t>(this->Queue.size());
+  Out.Slots = this->SlotsInUse;
+  return Out;
+}
+
+bool TargetLedger::idle() const {
+  return std::none_of(
+      this->Attempts.begin(), this->Attempts.end(), [](const auto &Item) {
+        const Attempt &A = Item.second;
+        return A.State == Stage::Queued || A.State == Stage::Running ||
+               (A.State == Stage::Finished && !A.Taken);
+      });
+}
+
+void TargetLedger::setTarget(const TargetAnnounced &Announced, Time Now,
+                             Effects &Out) {
+  this->Target = Announced;
+  if (Announced.State == wire::TargetState::Draining)
+    this->handBackQueued(ResultCode::Draining, Now, Out);
+  if (Announced.State == wire::TargetState::Gone)
+    this->handBackQueued(ResultCode::TargetUnreachable, Now, Out);
+}
+
+void TargetLedger::drain(Time Now, Effects &Out) {
+  this->Leaving = true;
+  this->handBackQueued(ResultCode::Draining, Now, Out);
+}
+
+void TargetLedger::handBackQueued(ResultCode Code, Time Now, Effects &Out) {
+  while (!this->Queue.empty()) {
+    const wire::AttemptId Id = this->Queue.begin()->second;
+    this->Queue.erase(this->Queue.begin());
+    this->refuse(this->Attempts.at(Id), Code, Now, Out);
+  }
+}
+
+void TargetLedger::reply(const wire::AttemptId &Id, std::string_view To,
+                         wire::CallOutcome::type Outcome, ResultCode Code,
+                         Effects &Out) const {
+  wire::CallReply Reply;
+  Reply.Id = Id;
+  Reply.Outcome = Outcome;
+  Reply.Code = static_cast<std::int32_t>(Code);
+  Reply.TargetLoad = this->load();
+  send(Out, To, std::move(Reply));
+}
+
+void TargetLedger::tell(const Attempt &Item, Effects &Out) const {
+  if (Item.State == Stage::Finished &&
+      Item.Outcome == wire::CallOutcome::Finished) {
+    Out.emplace_back(SendAnswer{Item.Id, Item.From, this->load()});
+    return;
+  }
+  this->reply(Item.Id, Item.From, Item.Outcome, Item.Code, Out);
+}
+
+bool TargetLedger::forgotten(const wire::AttemptId &Id) const {
+  const auto Found =
+      this->ForgottenUpTo.find({Id.Sender, Id.SenderIncarnation});
+  return Found != this->ForgottenUpTo.end() && Id.Number <= Found->second;
+}
+
+ResultCode TargetLedger::admissionOf(const wire::CallRequest &Request,
+                                     const ServiceSpec *Limits) const {
+  if (this->Leaving || this->Target.State == wire::TargetState::Draining)
+    return ResultCode::Draining;
+  if (this->Target.State == wire::TargetState::Starting)
+    return ResultCode::Starting;
+  if (this->Target.State != wire::TargetState::Serving)
+    return ResultCode::TargetUnreachable;
+  if (Request.Service != this->Target.Service)
+    return ResultCode::NoTarget;
+  if (Request.RemainingMs <= 0)
+    return ResultCode::DeadlineCannotBeMet;
+  const int Slots = this->slots(Limits);
+  if (this->Running < Slots)
+    return ResultCode::Ok;
+  // Each slot takes the next call after the mean run time.
+  const double Ahead = static_cast<double>(this->Queue.size() + 1) / Slots;
+  const double ExpectedMs = (Ahead + 1.0) * this->MeanRunMs;
+  if (ExpectedMs > Request.RemainingMs)
+    return ResultCode::DeadlineCannotBeMet;
+  return ResultCode::Ok;
+}
+
+TargetLedger::Attempt &TargetLedger::add(const wire::CallRequest &Request,
+                                         std::string_view From, Time Now) {
+  Attempt Item;
+  Item.Id = Request.Id;
+  Item.From = std::string(From);
+  Item.Deadline = Now + milliseconds(Request.RemainingMs);
+  Item.Priority = Request.Priority;
+  return this->Attempts.emplace(Request.Id, std::move(Item)).first->second;
+}
+
+bool TargetLedger::makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
+                            Effects &Out) {
+  const std::size_t Bound =
+      Limits == nullptr ? 0 : static_cast<std::size_t>(Limits->Queue);
+  const int Floor = Limits == nullptr ? 0 : Limits->ShedBelowPriority;
+  if (this->Queue.size() * 2 >= Bound && Priority < Floor)
+    return false;
+  if (this->Queue.size() < Bound)
+    return true;
+  if (Floor == 0 || this->Queue.empty())
+    return false;
+  const auto Least =
+      std::min_element(this->Queue.begin(), this->Queue.end(),
+                       [&](const auto &Left, const auto &Right) {
+                         return this->Attempts.at(Left.second).Priority <
+                                this->Attempts.at(Right.second).Priority;
+                       });
+  Attempt &Shed = this->Attempts.at(Least->second);
+  if (Shed.Priority >= Priority)
+    return false;
+  this->Queue.erase(Least);
+  this->refuse(Shed, ResultCode::Overloaded, Now, Out);
+  return true;
+}
+
+void TargetLedger::receive(const wire::CallRequest &Request,
+                           std::string_view From, bool Addressed,
+                           const ServiceSpec *Limits, Time Now, Effects &Out) {
+  const wire::AttemptId Id = Request.Id;
+  const auto Known = this->Attempts.find(Id);
+  if (Known != this->Attempts.end()) {
+    Known->second.From = std::string(From);
+    this->tell(Known->second, Out);
+    return;
+  }
+  if (this->forgotten(Id)) {
+    this->reply(Request.Id, From, wire::CallOutcome::Unknown,
+                ResultCode::OutcomeUnknown, Out);
+    Out.emplace_back(DropAttempt{Request.Id});
+    return;
+  }
+  Attempt &Item = this->add(Request, From, Now);
+  this->SlotsInUse = this->slots(Limits);
+  ResultCode Code =
+      Addressed ? this->admissionOf(Request, Limits) : ResultCode::Fenced;
+  const bool SlotFree = this->Running < this->SlotsInUse;
+  if (Code == ResultCode::Ok && !SlotFree &&
+      !this->makeRoom(Request.Priority, Limits, Now, Out))
+    Code = ResultCode::Overloaded;
+  Out.emplace_back(LogDecision{
+      "event=admit call=" + Request.CallId + " service=" + Request.Service +
+      " running=" + std::to_string(this->Running) +
+      " queued=" + std::to_string(this->Queue.size()) +
+      " slots=" + std::to_string(this->SlotsInUse) + " choice=" +
+      (Code != ResultCode::Ok ? "refuse"
+       : SlotFree             ? "run"
+                              : "queue") +
+      " code=" + std::to_string(static_cast<int>(Code))});
+  if (Code != ResultCode::Ok) {
+    this->refuse(Item, Code, Now, Out);
+    return;
+  }
+  if (SlotFree) {
+    this->run(Item, Now, Out);
+    return;
+  }
+  this->Queue.emplace(Item.Deadline, Id);
+}
+
+void TargetLedger::run(Attempt &Item, Time Now, Effects &Out) {
+  Item.State = Stage::Running;
+  Item.StartedAt = Now;
+  this->Running += 1;
+  Out.emplace_back(RunOnTarget{Item.Id, Item.Deadline});
+}
+
+void TargetLedger::refuse(Attempt &Item, ResultCode Code, Time Now,
+                          Effects &Out) {
+  Item.State = Stage::Refused;
+  Item.Outcome = wire::CallOutcome::NotRun;
+  Item.Code = Code;
+  Item.KeepUntil = Now + KeepRefused;
+  this->tell(Item, Out);
+  Out.emplace_back(DropAttempt{Item.Id});
+}
+
+void TargetLedger::startQueued(Time Now, Effects &Out) {
+  while (!this->Queue.empty() && this->Running < this->SlotsInUse) {
+    const wire::AttemptId Id = this->Queue.begin()->second;
+    this->Queue.erase(this->Queue.begin());
+    Attempt &Item = this->Attempts.at(Id);
+    const double LeftMs =
+        static_cast<double>(millisecondsUntil(Item.Deadline, Now));
+    if (LeftMs <= this->MeanRunMs)
+      this->refuse(Item, ResultCode::DeadlineCannotBeMet, Now, Out);
+    else
+      this->run(Item, Now, Out);
+  }
+}
+
+void TargetLedger::finished(const RunFinished &Run, Time Now, Effects &Out) {
+  const auto Found = this->Attempts.find(Run.Id);
+  if (Found == this->Attempts.end() || Found->second.State != Stage::Running)
+    return;
+  Attempt &Item = Found->second;
+  this->Running -= 1;
+  const std::chrono::duration<double, std::milli> Took = Now - Item.StartedAt;
+  if (Run.End == RunEnd::Answered)
+    this->MeanRunMs += RunTimeWeight * (Took.count() - this->MeanRunMs);
+  switch (Run.End) {
+  case RunEnd::NotConnected:
+    this->refuse(Item, ResultCode::TargetUnreachable, Now, Out);
+    break;
+  case RunEnd::Shed:
+    this->refuse(Item, ResultCode::TargetShed, Now, Out);
+    break;
+  case RunEnd::Broken:
+    Item.State = Stage::Finished;
+    Item.Outcome = wire::CallOutcome::Unknown;
+    Item.Code = ResultCode::TargetBroke;
+    Item.Taken = true;
+    Item.KeepUntil = Now + KeepFinished;
+    this->tell(Item, Out);
+    Out.emplace_back(DropAttempt{Item.Id});
+    break;
+  case RunEnd::Answered:
+    Item.State = Stage::Finished;
+    Item.Outcome = wire::CallOutcome::Finished;
+    Item.AnswerBytes = Run.AnswerBytes;
+    Item.KeepUntil = Now + KeepFinished;
+    this->HeldBytes += Run.AnswerBytes;
+    this->tell(Item, Out);
+    break;
+  }
+  this->startQueued(Now, Out);
+  this->dropHeldAnswers(Out);
+}
+
+void TargetLedger::dropHeldAnswers(Effects &Out) {
+  if (this->HeldBytes <= MaxHeldBytes)
+    return;
+  auto Oldest = this->Attempts.end();
+  for (auto Item = this->Attempts.begin(); Item != this->Attempts.end();
+       ++Item) {
+    if (Item->second.AnswerBytes == 0 || Item->second.Taken)
+      continue;
+    if (Oldest == this->Attempts.end() ||
+        Item->second.KeepUntil < Oldest->second.KeepUntil)
+      Oldest = Item;
+  }
+  if (Oldest == this->Attempts.end())
+    return;
+  Attempt &Dropped = Oldest->second;
+  this->HeldBytes -= Dropped.AnswerBytes;
+  Dropped.AnswerBytes = 0;
+  Dropped.Taken = true;
+  Dropped.Outcome = wire::CallOutcome::Unknown;
+  Dropped.Code = ResultCode::OutcomeUnknown;
+  Out.emplace_back(DropAttempt{Dropped.Id});
+}
+
+void TargetLedger::receive(const wire::CallQuery &Query, std::string_view From,
+                           bool Addressed, Time Now, Effects &Out) {
+  if (!Addressed) {
+    this->reply(Query.Id, From, wire::CallOutcome::Unknown,
+                ResultCode::WrongIncarnation, Out);
+    return;
+  }
+  const wire::AttemptId Id = Query.Id;
+  const auto Known = this->Attempts.find(Id);
+  if (Known != this->Attempts.end()) {
+    Known->second.From = std::string(From);
+    this->tell(Known->second, Out);
+    return;
+  }
+  if (this->forgotten(Id)) {
+    this->reply(Query.Id, From, wire::CallOutcome::Unknown,
+                ResultCode::OutcomeUnknown, Out);
+    return;
+  }
+  Attempt Fence;
+  Fence.Id = Query.Id;
+  Fence.From = std::string(From);
+  Fence.State = Stage::Fenced;
+  Fence.Outcome = wire::CallOutcome::NotRun;
+  Fence.Code = ResultCode::Fenced;
+  Fence.KeepUntil = Now + KeepRefused;
+  this->tell(Fence, Out);
+  this->Attempts.emplace(Id, std::move(Fence));
+}
+
+void TargetLedger::receive(const wire::CallCancel &Cancel, Effects &Out) {
+  const auto Found = this->Attempts.find(Cancel.Id);
+  if (Found == this->Attempts.end())
+    return;
+  Attempt &Item = Found->second;
+  if (Item.State == Stage::Running) {
+    Item.Taken = true;
+    Out.emplace_back(CancelOnTarget{Item.Id});
+    return;
+  }
+  if (Item.State == Stage::Queued)
+    this->Queue.erase({Item.Deadline, Found->first});
+  if (Item.State == Stage::Queued || Item.State == Stage::Finished)
+    this->forget(Found, Out);
+}
+
+void TargetLedger::receive(const wire::AnswerAck &Ack, Time Now, Effects &Out) {
+  const auto Found = this->Attempts.find(Ack.Id);
+  if (Found == this->Attempts.end() || Found->second.State != Stage::Finished)
+    return;
+  Attempt &Item = Found->second;
+  this->HeldBytes -= Item.AnswerBytes;
+  Item.AnswerBytes = 0;
+  Item.Taken = true;
+  Item.Outcome = wire::CallOutcome::Unknown;
+  Item.Code = ResultCode::OutcomeUnknown;
+  Item.KeepUntil = Now + KeepTaken;
+  Out.emplace_back(DropAttempt{Item.Id});
+}
+
+void TargetLedger::forget(AttemptMap::iterator Item, Effects &Out) {
+  // Numbers up to a forgotten one are never again said to be "not run".
+  auto &Floor =
+      this->ForgottenUpTo[{Item->first.Sender, Item->first.SenderIncarnation}];
+  Floor = std::max(Floor, Item->first.Number);
+  this->HeldBytes -= Item->second.AnswerBytes;
+  Out.emplace_back(DropAttempt{Item->second.Id});
+  this->Attempts.erase(Item);
+}
+
+void TargetLedger::tick(Time Now, Effects &Out) {
+  while (!this->Queue.empty() && Now >= this->Queue.begin()->first) {
+    const wire::AttemptId Id = this->Queue.begin()->second;
+    this->Queue.erase(this->Queue.begin());
+    this->refuse(this->Attempts.at(Id), ResultCode::DeadlineCannotBeMet, Now,
+                 Out);
+  }
+  if (Now < this->NextSweep)
+    return;
+  this->NextSweep = Now + SweepInterval;
+  for (auto Item = this->Attempts.begin(); Item != this->Attempts.end();) {
+    const auto Next = std::next(Item);
+    Attempt &A = Item->second;
+    // An answer that its sender never took does not hold up a planned stop.
+    if (this->Leaving && A.State == Stage::Finished &&
+        Now >= A.KeepUntil - KeepFinished + AnswerTakenTimeout)
+      A.Taken = true;
+    if (Now >= A.KeepUntil)
+      this->forget(Item, Out);
+    Item = Next;
+  }
+  if (this->ForgottenUpTo.size() > MaxSenderFloors)
+    this->ForgottenUpTo.erase(this->ForgottenUpTo.begin());
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/targetledger.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "effects.h"
+#include "events.h"
+#include "routetable.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace persimmon {
+
+/// The target's side of calls: admits, queues or refuses them, and is the
+/// authority on what ran. An attempt that was asked after before it arrived is
+/// fenced: it is refused if it arrives late.
+class TargetLedger {
+public:
+  /// Handles a call whose whole body has arrived. \p Addressed says that it
+  /// was meant for this process and not for an earlier one.
+  void receive(const wire::CallRequest &Request, std::string_view From,
+               bool Addressed, const ServiceSpec *Limits, Time Now,
+               Effects &Out);
+  void receive(const wire::CallQuery &Query, std::string_view From,
+               bool Addressed, Time Now, Effects &Out);
+  void receive(const wire::CallCancel &Cancel, Effects &Out);
+  void receive(const wire::AnswerAck &Ack, Time Now, Effects &Out);
+  void finished(const RunFinished &Run, Time Now, Effects &Out);
+  void tick(Time Now, Effects &Out);
+
+  /// Takes what the target announced of itself.
+  void setTarget(const TargetAnnounced &Target, Time Now, Effects &Out);
+
+  /// Refuses new work and hands back queued calls as not run.
+  void drain(Time Now, Effects &Out);
+
+  wire::Load load() const;
+
+  /// Returns whether no call runs, waits, or has an answer not yet taken.
+  bool idle() const;
+
+private:
+  enum class Stage { Queued, Running, Finished, Refused, Fenced };
+  struct Attempt {
+    wire::AttemptId Id;
+    Stage State = Stage::Queued;
+    std::string From;
+    Time Deadline;
+    Time StartedAt;
+    Time KeepUntil = NoDeadline;
+    int Priority = 0;
+    bool Taken = false;
+    wire::CallOutcome::type Outcome = wire::CallOutcome::Running;
+    ResultCode Code = ResultCode::Ok;
+    std::int64_t AnswerBytes = 0;
+  };
+  using AttemptMap = std::map<wire::AttemptId, Attempt>;
+
+  int slots(const ServiceSpec *Limits) const;
+  ResultCode admissionOf(const wire::CallRequest &Request,
+                         const ServiceSpec *Limits) const;
+  bool makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
+                Effects &Out);
+  void run(Attempt &Item, Time Now, Effects &Out);
+  void refuse(Attempt &Item, ResultCode Code, Time Now, Effects &Out);
+  void startQueued(Time Now, Effects &Out);
+  void handBackQueued(ResultCode Code, Time Now, Effects &Out);
+  void reply(const wire::AttemptId &Id, std::string_view To,
+             wire::CallOutcome::type Outcome, ResultCode Code,
+             Effects &Out) const;
+  void tell(const Attempt &Item, Effects &Out) const;
+  bool forgotten(const wire::AttemptId &Id) const;
+  void forget(AttemptMap::iterator Item, Effects &Out);
+  void dropHeldAnswers(Effects &Out);
+  Attempt &add(const wire::CallRequest &Request, std::string_view From,
+               Time Now);
+
+  TargetAnnounced Target;
+  bool Leaving = false;
+  int SlotsInUse = 1;
+  AttemptMap Attempts;
+  std::set<std::pair<Time, wire::AttemptId>> Queue;
+  std::map<std::pair<std::string, std::int64_t>, std::int64_t> ForgottenUpTo;
+  int Running = 0;
+  double MeanRunMs = 0;
+  std::int64_t HeldBytes = 0;
+  Time NextSweep;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libwire/hash.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "gen/persimmon_types.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace persimmon {
+
+/// Returns the XXH3 hash of one setting. The hash of a configuration is the
+/// sum of these, so one change updates it without reading the rest.
+std::uint64_t hashOf(const wire::Setting &Entry);
+
+/// Returns the XXH3 hash of a member record's identity and order.
+std::uint64_t hashOf(const wire::MemberRecord &Record);
+
+/// Returns the XXH3 hash of \p Text.
+std::uint64_t hashOf(std::string_view Text);
+
+/// Returns the CRC-32 of \p Bytes.
+std::uint32_t checksumOf(std::string_view Bytes);
+
+/// Returns the SHA-256 of salt and token as hexadecimal text.
+std::string hashToken(std::string_view Salt, std::string_view Token);
+
+/// Compares two texts in a time that depends on their lengths only.
+bool equalInConstantTime(std::string_view Left, std::string_view Right);
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libwire/persimmon.thrift
@@ -0,0 +1,376 @@
+/**
+ * Messages between the processes of persimmonwheel, and the records that
+ * control instances keep on disk. Times on the wire are remaining
+ * milliseconds, because the clocks of two instances are not compared.
+ */
+namespace cpp persimmon.wire
+
+/** One voter or learner of the settings store: an instance with one disk. */
+struct Replica {
+  1: string Instance
+  2: i64 DiskId
+  3: string Address
+}
+
+enum EntryKind {
+  Noop = 0,
+  Change = 1,
+  Voters = 2,
+  Team = 3,
+  Claims = 4
+}
+
+/** One path of a change. ExpectedVersion 0 says that the path must not exist. */
+struct PathEdit {
+  1: string Path
+  2: string Value
+  3: bool Remove = false
+  4: i64 ExpectedVersion = 0
+}
+
+/** An atomic change of paths below one team. BasedOn is the configuration version that its author saw. */
+struct Change {
+  1: string ChangeId
+  2: i64 BasedOn = 0
+  3: string Team
+  4: list<PathEdit> Edits
+}
+
+/** The right of a team to its subtree. Team "" holds the administrator's token. */
+struct TeamGrant {
+  1: string Team
+  2: string Salt
+  3: string TokenHash
+}
+
+/** The right to run the call with this idempotency key, held by one attempt's sender. */
+struct Claim {
+  1: string Key
+  2: string Owner
+  3: i64 OwnerIncarnation
+  4: i64 CallNumber
+  5: string OwnerAddress
+  6: bool Release = false
+  7: i64 GrantedAt = 0
+}
+
+struct LogEntry {
+  1: i64 Index
+  2: i64 Term
+  3: EntryKind Kind
+  4: Change TheChange
+  5: list<Replica> Voters
+  6: TeamGrant Team
+  7: list<Claim> Claims
+  8: i64 ExpireClaimsThrough = 0
+}
+
+struct HardState {
+  1: i64 Term = 0
+  2: i64 VotedFor = 0
+}
+
+struct Setting {
+  1: string Path
+  2: string Value
+  3: i64 Version
+}
+
+/** The result that a change got when it was first run. */
+struct ChangeOutcome {
+  1: string ChangeId
+  2: i64 Version
+}
+
+struct StoreSnapshot {
+  1: i64 LastIndex = 0
+  2: i64 LastTerm = 0
+  3: list<Replica> Voters
+  4: i64 ConfigurationVersion = 0
+  5: list<Setting> Settings
+  6: list<TeamGrant> Teams
+  7: list<ChangeOutcome> Outcomes
+  8: i64 OutcomesEvictedThrough = 0
+  9: list<Claim> Claims
+}
+
+/** What one change did to the configuration. Hash covers the whole content after it. */
+struct Delta {
+  1: i64 From
+  2: i64 To
+  3: list<Setting> Puts
+  4: list<string> Removed
+  5: i64 Hash
+}
+
+/** Proof that a quorum followed the leader when Version was the newest committed one. */
+struct Stamp {
+  1: i64 Term = 0
+  2: i64 Version = 0
+  3: i64 Counter = 0
+}
+
+// Consensus between control instances.
+
+struct VoteRequest {
+  1: i64 Term
+  2: Replica Candidate
+  3: i64 LastIndex
+  4: i64 LastTerm
+  5: bool PreVote
+  6: i64 ToDisk
+}
+
+struct VoteReply {
+  1: i64 Term
+  2: i64 FromDisk
+  3: bool Granted
+  4: bool PreVote
+}
+
+struct AppendRequest {
+  1: i64 Term
+  2: Replica Leader
+  3: i64 PrevIndex
+  4: i64 PrevTerm
+  5: list<LogEntry> Entries
+  6: i64 Commit
+  7: i64 Round
+  8: i64 ToDisk
+}
+
+struct AppendReply {
+  1: i64 Term
+  2: i64 FromDisk
+  3: bool Success
+  4: i64 MatchIndex
+  5: i64 Round
+}
+
+struct InstallRequest {
+  1: i64 Term
+  2: Replica Leader
+  3: StoreSnapshot Snapshot
+  4: i64 Round
+  5: i64 ToDisk
+}
+
+struct JoinRequest {
+  1: Replica Joiner
+}
+
+// Membership and distribution.
+
+enum Liveness {
+  Alive = 0,
+  Suspect = 1,
+  Dead = 2,
+  Left = 3
+}
+
+enum TargetState {
+  None = 0,
+  Starting = 1,
+  Serving = 2,
+  Draining = 3,
+  Gone = 4
+}
+
+/** A daemon and the target beside it. Only that daemon raises Incarnation and Sequence. */
+struct MemberRecord {
+  1: string Name
+  2: string Address
+  3: string Zone
+  4: bool Control
+  5: i64 Incarnation
+  6: i64 Sequence
+  7: Liveness State
+  8: string Service
+  9: TargetState Target
+  10: i32 Slots
+  11: bool Unwell
+}
+
+struct Gossip {
+  1: string From
+  2: string Address
+  3: i64 Version
+  4: Stamp Newest
+  5: list<MemberRecord> Updates
+}
+
+struct Probe {
+  1: Gossip Head
+  2: i64 Number
+}
+
+struct ProbeAck {
+  1: Gossip Head
+  2: i64 Number
+}
+
+struct IndirectProbe {
+  1: Gossip Head
+  2: i64 Number
+  3: string SubjectAddress
+}
+
+struct Announce {
+  1: Gossip Head
+}
+
+struct SyncRequest {
+  1: list<i64> Buckets
+}
+
+/**
+ * The records of every bucket that differs. Buckets lists their numbers.
+ * WantsRecords asks the receiver for its own records of these buckets.
+ */
+struct SyncReply {
+  1: list<i32> Buckets
+  2: list<MemberRecord> Records
+  3: bool WantsRecords
+}
+
+struct PullRequest {
+  1: i64 HaveVersion
+  2: i64 HaveHash
+}
+
+struct PullReply {
+  1: bool Busy = false
+  2: i32 RetryAfterMs = 0
+  3: list<Delta> Deltas
+  4: bool IsSnapshot = false
+  5: list<Setting> Settings
+  6: i64 Version
+  7: i64 Hash
+}
+
+struct Laggard {
+  1: string Name
+  2: i64 Version
+}
+
+/**
+ * In-force versions of a daemon and of all daemons below it in the report tree.
+ * NamesSum adds the hashes of their names, so that a missing daemon shows even
+ * when another one is counted twice.
+ */
+struct Report {
+  1: string From
+  2: i64 LeastVersion
+  3: i32 Count
+  4: i64 NamesSum
+  5: list<Laggard> Laggards
+}
+
+struct StampRequest {
+  1: i64 Nonce
+}
+
+struct StampReply {
+  1: i64 Nonce
+  2: Stamp Confirmed
+}
+
+// Calls between daemons.
+
+struct AttemptId {
+  1: string Sender
+  2: i64 SenderIncarnation
+  3: i64 Number
+}
+
+struct Header {
+  1: string Name
+  2: string Value
+}
+
+struct CallRequest {
+  1: AttemptId Id
+  2: i64 ReceiverIncarnation
+  3: string Service
+  4: string Method
+  5: string Url
+  6: list<Header> Headers
+  7: i64 BodySize
+  8: binary Body
+  9: i32 RemainingMs
+  10: i32 Priority
+  11: string CallId
+  12: bool MayRepeat
+}
+
+/** A part of a body that is too large for its first message. */
+struct BodyPart {
+  1: AttemptId Id
+  2: bool OfAnswer
+  3: i64 Offset
+  4: binary Data
+}
+
+enum CallOutcome {
+  NotRun = 0,
+  Running = 1,
+  Finished = 2,
+  Unknown = 3
+}
+
+struct Load {
+  1: i32 Running
+  2: i32 Queued
+  3: i32 Slots
+}
+
+struct CallReply {
+  1: AttemptId Id
+  2: CallOutcome Outcome
+  3: i32 Code
+  4: i32 Status
+  5: list<Header> Headers
+  6: i64 BodySize
+  7: binary Body
+  8: Load TargetLoad
+}
+
+struct CallQuery {
+  1: AttemptId Id
+  2: i64 ReceiverIncarnation
+}
+
+struct CallCancel {
+  1: AttemptId Id
+}
+
+struct AnswerAck {
+  1: AttemptId Id
+}
+
+struct Heartbeat {
+  1: bool IsReply = false
+}
+
+struct ClaimRequest {
+  1: Claim Wanted
+}
+
+struct ClaimReply {
+  1: i64 CallNumber
+  2: i32 Code
+  3: Claim Holder
+  4: string LeaderAddress
+}
+
+/** Asks the daemon that holds a claim what became of its call. */
+struct OutcomeQuery {
+  1: i64 RequestId
+  2: i64 OwnerIncarnation
+  3: i64 CallNumber
+}
+
+struct OutcomeReply {
+  1: i64 RequestId
+  2: CallOutcome Outcome
+}
--- /dev/null
+++ b/src/libwire/resultcode.cpp
@@ -0,0 +1,49 @@
+#include "resultcode.h"
+
+namespace persimmon {
+
+std::string_view nameOf(ResultCode Code) {
+  switch (Code) {
+#define RESULT_CODE(Number, Name, HttpStatus, Text)                            \
+  case ResultCode::Name:                                                       \
+    return #Name;
+#include "resultcodes.def"
+#undef RESULT_CODE
+  }
+  return "Unlisted";
+}
+
+std::string_view textOf(ResultCode Code) {
+  switch (Code) {
+#define RESULT_CODE(Number, Name, HttpStatus, Text)                            \
+  case ResultCode::Name:                                                       \
+    return Text;
+#include "resultcodes.def"
+#undef RESULT_CODE
+  }
+  return "";
+}
+
+int httpStatusOf(ResultCode Code) {
+  switch (Code) {
+#define RESULT_CODE(Number, Name, HttpStatus, Text)                            \
+  case ResultCode::Name:                                                       \
+    return HttpStatus;
+#include "resultcodes.def"
+#undef RESULT_CODE
+  }
+  return 500;
+}
+
+std::string describe(const Failure &Error) {
+  std::string Line = std::to_string(static_cast<int>(Error.Code));
+  Line += " ";
+  Line += nameOf(Error.Code);
+  if (!Error.Where.empty())
+    Line += " at " + Error.Where;
+  Line += ": ";
+  Line += Error.What.empty() ? std::string(textOf(Error.Code)) : Error.What;
+  return Line;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/persimmonctl/apirequest.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "libpersimmon/libpersimmon.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace persimmon {
+
+/// An answer of a control instance.
+struct ApiAnswer {
+  int Status = 0;
+  nlohmann::json Body;
+};
+
+/// Sends one HTTP request to a control instance through libcurl. \p Body is
+/// null for none. Errors: Unreachable.
+leaf::result<ApiAnswer> requestApi(const std::string &Method,
+                                   const std::string &Address,
+                                   const std::string &Path,
+                                   const std::string &Token,
+                                   const nlohmann::json &Body);
+
+} // namespace persimmon
--- /dev/null
+++ b/src/persimmonctl/commandline.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "libpersimmon/libpersimmon.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace persimmon {
+
+/// What an operator asked for on the command line.
+struct CommandLine {
+  std::vector<std::string> Control;
+  std::string Token;
+  std::string ChangeId;
+  std::string Team;
+  std::vector<std::string> Words;
+  bool Json = false;
+  bool Wait = false;
+  bool Help = false;
+  bool Version = false;
+  bool AcceptLoss = false;
+  Time WaitUntil = NoDeadline;
+
+  /// Parses the arguments. Errors: UsageError.
+  static leaf::result<CommandLine> parse(std::span<char *> Arguments);
+};
+
+/// Returns the help text of a command, or the general one.
+std::string helpText(const std::string &Command);
+
+} // namespace persimmon
--- /dev/null
+++ b/src/persimmonctl/controlclient.cpp
@@ -0,0 +1,112 @@
+#include "controlclient.h"
+
+#include <chrono>
+#include <thread>
+
+namespace persimmon {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int MaxRounds = 20;
+constexpr std::chrono::milliseconds RoundPause{250};
+
+/// Whether another instance, or the same one later, may answer differently.
+bool worthRetrying(ResultCode Code) {
+  switch (Code) {
+  case ResultCode::NotLeader:
+  case ResultCode::NoQuorum:
+  case ResultCode::Busy:
+  case ResultCode::OutcomePending:
+  case ResultCode::Unreachable:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+ControlClient::ControlClient(std::vector<std::string> TheAddresses,
+                             std::string TheToken)
+    : Addresses(std::move(TheAddresses)), Token(std::move(TheToken)) {}
+
+leaf::result<json> ControlClient::ask(const std::string &Method,
+                                      const std::string &Address,
+                                      const std::string &Path,
+                                      const json &Body) const {
+  BOOST_LEAF_AUTO(Answer, requestApi(Method, Address, Path, this->Token, Body));
+  const int Code = Answer.Body.value("code", 0);
+  if (Code != 0)
+    return fail(static_cast<ResultCode>(Code), Answer.Body.value("where", ""),
+                Answer.Body.value("text", ""));
+  return std::move(Answer.Body);
+}
+
+leaf::result<json> ControlClient::askLeader(const std::string &Method,
+                                            const std::string &Path,
+                                            const json &Body) const {
+  Failure Last;
+  for (int Round = 0; Round < MaxRounds; ++Round) {
+    if (Round > 0)
+      std::this_thread::sleep_for(RoundPause);
+    bool Formed = false;
+    for (const std::string &Address : this->Addresses) {
+      json Out;
+      const Failure Error =
+          settle([&] { return this->ask(Method, Address, Path, Body); },
+                 [&](json Answer) { Out = std::move(Answer); });
+      if (!Error.failed())
+        return Out;
+      // A blank instance beside formed ones says nothing about the request.
+      if (Error.Code == ResultCode::NotFormed) {
+        if (!Last.failed())
+          Last = Error;
+        continue;
+      }
+      Formed = true;
+      Last = Error;
+      if (!worthRetrying(Error.Code))
+        return fail(Error.Code, Error.Where, Error.What);
+    }
+    if (!Formed)
+      break;
+  }
+  return fail(Last.Code, Last.Where, Last.What);
+}
+
+leaf::result<json> ControlClient::askAny(const std::string &Path) const {
+  Failure Last{ResultCode::Unreachable, {}, {}};
+  for (const std::string &Address : this->Addresses) {
+    json Out;
+    Last = settle([&] { return this->ask("GET", Address, Path, json()); },
+                  [&](json Answer) { Out = std::move(Answer); });
+    if (!Last.failed())
+      return Out;
+  }
+  return fail(Last.Code, Last.Where, Last.What);
+}
+
+leaf::result<json> ControlClient::askFirst(const std::string &Method,
+                                           const std::string &Path,
+                                           const json &Body) const {
+  return this->ask(Method, this->Addresses.front(), Path, Body);
+}
+
+leaf::result<json> ControlClient::leaderStatus() const {
+  Failure Last{ResultCode::NoQuorum, {}, {}};
+  for (const std::string &Address : this->Addresses) {
+    json Out;
+    const Failure Error =
+        settle([&] { return this->ask("GET", Address, "/v1/status", json()); },
+               [&](json Answer) { Out = std::move(Answer); });
+    if (!Error.failed() && Out.value("leading", false))
+      return Out;
+    if (Error.failed())
+      Last = Error;
+  }
+  return fail(Last.Code, Last.Where, Last.What);
+}
+
+} // namespace persimmon
