A call whose earlier attempt may have run is never told not run

Fault matrix over the reducers: fakes for network, disk and clock, one fault at each effect boundary of a flow, invariants after each event.

Cause: a repeatable call was sent elsewhere after its first target's daemon died; the second target refused it for overload and the caller was told that refusal, code 304, not run, while the first target had run it. Ruled out: the ledger (it refused truly) and the fence (no query was sent). Conclusion: the router remembers that an attempt ended without proof and then answers 308, outcome unknown, whatever the last refusal was.

--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -161,6 +161,12 @@
 
 void CallRouter::finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun,
                         Time Now, Effects &Out) {
+  const Call &Ended = this->Calls.at(CallNumber);
+  if (Ended.MayHaveRun && !MayHaveRun) {
+    // The last attempt was refused, but an earlier one may have run.
+    MayHaveRun = true;
+    Error = {ResultCode::OutcomeUnknown, Ended.Service, {}};
+  }
   if (Error.failed())
     this->refuse(CallNumber, std::move(Error), Out);
   this->Claims.finished(CallNumber, MayHaveRun, Now, Out);
@@ -233,7 +239,7 @@
     return false;
   this->endAttempt(TheCall, true, Now);
   TheCall.Excluded.insert(TheCall.Target);
-  TheCall.LastRefusal = ResultCode::OutcomeUnknown;
+  TheCall.MayHaveRun = true;
   this->Retries += 1;
   this->dispatch(TheCall, Now, Out);
   return true;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -67,6 +67,8 @@
     Time NextAsk;
     Time AskUntil;
     ResultCode LastRefusal = ResultCode::NoTarget;
+    /// An attempt ended without proof that it did not run.
+    bool MayHaveRun = false;
 
     /// Returns whether an attempt is under way.
     bool dispatched() const {
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -10,18 +10,19 @@
 constexpr milliseconds RequestTimeout{5000};
 constexpr milliseconds ClaimExpiryInterval{60'000};
 constexpr std::int64_t ClaimRetentionMs = 3'600'000;
+/// More versions than the lost disks can have committed unseen.
+constexpr std::int64_t RecoveryVersionStep = 1'000'000;
 constexpr std::size_t MaxWaitingWrites = 256;
 constexpr std::size_t MaxWaitingClaims = 4096;
 constexpr std::size_t ClaimsPerEntry = 256;
-constexpr std::int64_t EntriesPerSnapshot = 1000;
-constexpr std::int64_t EntriesKept = 500;
 
 } // namespace
 
 ControlService::ControlService(wire::Replica Self,
                                std::vector<ControlPeer> Peers,
-                               std::uint64_t Seed)
-    : Agreement(std::move(Self), std::move(Peers), Seed) {}
+                               SnapshotPolicy ThePolicy, std::uint64_t Seed)
+    : Agreement(std::move(Self), std::move(Peers), Seed), Snapshots(ThePolicy) {
+}
 
 leaf::result<void> ControlService::restore(const DurableState &State,
                                            Time Now) {
@@ -154,7 +155,8 @@
                  0, Out);
     return;
   }
-  this->Agreement.recover(Now, Out);
+  this->Agreement.recover(this->Store.versionBase() + RecoveryVersionStep, Now,
+                          Out);
   this->answer(Request.RequestId, {}, this->Store.version(), Out);
   this->advance(Now, Out);
 }
@@ -265,7 +267,7 @@
 void ControlService::answerWrite(const wire::LogEntry &Entry, Effects &Out) {
   if (this->Writes.empty() || this->Writes.front().Index != Entry.Index)
     return;
-  this->answer(this->Writes.front().RequestId, {}, Entry.Index, Out);
+  this->answer(this->Writes.front().RequestId, {}, this->Store.version(), Out);
   this->Writes.pop_front();
 }
 
@@ -404,14 +406,15 @@
 }
 
 void ControlService::takeSnapshot(Effects &Out) {
-  if (this->AppliedIndex - this->SnapshotIndex < EntriesPerSnapshot)
+  if (this->AppliedIndex - this->SnapshotIndex <
+      this->Snapshots.EntriesPerSnapshot)
     return;
   wire::StoreSnapshot Snapshot =
       this->Store.snapshot(this->AppliedIndex, this->AppliedTerm);
   Snapshot.Voters = this->CommittedVoters;
   this->SnapshotIndex = this->AppliedIndex;
   this->Agreement.setSnapshot(Snapshot);
-  this->Agreement.compact(this->AppliedIndex - EntriesKept);
+  this->Agreement.compact(this->AppliedIndex - this->Snapshots.EntriesKept);
   Out.emplace_back(PersistSnapshot{std::move(Snapshot)});
 }
 
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -10,6 +10,12 @@
 
 namespace persimmon {
 
+/// How much of the log is kept, in entries.
+struct SnapshotPolicy {
+  std::int64_t EntriesPerSnapshot = 1000;
+  std::int64_t EntriesKept = 500;
+};
+
 /// The duties of a control instance over the replicated log: operators'
 /// requests, snapshots, freshness stamps and claims of idempotency keys.
 /// One change is in flight at a time, so each is checked against the state
@@ -17,7 +23,7 @@
 class ControlService {
 public:
   ControlService(wire::Replica Self, std::vector<ControlPeer> Peers,
-                 std::uint64_t Seed);
+                 SnapshotPolicy Snapshots, std::uint64_t Seed);
 
   /// Takes over what was read from disk. Errors: SnapshotDamaged.
   leaf::result<void> restore(const DurableState &State, Time Now);
@@ -90,6 +96,7 @@
 
   Consensus Agreement;
   SettingsStore Store;
+  SnapshotPolicy Snapshots;
   std::vector<wire::Replica> CommittedVoters;
   std::int64_t AppliedIndex = 0;
   std::int64_t AppliedTerm = 0;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -68,7 +68,8 @@
     if (Peer.Instance != Identity.Name)
       Others.push_back(Peer);
   }
-  Out->Control.emplace(std::move(Self), std::move(Others), Identity.Seed + 5);
+  Out->Control.emplace(std::move(Self), std::move(Others), Identity.Snapshots,
+                       Identity.Seed + 5);
   BOOST_LEAF_CHECK(Out->Control->restore(State, Now));
   return Out;
 }
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -25,6 +25,7 @@
   std::uint64_t Seed = 0;
   /// Control instances, this one included if it is one.
   std::vector<ControlPeer> ControlInstances;
+  SnapshotPolicy Snapshots;
 };
 
 /// All state of one daemon. reduce() is the only way to change it.
--- /dev/null
+++ b/tests/matrix/test_matrix.cpp
@@ -0,0 +1,306 @@
+#include "support/fakecluster.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+
+using namespace persimmon;
+
+namespace {
+
+constexpr milliseconds FlowTime{900};
+constexpr milliseconds SettleTime{30'000};
+constexpr milliseconds CallTime{9'000};
+
+/// Something the daemons do, during which faults strike.
+struct Flow {
+  const char *Name = "";
+  std::function<void(FakeCluster &)> Prepare;
+  std::function<void(FakeCluster &)> Act;
+};
+
+std::string service(int Queue) {
+  return "{\"queue\":" + std::to_string(Queue) + "}";
+}
+
+/// Three control instances and three proxies with a service and two routes.
+void prepareAll(FakeCluster &Cluster) {
+  for (const char *Name : {"c1", "c2", "c3"})
+    Cluster.addControl(Name);
+  Cluster.addProxy("p1", "zone-c1", "team/work", 2);
+  Cluster.addProxy("p2", "zone-c2", "team/work", 2);
+  Cluster.addProxy("p3", "zone-c3", "team/work", 2);
+  for (const std::string &Name : Cluster.names())
+    Cluster.start(Name);
+  Cluster.form("c1");
+  REQUIRE(Cluster.run(SettleTime, [&] { return Cluster.settled(); }));
+  Cluster.change("team/services/work", service(2), 0);
+  REQUIRE(Cluster.run(SettleTime, [&] { return Cluster.settled(); }));
+  Cluster.change("team/routes/any", R"({"job":"job","service":"team/work"})",
+                 0);
+  REQUIRE(Cluster.run(SettleTime, [&] { return Cluster.settled(); }));
+  Cluster.change("team/routes/once",
+                 R"({"job":"job-once","service":"team/work"})", 0);
+  REQUIRE(Cluster.run(SettleTime, [&] { return Cluster.settled(); }));
+  // Every proxy knows every target.
+  Cluster.run(milliseconds(2500));
+}
+
+/// Waits for a leader if a fault has just ended one.
+void awaitLeader(FakeCluster &Cluster) {
+  const auto Led = [&] { return Cluster.leader() != nullptr; };
+  if (Cluster.run(SettleTime, Led))
+    return;
+  // Two of three disks are lost: changes are refused until an operator acts.
+  const auto Survivor = Cluster.survivorOfLostQuorum();
+  if (Survivor) {
+    Cluster.recover(*Survivor);
+    if (Cluster.run(SettleTime, Led))
+      return;
+  }
+  for (const std::string &Line : Cluster.trace())
+    std::cout << "    " << Line << '\n';
+  FAIL("no leader");
+}
+
+std::int64_t versionOf(FakeCluster &Cluster, const std::string &Path) {
+  awaitLeader(Cluster);
+  const auto &Settings = Cluster.leader()->control()->store().settings();
+  const auto Found = Settings.find(Path);
+  return Found == Settings.end() ? 0 : Found->second.Version;
+}
+
+void changeService(FakeCluster &Cluster, int Queue) {
+  Cluster.change("team/services/work", service(Queue),
+                 versionOf(Cluster, "team/services/work"));
+}
+
+std::string leaderName(FakeCluster &Cluster) {
+  awaitLeader(Cluster);
+  return Cluster.leader()->members().self().Name;
+}
+
+void actCommit(FakeCluster &Cluster) { changeService(Cluster, 3); }
+
+void actLeaderChange(FakeCluster &Cluster) {
+  Cluster.crash(leaderName(Cluster));
+  Cluster.run(milliseconds(700));
+}
+
+/// A follower is down while more entries are written than the log keeps.
+void prepareSnapshot(FakeCluster &Cluster) {
+  prepareAll(Cluster);
+  const std::string Behind = leaderName(Cluster) == "c3" ? "c2" : "c3";
+  Cluster.freeze(Behind, milliseconds(6000));
+  for (int I = 0; I < 14; ++I) {
+    changeService(Cluster, 10 + I);
+    Cluster.run(milliseconds(150));
+  }
+}
+
+void actSnapshot(FakeCluster &Cluster) {
+  const std::string Behind = leaderName(Cluster) == "c3" ? "c2" : "c3";
+  Cluster.freeze(Behind, milliseconds(0));
+  changeService(Cluster, 40);
+}
+
+void actLostDisk(FakeCluster &Cluster) {
+  const std::string Lost = leaderName(Cluster) == "c3" ? "c2" : "c3";
+  Cluster.crash(Lost);
+  Cluster.wipeDisk(Lost);
+  Cluster.run(milliseconds(600));
+  changeService(Cluster, 5);
+}
+
+void actStartProxy(FakeCluster &Cluster) {
+  Cluster.crash("p2");
+  changeService(Cluster, 6);
+  Cluster.run(milliseconds(500));
+}
+
+void actMembership(FakeCluster &Cluster) {
+  Cluster.setTarget("p2", wire::TargetState::Draining);
+  Cluster.run(milliseconds(300));
+  Cluster.setTarget("p2", wire::TargetState::Serving);
+}
+
+void actOnceOnlyCalls(FakeCluster &Cluster) {
+  for (int I = 0; I < 3; ++I) {
+    Cluster.call("p1", true);
+    Cluster.run(milliseconds(15));
+  }
+}
+
+void actRepeatableCalls(FakeCluster &Cluster) {
+  for (int I = 0; I < 3; ++I) {
+    Cluster.call("p1", false);
+    Cluster.run(milliseconds(15));
+  }
+}
+
+void actOverload(FakeCluster &Cluster) {
+  for (int I = 0; I < 16; ++I)
+    Cluster.call(I % 2 == 0 ? "p1" : "p2", I % 3 == 0);
+}
+
+void actPlannedStop(FakeCluster &Cluster) {
+  for (int I = 0; I < 5; ++I)
+    Cluster.call("p1", true);
+  Cluster.run(milliseconds(5));
+  Cluster.stop("p2");
+}
+
+void actKeyedCalls(FakeCluster &Cluster) {
+  Cluster.call("p1", true, "key");
+  Cluster.run(milliseconds(20));
+  Cluster.call("p2", true, "key");
+  Cluster.run(milliseconds(20));
+  Cluster.call("p3", true, "key");
+}
+
+std::string describe(const std::vector<FaultPlan> &Plan) {
+  std::string Out;
+  for (const FaultPlan &Item : Plan)
+    Out +=
+        std::string(" ") + nameOf(Item.Kind) + "@" + std::to_string(Item.Step);
+  return Out;
+}
+
+/// What one run of a flow with its faults gave.
+struct CaseResult {
+  std::size_t Steps = 0;
+  bool Struck = false;
+  std::vector<std::string> Problems;
+  std::deque<std::string> Trace;
+};
+
+CaseResult runCase(const Flow &TheFlow, const std::vector<FaultPlan> &Plan,
+                   std::uint64_t Seed) {
+  FakeCluster Cluster(Seed);
+  TheFlow.Prepare(Cluster);
+  Cluster.arm(Plan);
+  TheFlow.Act(Cluster);
+  Cluster.run(FlowTime);
+  Cluster.disarm();
+  CaseResult Out;
+  Out.Steps = Cluster.steps();
+  Out.Struck = Cluster.allStruck();
+  if (!Out.Struck)
+    return Out;
+  if (!Cluster.calls().empty())
+    Cluster.run(CallTime);
+  if (Cluster.survivorOfLostQuorum())
+    awaitLeader(Cluster);
+  const bool Settled =
+      Cluster.run(SettleTime, [&] { return Cluster.settled(); });
+  Cluster.checkCalls();
+  int KeyedRuns = 0;
+  for (const auto &[Id, Record] : Cluster.calls())
+    KeyedRuns += Record.Runs;
+  Out.Problems = Cluster.violations();
+  if (!Settled) {
+    Out.Problems.push_back("not settled");
+    for (std::string &Line : Cluster.describe())
+      Out.Problems.push_back("  " + std::move(Line));
+  }
+  if (std::string(TheFlow.Name) == "keyed calls" && KeyedRuns > 1)
+    Out.Problems.push_back("one idempotency key ran " +
+                           std::to_string(KeyedRuns) + " times");
+  Out.Trace = Cluster.trace();
+  return Out;
+}
+
+std::uint64_t seedFromEnvironment() {
+  const char *Text = std::getenv("PERSIMMON_SEED");
+  return Text == nullptr ? 1 : std::strtoull(Text, nullptr, 10);
+}
+
+void report(const Flow &TheFlow, const std::vector<FaultPlan> &Plan,
+            std::uint64_t Seed, const CaseResult &Result) {
+  std::cout << "FAILED " << TheFlow.Name << describe(Plan) << " seed " << Seed
+            << '\n';
+  for (const std::string &Problem : Result.Problems)
+    std::cout << "  " << Problem << '\n';
+  if (std::getenv("PERSIMMON_TRACE") != nullptr) {
+    for (const std::string &Line : Result.Trace)
+      std::cout << "    " << Line << '\n';
+  }
+}
+
+/// Runs every single fault at every step of the flow.
+void runSingles(const Flow &TheFlow) {
+  const std::uint64_t Seed = seedFromEnvironment();
+  const CaseResult Plain = runCase(TheFlow, {}, Seed);
+  INFO(TheFlow.Name);
+  for (const std::string &Problem : Plain.Problems)
+    std::cout << "without a fault: " << Problem << '\n';
+  REQUIRE(Plain.Problems.empty());
+  std::size_t Cases = 0;
+  std::size_t Failed = 0;
+  for (std::size_t Step = 1; Step <= Plain.Steps; ++Step) {
+    for (int Kind = 0; Kind < FaultKindCount; ++Kind) {
+      const std::vector<FaultPlan> Plan = {
+          {static_cast<FaultKind>(Kind), Step}};
+      const CaseResult Result = runCase(TheFlow, Plan, Seed);
+      if (!Result.Struck)
+        continue;
+      ++Cases;
+      if (Result.Problems.empty())
+        continue;
+      ++Failed;
+      report(TheFlow, Plan, Seed, Result);
+    }
+  }
+  std::cout << TheFlow.Name << ": " << Plain.Steps << " steps, " << Cases
+            << " cases, " << Failed << " failed\n";
+  CHECK(Failed == 0);
+}
+
+} // namespace
+
+TEST_CASE("every fault at every step: commit of a change") {
+  runSingles({"commit", prepareAll, actCommit});
+}
+
+TEST_CASE("every fault at every step: leader change") {
+  runSingles({"leader change", prepareAll, actLeaderChange});
+}
+
+TEST_CASE("every fault at every step: snapshot and install") {
+  runSingles({"snapshot", prepareSnapshot, actSnapshot});
+}
+
+TEST_CASE("every fault at every step: replacement of a lost disk") {
+  runSingles({"lost disk", prepareAll, actLostDisk});
+}
+
+TEST_CASE("every fault at every step: start of a proxy") {
+  runSingles({"start of a proxy", prepareAll, actStartProxy});
+}
+
+TEST_CASE("every fault at every step: membership change") {
+  runSingles({"membership", prepareAll, actMembership});
+}
+
+TEST_CASE("every fault at every step: once-only calls") {
+  runSingles({"once-only calls", prepareAll, actOnceOnlyCalls});
+}
+
+TEST_CASE("every fault at every step: repeatable calls") {
+  runSingles({"repeatable calls", prepareAll, actRepeatableCalls});
+}
+
+TEST_CASE("every fault at every step: overload") {
+  runSingles({"overload", prepareAll, actOverload});
+}
+
+TEST_CASE("every fault at every step: planned stop") {
+  runSingles({"planned stop", prepareAll, actPlannedStop});
+}
+
+TEST_CASE("every fault at every step: keyed calls") {
+  runSingles({"keyed calls", prepareAll, actKeyedCalls});
+}
--- /dev/null
+++ b/tests/support/fakecluster.cpp
@@ -0,0 +1,801 @@
+#include "fakecluster.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+namespace {
+
+constexpr milliseconds TickInterval{20};
+constexpr milliseconds Latency{1};
+constexpr milliseconds LongDelay{700};
+constexpr milliseconds FaultDuration{2500};
+constexpr milliseconds RestartPause{400};
+constexpr milliseconds ChangeRetry{400};
+constexpr std::size_t TraceLines = 400;
+constexpr std::string_view Token = "token-of-team";
+
+bool isPersist(const Effect &What) {
+  return std::holds_alternative<PersistHardState>(What) ||
+         std::holds_alternative<PersistEntries>(What) ||
+         std::holds_alternative<PersistSnapshot>(What);
+}
+
+/// Whether a fault can happen at this effect.
+bool fits(FaultKind Kind, const Effect &What) {
+  const auto *Sent = std::get_if<SendMessage>(&What);
+  const bool IsCall = std::holds_alternative<SendCall>(What) ||
+                      std::holds_alternative<SendAnswer>(What);
+  const bool Datagram = Sent != nullptr && Sent->Via == Channel::Datagram;
+  switch (Kind) {
+  case FaultKind::TornWrite:
+    return isPersist(What);
+  case FaultKind::LoseMessage:
+  case FaultKind::DuplicateMessage:
+    return Datagram;
+  case FaultKind::DelayMessage:
+    return Sent != nullptr || IsCall;
+  case FaultKind::SilentConnection:
+    return (Sent != nullptr && !Datagram) || IsCall;
+  default:
+    return true;
+  }
+}
+
+std::string describeEffect(const Effect &What) {
+  if (const auto *Sent = std::get_if<SendMessage>(&What))
+    return "send " + std::string(nameOf(Sent->Body)) + " to " + Sent->Address;
+  if (const auto *Line = std::get_if<LogDecision>(&What))
+    return Line->Line;
+  if (const auto *Line = std::get_if<LogWarning>(&What))
+    return Line->Line;
+  return "effect " + std::to_string(What.index());
+}
+
+} // namespace
+
+const char *nameOf(FaultKind Kind) {
+  switch (Kind) {
+  case FaultKind::CrashBefore:
+    return "crash-before";
+  case FaultKind::CrashAfter:
+    return "crash-after";
+  case FaultKind::TornWrite:
+    return "torn-write";
+  case FaultKind::LostDisk:
+    return "lost-disk";
+  case FaultKind::Freeze:
+    return "freeze";
+  case FaultKind::CutOff:
+    return "cut-off";
+  case FaultKind::LoseMessage:
+    return "lose-message";
+  case FaultKind::DuplicateMessage:
+    return "duplicate-message";
+  case FaultKind::DelayMessage:
+    return "delay-message";
+  case FaultKind::SilentConnection:
+    return "silent-connection";
+  }
+  return "";
+}
+
+FakeCluster::FakeCluster(std::uint64_t Seed)
+    : Now(std::chrono::hours(1)), Rng(Seed) {}
+
+void FakeCluster::addControl(const std::string &Name) {
+  Instance &Item = this->Instances[Name];
+  Item.Control = true;
+  Item.Identity.Name = Name;
+  Item.Identity.Address = Name + ":1";
+  Item.Identity.Zone = "zone-" + Name;
+  Item.Identity.Snapshots = {8, 3};
+  for (auto &[Other, Existing] : this->Instances) {
+    if (Other != Name && Existing.Control)
+      Item.Identity.ControlInstances = Existing.Identity.ControlInstances;
+  }
+  Item.Identity.ControlInstances.push_back({Name, Name + ":1"});
+  for (auto &[Other, Existing] : this->Instances)
+    Existing.Identity.ControlInstances = Item.Identity.ControlInstances;
+}
+
+void FakeCluster::addProxy(const std::string &Name, const std::string &Zone,
+                           const std::string &Service, int Slots) {
+  Instance &Item = this->Instances[Name];
+  Item.Identity.Name = Name;
+  Item.Identity.Address = Name + ":1";
+  Item.Identity.Zone = Zone;
+  Item.Service = Service;
+  Item.Slots = Slots;
+  for (auto &[Other, Existing] : this->Instances) {
+    if (Existing.Control)
+      Item.Identity.ControlInstances = Existing.Identity.ControlInstances;
+  }
+}
+
+void FakeCluster::start(const std::string &Name) {
+  Instance &Item = this->Instances.at(Name);
+  Item.RestartAt = NoDeadline;
+  Item.Identity.Incarnation = ++Item.LastIncarnation + 1000;
+  Item.Identity.Seed = this->Rng.below(1u << 30);
+  Item.NextTick = this->Now + this->Rng.between(milliseconds(0), TickInterval);
+  if (!Item.Control) {
+    Item.Daemon = Node::makeProxy(Item.Identity, this->Policy);
+    this->note(Name + " starts");
+    TargetAnnounced Target;
+    Target.Service = Item.Service;
+    Target.Slots = Item.Slots;
+    Target.State = wire::TargetState::Serving;
+    this->submit(Item, Target);
+    return;
+  }
+  if (Item.DiskId == 0)
+    Item.DiskId = ++this->LastDisk;
+  this->note(Name + " starts with disk " + std::to_string(Item.DiskId));
+  const Failure Error = settle(
+      [&] {
+        return Node::makeControl(Item.Identity, Item.DiskId, Item.Disk,
+                                 this->Now);
+      },
+      [&](std::unique_ptr<Node> Made) { Item.Daemon = std::move(Made); });
+  if (Error.failed())
+    this->violation("restore failed on " + Name);
+}
+
+void FakeCluster::form(const std::string &Name) {
+  wire::TeamGrant Grant;
+  Grant.Salt = "salt";
+  Grant.TokenHash = hashToken(Grant.Salt, Token);
+  Instance &Item = this->Instances.at(Name);
+  this->submit(Item, FormRequested{-1, Grant});
+  Grant.Team = "team";
+  this->submit(Item, TeamRequested{-2, Grant, std::string(Token)});
+}
+
+void FakeCluster::checkCalls() {
+  for (const auto &[Id, Record] : this->Calls) {
+    if (Record.OnceOnly && Record.Runs > 1)
+      this->violation(Id + " ran " + std::to_string(Record.Runs) + " times");
+    if (Record.NotRun && Record.Runs > 0)
+      this->violation(Id + " ran although its caller was told it did not");
+    if (Record.Answers > 1)
+      this->violation(Id + " was answered twice");
+  }
+}
+
+void FakeCluster::crash(const std::string &Name) {
+  Instance &Item = this->Instances.at(Name);
+  this->note(Name + " crashes");
+  Item.Daemon.reset();
+  Item.Held.clear();
+  Item.Arrived.clear();
+  Item.Requests.clear();
+  Item.CallIds.clear();
+  Item.Running = 0;
+  Item.FrozenUntil = Time();
+  Item.RestartAt = this->Now + RestartPause;
+  this->closeLinksOf(Name);
+}
+
+void FakeCluster::wipeDisk(const std::string &Name) {
+  Instance &Item = this->Instances.at(Name);
+  Item.Disk = DurableState();
+  Item.DiskId = 0;
+}
+
+void FakeCluster::freeze(const std::string &Name, milliseconds For) {
+  this->note(Name + " freezes");
+  this->Instances.at(Name).FrozenUntil = this->Now + For;
+}
+
+void FakeCluster::cutOff(const std::string &Name, milliseconds For) {
+  this->note(Name + " is cut off");
+  this->Instances.at(Name).CutUntil = this->Now + For;
+  for (auto &[Id, Item] : this->Links) {
+    if (Item.Opener == Name || Item.Peer == Name)
+      Item.Silent = true;
+  }
+}
+
+void FakeCluster::setTarget(const std::string &Name,
+                            wire::TargetState::type State) {
+  Instance &Item = this->Instances.at(Name);
+  TargetAnnounced Target;
+  Target.Service = Item.Service;
+  Target.Slots = Item.Slots;
+  Target.State = State;
+  this->submit(Item, Target);
+}
+
+void FakeCluster::stop(const std::string &Name) {
+  this->submit(this->Instances.at(Name), StopRequested());
+}
+
+std::optional<std::string> FakeCluster::survivorOfLostQuorum() const {
+  for (const auto &[Name, Item] : this->Instances) {
+    if (!Item.Control || Item.Daemon == nullptr)
+      continue;
+    const auto &Voters = Item.Daemon->control()->consensus().voters();
+    std::size_t Left = 0;
+    for (const wire::Replica &Voter : Voters)
+      Left += this->Instances.at(Voter.Instance).DiskId == Voter.DiskId ? 1 : 0;
+    if (!Voters.empty() && Left < Voters.size() / 2 + 1)
+      return Name;
+  }
+  return std::nullopt;
+}
+
+void FakeCluster::recover(const std::string &Name) {
+  Instance &Item = this->Instances.at(Name);
+  this->submit(Item, RecoverRequested{-3, std::string(Token)});
+  if (Item.Daemon == nullptr)
+    return;
+  const SettingsStore &Store = Item.Daemon->control()->store();
+  std::erase_if(this->Wishes, [&](const auto &Wanted) {
+    return Wanted.second.Version && !Store.outcomeOf(Wanted.first);
+  });
+  this->NewestAccepted = 0;
+}
+
+void FakeCluster::closeLinksOf(const std::string &Name) {
+  for (auto Item = this->Links.begin(); Item != this->Links.end();) {
+    const Link &L = Item->second;
+    if (L.Opener != Name && L.Peer != Name) {
+      ++Item;
+      continue;
+    }
+    this->OpenLinks.erase({L.Opener, L.Peer + ":1"});
+    if (L.Opener != Name && !L.Silent) {
+      const Instance &Opener = this->Instances.at(L.Opener);
+      Delivery Lost;
+      Lost.To = L.Opener;
+      Lost.Incarnation = Opener.LastIncarnation;
+      Lost.Body = StreamLost{L.Peer + ":1"};
+      this->deliver(this->Now + Latency, std::move(Lost));
+    }
+    Item = this->Links.erase(Item);
+  }
+}
+
+FakeCluster::Instance *FakeCluster::byAddress(const std::string &Address) {
+  const auto Found = this->Instances.find(Address.substr(0, Address.find(':')));
+  return Found == this->Instances.end() ? nullptr : &Found->second;
+}
+
+void FakeCluster::deliver(Time At, Delivery What) {
+  this->InFlight.emplace(At, std::move(What));
+}
+
+void FakeCluster::openLink(Instance &By, const std::string &Address) {
+  const auto Key = std::pair(By.Identity.Name, Address);
+  if (this->OpenLinks.count(Key) != 0)
+    return;
+  Link Fresh;
+  Fresh.Opener = By.Identity.Name;
+  Fresh.Peer = Address.substr(0, Address.find(':'));
+  Fresh.Silent = this->cut(By) || this->cut(*this->byAddress(Address));
+  this->OpenLinks[Key] = ++this->LastLink;
+  this->Links.emplace(this->LastLink, Fresh);
+}
+
+void FakeCluster::sendMessage(Instance &By, const SendMessage &What,
+                              std::optional<FaultKind> Fault) {
+  Delivery Out;
+  Out.Sender = By.Identity.Name;
+  Time At = this->Now + Latency;
+  std::string From = By.Identity.Address;
+  if (What.Via == Channel::Datagram && !What.Address.starts_with('#')) {
+    Instance *To = this->byAddress(What.Address);
+    if (To == nullptr || Fault == FaultKind::LoseMessage)
+      return;
+    Out.To = To->Identity.Name;
+    Out.Incarnation = To->LastIncarnation;
+    Out.Body = MessageReceived{From, What.Body};
+    if (Fault == FaultKind::DelayMessage)
+      At += LongDelay;
+    if (Fault == FaultKind::DuplicateMessage)
+      this->deliver(At + LongDelay, Out);
+    this->deliver(At, std::move(Out));
+    return;
+  }
+  std::int64_t Id = 0;
+  if (What.Address.starts_with('#')) {
+    Id = std::stoll(What.Address.substr(1));
+  } else {
+    Instance *To = this->byAddress(What.Address);
+    if (To == nullptr)
+      return;
+    if (To->Daemon == nullptr) {
+      // Nothing listens: the connection is refused.
+      Out.To = By.Identity.Name;
+      Out.Incarnation = By.LastIncarnation;
+      Out.Body = StreamLost{What.Address};
+      this->deliver(At, std::move(Out));
+      return;
+    }
+    this->openLink(By, What.Address);
+    Id = this->OpenLinks.at({By.Identity.Name, What.Address});
+  }
+  const auto Found = this->Links.find(Id);
+  if (Found == this->Links.end())
+    return;
+  Link &Over = Found->second;
+  if (Fault == FaultKind::SilentConnection)
+    Over.Silent = true;
+  if (Over.Silent)
+    return;
+  const bool Forward =
+      Over.Opener == By.Identity.Name && !What.Address.starts_with('#');
+  Instance &To = this->Instances.at(Forward ? Over.Peer : Over.Opener);
+  Out.To = To.Identity.Name;
+  Out.Incarnation = To.LastIncarnation;
+  Out.LinkId = Id;
+  Out.Body =
+      MessageReceived{Forward ? "#" + std::to_string(Id) : From, What.Body};
+  // Streams keep their order, so a delay holds up all that follows.
+  if (Fault == FaultKind::DelayMessage)
+    At += LongDelay;
+  At = std::max(At, Over.LastDelivery);
+  Over.LastDelivery = At;
+  this->deliver(At, std::move(Out));
+}
+
+std::optional<FaultKind> FakeCluster::faultFor(const Effect &What) {
+  if (!this->Armed)
+    return std::nullopt;
+  this->Step += 1;
+  for (const FaultPlan &Item : this->Plan) {
+    if (Item.Step == this->Step && fits(Item.Kind, What)) {
+      this->Struck += 1;
+      return Item.Kind;
+    }
+  }
+  return std::nullopt;
+}
+
+/// Returns false if the instance died at this effect.
+bool FakeCluster::carryOut(Instance &By, const Effect &What) {
+  const std::string Name = By.Identity.Name;
+  const auto Fault = this->faultFor(What);
+  if (Fault)
+    this->note("step " + std::to_string(this->Step) + " fault " +
+               nameOf(*Fault) + " at " + Name + ": " + describeEffect(What));
+  if (Fault == FaultKind::CrashBefore) {
+    this->crash(Name);
+    return false;
+  }
+  if (Fault == FaultKind::TornWrite) {
+    if (const auto *Entries = std::get_if<PersistEntries>(&What)) {
+      // Only the first entries of the write reached the disk.
+      PersistEntries Torn = *Entries;
+      Torn.Entries.resize(Torn.Entries.size() / 2);
+      if (!Torn.Entries.empty())
+        this->perform(By, Torn);
+    }
+    this->crash(Name);
+    return false;
+  }
+  if (Fault == FaultKind::LostDisk) {
+    this->crash(Name);
+    if (By.Control)
+      this->wipeDisk(Name);
+    return false;
+  }
+  const auto *Sent = std::get_if<SendMessage>(&What);
+  if (Sent != nullptr) {
+    this->sendMessage(By, *Sent, Fault);
+  } else if (Fault && std::holds_alternative<SendCall>(What)) {
+    const auto &Call = std::get<SendCall>(What);
+    By.CallIds[Call.CallNumber] = Call.Header.CallId;
+    this->sendMessage(By, {Call.Address, Call.Header, Channel::Stream}, Fault);
+  } else {
+    this->perform(By, What);
+  }
+  const bool Exited = std::holds_alternative<ReadyToExit>(What);
+  if (Fault == FaultKind::CrashAfter || Exited) {
+    this->crash(Name);
+    return false;
+  }
+  if (Fault == FaultKind::Freeze)
+    this->freeze(Name, FaultDuration);
+  if (Fault == FaultKind::CutOff)
+    this->cutOff(Name, FaultDuration);
+  return true;
+}
+
+void FakeCluster::perform(Instance &By, const Effect &What) {
+  if (const auto *Hard = std::get_if<PersistHardState>(&What)) {
+    By.Disk.Hard = Hard->State;
+  } else if (const auto *Log = std::get_if<PersistEntries>(&What)) {
+    std::erase_if(By.Disk.Entries, [&](const wire::LogEntry &Entry) {
+      return Entry.Index >= Log->Entries.front().Index;
+    });
+    By.Disk.Entries.insert(By.Disk.Entries.end(), Log->Entries.begin(),
+                           Log->Entries.end());
+  } else if (const auto *Snapshot = std::get_if<PersistSnapshot>(&What)) {
+    const wire::StoreSnapshot &Content = Snapshot->Snapshot;
+    const bool Continues =
+        std::any_of(By.Disk.Entries.begin(), By.Disk.Entries.end(),
+                    [&](const wire::LogEntry &Entry) {
+                      return Entry.Index == Content.LastIndex &&
+                             Entry.Term == Content.LastTerm;
+                    });
+    By.Disk.Snapshot = Content;
+    std::erase_if(By.Disk.Entries, [&](const wire::LogEntry &Entry) {
+      return !Continues || Entry.Index <= Content.LastIndex;
+    });
+  } else if (const auto *Answer = std::get_if<AnswerOperator>(&What)) {
+    for (auto &[Id, Wanted] : this->Wishes) {
+      if (Wanted.RequestId != Answer->RequestId || Answer->Error.failed() ||
+          Wanted.TheChange.ChangeId.empty())
+        continue;
+      if (Wanted.Version && *Wanted.Version != Answer->Version)
+        this->violation("change " + Id + " was answered with two versions");
+      Wanted.Version = Answer->Version;
+      this->NewestAccepted = std::max(this->NewestAccepted, Answer->Version);
+      this->note("change " + Id + " accepted as " +
+                 std::to_string(Answer->Version));
+    }
+  } else if (const auto *Call = std::get_if<SendCall>(&What)) {
+    By.CallIds[Call->CallNumber] = Call->Header.CallId;
+    this->sendMessage(By, {Call->Address, Call->Header, Channel::Stream}, {});
+  } else if (const auto *Run = std::get_if<RunOnTarget>(&What)) {
+    CallRecord &Record = this->Calls[By.Requests[Run->Id]];
+    Record.Runs += 1;
+    By.Running += 1;
+    this->note(By.Identity.Name + " runs " + By.Requests[Run->Id]);
+    if (By.Running > By.Slots)
+      this->violation("slots exceeded at " + By.Identity.Name);
+    RunFinished Done;
+    Done.Id = Run->Id;
+    Done.Status = 200;
+    Delivery Later;
+    Later.To = By.Identity.Name;
+    Later.Incarnation = By.LastIncarnation;
+    Later.Body = Done;
+    this->deliver(this->Now + this->RunTime, std::move(Later));
+  } else if (const auto *Reply = std::get_if<SendAnswer>(&What)) {
+    wire::CallReply Out;
+    Out.Id = Reply->Id;
+    Out.TargetLoad = Reply->TargetLoad;
+    const auto Held = By.Held.find(Reply->Id);
+    Out.Outcome = Held == By.Held.end() ? wire::CallOutcome::Unknown
+                                        : wire::CallOutcome::Finished;
+    Out.Status = 200;
+    Out.Body = Held == By.Held.end() ? "" : Held->second;
+    this->sendMessage(By, {Reply->Address, Out, Channel::Stream}, {});
+  } else if (const auto *Told = std::get_if<AnswerCaller>(&What)) {
+    CallRecord &Record = this->Calls[By.CallIds[Told->CallNumber]];
+    Record.Answered = true;
+    Record.Answers += 1;
+    Record.Crossed = By.Arrived[Told->Id] != By.CallIds[Told->CallNumber];
+    if (Record.Crossed)
+      this->violation("crossed answer to " + By.CallIds[Told->CallNumber]);
+  } else if (const auto *Refused = std::get_if<RefuseCaller>(&What)) {
+    CallRecord &Record = this->Calls[By.CallIds[Refused->CallNumber]];
+    Record.Answers += 1;
+    Record.Code = Refused->Error.Code;
+    Record.NotRun = Record.Code != ResultCode::OutcomeUnknown &&
+                    Record.Code != ResultCode::DeadlinePassed &&
+                    Record.Code != ResultCode::TargetBroke &&
+                    Record.Code != ResultCode::KeyClaimed;
+  } else if (const auto *Renewed = std::get_if<RenewConnection>(&What)) {
+    const auto Key = std::pair(By.Identity.Name, Renewed->Address);
+    const auto Found = this->OpenLinks.find(Key);
+    if (Found != this->OpenLinks.end()) {
+      this->Links.erase(Found->second);
+      this->OpenLinks.erase(Found);
+    }
+  } else if (std::holds_alternative<ReadyToExit>(What)) {
+    this->note(By.Identity.Name + " exits");
+    const std::string Name = By.Identity.Name;
+    for (const auto &[Id, Record] : this->Calls) {
+      if (Record.Entry == Name && Record.Answers == 0)
+        this->violation("planned stop of " + Name + " cut off " + Id);
+    }
+    if (By.Running > 0)
+      this->violation("planned stop of " + Name + " left work running");
+  }
+}
+
+void FakeCluster::submit(Instance &To, EventBody Body) {
+  if (To.Daemon == nullptr)
+    return;
+  if (const auto *Message = std::get_if<MessageReceived>(&Body)) {
+    if (const auto *Call = std::get_if<wire::CallRequest>(&Message->Body))
+      To.Requests[Call->Id] = Call->CallId;
+    if (const auto *Reply = std::get_if<wire::CallReply>(&Message->Body)) {
+      if (Reply->Outcome == wire::CallOutcome::Finished)
+        To.Arrived[Reply->Id] = Reply->Body;
+    }
+  }
+  if (const auto *Done = std::get_if<RunFinished>(&Body)) {
+    To.Running -= 1;
+    To.Held[Done->Id] = To.Requests[Done->Id];
+  }
+  Event What;
+  What.At = this->Now;
+  What.WallMs = 1'000'000;
+  What.Body = std::move(Body);
+  const Effects All = To.Daemon->reduce(What);
+  for (const Effect &Item : All) {
+    if (!this->carryOut(To, Item))
+      return;
+  }
+  this->checkAll(To);
+}
+
+void FakeCluster::tickDue() {
+  for (auto &[Name, Item] : this->Instances) {
+    if (Item.Daemon == nullptr || this->Now < Item.NextTick)
+      continue;
+    Item.NextTick = this->Now + TickInterval;
+    if (this->Now < Item.FrozenUntil)
+      continue;
+    this->submit(Item, Tick());
+  }
+}
+
+void FakeCluster::restartDue() {
+  for (auto &[Name, Item] : this->Instances) {
+    if (this->Now >= Item.RestartAt)
+      this->start(Name);
+  }
+}
+
+void FakeCluster::run(milliseconds For) {
+  this->run(For, [] { return false; });
+}
+
+bool FakeCluster::run(milliseconds Limit, const std::function<bool()> &Until) {
+  const Time End = this->Now + Limit;
+  while (this->Now < End) {
+    if (Until())
+      return true;
+    this->Now += milliseconds(1);
+    this->restartDue();
+    this->retryWishes();
+    while (!this->InFlight.empty() &&
+           this->InFlight.begin()->first <= this->Now) {
+      auto First = this->InFlight.extract(this->InFlight.begin());
+      Delivery &Item = First.mapped();
+      Instance &To = this->Instances.at(Item.To);
+      if (To.LastIncarnation != Item.Incarnation)
+        continue;
+      if (this->Now < To.FrozenUntil) {
+        this->deliver(To.FrozenUntil, std::move(Item));
+        continue;
+      }
+      const bool IsMessage = std::holds_alternative<MessageReceived>(Item.Body);
+      if (IsMessage &&
+          (this->cut(To) || this->cut(this->Instances.at(Item.Sender))))
+        continue;
+      if (Item.LinkId != 0) {
+        const auto Over = this->Links.find(Item.LinkId);
+        if (Over == this->Links.end() || Over->second.Silent)
+          continue;
+      }
+      this->submit(To, std::move(Item.Body));
+    }
+    this->tickDue();
+  }
+  return Until();
+}
+
+std::string FakeCluster::change(const std::string &Path,
+                                const std::string &Value,
+                                std::int64_t Expected) {
+  Wish Wanted;
+  Wanted.TheChange.ChangeId = "change-" + std::to_string(this->Wishes.size());
+  Wanted.TheChange.Team = Path.substr(0, Path.find('/'));
+  Wanted.TheChange.BasedOn = this->NewestAccepted;
+  wire::PathEdit Edit;
+  Edit.Path = Path;
+  Edit.Value = Value;
+  Edit.ExpectedVersion = Expected;
+  Wanted.TheChange.Edits.push_back(Edit);
+  const std::string Id = Wanted.TheChange.ChangeId;
+  Wanted.NextTry = this->Now;
+  this->Wishes.emplace(Id, std::move(Wanted));
+  this->retryWishes();
+  return Id;
+}
+
+void FakeCluster::retryWishes() {
+  for (auto &[Id, Wanted] : this->Wishes) {
+    if (Wanted.Version || this->Now < Wanted.NextTry)
+      continue;
+    Wanted.NextTry = this->Now + ChangeRetry;
+    std::vector<std::string> Controls;
+    for (const auto &[Name, Item] : this->Instances) {
+      if (Item.Control && Item.Daemon != nullptr &&
+          this->Now >= Item.FrozenUntil && !this->cut(Item))
+        Controls.push_back(Name);
+    }
+    // One request id for the whole life of the wish: every answer counts.
+    if (Wanted.RequestId == 0)
+      Wanted.RequestId = ++this->LastRequest;
+    for (const std::string &Name : Controls) {
+      Instance &Item = this->Instances.at(Name);
+      if (Item.Daemon != nullptr)
+        this->submit(Item, ChangeRequested{Wanted.RequestId, Wanted.TheChange,
+                                           std::string(Token)});
+    }
+  }
+}
+
+std::optional<std::int64_t>
+FakeCluster::accepted(const std::string &ChangeId) const {
+  return this->Wishes.at(ChangeId).Version;
+}
+
+std::string FakeCluster::call(const std::string &Entry, bool OnceOnly,
+                              const std::string &Key) {
+  Instance &Item = this->Instances.at(Entry);
+  CallArrived Call;
+  Call.CallNumber = ++this->LastCall;
+  Call.CallId = "call-" + std::to_string(this->LastCall);
+  Call.Job = OnceOnly ? "job-once" : "job";
+  Call.Method = OnceOnly ? "POST" : "GET";
+  Call.Url = "/work";
+  Call.Deadline = this->Now + milliseconds(8000);
+  Call.IdempotencyKey = Key;
+  CallRecord &Record = this->Calls[Call.CallId];
+  Record.Entry = Entry;
+  Record.OnceOnly = OnceOnly;
+  Item.CallIds[Call.CallNumber] = Call.CallId;
+  const std::string Id = Call.CallId;
+  this->submit(Item, std::move(Call));
+  return Id;
+}
+
+void FakeCluster::arm(std::vector<FaultPlan> Faults) {
+  this->Plan = std::move(Faults);
+  this->Step = 0;
+  this->Struck = 0;
+  this->Armed = true;
+}
+
+void FakeCluster::disarm() { this->Armed = false; }
+
+const Node *FakeCluster::node(const std::string &Name) const {
+  return this->Instances.at(Name).Daemon.get();
+}
+
+const Node *FakeCluster::leader() const {
+  for (const auto &[Name, Item] : this->Instances) {
+    if (Item.Control && Item.Daemon != nullptr &&
+        Item.Daemon->control()->consensus().ready() && !this->cut(Item))
+      return Item.Daemon.get();
+  }
+  return nullptr;
+}
+
+std::vector<std::string> FakeCluster::names() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Item] : this->Instances)
+    Out.push_back(Name);
+  return Out;
+}
+
+bool FakeCluster::settled() const {
+  const Node *Leader = this->leader();
+  if (Leader == nullptr)
+    return false;
+  const std::int64_t Version = Leader->control()->store().version();
+  std::size_t Controls = 0;
+  for (const auto &[Name, Item] : this->Instances) {
+    if (Item.Daemon == nullptr ||
+        Item.Daemon->distribution().version() != Version)
+      return false;
+    if (!Item.Control && !Item.Daemon->serving())
+      return false;
+    Controls += Item.Control ? 1 : 0;
+  }
+  for (const auto &[Id, Wanted] : this->Wishes) {
+    if (!Wanted.Version)
+      return false;
+  }
+  return Leader->control()->consensus().voters().size() == Controls &&
+         Version >= this->NewestAccepted;
+}
+
+std::vector<std::string> FakeCluster::describe() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Item] : this->Instances) {
+    if (Item.Daemon == nullptr) {
+      Out.push_back(Name + " down");
+      continue;
+    }
+    std::string Line = Name + " version " +
+                       std::to_string(Item.Daemon->distribution().version()) +
+                       " hash " +
+                       std::to_string(Item.Daemon->distribution().hash()) +
+                       (Item.Daemon->serving() ? " serving" : "");
+    if (Item.Control) {
+      const Consensus &Agreement = Item.Daemon->control()->consensus();
+      Line += " disk " + std::to_string(Item.DiskId) + " role " +
+              std::to_string(static_cast<int>(Agreement.role())) + " term " +
+              std::to_string(Agreement.term()) + " commit " +
+              std::to_string(Agreement.commitIndex()) + "/" +
+              std::to_string(Agreement.lastIndex()) + " voters";
+      for (const wire::Replica &Voter : Agreement.voters())
+        Line += " " + Voter.Instance + "/" + std::to_string(Voter.DiskId);
+    }
+    Out.push_back(std::move(Line));
+  }
+  return Out;
+}
+
+void FakeCluster::checkAll(const Instance &Item) {
+  if (Item.Daemon == nullptr)
+    return;
+  if (Item.Control)
+    this->checkControl(Item);
+  else
+    this->checkProxy(Item);
+}
+
+void FakeCluster::checkControl(const Instance &Item) {
+  const ControlService &Control = *Item.Daemon->control();
+  const std::int64_t Version = Control.store().version();
+  const auto [Seen, Fresh] =
+      this->HashOfVersion.emplace(Version, Control.store().hash());
+  if (!Fresh && Seen->second != Control.store().hash())
+    this->violation("version " + std::to_string(Version) + " has two contents");
+  if (!Control.consensus().leader())
+    return;
+  const auto [Known, First] = this->LeaderOfTerm.emplace(
+      Control.consensus().term(),
+      Item.Identity.Name + "/" + std::to_string(Item.DiskId));
+  if (!First &&
+      Known->second != Item.Identity.Name + "/" + std::to_string(Item.DiskId))
+    this->violation("two leaders in term " +
+                    std::to_string(Control.consensus().term()));
+  if (!Control.consensus().ready())
+    return;
+  for (const auto &[Id, Wanted] : this->Wishes) {
+    // A leader cut off from the others may lag; it cannot accept anything.
+    const auto Held = Control.store().outcomeOf(Id);
+    if (Wanted.Version && Held && *Held != *Wanted.Version)
+      this->violation("accepted change " + Id + " has another version");
+    if (Wanted.Version && !Held && *Wanted.Version <= Version)
+      this->violation("accepted change " + Id + " was lost");
+  }
+}
+
+void FakeCluster::checkProxy(const Instance &Item) {
+  const Distribution &Config = Item.Daemon->distribution();
+  const auto Found = this->HashOfVersion.find(Config.version());
+  if (Config.version() != 0 &&
+      (Found == this->HashOfVersion.end() || Found->second != Config.hash()))
+    this->violation("proxy " + Item.Identity.Name + " holds version " +
+                    std::to_string(Config.version()) +
+                    " with a content that was never committed");
+  if (!Item.Daemon->serving())
+    return;
+  if (Config.version() < Item.Served)
+    this->violation("proxy " + Item.Identity.Name + " went back from " +
+                    std::to_string(Item.Served) + " to " +
+                    std::to_string(Config.version()));
+  const_cast<Instance &>(Item).Served = Config.version();
+}
+
+void FakeCluster::violation(const std::string &Text) {
+  this->note("VIOLATION " + Text);
+  if (std::find(this->Violations.begin(), this->Violations.end(), Text) ==
+      this->Violations.end())
+    this->Violations.push_back(Text);
+}
+
+void FakeCluster::note(const std::string &Line) {
+  const auto Ms =
+      std::chrono::duration_cast<milliseconds>(this->Now.time_since_epoch())
+          .count() -
+      std::chrono::milliseconds(std::chrono::hours(1)).count();
+  this->Trace.push_back("t=" + std::to_string(Ms) + " " + Line);
+  if (this->Trace.size() > TraceLines)
+    this->Trace.pop_front();
+}
+
+} // namespace persimmon
