Recovery after a lost quorum: versions move on, stranded replicas rejoin

Cause 1: after two of three disks were lost and an operator recovered, new versions could equal versions that only the lost disks had committed and that proxies still served. A recovery entry now raises the base of versions and gives the content that is left a version of its own, so every proxy moves on. Cause 2: a replica that held an uncommitted entry which made it a voter waited for ever, since the recovered leader did not know it and it did not ask to join. A voter without a leader now also asks to join.

--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -46,13 +46,14 @@
   this->becomeLeader(Now, Out);
 }
 
-void Consensus::recover(Time Now, Effects &Out) {
+void Consensus::recover(std::int64_t VersionBase, Time Now, Effects &Out) {
   this->stepDown(this->Hard.Term + 1, Now, Out);
   this->Hard.VotedFor = this->Self.DiskId;
   Out.emplace_back(PersistHardState{this->Hard});
   wire::LogEntry Entry;
   Entry.Kind = wire::EntryKind::Voters;
   Entry.Voters = {this->Self};
+  Entry.VersionBase = VersionBase;
   Entry.Index = this->Log.lastIndex() + 1;
   Entry.Term = this->Hard.Term;
   this->appendLocally({Entry}, Out);
@@ -106,8 +107,11 @@
     this->sendJoin(Now, Out);
     return;
   }
-  if (Now >= this->ElectionDeadline)
-    this->startPreVote(Now, Out);
+  if (Now < this->ElectionDeadline)
+    return;
+  // The others may have removed this replica without its learning of it.
+  this->sendJoin(Now, Out);
+  this->startPreVote(Now, Out);
 }
 
 void Consensus::sendJoin(Time Now, Effects &Out) {
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -45,7 +45,7 @@
 
   /// Makes this replica the only voter after a quorum of disks was lost.
   /// What only the lost disks held is gone.
-  void recover(Time Now, Effects &Out);
+  void recover(std::int64_t VersionBase, Time Now, Effects &Out);
 
   void tick(Time Now, Effects &Out);
   /// Messages that are answered come with the path of their sender.
--- a/src/libpersimmon/settingsstore.cpp
+++ b/src/libpersimmon/settingsstore.cpp
@@ -111,21 +111,35 @@
 
 std::optional<AppliedChange>
 SettingsStore::applyChange(const wire::Change &TheChange, std::int64_t Index) {
+  const std::int64_t NewVersion = Index + this->VersionBase;
   if (this->outcomeOf(TheChange.ChangeId))
     return std::nullopt;
   AppliedChange Out;
   Out.ChangeId = TheChange.ChangeId;
-  Out.Change = carryOut(TheChange.Edits, Index, this->Settings);
+  Out.Change = carryOut(TheChange.Edits, NewVersion, this->Settings);
   Out.Change.From = this->Version;
-  this->Version = Index;
+  this->Version = NewVersion;
   this->Hash = hashOfAll(this->Settings);
   Out.Change.Hash = static_cast<std::int64_t>(this->Hash);
-  this->remember(TheChange.ChangeId, Index);
+  this->remember(TheChange.ChangeId, NewVersion);
   settle([&] { return RouteTable::build(this->Settings, this->Table.get()); },
          [&](auto Built) { this->Table = std::move(Built); });
   return Out;
 }
 
+std::optional<AppliedChange>
+SettingsStore::applyRecovery(const wire::LogEntry &Entry) {
+  // The content gets a version of its own, so that proxies which hold one that
+  // was lost move on to it.
+  AppliedChange Out;
+  Out.Change.From = this->Version;
+  this->VersionBase = Entry.VersionBase;
+  this->Version = Entry.Index + this->VersionBase;
+  Out.Change.To = this->Version;
+  Out.Change.Hash = static_cast<std::int64_t>(this->Hash);
+  return Out;
+}
+
 std::optional<AppliedChange> SettingsStore::apply(const wire::LogEntry &Entry) {
   switch (Entry.Kind) {
   case wire::EntryKind::Change:
@@ -136,8 +150,11 @@
   case wire::EntryKind::Claims:
     this->Claims.apply(Entry.Claims, Entry.ExpireClaimsThrough);
     return std::nullopt;
-  case wire::EntryKind::Noop:
   case wire::EntryKind::Voters:
+    if (Entry.VersionBase > this->VersionBase)
+      return this->applyRecovery(Entry);
+    return std::nullopt;
+  case wire::EntryKind::Noop:
     return std::nullopt;
   }
   return std::nullopt;
@@ -174,6 +191,7 @@
   }
   Out.OutcomesEvictedThrough = this->OutcomesEvictedThrough;
   Out.Claims = this->Claims.all();
+  Out.VersionBase = this->VersionBase;
   return Out;
 }
 
@@ -190,6 +208,7 @@
   Fresh.OutcomesEvictedThrough = Snapshot.OutcomesEvictedThrough;
   Fresh.Claims.restore(Snapshot.Claims);
   Fresh.Version = Snapshot.ConfigurationVersion;
+  Fresh.VersionBase = Snapshot.VersionBase;
   Fresh.Hash = hashOfAll(Fresh.Settings);
   BOOST_LEAF_AUTO(Built, RouteTable::build(Fresh.Settings, nullptr));
   Fresh.Table = std::move(Built);
--- a/src/libpersimmon/settingsstore.h
+++ b/src/libpersimmon/settingsstore.h
@@ -42,12 +42,14 @@
 
   std::int64_t version() const { return this->Version; }
   std::uint64_t hash() const { return this->Hash; }
+  std::int64_t versionBase() const { return this->VersionBase; }
   const SettingsMap &settings() const { return this->Settings; }
   const ClaimTable &claims() const { return this->Claims; }
 
 private:
   std::optional<AppliedChange> applyChange(const wire::Change &TheChange,
                                            std::int64_t Index);
+  std::optional<AppliedChange> applyRecovery(const wire::LogEntry &Entry);
   void remember(std::string ChangeId, std::int64_t Index);
   leaf::result<void> checkEdits(const wire::Change &Candidate,
                                 SettingsMap &After) const;
@@ -60,6 +62,7 @@
   std::int64_t OutcomesEvictedThrough = 0;
   ClaimTable Claims;
   std::int64_t Version = 0;
+  std::int64_t VersionBase = 0;
   std::uint64_t Hash = 0;
 };
 
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -1062,6 +1062,10 @@
 void LogEntry::__set_ExpireClaimsThrough(const int64_t val) {
   this->ExpireClaimsThrough = val;
 }
+
+void LogEntry::__set_VersionBase(const int64_t val) {
+  this->VersionBase = val;
+}
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
@@ -1180,6 +1184,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->VersionBase);
+          this->__isset.VersionBase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1245,6 +1257,10 @@
   xfer += oprot->writeI64(this->ExpireClaimsThrough);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("VersionBase", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->VersionBase);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1260,6 +1276,7 @@
   swap(a.Team, b.Team);
   swap(a.Claims, b.Claims);
   swap(a.ExpireClaimsThrough, b.ExpireClaimsThrough);
+  swap(a.VersionBase, b.VersionBase);
   swap(a.__isset, b.__isset);
 }
 
@@ -1272,6 +1289,7 @@
   Team = other39.Team;
   Claims = other39.Claims;
   ExpireClaimsThrough = other39.ExpireClaimsThrough;
+  VersionBase = other39.VersionBase;
   __isset = other39.__isset;
 }
 LogEntry::LogEntry(LogEntry&& other40) noexcept {
@@ -1283,6 +1301,7 @@
   Team = std::move(other40.Team);
   Claims = std::move(other40.Claims);
   ExpireClaimsThrough = other40.ExpireClaimsThrough;
+  VersionBase = other40.VersionBase;
   __isset = other40.__isset;
 }
 LogEntry& LogEntry::operator=(const LogEntry& other41) {
@@ -1294,6 +1313,7 @@
   Team = other41.Team;
   Claims = other41.Claims;
   ExpireClaimsThrough = other41.ExpireClaimsThrough;
+  VersionBase = other41.VersionBase;
   __isset = other41.__isset;
   return *this;
 }
@@ -1306,6 +1326,7 @@
   Team = std::move(other42.Team);
   Claims = std::move(other42.Claims);
   ExpireClaimsThrough = other42.ExpireClaimsThrough;
+  VersionBase = other42.VersionBase;
   __isset = other42.__isset;
   return *this;
 }
@@ -1320,6 +1341,7 @@
   out << ", " << "Team=" << to_string(Team);
   out << ", " << "Claims=" << to_string(Claims);
   out << ", " << "ExpireClaimsThrough=" << to_string(ExpireClaimsThrough);
+  out << ", " << "VersionBase=" << to_string(VersionBase);
   out << ")";
 }
 
@@ -1754,6 +1776,10 @@
 void StoreSnapshot::__set_Claims(const std::vector<Claim> & val) {
   this->Claims = val;
 }
+
+void StoreSnapshot::__set_VersionBase(const int64_t val) {
+  this->VersionBase = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreSnapshot& obj)
 {
   obj.printTo(out);
@@ -1914,6 +1940,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->VersionBase);
+          this->__isset.VersionBase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2007,6 +2041,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("VersionBase", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->VersionBase);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2023,6 +2061,7 @@
   swap(a.Outcomes, b.Outcomes);
   swap(a.OutcomesEvictedThrough, b.OutcomesEvictedThrough);
   swap(a.Claims, b.Claims);
+  swap(a.VersionBase, b.VersionBase);
   swap(a.__isset, b.__isset);
 }
 
@@ -2036,6 +2075,7 @@
   Outcomes = other85.Outcomes;
   OutcomesEvictedThrough = other85.OutcomesEvictedThrough;
   Claims = other85.Claims;
+  VersionBase = other85.VersionBase;
   __isset = other85.__isset;
 }
 StoreSnapshot::StoreSnapshot(StoreSnapshot&& other86) noexcept {
@@ -2048,6 +2088,7 @@
   Outcomes = std::move(other86.Outcomes);
   OutcomesEvictedThrough = other86.OutcomesEvictedThrough;
   Claims = std::move(other86.Claims);
+  VersionBase = other86.VersionBase;
   __isset = other86.__isset;
 }
 StoreSnapshot& StoreSnapshot::operator=(const StoreSnapshot& other87) {
@@ -2060,6 +2101,7 @@
   Outcomes = other87.Outcomes;
   OutcomesEvictedThrough = other87.OutcomesEvictedThrough;
   Claims = other87.Claims;
+  VersionBase = other87.VersionBase;
   __isset = other87.__isset;
   return *this;
 }
@@ -2073,6 +2115,7 @@
   Outcomes = std::move(other88.Outcomes);
   OutcomesEvictedThrough = other88.OutcomesEvictedThrough;
   Claims = std::move(other88.Claims);
+  VersionBase = other88.VersionBase;
   __isset = other88.__isset;
   return *this;
 }
@@ -2088,6 +2131,7 @@
   out << ", " << "Outcomes=" << to_string(Outcomes);
   out << ", " << "OutcomesEvictedThrough=" << to_string(OutcomesEvictedThrough);
   out << ", " << "Claims=" << to_string(Claims);
+  out << ", " << "VersionBase=" << to_string(VersionBase);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -527,7 +527,7 @@
 std::ostream& operator<<(std::ostream& out, const Claim& obj);
 
 typedef struct _LogEntry__isset {
-  _LogEntry__isset() : Index(false), Term(false), Kind(false), TheChange(false), Voters(false), Team(false), Claims(false), ExpireClaimsThrough(true) {}
+  _LogEntry__isset() : Index(false), Term(false), Kind(false), TheChange(false), Voters(false), Team(false), Claims(false), ExpireClaimsThrough(true), VersionBase(true) {}
   bool Index :1;
   bool Term :1;
   bool Kind :1;
@@ -536,8 +536,13 @@
   bool Team :1;
   bool Claims :1;
   bool ExpireClaimsThrough :1;
+  bool VersionBase :1;
 } _LogEntry__isset;
 
+/**
+ * VersionBase is set by a recovery: it is added to later indexes to give
+ * configuration versions, so that these exceed any that lost disks committed.
+ */
 class LogEntry : public virtual ::apache::thrift::TBase {
  public:
 
@@ -549,7 +554,8 @@
            : Index(0),
              Term(0),
              Kind(static_cast<EntryKind::type>(0)),
-             ExpireClaimsThrough(0LL) {
+             ExpireClaimsThrough(0LL),
+             VersionBase(0LL) {
   }
 
   virtual ~LogEntry() noexcept;
@@ -565,6 +571,7 @@
   TeamGrant Team;
   std::vector<Claim>  Claims;
   int64_t ExpireClaimsThrough;
+  int64_t VersionBase;
 
   _LogEntry__isset __isset;
 
@@ -584,6 +591,8 @@
 
   void __set_ExpireClaimsThrough(const int64_t val);
 
+  void __set_VersionBase(const int64_t val);
+
   bool operator == (const LogEntry & rhs) const
   {
     if (!(Index == rhs.Index))
@@ -602,6 +611,8 @@
       return false;
     if (!(ExpireClaimsThrough == rhs.ExpireClaimsThrough))
       return false;
+    if (!(VersionBase == rhs.VersionBase))
+      return false;
     return true;
   }
   bool operator != (const LogEntry &rhs) const {
@@ -787,7 +798,7 @@
 std::ostream& operator<<(std::ostream& out, const ChangeOutcome& obj);
 
 typedef struct _StoreSnapshot__isset {
-  _StoreSnapshot__isset() : LastIndex(true), LastTerm(true), Voters(false), ConfigurationVersion(true), Settings(false), Teams(false), Outcomes(false), OutcomesEvictedThrough(true), Claims(false) {}
+  _StoreSnapshot__isset() : LastIndex(true), LastTerm(true), Voters(false), ConfigurationVersion(true), Settings(false), Teams(false), Outcomes(false), OutcomesEvictedThrough(true), Claims(false), VersionBase(true) {}
   bool LastIndex :1;
   bool LastTerm :1;
   bool Voters :1;
@@ -797,6 +808,7 @@
   bool Outcomes :1;
   bool OutcomesEvictedThrough :1;
   bool Claims :1;
+  bool VersionBase :1;
 } _StoreSnapshot__isset;
 
 class StoreSnapshot : public virtual ::apache::thrift::TBase {
@@ -810,7 +822,8 @@
                 : LastIndex(0LL),
                   LastTerm(0LL),
                   ConfigurationVersion(0LL),
-                  OutcomesEvictedThrough(0LL) {
+                  OutcomesEvictedThrough(0LL),
+                  VersionBase(0LL) {
   }
 
   virtual ~StoreSnapshot() noexcept;
@@ -823,6 +836,7 @@
   std::vector<ChangeOutcome>  Outcomes;
   int64_t OutcomesEvictedThrough;
   std::vector<Claim>  Claims;
+  int64_t VersionBase;
 
   _StoreSnapshot__isset __isset;
 
@@ -844,6 +858,8 @@
 
   void __set_Claims(const std::vector<Claim> & val);
 
+  void __set_VersionBase(const int64_t val);
+
   bool operator == (const StoreSnapshot & rhs) const
   {
     if (!(LastIndex == rhs.LastIndex))
@@ -864,6 +880,8 @@
       return false;
     if (!(Claims == rhs.Claims))
       return false;
+    if (!(VersionBase == rhs.VersionBase))
+      return false;
     return true;
   }
   bool operator != (const StoreSnapshot &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -54,6 +54,10 @@
   7: i64 GrantedAt = 0
 }
 
+/**
+ * VersionBase is set by a recovery: it is added to later indexes to give
+ * configuration versions, so that these exceed any that lost disks committed.
+ */
 struct LogEntry {
   1: i64 Index
   2: i64 Term
@@ -63,6 +67,7 @@
   6: TeamGrant Team
   7: list<Claim> Claims
   8: i64 ExpireClaimsThrough = 0
+  9: i64 VersionBase = 0
 }
 
 struct HardState {
@@ -92,6 +97,7 @@
   7: list<ChangeOutcome> Outcomes
   8: i64 OutcomesEvictedThrough = 0
   9: list<Claim> Claims
+  10: i64 VersionBase = 0
 }
 
 /** What one change did to the configuration. Hash covers the whole content after it. */
