A member that was cut off learns at once that it is held for lost

Cause: a daemon that came back from a silent cut stayed dead in the tables of the others until the next comparison of tables, up to 10 s, because nobody told it and its own record had no news to spread. Ruled out: the report tree (it counted what membership gave) and the pull (the proxy had the version). Now the answer to a probe carries the record that the sender must refute. Conclusion: refutation does not wait for anti-entropy.

--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -291,11 +291,16 @@
 
 void Membership::receive(const wire::Probe &Message, std::string_view From,
                          Time Now, Effects &Out) {
-  const bool Known = this->find(Message.Head.From) != nullptr;
+  const wire::MemberRecord *Held = this->find(Message.Head.From);
+  const bool Known = Held != nullptr;
+  // A member that is held for lost learns of it here and refutes it.
+  const bool TellIt = Known && Held->State != wire::Liveness::Alive;
   this->absorb(Message.Head, Now);
   wire::ProbeAck Reply;
   Reply.Head = this->head();
   Reply.Number = Message.Number;
+  if (TellIt)
+    Reply.Head.Updates.push_back(*this->find(Message.Head.From));
   if (!Known) {
     // Introduce a newcomer to a few members, so that it does not load the
     // control instances with its first comparison.
