A replica without a vote forgets a leader that fell silent

Cause: a blank instance that had begun to catch up kept naming the leader after that leader lost its quorum, so operators were told 209 NotLeader instead of 210 NoQuorum (scenario two-disks-lost). Every replica now forgets a leader that it has not heard within the election timeout.

--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -218,7 +218,7 @@
       this->Datagrams.bind(Udp, Error);
     if (!Error)
       this->Datagrams.non_blocking(true, Error);
-    if (Error == std::errc::address_in_use)
+    if (Error == asio::error::address_in_use)
       return fail(ResultCode::PortInUse, Listen.text());
     if (Error)
       return fail(ResultCode::AddressInvalid, Listen.text(), Error.message());
@@ -266,12 +266,22 @@
     std::error_code Error;
     const tcp::endpoint Peer = endpointOf<tcp>(Address, Error);
     auto Made =
-        std::make_shared<Connection>(tcp::socket(this->Io), Address, *this);
+        std::make_shared<Connection>(this->boundSocket(), Address, *this);
     this->Connections[Address] = Made;
     Made->connect(Peer);
     return Made;
   }
 
+  /// Returns a socket that connects from the address of the settings.
+  tcp::socket boundSocket() {
+    tcp::socket Out(this->Io);
+    std::error_code Ignored;
+    const auto Address = this->Acceptor.local_endpoint(Ignored).address();
+    Out.open(tcp::v4(), Ignored);
+    Out.bind(tcp::endpoint(Address, 0), Ignored);
+    return Out;
+  }
+
   void accept() {
     this->Acceptor.async_accept(
         [this](std::error_code Error, tcp::socket Socket) {
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -103,6 +103,8 @@
     this->leaderTick(Now, Out);
     return;
   }
+  if (Now >= this->ElectionDeadline)
+    this->CurrentLeader.reset();
   if (!this->isVoter(this->Self.DiskId)) {
     this->sendJoin(Now, Out);
     return;
--- a/src/persimmonctl/apirequest.cpp
+++ b/src/persimmonctl/apirequest.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr long ConnectTimeoutMs = 1000;
-constexpr long AnswerTimeoutMs = 8000;
+/// Requests are idempotent, so a slow instance is left for the next one.
+constexpr long AnswerTimeoutMs = 2500;
 
 std::size_t takeBody(char *Data, std::size_t Size, std::size_t Count,
                      void *User) {
