--- /dev/null
+++ b/tests/scenario/forwarder.cpp
@@ -0,0 +1,237 @@
+#include "forwarder.h"
+
+#include <asio/buffer.hpp>
+#include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <future>
+#include <list>
+#include <map>
+#include <vector>
+
+namespace persimmon {
+
+namespace {
+
+using asio::ip::tcp;
+using asio::ip::udp;
+
+constexpr std::size_t BufferBytes = 64u << 10;
+
+/// One forwarded TCP connection. Silent ones stay open and pass nothing.
+struct Pair : std::enable_shared_from_this<Pair> {
+  explicit Pair(asio::io_context &Io) : Client(Io), Server(Io) {}
+
+  void pump(tcp::socket &From, tcp::socket &To,
+            std::array<char, BufferBytes> &Buffer) {
+    From.async_read_some(asio::buffer(Buffer),
+                         [this, Self = this->shared_from_this(), &From, &To,
+                          &Buffer](std::error_code Error, std::size_t Size) {
+                           if (this->Silent)
+                             return;
+                           if (Error)
+                             return this->close();
+                           asio::async_write(
+                               To, asio::buffer(Buffer.data(), Size),
+                               [this, Self, &From, &To,
+                                &Buffer](std::error_code Failed, std::size_t) {
+                                 if (Failed && !this->Silent)
+                                   return this->close();
+                                 if (!Failed)
+                                   this->pump(From, To, Buffer);
+                               });
+                         });
+  }
+
+  void close() {
+    std::error_code Ignored;
+    this->Client.close(Ignored);
+    this->Server.close(Ignored);
+  }
+
+  tcp::socket Client;
+  tcp::socket Server;
+  std::string ClientIp;
+  std::string ServerIp;
+  bool Silent = false;
+  std::array<char, BufferBytes> Up{};
+  std::array<char, BufferBytes> Down{};
+};
+
+/// The datagrams of one client to one address.
+struct Relay {
+  explicit Relay(asio::io_context &Io, const asio::ip::address &Ip)
+      : Socket(Io, udp::endpoint(Ip, 0)) {}
+  udp::socket Socket;
+  udp::endpoint Client;
+  udp::endpoint From;
+  std::array<char, BufferBytes> Buffer{};
+};
+
+} // namespace
+
+class Forwarder::Impl {
+public:
+  explicit Impl(asio::io_context &Context) : Io(Context) {}
+
+  void add(const std::string &Ip, std::uint16_t Port, std::uint16_t RealPort) {
+    this->Entries.push_back(
+        std::make_unique<Entry>(this->Io, Ip, Port, RealPort));
+    this->accept(*this->Entries.back());
+    this->receive(*this->Entries.back());
+  }
+
+  void cut(const std::string &Ip) {
+    this->CutIps.insert(Ip);
+    this->silence(Ip);
+  }
+
+  void heal(const std::string &Ip) { this->CutIps.erase(Ip); }
+
+  void silence(const std::string &Ip) {
+    for (const auto &Item : this->Pairs) {
+      const auto Held = Item.lock();
+      if (Held && (Held->ClientIp == Ip || Held->ServerIp == Ip))
+        Held->Silent = true;
+      if (Held)
+        this->Silenced.push_back(Held);
+    }
+  }
+
+private:
+  struct Entry {
+    Entry(asio::io_context &Context, const std::string &TheIp,
+          std::uint16_t Port, std::uint16_t RealPort)
+        : Ip(TheIp), Address(asio::ip::make_address(TheIp)),
+          Acceptor(Context, tcp::endpoint(Address, Port)),
+          Datagrams(Context, udp::endpoint(Address, Port)), Real(RealPort) {}
+    std::string Ip;
+    asio::ip::address Address;
+    tcp::acceptor Acceptor;
+    udp::socket Datagrams;
+    std::uint16_t Real;
+    udp::endpoint Sender;
+    std::array<char, BufferBytes> Buffer{};
+    std::map<udp::endpoint, std::unique_ptr<Relay>> Relays;
+  };
+
+  bool isCut(const std::string &Left, const std::string &Right) const {
+    return this->CutIps.count(Left) != 0 || this->CutIps.count(Right) != 0;
+  }
+
+  void accept(Entry &At) {
+    auto Fresh = std::make_shared<Pair>(this->Io);
+    At.Acceptor.async_accept(
+        Fresh->Client, [this, &At, Fresh](std::error_code Error) {
+          if (Error)
+            return;
+          Fresh->ClientIp =
+              Fresh->Client.remote_endpoint(Error).address().to_string();
+          Fresh->ServerIp = At.Ip;
+          this->Pairs.push_back(Fresh);
+          if (this->isCut(Fresh->ClientIp, At.Ip)) {
+            Fresh->Silent = true;
+            this->Silenced.push_back(Fresh);
+          } else {
+            this->connect(At, Fresh);
+          }
+          this->accept(At);
+        });
+  }
+
+  void connect(Entry &At, const std::shared_ptr<Pair> &Item) {
+    Item->Server.async_connect(
+        tcp::endpoint(At.Address, At.Real), [Item](std::error_code Error) {
+          if (Error)
+            return Item->close();
+          std::error_code Ignored;
+          Item->Client.set_option(tcp::no_delay(true), Ignored);
+          Item->Server.set_option(tcp::no_delay(true), Ignored);
+          Item->pump(Item->Client, Item->Server, Item->Up);
+          Item->pump(Item->Server, Item->Client, Item->Down);
+        });
+  }
+
+  void receive(Entry &At) {
+    At.Datagrams.async_receive_from(
+        asio::buffer(At.Buffer), At.Sender,
+        [this, &At](std::error_code Error, std::size_t Size) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          if (!Error && !this->isCut(At.Sender.address().to_string(), At.Ip))
+            this->relay(At, Size);
+          this->receive(At);
+        });
+  }
+
+  void relay(Entry &At, std::size_t Size) {
+    auto &Slot = At.Relays[At.Sender];
+    if (!Slot) {
+      Slot = std::make_unique<Relay>(this->Io, At.Address);
+      Slot->Client = At.Sender;
+      this->receiveBack(At, *Slot);
+    }
+    std::error_code Ignored;
+    Slot->Socket.send_to(asio::buffer(At.Buffer.data(), Size),
+                         udp::endpoint(At.Address, At.Real), 0, Ignored);
+  }
+
+  void receiveBack(Entry &At, Relay &Item) {
+    Item.Socket.async_receive_from(
+        asio::buffer(Item.Buffer), Item.From,
+        [this, &At, &Item](std::error_code Error, std::size_t Size) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          std::error_code Ignored;
+          if (!Error && !this->isCut(Item.Client.address().to_string(), At.Ip))
+            At.Datagrams.send_to(asio::buffer(Item.Buffer.data(), Size),
+                                 Item.Client, 0, Ignored);
+          this->receiveBack(At, Item);
+        });
+  }
+
+  asio::io_context &Io;
+  std::vector<std::unique_ptr<Entry>> Entries;
+  std::list<std::weak_ptr<Pair>> Pairs;
+  std::vector<std::shared_ptr<Pair>> Silenced;
+  std::set<std::string> CutIps;
+};
+
+Forwarder::Forwarder()
+    : Implementation(std::make_unique<Impl>(this->Io)), Runner([this] {
+        const auto Work = asio::make_work_guard(this->Io);
+        this->Io.run();
+      }) {}
+
+Forwarder::~Forwarder() {
+  this->Io.stop();
+  this->Runner.join();
+}
+
+void Forwarder::add(const std::string &Ip, std::uint16_t Port,
+                    std::uint16_t RealPort) {
+  std::promise<void> Done;
+  asio::post(this->Io, [&] {
+    this->Implementation->add(Ip, Port, RealPort);
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+void Forwarder::cut(const std::string &Ip) {
+  asio::post(this->Io, [this, Ip] { this->Implementation->cut(Ip); });
+}
+
+void Forwarder::heal(const std::string &Ip) {
+  asio::post(this->Io, [this, Ip] { this->Implementation->heal(Ip); });
+}
+
+void Forwarder::silence(const std::string &Ip) {
+  asio::post(this->Io, [this, Ip] { this->Implementation->silence(Ip); });
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/tests/scenario/loadgenerator.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace persimmon {
+
+/// What to call, and how often.
+struct LoadPlan {
+  std::string Name;
+  std::vector<std::string> Callers;
+  std::string Job;
+  std::string Path = "/";
+  std::string Method = "GET";
+  std::string Target;
+  double Rate = 100;
+  int Workers = 8;
+  int BodyBytes = 0;
+  bool Keyed = false;
+};
+
+/// What callers saw, counted by outcome.
+struct LoadCounts {
+  int Sent = 0;
+  int Ok = 0;
+  int NotRun = 0;
+  int Unknown = 0;
+  int Broken = 0;
+  int Crossed = 0;
+  int Doubled = 0;
+  int Lied = 0;
+};
+
+/// Callers that send requests at a steady rate and check each answer.
+class LoadGenerator {
+public:
+  explicit LoadGenerator(LoadPlan Plan);
+  ~LoadGenerator();
+  LoadGenerator(const LoadGenerator &) = delete;
+  LoadGenerator &operator=(const LoadGenerator &) = delete;
+
+  /// Ends after the answers that are awaited now.
+  void stop();
+
+  /// Counts outcomes against the runs that targets logged, by request id.
+  LoadCounts count(const std::map<std::string, int> &Runs) const;
+
+private:
+  enum class Seen { Ok, NotRun, Unknown, Broken, Crossed };
+
+  void work(int Worker);
+  Seen callOnce(void *Easy, const std::string &Id, const std::string &Caller);
+
+  LoadPlan Plan;
+  std::atomic<bool> Stopping{false};
+  mutable std::mutex Lock;
+  std::map<std::string, Seen> Results;
+  std::vector<std::thread> Threads;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/tests/scenario/process.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace persimmon {
+
+/// A process that a scenario started. Killed when this object goes.
+class Process {
+public:
+  Process() = default;
+  ~Process();
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  /// Starts a program with its output appended to \p LogFile.
+  bool start(const std::vector<std::string> &Words, const std::string &LogFile);
+
+  void signal(int Number) const;
+
+  /// Sends SIGKILL and waits for the end.
+  void kill();
+
+  /// Returns whether the process runs; notes its exit status when it ended.
+  bool running();
+
+  /// Returns the exit status, or -1 if it ended by a signal or still runs.
+  int exitStatus() const { return this->Status; }
+
+private:
+  pid_t Id = -1;
+  int Status = -1;
+};
+
+} // namespace persimmon
--- /dev/null
+++ b/tests/scenario/scenariorunner.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "forwarder.h"
+#include "loadgenerator.h"
+#include "process.h"
+
+#include "persimmonctl/controlclient.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmon {
+
+/// Where the programs are, and which loopback addresses a script may use.
+struct ScenarioOptions {
+  std::string Daemon;
+  std::string Target;
+  std::string Folder;
+  int Net = 40;
+};
+
+/// Runs a script of one step a line over real processes; tests/scenario/README
+/// lists the steps.
+class ScenarioRunner {
+public:
+  explicit ScenarioRunner(const ScenarioOptions &Options);
+
+  /// Runs the script; prints each step. Returns whether all went as expected.
+  bool runFile(const std::string &File);
+
+private:
+  using Words = std::vector<std::string>;
+  using Named = std::map<std::string, std::string>;
+
+  struct Machine {
+    std::string Name;
+    std::string Ip;
+    std::string Zone;
+    bool Control = false;
+    std::string Service;
+    Named Extra;
+    Process Daemon;
+    Process Target;
+  };
+
+  bool runLine(const std::string &Line);
+  bool addMachine(const Words &Line);
+  bool start(Machine &Item);
+  bool startTarget(Machine &Item);
+  std::string settingsOf(const Machine &Item) const;
+  bool signalAll(const Words &Line, int Number, bool TargetToo);
+  bool killAll(const Words &Line, bool DaemonToo, bool TargetToo);
+  bool put(const Words &Line, const std::string &Text);
+  bool race(const Words &Line, const std::string &Text);
+  bool resend(const Words &Line);
+  bool startLoad(const Words &Line);
+  bool expectLoad(const Words &Line);
+  bool await(const Words &Line);
+  bool awaitCondition(const Words &Line, const std::function<bool()> &Holds);
+  bool expectRefused(const Words &Line, const std::string &Text);
+  bool setTarget(const Words &Line, const std::string &Text);
+  bool holds(const Words &Line);
+  bool notRunning(const Words &Names);
+  std::string diskOf(const std::string &Name) const;
+  std::optional<nlohmann::json> statusOf(const Machine &Item) const;
+  std::optional<nlohmann::json> leaderStatus() const;
+  std::map<std::string, int> countRuns() const;
+  ControlClient client() const;
+  std::string logOf(const std::string &Name) const;
+  leaf::result<nlohmann::json> change(const std::string &ChangeId,
+                                      const std::string &Path,
+                                      const nlohmann::json &Value,
+                                      std::int64_t Expected) const;
+  std::int64_t versionOf(const std::string &Path) const;
+  Machine &machine(const std::string &Name);
+
+  ScenarioOptions Options;
+  std::map<std::string, std::unique_ptr<Machine>> Machines;
+  std::vector<std::string> Order;
+  std::map<std::string, std::unique_ptr<LoadGenerator>> Loads;
+  std::unique_ptr<Forwarder> Network;
+  std::string LastChangeId;
+  std::int64_t LastVersion = 0;
+  std::map<std::string, std::string> WipedDisks;
+  nlohmann::json LastBody;
+  int Changes = 0;
+};
+
+} // namespace persimmon
