A proxy that rejected a delta gets the whole content

Cause: a pull that asks for everything was answered with deltas if the source's history reached back to the beginning. Ruled out: the hash (it was right) and the cut (the pulls were answered). Also: a control instance takes versions from its own replica only. A blank one pulled version 9 from a peer and then rejected 7 and 8 of its own log.

--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -18,6 +18,8 @@
 } // namespace
 
 void Distribution::applyCommitted(const wire::Delta &Change, Effects &Out) {
+  if (Change.To <= this->Version)
+    return;
   SettingsMap Content = this->Settings;
   for (const wire::Setting &Entry : Change.Puts)
     Content[Entry.Path] = Entry;
@@ -169,7 +171,9 @@
     send(Out, From, std::move(Reply));
     return;
   }
+  // Whoever has nothing, or rejected a delta, asks for all of it.
   const bool HasDeltas =
+      Request.HaveVersion > 0 &&
       this->fillDeltas(Request.HaveVersion, Request.HaveHash, Reply);
   if (!this->admitPull(!HasDeltas, Now)) {
     Reply.Busy = true;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -237,7 +237,8 @@
                    Effects &Out) {
   using T = MessageT;
   if constexpr (IsGossipHeaded<T>) {
-    if (this->Spread.mayPull(this->Members, Body.Head.From))
+    // A control instance takes versions from its own replica only.
+    if (!this->Control && this->Spread.mayPull(this->Members, Body.Head.From))
       this->Config.heard(Body.Head.Address, Body.Head.Version, Now, Out);
   }
 
