A newcomer becomes known, and an unanswered comparison is repeated

Cause: a control instance that came back blank did not learn of a proxy that had no news of its own to tell. Its first comparison went to an instance that had just died, and the next was due 10 s later; so the leader counted 1 report of 0 expected proxies and 'in force' stayed incomplete. Ruled out: the report tree (the other control instance showed 1 of 1) and the pull (the proxy had the version). After: both unit tests pass; the answer to a stranger's probe asks who it is, and a comparison without an answer is repeated with another peer after 1 s.

--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -302,6 +302,7 @@
   Reply.Number = Message.Number;
   if (TellIt)
     Reply.Head.Updates.push_back(*this->find(Message.Head.From));
+  Reply.WantsRecord = !Known;
   if (!Known) {
     // Introduce a newcomer to a few members, so that it does not load the
     // control instances with its first comparison.
@@ -320,6 +321,8 @@
 void Membership::receive(const wire::ProbeAck &Message, Time Now,
                          Effects &Out) {
   this->absorb(Message.Head, Now);
+  if (Message.WantsRecord)
+    this->spread(this->Self.Name);
   const auto Relayed = this->Relays.find(Message.Number);
   if (Relayed != this->Relays.end()) {
     wire::ProbeAck Forward;
@@ -354,7 +357,8 @@
 
 void Membership::startSync(Time Now, Effects &Out) {
   const std::vector<std::string> Peers = this->pickPeers(1, 1);
-  this->NextSync = Now + (Peers.empty() ? SyncSoon : SyncInterval);
+  // The answer sets the usual interval; without one another peer is asked.
+  this->NextSync = Now + SyncSoon;
   if (Peers.empty())
     return;
   wire::SyncRequest Request;
@@ -373,8 +377,6 @@
     if (Own[I] != Message.Buckets[I])
       Reply.Buckets.push_back(static_cast<std::int32_t>(I));
   }
-  if (Reply.Buckets.empty())
-    return;
   for (const auto &[Name, Record] : this->Records) {
     const auto Bucket = bucketOf(Name);
     if (Own[Bucket] != Message.Buckets[Bucket])
@@ -391,8 +393,7 @@
     Theirs.emplace(Record.Name, &Record);
     News += this->merge(Record, Now) ? 1 : 0;
   }
-  if (News >= ManyRecords)
-    this->NextSync = std::min(this->NextSync, Now + SyncSoon);
+  this->NextSync = Now + (News >= ManyRecords ? SyncSoon : SyncInterval);
   if (!Message.WantsRecords)
     return;
   const std::set<std::int32_t> Wanted(Message.Buckets.begin(),
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -70,6 +70,9 @@
   /// work.
   const std::vector<std::string> &targetsOf(std::string_view Service) const;
 
+  /// Returns whether there are records still to pass on.
+  bool hasNews() const { return !this->Pending.empty(); }
+
   /// Counts changes of the table, so that users can refresh what they derive.
   std::uint64_t revision() const { return this->Revision; }
 
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -4310,6 +4310,10 @@
 void ProbeAck::__set_Number(const int64_t val) {
   this->Number = val;
 }
+
+void ProbeAck::__set_WantsRecord(const bool val) {
+  this->WantsRecord = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProbeAck& obj)
 {
   obj.printTo(out);
@@ -4354,6 +4358,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->WantsRecord);
+          this->__isset.WantsRecord = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4379,6 +4391,10 @@
   xfer += oprot->writeI64(this->Number);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("WantsRecord", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->WantsRecord);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4388,28 +4404,33 @@
   using ::std::swap;
   swap(a.Head, b.Head);
   swap(a.Number, b.Number);
+  swap(a.WantsRecord, b.WantsRecord);
   swap(a.__isset, b.__isset);
 }
 
 ProbeAck::ProbeAck(const ProbeAck& other159) {
   Head = other159.Head;
   Number = other159.Number;
+  WantsRecord = other159.WantsRecord;
   __isset = other159.__isset;
 }
 ProbeAck::ProbeAck(ProbeAck&& other160) noexcept {
   Head = std::move(other160.Head);
   Number = other160.Number;
+  WantsRecord = other160.WantsRecord;
   __isset = other160.__isset;
 }
 ProbeAck& ProbeAck::operator=(const ProbeAck& other161) {
   Head = other161.Head;
   Number = other161.Number;
+  WantsRecord = other161.WantsRecord;
   __isset = other161.__isset;
   return *this;
 }
 ProbeAck& ProbeAck::operator=(ProbeAck&& other162) noexcept {
   Head = std::move(other162.Head);
   Number = other162.Number;
+  WantsRecord = other162.WantsRecord;
   __isset = other162.__isset;
   return *this;
 }
@@ -4418,6 +4439,7 @@
   out << "ProbeAck(";
   out << "Head=" << to_string(Head);
   out << ", " << "Number=" << to_string(Number);
+  out << ", " << "WantsRecord=" << to_string(WantsRecord);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -1710,11 +1710,15 @@
 std::ostream& operator<<(std::ostream& out, const Probe& obj);
 
 typedef struct _ProbeAck__isset {
-  _ProbeAck__isset() : Head(false), Number(false) {}
+  _ProbeAck__isset() : Head(false), Number(false), WantsRecord(false) {}
   bool Head :1;
   bool Number :1;
+  bool WantsRecord :1;
 } _ProbeAck__isset;
 
+/**
+ * WantsRecord asks the sender of the probe to tell who it is.
+ */
 class ProbeAck : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1723,12 +1727,14 @@
   ProbeAck& operator=(const ProbeAck&);
   ProbeAck& operator=(ProbeAck&&) noexcept;
   ProbeAck() noexcept
-           : Number(0) {
+           : Number(0),
+             WantsRecord(0) {
   }
 
   virtual ~ProbeAck() noexcept;
   Gossip Head;
   int64_t Number;
+  bool WantsRecord;
 
   _ProbeAck__isset __isset;
 
@@ -1736,12 +1742,16 @@
 
   void __set_Number(const int64_t val);
 
+  void __set_WantsRecord(const bool val);
+
   bool operator == (const ProbeAck & rhs) const
   {
     if (!(Head == rhs.Head))
       return false;
     if (!(Number == rhs.Number))
       return false;
+    if (!(WantsRecord == rhs.WantsRecord))
+      return false;
     return true;
   }
   bool operator != (const ProbeAck &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -210,9 +210,11 @@
   2: i64 Number
 }
 
+/** WantsRecord asks the sender of the probe to tell who it is. */
 struct ProbeAck {
   1: Gossip Head
   2: i64 Number
+  3: bool WantsRecord
 }
 
 struct IndirectProbe {
--- /dev/null
+++ b/tests/membership/test_membership.cpp
@@ -0,0 +1,184 @@
+#include "libpersimmon/membership.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+using namespace persimmon;
+
+namespace {
+
+const Time Start = Time() + std::chrono::hours(1);
+
+wire::MemberRecord record(const std::string &Name, std::int64_t Incarnation) {
+  wire::MemberRecord Out;
+  Out.Name = Name;
+  Out.Address = Name + ":1";
+  Out.Zone = "zone-a";
+  Out.Incarnation = Incarnation;
+  Out.Sequence = 1;
+  return Out;
+}
+
+wire::Gossip gossip(std::vector<wire::MemberRecord> Updates) {
+  wire::Gossip Out;
+  Out.Updates = std::move(Updates);
+  return Out;
+}
+
+/// A member, its clock, and the messages that it sent.
+struct Member {
+  Membership Table;
+  Time Now = Start;
+  std::vector<SendMessage> Sent;
+
+  explicit Member(const std::string &Name, std::int64_t Incarnation = 1)
+      : Table(record(Name, Incarnation), {}, 1) {}
+
+  void collect(const Effects &Out) {
+    for (const Effect &Item : Out) {
+      if (const auto *Message = std::get_if<SendMessage>(&Item))
+        this->Sent.push_back(*Message);
+    }
+  }
+
+  void run(milliseconds For) {
+    const Time End = this->Now + For;
+    while (this->Now < End) {
+      this->Now += milliseconds(20);
+      Effects Out;
+      this->Table.tick(this->Now, Out);
+      this->collect(Out);
+    }
+  }
+
+  template <typename T> std::vector<SendMessage> sent() const {
+    std::vector<SendMessage> Out;
+    for (const SendMessage &Item : this->Sent) {
+      if (std::holds_alternative<T>(Item.Body))
+        Out.push_back(Item);
+    }
+    return Out;
+  }
+
+  void learn(const wire::MemberRecord &Record) {
+    this->Table.absorb(gossip({Record}), this->Now);
+  }
+};
+
+wire::Liveness::type stateOf(const Member &Of, const std::string &Name) {
+  REQUIRE(Of.Table.find(Name) != nullptr);
+  return Of.Table.find(Name)->State;
+}
+
+} // namespace
+
+TEST_CASE("a member that does not answer is suspected and then dead") {
+  Member M("p1");
+  M.learn(record("p2", 1));
+  M.run(milliseconds(1900));
+  CHECK(stateOf(M, "p2") == wire::Liveness::Suspect);
+  CHECK(M.sent<wire::Probe>().size() >= 1);
+  M.run(milliseconds(2000));
+  CHECK(stateOf(M, "p2") == wire::Liveness::Dead);
+}
+
+TEST_CASE("others are asked to probe before a member is suspected") {
+  Member M("p1");
+  M.learn(record("p2", 1));
+  M.learn(record("p3", 1));
+  M.run(milliseconds(500));
+  CHECK(M.sent<wire::IndirectProbe>().size() >= 1);
+}
+
+TEST_CASE("a suspected member refutes with a higher sequence") {
+  Member M("p1");
+  wire::MemberRecord Bad = record("p1", 1);
+  Bad.Sequence = 7;
+  Bad.State = wire::Liveness::Suspect;
+  M.learn(Bad);
+  CHECK(M.Table.self().Sequence > 7);
+  CHECK(M.Table.self().State == wire::Liveness::Alive);
+}
+
+TEST_CASE("news of an earlier run cannot kill or revive a member") {
+  Member M("p1");
+  M.learn(record("p2", 5));
+  wire::MemberRecord Old = record("p2", 4);
+  Old.Sequence = 99;
+  Old.State = wire::Liveness::Dead;
+  M.learn(Old);
+  CHECK(stateOf(M, "p2") == wire::Liveness::Alive);
+  wire::MemberRecord Dead = record("p2", 5);
+  Dead.State = wire::Liveness::Dead;
+  M.learn(Dead);
+  M.learn(record("p2", 5));
+  CHECK(stateOf(M, "p2") == wire::Liveness::Dead);
+  M.learn(record("p2", 6));
+  CHECK(stateOf(M, "p2") == wire::Liveness::Alive);
+}
+
+TEST_CASE("a clock that went back does not silence a restarted member") {
+  Member M("p1", 100);
+  M.learn(record("p1", 200));
+  CHECK(M.Table.self().Incarnation > 200);
+  CHECK(M.Table.hadIncarnation(100));
+}
+
+TEST_CASE("whoever probes without being known is asked who it is") {
+  Member Known("p1");
+  Member Stranger("p2");
+  // The stranger has told others of itself long ago and has no news.
+  Stranger.learn(record("p1", 1));
+  Stranger.run(milliseconds(700));
+  REQUIRE(!Stranger.Table.hasNews());
+  Stranger.Sent.clear();
+  wire::Probe Probe;
+  Probe.Head.From = "p2";
+  Probe.Head.Address = "p2:1";
+  Probe.Number = 1;
+  Effects Out;
+  Known.Table.receive(Probe, "p2:1", Known.Now, Out);
+  Known.collect(Out);
+  const auto Acks = Known.sent<wire::ProbeAck>();
+  REQUIRE(Acks.size() == 1);
+  Effects Back;
+  Stranger.Table.receive(std::get<wire::ProbeAck>(Acks[0].Body), Stranger.Now,
+                         Back);
+  CHECK(Stranger.Table.hasNews());
+}
+
+TEST_CASE("a comparison that is not answered is repeated soon") {
+  Member M("p1");
+  M.learn(record("p2", 1));
+  M.run(milliseconds(3000));
+  CHECK(M.sent<wire::SyncRequest>().size() >= 2);
+}
+
+TEST_CASE("tables that are compared become equal") {
+  Member Left("p1");
+  Member Right("p2");
+  Left.learn(record("p2", 1));
+  Right.learn(record("p1", 1));
+  for (int I = 10; I < 40; ++I)
+    (I % 2 == 0 ? Left : Right).learn(record("m" + std::to_string(I), 1));
+  Left.run(milliseconds(1500));
+  const auto Requests = Left.sent<wire::SyncRequest>();
+  REQUIRE(!Requests.empty());
+  Effects Out;
+  Right.Table.receive(std::get<wire::SyncRequest>(Requests[0].Body), "p1:1",
+                      Out);
+  Right.collect(Out);
+  const auto Replies = Right.sent<wire::SyncReply>();
+  REQUIRE(Replies.size() == 1);
+  Effects Back;
+  Left.Table.receive(std::get<wire::SyncReply>(Replies[0].Body), "p2:1",
+                     Left.Now, Back);
+  Left.collect(Back);
+  const auto Pushed = Left.sent<wire::SyncReply>();
+  REQUIRE(Pushed.size() == 1);
+  Effects Ignored;
+  Right.Table.receive(std::get<wire::SyncReply>(Pushed[0].Body), "p1:1",
+                      Right.Now, Ignored);
+  CHECK(Left.Table.records().size() == 32);
+  CHECK(Right.Table.records().size() == 32);
+}
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -1,5 +1,11 @@
 #include "scenariorunner.h"
 
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <curl/curl.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -202,6 +208,10 @@
       this->Network->silence(Ip);
     return true;
   }
+  if (Verb == "request")
+    return this->request(Line1);
+  if (Verb == "garbage")
+    return this->garbage(Line1);
   if (Verb == "set-target")
     return this->setTarget(Line1, Text);
   if (Verb == "recover") {
@@ -545,6 +555,11 @@
     }
     std::this_thread::sleep_for(PollPause);
   }
+  for (const std::string &Name : this->Order) {
+    const auto Status = this->statusOf(this->machine(Name));
+    std::cout << "  " << Name << ' ' << (Status ? Status->dump() : "down")
+              << '\n';
+  }
   return false;
 }
 
@@ -641,4 +656,64 @@
               .failed();
 }
 
+/// Sends one request and compares the HTTP status.
+bool ScenarioRunner::request(const Words &Line) {
+  const Named Values = namedValues(Line);
+  const auto Get = [&](const char *Key, const char *Default) {
+    const auto Found = Values.find(Key);
+    return Found == Values.end() ? std::string(Default) : Found->second;
+  };
+  const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> Easy(
+      curl_easy_init(), &curl_easy_cleanup);
+  const std::string Url =
+      "http://" + this->machine(Line.at(1)).Ip + ":8080" + Get("path", "/work");
+  const std::string Body(std::stoul(Get("bodyBytes", "0")), 'x');
+  curl_slist *List =
+      curl_slist_append(nullptr, ("Host: " + Get("job", "job")).c_str());
+  const std::string Filler(std::stoul(Get("headerBytes", "0")), 'h');
+  if (!Filler.empty())
+    List = curl_slist_append(List, ("X-Filler: " + Filler).c_str());
+  if (Values.count("deadline") != 0)
+    List = curl_slist_append(
+        List, ("Persimmon-Deadline-Ms: " + Get("deadline", "")).c_str());
+  const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> Owner(
+      List, &curl_slist_free_all);
+  curl_easy_setopt(Easy.get(), CURLOPT_URL, Url.c_str());
+  curl_easy_setopt(Easy.get(), CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy.get(), CURLOPT_HTTPHEADER, List);
+  curl_easy_setopt(Easy.get(), CURLOPT_TIMEOUT_MS, 15'000L);
+  curl_easy_setopt(
+      Easy.get(), CURLOPT_WRITEFUNCTION,
+      +[](char *, std::size_t Size, std::size_t Count, void *) {
+        return Size * Count;
+      });
+  if (!Body.empty()) {
+    curl_easy_setopt(Easy.get(), CURLOPT_POSTFIELDS, Body.data());
+    curl_easy_setopt(Easy.get(), CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(Body.size()));
+  }
+  const CURLcode Code = curl_easy_perform(Easy.get());
+  long Status = 0;
+  curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
+  std::cout << "  status " << Status << " (" << curl_easy_strerror(Code)
+            << ")\n";
+  return Status == std::stol(Line.at(2));
+}
+
+/// Sends bytes that are not HTTP; the connection must be closed or answered
+/// with 400.
+bool ScenarioRunner::garbage(const Words &Line) {
+  asio::io_context Io;
+  asio::ip::tcp::socket Socket(Io);
+  Socket.connect({asio::ip::make_address(this->machine(Line.at(1)).Ip), 8080});
+  const std::string Bytes = "\x01\x02 not http\r\n\r\n";
+  asio::write(Socket, asio::buffer(Bytes));
+  std::string Answer;
+  std::error_code Error;
+  asio::read(Socket, asio::dynamic_buffer(Answer), Error);
+  std::cout << "  answered with " << Answer.size() << " bytes, "
+            << Error.message() << '\n';
+  return Answer.empty() || Answer.find(" 400 ") != std::string::npos;
+}
+
 } // namespace persimmon
--- a/tests/scenario/scenariorunner.h
+++ b/tests/scenario/scenariorunner.h
@@ -65,6 +65,8 @@
   bool awaitCondition(const Words &Line, const std::function<bool()> &Holds);
   bool expectRefused(const Words &Line, const std::string &Text);
   bool setTarget(const Words &Line, const std::string &Text);
+  bool request(const Words &Line);
+  bool garbage(const Words &Line);
   bool holds(const Words &Line);
   bool notRunning(const Words &Names);
   std::string diskOf(const std::string &Name) const;
