Consensus tests; two guards that no test missed are now missed

util/prove-guards printed 'still passes' for four guards: votes (the fakes restart with what was written), entries of earlier terms, a planned stop (runs of 30 ms ended within the notice of 300 ms), idempotency keys (the change had no effect).

--- /dev/null
+++ b/tests/consensus/test_consensus.cpp
@@ -0,0 +1,209 @@
+#include "libpersimmon/consensus.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+using namespace persimmon;
+
+namespace {
+
+const Time Start = Time() + std::chrono::hours(1);
+
+wire::Replica replica(const std::string &Name, std::int64_t DiskId) {
+  wire::Replica Out;
+  Out.Instance = Name;
+  Out.DiskId = DiskId;
+  Out.Address = Name + ":1";
+  return Out;
+}
+
+const std::vector<wire::Replica> Voters = {
+    replica("c1", 1), replica("c2", 2), replica("c3", 3)};
+
+wire::LogEntry entry(std::int64_t Index, std::int64_t Term) {
+  wire::LogEntry Out;
+  Out.Index = Index;
+  Out.Term = Term;
+  Out.Kind = wire::EntryKind::Noop;
+  return Out;
+}
+
+/// A replica c1 of three, with a log of the given terms behind the voters.
+struct Fixture {
+  Consensus Under{replica("c1", 1), {{"c2", "c2:1"}, {"c3", "c3:1"}}, 1};
+  Time Now = Start;
+  Effects Out;
+
+  explicit Fixture(std::int64_t Term,
+                   const std::vector<std::int64_t> &EntryTerms = {}) {
+    DurableState State;
+    State.Hard.Term = Term;
+    wire::LogEntry First = entry(1, 1);
+    First.Kind = wire::EntryKind::Voters;
+    First.Voters = Voters;
+    State.Entries.push_back(First);
+    for (const std::int64_t EntryTerm : EntryTerms)
+      State.Entries.push_back(
+          entry(static_cast<std::int64_t>(State.Entries.size()) + 1,
+                EntryTerm));
+    this->Under.restore(State, this->Now);
+  }
+
+  template <typename T> std::vector<T> sent() const {
+    std::vector<T> Found;
+    for (const Effect &Item : this->Out) {
+      const auto *Message = std::get_if<SendMessage>(&Item);
+      if (Message != nullptr && std::holds_alternative<T>(Message->Body))
+        Found.push_back(std::get<T>(Message->Body));
+    }
+    return Found;
+  }
+
+  bool grants(std::int64_t Candidate, std::int64_t Term, bool PreVote = false,
+              std::int64_t LastIndex = 100, std::int64_t LastTerm = 100) {
+    this->Out.clear();
+    wire::VoteRequest Request;
+    Request.Term = Term;
+    Request.Candidate = Voters[static_cast<std::size_t>(Candidate) - 1];
+    Request.LastIndex = LastIndex;
+    Request.LastTerm = LastTerm;
+    Request.PreVote = PreVote;
+    Request.ToDisk = 1;
+    this->Under.receive(Request, "path", this->Now, this->Out);
+    const auto Replies = this->sent<wire::VoteReply>();
+    return !Replies.empty() && Replies[0].Granted;
+  }
+
+  void vote(std::int64_t From, std::int64_t Term, bool PreVote) {
+    wire::VoteReply Reply;
+    Reply.FromDisk = From;
+    Reply.Term = Term;
+    Reply.Granted = true;
+    Reply.PreVote = PreVote;
+    this->Under.receive(Reply, this->Now, this->Out);
+  }
+
+  /// Lets the replica win an election with the vote of c2.
+  void lead() {
+    this->Now += milliseconds(2000);
+    this->Under.tick(this->Now, this->Out);
+    this->vote(2, this->Under.term() + 1, true);
+    this->vote(2, this->Under.term(), false);
+    REQUIRE(this->Under.leader());
+  }
+
+  void acknowledge(std::int64_t From, std::int64_t Match) {
+    wire::AppendReply Reply;
+    Reply.Term = this->Under.term();
+    Reply.FromDisk = From;
+    Reply.Success = true;
+    Reply.MatchIndex = Match;
+    this->Under.receive(Reply, this->Now, this->Out);
+  }
+};
+
+} // namespace
+
+TEST_CASE("one vote a term, also after a restart") {
+  Fixture F(4);
+  CHECK(F.grants(2, 5));
+  CHECK(!F.grants(3, 5));
+  CHECK(F.grants(2, 5));
+  DurableState State;
+  State.Hard.Term = 5;
+  State.Hard.VotedFor = 2;
+  Fixture Restarted(1);
+  Restarted.Under.restore(State, Start);
+  CHECK(!Restarted.grants(3, 5));
+}
+
+TEST_CASE("a vote is written before it is sent") {
+  Fixture F(4);
+  REQUIRE(F.grants(2, 5));
+  std::size_t Written = F.Out.size();
+  std::size_t Sent = 0;
+  for (std::size_t I = 0; I < F.Out.size(); ++I) {
+    const auto *Hard = std::get_if<PersistHardState>(&F.Out[I]);
+    if (Hard != nullptr && Hard->State.VotedFor == 2)
+      Written = I;
+    if (std::holds_alternative<SendMessage>(F.Out[I]))
+      Sent = I;
+  }
+  CHECK(Written < Sent);
+}
+
+TEST_CASE("a candidate with an older log gets no vote") {
+  Fixture F(4, {2, 3});
+  CHECK(!F.grants(2, 5, false, 2, 3));
+  CHECK(!F.grants(2, 6, false, 9, 2));
+  CHECK(F.grants(2, 7, false, 3, 3));
+}
+
+TEST_CASE("a vote for an earlier disk of this instance is not given") {
+  Fixture F(4);
+  wire::VoteRequest Request;
+  Request.Term = 9;
+  Request.Candidate = Voters[1];
+  Request.LastIndex = 100;
+  Request.LastTerm = 100;
+  Request.ToDisk = 77;
+  F.Under.receive(Request, "path", F.Now, F.Out);
+  CHECK(F.Out.empty());
+}
+
+TEST_CASE("entries of earlier terms are not committed by counting") {
+  Fixture F(4, {2});
+  F.lead();
+  const std::int64_t Before = F.Under.commitIndex();
+  // The entry of term 2 is on a majority, the one of this term is not.
+  F.acknowledge(2, 2);
+  CHECK(F.Under.commitIndex() == Before);
+  F.acknowledge(2, 3);
+  CHECK(F.Under.commitIndex() == 3);
+}
+
+TEST_CASE("entries are written before they are acknowledged or sent") {
+  Fixture F(4);
+  wire::AppendRequest Request;
+  Request.Term = 5;
+  Request.Leader = Voters[1];
+  Request.PrevIndex = 1;
+  Request.PrevTerm = 1;
+  Request.Entries = {entry(2, 5)};
+  Request.ToDisk = 1;
+  F.Under.receive(Request, "path", F.Now, F.Out);
+  std::size_t Written = F.Out.size();
+  for (std::size_t I = 0; I < F.Out.size(); ++I) {
+    if (std::holds_alternative<PersistEntries>(F.Out[I]))
+      Written = I;
+    if (std::holds_alternative<SendMessage>(F.Out[I]))
+      CHECK(Written < I);
+  }
+  CHECK(Written < F.Out.size());
+}
+
+TEST_CASE("a leader without a quorum steps down and confirms nothing") {
+  Fixture F(4);
+  F.lead();
+  F.acknowledge(2, F.Under.lastIndex());
+  REQUIRE(F.Under.ready());
+  const std::int64_t Round = F.Under.confirmLeadership(F.Now, F.Out);
+  CHECK(F.Under.confirmedRound() < Round);
+  F.Now += milliseconds(1500);
+  F.Under.tick(F.Now, F.Out);
+  CHECK(!F.Under.leader());
+}
+
+TEST_CASE("a pre-vote is not given while a leader is heard") {
+  Fixture F(4);
+  wire::AppendRequest Heartbeat;
+  Heartbeat.Term = 5;
+  Heartbeat.Leader = Voters[1];
+  Heartbeat.PrevIndex = 1;
+  Heartbeat.PrevTerm = 1;
+  Heartbeat.ToDisk = 1;
+  F.Under.receive(Heartbeat, "path", F.Now, F.Out);
+  CHECK(!F.grants(3, 6, true));
+  F.Now += milliseconds(600);
+  CHECK(F.grants(3, 6, true));
+}
--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -147,6 +147,8 @@
 }
 
 void actPlannedStop(FakeCluster &Cluster) {
+  // Longer than the notice that a leaving daemon gives its peers.
+  Cluster.setRunTime(milliseconds(700));
   for (int I = 0; I < 5; ++I)
     Cluster.call("p1", true);
   Cluster.run(milliseconds(5));
