--- /dev/null
+++ b/tests/ctl/test_ctl.cpp
@@ -0,0 +1,168 @@
+#include "support/process.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace persimmon;
+namespace fs = std::filesystem;
+
+namespace {
+
+/// What a run of persimmonctl left behind.
+struct ClientRun {
+  int Status = -1;
+  std::string Output;
+
+  bool says(const std::string &Text) const {
+    return this->Output.find(Text) != std::string::npos;
+  }
+};
+
+ClientRun run(std::vector<std::string> Words) {
+  std::string Folder = (fs::temp_directory_path() / "ctl-XXXXXX").string();
+  REQUIRE(::mkdtemp(Folder.data()) != nullptr);
+  Words.insert(Words.begin(), CLIENT_PROGRAM);
+  Process Client;
+  REQUIRE(Client.start(Words, Folder + "/output"));
+  for (int I = 0; I < 1000 && Client.running(); ++I)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  ClientRun Out;
+  Out.Status = Client.exitStatus();
+  std::ifstream In(Folder + "/output");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  Out.Output = Text.str();
+  fs::remove_all(Folder);
+  return Out;
+}
+
+/// One control instance that runs while this object lives.
+class ControlInstance {
+public:
+  ControlInstance() {
+    std::string Name = (fs::temp_directory_path() / "one-XXXXXX").string();
+    REQUIRE(::mkdtemp(Name.data()) != nullptr);
+    this->Folder = Name;
+    std::ofstream(this->Folder + "/c1.json")
+        << R"({"role":"control","name":"c1","availabilityZone":"zone-a",
+            "listen":"127.62.0.1:7100","operators":"127.62.0.1:7101",
+            "controlInstances":[{"name":"c1","address":"127.62.0.1:7100"}],
+            "dataFolder":")"
+        << this->Folder << "/data\"}";
+    REQUIRE(this->Daemon.start(
+        {DAEMON_PROGRAM, "--settings", this->Folder + "/c1.json"},
+        this->Folder + "/log"));
+    for (int I = 0; I < 100; ++I) {
+      if (run({"-c", this->address(), "members"}).Status == 0)
+        return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    FAIL("the control instance did not start");
+  }
+  ~ControlInstance() {
+    this->Daemon.kill();
+    fs::remove_all(this->Folder);
+  }
+
+  std::string address() const { return "127.62.0.1:7101"; }
+
+  std::string write(const std::string &Name, const std::string &Text) const {
+    std::string File = this->Folder + "/" + Name;
+    std::ofstream(File) << Text;
+    return File;
+  }
+
+private:
+  std::string Folder;
+  Process Daemon;
+};
+
+} // namespace
+
+TEST_CASE("wrong use is told and ends with 2") {
+  CHECK(run({"-c", "127.62.0.9:1"}).Status == 2);
+  CHECK(run({"-c", "127.62.0.9:1", "frobnicate"}).Status == 2);
+  CHECK(run({"--no-such-option"}).Status == 2);
+  CHECK(run({"status"}).Status == 2);
+  CHECK(run({"-c", "127.62.0.9:1", "put", "only-a-path"}).Status == 2);
+  const ClientRun Recover = run({"-c", "127.62.0.9:1", "recover"});
+  CHECK(Recover.Status == 2);
+  CHECK(Recover.says("--i-accept-loss"));
+}
+
+TEST_CASE("help exists for every command") {
+  CHECK(run({"--help"}).Status == 0);
+  for (const char *Name : {"init", "team", "apply", "diff", "put", "delete",
+                           "get", "status", "members", "recover"}) {
+    const ClientRun Help = run({"--help", Name});
+    CHECK(Help.Status == 0);
+    CHECK(Help.says(Name));
+  }
+  CHECK(run({"--version"}).says("persimmonctl"));
+}
+
+TEST_CASE("an instance that cannot be reached is a numbered failure") {
+  const ClientRun Status = run({"-c", "127.62.0.9:1", "status"});
+  CHECK(Status.Status == 1);
+  CHECK(Status.says("217 Unreachable"));
+}
+
+TEST_CASE("changes from the command line") {
+  const ControlInstance Control;
+  const auto With = [&](const std::string &Token,
+                        std::vector<std::string> Words) {
+    std::vector<std::string> All = {"-c", Control.address(), "-t", Token};
+    All.insert(All.end(), Words.begin(), Words.end());
+    return run(std::move(All));
+  };
+  CHECK(run({"-c", Control.address(), "get"}).says("211 NotFormed"));
+  CHECK(With("short", {"init"}).says("203 ValueInvalid"));
+  CHECK(With("admin-token", {"init"}).Status == 0);
+  CHECK(With("admin-token", {"init"}).says("212 AlreadyFormed"));
+  CHECK(With("wrong-token", {"team", "labels", "labels-token"})
+            .says("207 Unauthorized"));
+  CHECK(With("admin-token", {"team", "labels", "labels-token"}).Status == 0);
+
+  const std::string First =
+      Control.write("first.json", R"({"labels/services/work":{"queue":3}})");
+  CHECK(With("", {"diff", First}).says("new labels/services/work"));
+  CHECK(With("wrong-token", {"apply", First}).says("207 Unauthorized"));
+  CHECK(With("labels-token", {"--json", "apply", First}).Status == 0);
+  // Nothing is claimed to be in force where no proxy has reported.
+  const ClientRun Waited =
+      With("labels-token", {"--json", "--wait=1", "apply", First});
+  CHECK(Waited.Status == 3);
+  CHECK(Waited.says("216"));
+  CHECK(With("", {"diff", First}).says("equal labels/services/work"));
+  CHECK(With("", {"get", "labels"}).says("labels/services/work @"));
+
+  // A resent change id gets its first answer and runs once.
+  const ClientRun Once =
+      With("labels-token", {"--json", "-i", "my-change", "apply", First});
+  const ClientRun Again =
+      With("labels-token", {"--json", "-i", "my-change", "apply", First});
+  const auto VersionOf = [](const ClientRun &Of) {
+    return Of.Output.substr(Of.Output.find("\"version\""));
+  };
+  CHECK(VersionOf(Once) == VersionOf(Again));
+
+  const std::string Bad =
+      Control.write("bad.json", R"({"labels/services/work":{"queue":4},
+                      "labels/routes/r":{"job":"j","service":"labels/none"}})");
+  const ClientRun Refused = With("labels-token", {"apply", Bad});
+  CHECK(Refused.Status == 1);
+  CHECK(Refused.says("204 ReferenceMissing at labels/routes/r"));
+  CHECK(With("", {"get"}).says("\"queue\":3"));
+  CHECK(With("labels-token", {"delete", "labels/services/none"})
+            .says("202 PathUnknown"));
+  CHECK(With("labels-token", {"apply", "/nonexistent.json"})
+            .says("102 FileUnreadable"));
+  CHECK(With("", {"status"}).says("instance c1 (leader)"));
+  CHECK(With("labels-token", {"delete", "labels/services/work"}).Status == 0);
+}
--- a/tests/store/test_store.cpp
+++ b/tests/store/test_store.cpp
@@ -3,6 +3,10 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
 using namespace persimmon;
 
 namespace {
@@ -215,3 +219,22 @@
   CHECK(Table->match("job", "/photosets")->Service == "team/work");
   CHECK(Table->match("oldsales-job", "/photos") == nullptr);
 }
+
+TEST_CASE("the settings of the shipped examples are accepted") {
+  for (const char *Name :
+       {"/association/labels.json", "/kurvstrygning/booking.json",
+        "/kurvstrygning/pressing.json", "/demo/first.json"}) {
+    std::ifstream In(std::string(EXAMPLES_FOLDER) + Name);
+    const nlohmann::json Document = nlohmann::json::parse(In);
+    SettingsStore Store;
+    wire::Change Wanted;
+    Wanted.ChangeId = "id";
+    for (const auto &[Path, Value] : Document.items()) {
+      Wanted.Team = Path.substr(0, Path.find('/'));
+      Wanted.Edits.push_back(Fixture::put(Path, Value.dump(), 0));
+    }
+    const Failure Error = Store.check(Wanted);
+    INFO(Name << " " << describe(Error));
+    CHECK(!Error.failed());
+  }
+}
