--- a/tests/scenario/scenarioconditions.cpp
+++ b/tests/scenario/scenarioconditions.cpp
@@ -64,7 +64,7 @@
     std::string Key = Name;
     std::string Wanted = Condition;
     if (Key.ends_with('>') || Key.ends_with('<')) {
-      Wanted = std::string(1, Key.back()) + "=" + Wanted;
+      Wanted.insert(0, {Key.back(), '='});
       Key.pop_back();
     }
     if (!meets(ByName.at(Key), Wanted)) {
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -109,13 +109,16 @@
 
 void FakeCluster::perform(Instance &By, const ReadyToExit &) {
   this->note(By.Identity.Name + " exits");
-  const std::string Name = By.Identity.Name;
+  const std::string &Name = By.Identity.Name;
+  const std::string Stop = "planned stop of " + Name;
   for (const auto &[Id, Record] : this->Calls) {
+    std::string Problem = Stop;
+    Problem.append(" cut off ").append(Id);
     if (Record.Entry == Name && Record.Answers == 0)
-      this->violation("planned stop of " + Name + " cut off " + Id);
+      this->violation(Problem);
   }
   if (By.Running > 0)
-    this->violation("planned stop of " + Name + " left work running");
+    this->violation(Stop + " left work running");
 }
 
 } // namespace persimmon
