--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -328,8 +328,8 @@
     prepareAll(Cluster);
     Cluster.addProxy("p4", "zone-c1", "team/work", 2);
     Cluster.start("p4");
-    REQUIRE(Cluster.run(SettleTime,
-                        [&] { return Cluster.node("p4")->serving(); }));
+    REQUIRE(
+        Cluster.run(SettleTime, [&] { return Cluster.node("p4")->serving(); }));
     INFO("seed " << Seed);
     CHECK(Cluster.leader()->members().find("p4") != nullptr);
   }
