--- /dev/null
+++ b/bench/fleet/fleetbench.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "persimmonctl/controlclient.h"
+#include "support/process.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace persimmon {
+
+/// How one run of the fleet bench is set up.
+struct FleetPlan {
+  std::string Daemon;
+  std::string Folder;
+  std::string Distribution;
+  int Proxies = 8;
+  int Zones = 3;
+  int Changes = 20;
+  int Services = 30;
+  int IdleSeconds = 10;
+};
+
+/// Starts control instances and proxies as processes, makes changes, and
+/// prints how soon they were in force and what they cost, as JSON lines.
+class FleetBench {
+public:
+  explicit FleetBench(FleetPlan Plan);
+
+  /// Returns whether every change came into force everywhere.
+  bool run();
+
+private:
+  struct Instance {
+    std::string Name;
+    std::string Ip;
+    bool Control = false;
+    Process Daemon;
+  };
+  /// What the operating system and the daemon counted so far.
+  struct Usage {
+    double CpuSeconds = 0;
+    double RssMb = 0;
+    double SentBytes = 0;
+    double PayloadBytes = 0;
+  };
+
+  void startAll();
+  bool putSettings();
+  bool change(int Number);
+  bool awaitInForce(std::int64_t Version);
+  Usage usageOf(const Instance &Item) const;
+  std::vector<Usage> usageOfAll() const;
+  void printCost(const char *Phase, const std::vector<Usage> &Before,
+                 const std::vector<Usage> &After, double Seconds,
+                 int ChangeCount) const;
+  void printConvergence() const;
+  ControlClient client(const std::string &Token) const;
+
+  FleetPlan Plan;
+  std::vector<std::unique_ptr<Instance>> Instances;
+  std::vector<std::int64_t> Versions;
+  std::int64_t LastVersion = 0;
+};
+
+} // namespace persimmon
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -16,6 +16,20 @@
   return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
 }
 
+std::unique_ptr<ChoicePolicy> makeChoice(const std::string &Name) {
+  if (Name == "random")
+    return std::make_unique<FirstOfTwo>();
+  return std::make_unique<LeastOfTwo>();
+}
+
+std::unique_ptr<Topology> makeSpread(const std::string &Name) {
+  if (Name == "star")
+    return std::make_unique<StarTopology>();
+  if (Name == "relay")
+    return std::make_unique<RelayTopology>();
+  return std::make_unique<PeerTopology>();
+}
+
 std::int64_t wallClockMs() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -47,8 +61,10 @@
   Identity.Incarnation = wallClockMs();
   Identity.Seed = randomNumber();
   Identity.ControlInstances = this->Settings.ControlInstances;
+  this->Choice = makeChoice(this->Settings.Baselines.Choice);
+  this->Spread = makeSpread(this->Settings.Baselines.Distribution);
   if (this->Settings.Role == DaemonRole::Proxy) {
-    this->Daemon = Node::makeProxy(Identity, this->Policy);
+    this->Daemon = Node::makeProxy(Identity, {*this->Choice, *this->Spread});
     return {};
   }
   BOOST_LEAF_ASSIGN(this->Disk,
@@ -59,6 +75,7 @@
   BOOST_LEAF_ASSIGN(this->Daemon,
                     Node::makeControl(Identity, this->Disk->diskId(),
                                       this->Disk->state(),
+                                      {*this->Choice, *this->Spread},
                                       std::chrono::steady_clock::now()));
   this->Disk->releaseState();
   return {};
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -71,7 +71,8 @@
   asio::io_context Io;
   asio::steady_timer TickTimer;
   asio::signal_set Signals;
-  LeastOfTwo Policy;
+  std::unique_ptr<ChoicePolicy> Choice;
+  std::unique_ptr<Topology> Spread;
   BodyStore Bodies;
   Metrics Numbers;
   std::optional<DiskStore> Disk;
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -143,6 +143,11 @@
     Out.Log.Decisions = Log.value("decisions", Out.Log.Decisions);
     Out.Log.File = Log.value("file", Out.Log.File);
   }
+  if (Document.contains("baselines")) {
+    const json &Baselines = Document.at("baselines");
+    Out.Baselines.Distribution = Baselines.value("distribution", "");
+    Out.Baselines.Choice = Baselines.value("choice", "");
+  }
   return Out;
 }
 
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -29,6 +29,12 @@
   std::string File;
 };
 
+/// Older or simpler ways, to measure the others against. Empty for none.
+struct BaselineSettings {
+  std::string Distribution;
+  std::string Choice;
+};
+
 /// The settings of one daemon, checked against daemon.schema.json.
 struct DaemonSettings {
   DaemonRole Role = DaemonRole::Proxy;
@@ -42,6 +48,7 @@
   std::string DataFolder;
   std::vector<ControlPeer> ControlInstances;
   LogSettings Log;
+  BaselineSettings Baselines;
 
   /// Reads and checks a file. Errors: FileUnreadable, SettingsNotJson,
   /// SettingsInvalid, AddressInvalid, with the path of the key.
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -38,9 +38,12 @@
   /// Changes the own record and raises its sequence, so that it spreads.
   void updateSelf(const std::function<void(wire::MemberRecord &)> &Change);
 
-  /// Sends the own head with pending updates to a few peers: \p Near in the
-  /// own availability zone and \p Far elsewhere.
-  void announce(std::size_t Near, std::size_t Far, Effects &Out);
+  /// Sends the own head with pending updates to \p Addresses.
+  void announce(const std::vector<std::string> &Addresses, Effects &Out);
+
+  /// Returns addresses of random peers: \p Near in the own availability zone
+  /// and \p Far elsewhere, or as many as there are.
+  std::vector<std::string> pickPeers(std::size_t Near, std::size_t Far);
 
   /// Notes the version in force, which rides on every message.
   void setVersion(std::int64_t Version) { this->Version = Version; }
@@ -99,7 +102,6 @@
   void joinSeeds(Time Now, Effects &Out);
   void startSync(Time Now, Effects &Out);
   void expire(Time Now);
-  std::vector<std::string> pickPeers(std::size_t Near, std::size_t Far);
   std::vector<std::int64_t> buckets() const;
   void indexTargets() const;
   std::size_t transmissionLimit() const;
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -8,6 +8,7 @@
 #include "reporttree.h"
 #include "servinggate.h"
 #include "targetledger.h"
+#include "topology.h"
 
 #include <memory>
 #include <optional>
@@ -28,17 +29,24 @@
   SnapshotPolicy Snapshots;
 };
 
+/// Policies of a daemon; all must outlive its node.
+struct NodePolicies {
+  const ChoicePolicy &Choice;
+  const Topology &Spread;
+};
+
 /// All state of one daemon. reduce() is the only way to change it.
 class Node {
 public:
-  /// Makes a proxy daemon. \p Policy must outlive the node.
+  /// Makes a proxy daemon.
   static std::unique_ptr<Node> makeProxy(const NodeIdentity &Identity,
-                                         const ChoicePolicy &Policy);
+                                         const NodePolicies &Policies);
 
   /// Makes a control daemon from what its disk holds. Errors: SnapshotDamaged.
   static leaf::result<std::unique_ptr<Node>>
   makeControl(const NodeIdentity &Identity, std::int64_t DiskId,
-              const DurableState &State, Time Now);
+              const DurableState &State, const NodePolicies &Policies,
+              Time Now);
 
   Node(const Node &) = delete;
   Node &operator=(const Node &) = delete;
@@ -60,7 +68,8 @@
   bool stopping() const { return this->Stopping; }
 
 private:
-  Node(const NodeIdentity &Identity, bool IsControl);
+  Node(const NodeIdentity &Identity, bool IsControl,
+       const NodePolicies &Policies);
 
   void on(const Tick &, const Event &What, Effects &Out);
   void on(const MessageReceived &Body, const Event &What, Effects &Out);
@@ -80,6 +89,9 @@
   void afterEvent(Time Now, Effects &Out);
   void setTargetState(const TargetAnnounced &Target, Time Now, Effects &Out);
   bool drained() const;
+  void announce(Effects &Out);
+
+  const Topology &Spread;
 
   Membership Members;
   Distribution Config;
--- a/tests/scenario/scenariorunner.h
+++ b/tests/scenario/scenariorunner.h
@@ -2,7 +2,7 @@
 
 #include "forwarder.h"
 #include "loadgenerator.h"
-#include "process.h"
+#include "support/process.h"
 
 #include "persimmonctl/controlclient.h"
 
--- a/tests/scenario/process.h
+++ b/tests/support/process.h
@@ -17,6 +17,9 @@
   /// Starts a program with its output appended to \p LogFile.
   bool start(const std::vector<std::string> &Words, const std::string &LogFile);
 
+  /// Returns the process id, or -1.
+  pid_t id() const { return this->Id; }
+
   void signal(int Number) const;
 
   /// Sends SIGKILL and waits for the end.
