--- a/bench/calls/callbench.cpp
+++ b/bench/calls/callbench.cpp
@@ -0,0 +1,406 @@
+#include "callbench.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <curl/curl.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace persimmon {
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr const char *Token = "bench-token";
+
+std::size_t discard(char *, std::size_t Size, std::size_t Count, void *) {
+  return Size * Count;
+}
+
+double quantile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  const auto Index = static_cast<std::size_t>(
+      std::ceil(Share * static_cast<double>(Values.size())));
+  return Values[std::min(Values.size(), std::max<std::size_t>(Index, 1)) - 1];
+}
+
+} // namespace
+
+CallBench::CallBench(CallBenchOptions TheOptions)
+    : Options(std::move(TheOptions)) {}
+
+ControlClient CallBench::client() const { return {{"127.30.0.1:7101"}, Token}; }
+
+void CallBench::startControl() {
+  this->RunFolder =
+      this->Options.Folder + "/run-" + std::to_string(++this->Folders);
+  std::filesystem::create_directories(this->RunFolder);
+  auto Item = std::make_unique<Instance>();
+  Item->Name = "c1";
+  Item->Ip = "127.30.0.1";
+  Item->Control = true;
+  const json Settings = {
+      {"role", "control"},
+      {"name", "c1"},
+      {"availabilityZone", "zone-a"},
+      {"listen", Item->Ip + ":7100"},
+      {"operators", Item->Ip + ":7101"},
+      {"dataFolder", this->RunFolder + "/c1"},
+      {"controlInstances",
+       json::array({{{"name", "c1"}, {"address", Item->Ip + ":7100"}}})}};
+  const std::string File = this->RunFolder + "/c1.json";
+  std::ofstream(File) << Settings.dump();
+  Item->Daemon.start({this->Options.Daemon, "--settings", File},
+                     this->RunFolder + "/c1.log");
+  this->Instances.push_back(std::move(Item));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  settle(
+      [&] {
+        return this->client().askFirst("POST", "/v1/init",
+                                       {{"adminToken", Token}});
+      },
+      [](const json &) {});
+  settle(
+      [&] {
+        return this->client().askLeader("POST", "/v1/teams",
+                                        {{"team", "team"}, {"token", Token}});
+      },
+      [](const json &) {});
+}
+
+CallBench::Instance &CallBench::startProxy(int Number,
+                                           const std::string &Service,
+                                           int Slots, int DelayMs,
+                                           const std::string &Choice) {
+  auto Item = std::make_unique<Instance>();
+  Item->Name = "p" + std::to_string(Number);
+  Item->Ip = "127.30.1." + std::to_string(Number);
+  json Settings = {
+      {"role", "proxy"},
+      {"name", Item->Name},
+      {"availabilityZone", "zone-a"},
+      {"listen", Item->Ip + ":7100"},
+      {"callers", Item->Ip + ":8080"},
+      {"local", Item->Ip + ":7102"},
+      {"log", {{"file", this->RunFolder + "/" + Item->Name + ".log"}}},
+      {"controlInstances",
+       json::array({{{"name", "c1"}, {"address", "127.30.0.1:7100"}}})}};
+  if (!Choice.empty())
+    Settings["baselines"] = {{"choice", Choice}};
+  const std::string File = this->RunFolder + "/" + Item->Name + ".json";
+  std::ofstream(File) << Settings.dump();
+  Item->Daemon.start({this->Options.Daemon, "--settings", File},
+                     this->RunFolder + "/" + Item->Name + ".out");
+  Item->Target.start({this->Options.Target, "--name", Item->Name, "--listen",
+                      Item->Ip + ":9000", "--daemon", Item->Ip + ":7102",
+                      "--service", Service, "--slots", std::to_string(Slots),
+                      "--delay-ms", std::to_string(DelayMs), "--callers",
+                      Item->Ip + ":8080", "--log",
+                      this->RunFolder + "/" + Item->Name + ".runs"},
+                     this->RunFolder + "/" + Item->Name + ".target");
+  this->Instances.push_back(std::move(Item));
+  return *this->Instances.back();
+}
+
+void CallBench::stopAll() { this->Instances.clear(); }
+
+bool CallBench::put(const json &Settings) {
+  json Edits = json::array();
+  for (const auto &[Path, Value] : Settings.items())
+    Edits.push_back({{"path", Path}, {"value", Value}});
+  return !settle(
+              [&] {
+                return this->client().askLeader("POST", "/v1/changes",
+                                                {{"changeId", "first"},
+                                                 {"basedOn", 0},
+                                                 {"team", "team"},
+                                                 {"edits", Edits}});
+              },
+              [](const json &) {})
+              .failed();
+}
+
+bool CallBench::awaitReady(std::size_t Proxies) {
+  const auto Until = Clock::now() + std::chrono::seconds(30);
+  while (Clock::now() < Until) {
+    std::size_t Serving = 0;
+    settle([&] { return this->client().askAny("/v1/members"); },
+           [&](const json &Answer) {
+             for (const json &Item : Answer.at("members"))
+               Serving += Item.at("target") == "Serving" ? 1 : 0;
+           });
+    if (Serving == Proxies) {
+      // Every proxy hears of every target, and opens.
+      std::this_thread::sleep_for(std::chrono::seconds(3));
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  return false;
+}
+
+double CallBench::cpuSeconds(const Process &Of) const {
+  std::ifstream Stat("/proc/" + std::to_string(Of.id()) + "/stat");
+  std::string Text;
+  std::getline(Stat, Text);
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
+  std::string Skipped;
+  for (int I = 0; I < 11; ++I)
+    Fields >> Skipped;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+CallBench::Result CallBench::drive(const Load &Plan) const {
+  Result Out;
+  std::mutex Lock;
+  std::vector<std::thread> Threads;
+  const auto Start = Clock::now();
+  const auto End = Start + std::chrono::seconds(this->Options.Seconds);
+  const std::chrono::duration<double> Pause(Plan.Threads / Plan.Rate);
+  for (int Number = 0; Number < Plan.Threads; ++Number)
+    Threads.emplace_back([&, Number] {
+      const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> Easy(
+          curl_easy_init(), &curl_easy_cleanup);
+      curl_slist *List =
+          curl_slist_append(nullptr, ("Host: " + Plan.Job).c_str());
+      if (Plan.DeadlineMs > 0)
+        List = curl_slist_append(
+            List, ("Persimmon-Deadline-Ms: " + std::to_string(Plan.DeadlineMs))
+                      .c_str());
+      curl_easy_setopt(Easy.get(), CURLOPT_URL,
+                       ("http://" + Plan.Address + Plan.Path).c_str());
+      curl_easy_setopt(Easy.get(), CURLOPT_PROXY, "");
+      curl_easy_setopt(Easy.get(), CURLOPT_NOSIGNAL, 1L);
+      curl_easy_setopt(Easy.get(), CURLOPT_HTTPHEADER, List);
+      curl_easy_setopt(Easy.get(), CURLOPT_TIMEOUT_MS, 30'000L);
+      curl_easy_setopt(Easy.get(), CURLOPT_WRITEFUNCTION, &discard);
+      auto Next = Start + std::chrono::duration_cast<Clock::duration>(
+                              Pause * Number / Plan.Threads);
+      Result Own;
+      while (Next < End) {
+        std::this_thread::sleep_until(Next);
+        const auto Sent = Clock::now();
+        const CURLcode Code = curl_easy_perform(Easy.get());
+        const std::chrono::duration<double, std::milli> Took =
+            Clock::now() - Sent;
+        long Status = 0;
+        curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
+        if (Code == CURLE_OK && Status == 200) {
+          Own.Good += 1;
+          Own.Times.push_back(Took.count());
+        } else if (Status == 503) {
+          Own.Refused += 1;
+        } else {
+          Own.Other += 1;
+        }
+        Next += std::chrono::duration_cast<Clock::duration>(Pause);
+        // A caller that fell behind does not catch up in a burst.
+        Next = std::max(Next, Clock::now());
+      }
+      curl_slist_free_all(List);
+      const std::lock_guard<std::mutex> Guard(Lock);
+      Out.Times.insert(Out.Times.end(), Own.Times.begin(), Own.Times.end());
+      Out.Good += Own.Good;
+      Out.Refused += Own.Refused;
+      Out.Other += Own.Other;
+    });
+  for (std::thread &Item : Threads)
+    Item.join();
+  return Out;
+}
+
+bool CallBench::runLatency() {
+  this->startControl();
+  Instance &Entry = this->startProxy(1, "team/entry", 20, 0, "");
+  Instance &Far = this->startProxy(2, "team/work", 200, 0, "");
+  if (!this->put(
+          {{"team/services/entry", {{"queue", 100}}},
+           {"team/services/work", {{"queue", 100}}},
+           {"team/routes/work", {{"job", "job"}, {"service", "team/work"}}}}) ||
+      !this->awaitReady(2))
+    return false;
+  for (const double Rate : {254.0, 1000.0, 2000.0, 4000.0}) {
+    Load Direct;
+    Direct.Address = Far.Ip + ":9000";
+    Direct.Job = "job";
+    Direct.Rate = Rate;
+    Load Through = Direct;
+    Through.Address = Entry.Ip + ":8080";
+    const Result Plain = this->drive(Direct);
+    const double EntryCpu = this->cpuSeconds(Entry.Daemon);
+    const double FarCpu = this->cpuSeconds(Far.Daemon);
+    const Result Proxied = this->drive(Through);
+    const double Calls = std::max(1, Proxied.Good);
+    const auto Added = [&](double Share) {
+      return quantile(Proxied.Times, Share) - quantile(Plain.Times, Share);
+    };
+    std::cout << json{{"phase", "latency"},
+                      {"rate", Rate},
+                      {"good", Proxied.Good},
+                      {"other", Proxied.Other + Proxied.Refused},
+                      {"directP50Ms", quantile(Plain.Times, 0.5)},
+                      {"directP99Ms", quantile(Plain.Times, 0.99)},
+                      {"p50Ms", quantile(Proxied.Times, 0.5)},
+                      {"p99Ms", quantile(Proxied.Times, 0.99)},
+                      {"addedP50Ms", Added(0.5)},
+                      {"addedP99Ms", Added(0.99)},
+                      {"addedP999Ms", Added(0.999)},
+                      {"entryCpuUsPerCall",
+                       (this->cpuSeconds(Entry.Daemon) - EntryCpu) * 1e6 /
+                           Calls},
+                      {"targetDaemonCpuUsPerCall",
+                       (this->cpuSeconds(Far.Daemon) - FarCpu) * 1e6 / Calls}}
+                     .dump()
+              << std::endl;
+  }
+  this->stopAll();
+  return true;
+}
+
+bool CallBench::runOverload() {
+  // Ten slots of 20 ms serve 500 calls a second.
+  constexpr double Capacity = 500;
+  constexpr int Patience = 400;
+  for (const bool Limits : {true, false}) {
+    this->startControl();
+    Instance &Entry = this->startProxy(1, "team/entry", 20, 0, "");
+    this->startProxy(2, "team/work", 10, 20, "");
+    const json Work = Limits ? json{{"queue", 16}}
+                             : json{{"queue", 1000}, {"deadlineMs", 600'000}};
+    if (!this->put({{"team/services/entry", {{"queue", 100}}},
+                    {"team/services/work", Work},
+                    {"team/routes/work",
+                     {{"job", "job"}, {"service", "team/work"}}}}) ||
+        !this->awaitReady(2))
+      return false;
+    for (const double Factor : {1.0, 2.0, 3.0}) {
+      Load Plan;
+      Plan.Address = Entry.Ip + ":8080";
+      Plan.Job = "job";
+      Plan.Rate = Capacity * Factor;
+      Plan.Threads = 1000;
+      Plan.DeadlineMs = Limits ? Patience : 0;
+      const Result Got = this->drive(Plan);
+      // An answer that comes later than its caller waits is worth nothing.
+      const auto InTime =
+          std::count_if(Got.Times.begin(), Got.Times.end(),
+                        [](double Ms) { return Ms <= Patience; });
+      std::cout << json{{"phase", "overload"},
+                        {"limits", Limits},
+                        {"factor", Factor},
+                        {"goodput",
+                         static_cast<double>(InTime) / this->Options.Seconds},
+                        {"shareOfCapacity", static_cast<double>(InTime) /
+                                                this->Options.Seconds /
+                                                Capacity},
+                        {"late", Got.Good - InTime},
+                        {"refused", Got.Refused},
+                        {"other", Got.Other},
+                        {"p50Ms", quantile(Got.Times, 0.5)},
+                        {"p99Ms", quantile(Got.Times, 0.99)}}
+                       .dump()
+                << std::endl;
+    }
+    this->stopAll();
+  }
+  return true;
+}
+
+bool CallBench::runChoice() {
+  for (const char *Choice : {"", "random"}) {
+    this->startControl();
+    Instance &Entry = this->startProxy(1, "team/entry", 20, 0, Choice);
+    for (int Number = 2; Number <= 5; ++Number)
+      this->startProxy(Number, "team/work", 10, Number == 5 ? 100 : 10, Choice);
+    if (!this->put({{"team/services/entry", {{"queue", 100}}},
+                    {"team/services/work", {{"queue", 100}}},
+                    {"team/routes/work",
+                     {{"job", "job"}, {"service", "team/work"}}}}) ||
+        !this->awaitReady(5))
+      return false;
+    Load Plan;
+    Plan.Address = Entry.Ip + ":8080";
+    Plan.Job = "job";
+    Plan.Rate = 600;
+    Plan.Threads = 200;
+    const Result Got = this->drive(Plan);
+    std::cout << json{{"phase", "choice"},
+                      {"choice", *Choice == '\0' ? "least-of-two" : Choice},
+                      {"good", Got.Good},
+                      {"refused", Got.Refused},
+                      {"other", Got.Other},
+                      {"p50Ms", quantile(Got.Times, 0.5)},
+                      {"p99Ms", quantile(Got.Times, 0.99)}}
+                     .dump()
+              << std::endl;
+    this->stopAll();
+  }
+  return true;
+}
+
+bool CallBench::runChains() {
+  for (const int Depth : {5, 10, 25}) {
+    this->startControl();
+    // Two targets pass calls on; the last service has one that breaks off.
+    Instance &Entry = this->startProxy(1, "team/hop", 100, 0, "");
+    this->startProxy(2, "team/hop", 100, 0, "");
+    Instance &Last = this->startProxy(3, "team/last", 100, 0, "");
+    Instance &Other = this->startProxy(4, "team/last", 100, 0, "");
+    if (!this->put(
+            {{"team/services/hop", {{"queue", 100}}},
+             {"team/services/last", {{"queue", 100}}},
+             {"team/routes/hop", {{"job", "hop"}, {"service", "team/hop"}}},
+             {"team/routes/last",
+              {{"job", "last"}, {"service", "team/last"}}}}) ||
+        !this->awaitReady(4))
+      return false;
+    for (const Instance *Item : {&Last, &Other}) {
+      settle(
+          [&] {
+            return requestApi("POST", Item->Ip + ":9000", "/standin/set", "",
+                              {{"hangingUp", true}});
+          },
+          [](const ApiAnswer &) {});
+    }
+    Load Plan;
+    Plan.Address = Entry.Ip + ":8080";
+    Plan.Job = "hop";
+    Plan.Path = "/chain/" + std::to_string(Depth - 1);
+    Plan.Rate = 40;
+    const Result Got = this->drive(Plan);
+    int Runs = 0;
+    for (const Instance *Item : {&Last, &Other}) {
+      std::ifstream In(this->RunFolder + "/" + Item->Name + ".runs");
+      std::string Line;
+      while (std::getline(In, Line))
+        Runs += Line.starts_with("run ") ? 1 : 0;
+    }
+    const int Calls = Got.Good + Got.Refused + Got.Other;
+    std::cout << json{{"phase", "chain"},
+                      {"depth", Depth},
+                      {"calls", Calls},
+                      {"runsOfLast", Runs},
+                      {"attemptsPerCall",
+                       static_cast<double>(Runs) / std::max(1, Calls)}}
+                     .dump()
+              << std::endl;
+    this->stopAll();
+  }
+  return true;
+}
+
+} // namespace persimmon
--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -112,7 +112,6 @@
 void BodyStore::drop(const wire::AttemptId &Id) {
   this->Requests.erase(Id);
   this->Held.erase(Id);
-  this->Arrivals.erase(Id);
 }
 
 std::vector<wire::BodyPart> cutBody(const wire::AttemptId &Id, bool OfAnswer,
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -60,7 +60,10 @@
   /// Takes a whole answer that arrived for a caller.
   std::optional<Answer> takeArrived(const wire::AttemptId &Id);
 
-  /// Forgets everything about an attempt.
+  /// Forgets what arrived for a caller.
+  void dropArrival(const wire::AttemptId &Id) { this->Arrivals.erase(Id); }
+
+  /// Forgets the request for the own target and the answer held for it.
   void drop(const wire::AttemptId &Id);
 
 private:
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -262,11 +262,25 @@
   this->Bodies.drop(Item.Id);
 }
 
+void DaemonHost::carryOut(const DropArrival &Item) {
+  this->Bodies.dropArrival(Item.Id);
+}
+
 void DaemonHost::carryOut(const RenewConnection &Item) {
   this->Network->renew(Item.Address);
 }
 
-void DaemonHost::carryOut(const ReadyToExit &) { this->Io.stop(); }
+void DaemonHost::carryOut(const ReadyToExit &) { this->stopWhenWritten(); }
+
+void DaemonHost::stopWhenWritten() {
+  // Answers that are still on their way to callers are not cut off.
+  if (!this->Proxy || this->Proxy->pendingAnswers() == 0)
+    return this->Io.stop();
+  auto Timer = std::make_shared<asio::steady_timer>(this->Io);
+  Timer->expires_after(TickInterval);
+  Timer->async_wait(
+      [this, Timer](std::error_code) { this->stopWhenWritten(); });
+}
 
 std::string DaemonHost::metricsText() {
   const Time Now = std::chrono::steady_clock::now();
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -42,6 +42,7 @@
   leaf::result<void> openPorts();
   void startTicks();
   void watchSignals();
+  void stopWhenWritten();
 
   void onMessage(std::string From, Message Body) override;
   void onStreamLost(std::string Address) override;
@@ -64,6 +65,7 @@
   void carryOut(const CancelOnTarget &Item);
   void carryOut(const SendAnswer &Item);
   void carryOut(const DropAttempt &Item);
+  void carryOut(const DropArrival &Item);
   void carryOut(const RenewConnection &Item);
   void carryOut(const ReadyToExit &Item);
 
--- a/src/libhost/httpport.cpp
+++ b/src/libhost/httpport.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t MaxPipelinedRequests = 4;
 constexpr std::chrono::seconds ReadTimeout{120};
 constexpr std::chrono::seconds HandleTimeout{660};
+constexpr std::chrono::seconds WriteTimeout{60};
 
 char lower(char C) {
   return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
@@ -99,6 +100,7 @@
               .max_pipelined_requests(MaxPipelinedRequests)
               .read_next_http_message_timelimit(ReadTimeout)
               .handle_request_timeout(HandleTimeout)
+              .write_http_response_timelimit(WriteTimeout)
               .connection_state_listener(std::make_shared<StateListener>(*this))
               .socket_options_setter([](auto &Options) {
                 Options.set_option(asio::ip::tcp::no_delay(true));
@@ -131,14 +133,32 @@
         restinio::http_status_code_t(static_cast<std::uint16_t>(Answer.Status)),
         ""));
     for (wire::Header &Item : Answer.Headers)
-      Response.append_header(std::move(Item.Name), std::move(Item.Value));
+      Response.header().add_field(std::move(Item.Name), std::move(Item.Value));
     if (Answer.CloseConnection)
       Response.connection_close();
     Response.set_body(std::move(Answer.Body));
+    ++*this->Unwritten;
+    Response.done([Count = this->Unwritten](const auto &) { --*Count; });
+  }
+
+  void breakOff(std::int64_t Id) {
+    const auto Found = this->Open.find(Id);
+    if (Found == this->Open.end())
+      return;
+    const restinio::request_handle_t Request = std::move(Found->second);
+    this->forget(Found);
+    constexpr std::size_t AnnouncedBytes = 100;
+    auto Response =
+        Request->create_response<restinio::user_controlled_output_t>();
+    Response.set_content_length(AnnouncedBytes);
+    Response.connection_close();
+    Response.append_body("short");
     Response.done();
   }
 
-  std::size_t openRequests() const { return this->Open.size(); }
+  std::size_t pendingAnswers() const {
+    return this->Open.size() + *this->Unwritten;
+  }
 
 private:
   using OpenMap = std::map<std::int64_t, restinio::request_handle_t>;
@@ -194,6 +214,7 @@
   OpenMap Open;
   std::multimap<std::uint64_t, std::int64_t> ByConnection;
   std::int64_t LastId = 0;
+  std::shared_ptr<std::size_t> Unwritten = std::make_shared<std::size_t>(0);
 };
 
 HttpPort::HttpPort(std::unique_ptr<Impl> Made)
@@ -213,8 +234,10 @@
   this->Implementation->answer(Id, std::move(Answer));
 }
 
-std::size_t HttpPort::openRequests() const {
-  return this->Implementation->openRequests();
+void HttpPort::breakOff(std::int64_t Id) { this->Implementation->breakOff(Id); }
+
+std::size_t HttpPort::pendingAnswers() const {
+  return this->Implementation->pendingAnswers();
 }
 
 } // namespace persimmon
--- a/src/libhost/httpport.h
+++ b/src/libhost/httpport.h
@@ -60,8 +60,11 @@
   /// Answers a request; does nothing if its connection is gone.
   void answer(std::int64_t Id, HttpAnswer Answer);
 
-  /// Returns the number of requests that are not answered.
-  std::size_t openRequests() const;
+  /// Answers with less than is announced and closes; for tests of callers.
+  void breakOff(std::int64_t Id);
+
+  /// Returns the number of requests whose answer is not written yet.
+  std::size_t pendingAnswers() const;
 
 private:
   class Impl;
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -39,8 +39,10 @@
   void run(const RunOnTarget &Run);
   void cancel(const CancelOnTarget &Cancel);
 
-  /// Returns the number of callers that wait for an answer.
-  std::size_t openCalls() const { return this->CallerPort->openRequests(); }
+  /// Returns the number of answers that callers have not received whole.
+  std::size_t pendingAnswers() const {
+    return this->CallerPort->pendingAnswers();
+  }
 
 private:
   class CallerHandler;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -88,7 +88,7 @@
   void attemptNotRun(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
   bool retryElsewhere(Call &TheCall, Time Now, Effects &Out);
   void attemptUnknown(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
-  void endAttempt(Call &TheCall, bool Failed, Time Now);
+  void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
   void finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun, Time Now,
               Effects &Out);
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -93,6 +93,7 @@
   std::int64_t term() const { return this->Hard.Term; }
   std::int64_t commitIndex() const { return this->Commit; }
   std::int64_t lastIndex() const { return this->Log.lastIndex(); }
+  std::int64_t lastTerm() const { return this->Log.lastTerm(); }
   const std::vector<wire::Replica> &voters() const {
     return this->Log.voters();
   }
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -104,6 +104,11 @@
   wire::AttemptId Id;
 };
 
+/// Forgets an answer, or the part of one, that arrived for a caller.
+struct DropArrival {
+  wire::AttemptId Id;
+};
+
 /// Abandons the connection to an address; the next message opens a new one.
 struct RenewConnection {
   std::string Address;
@@ -116,8 +121,8 @@
     std::variant<PersistHardState, PersistEntries, PersistSnapshot, SendMessage,
                  AnswerOperator, VersionInForce, LogDecision, LogWarning,
                  SendCall, RefuseCaller, AnswerCaller, RunOnTarget,
-                 CancelOnTarget, SendAnswer, DropAttempt, RenewConnection,
-                 ReadyToExit>;
+                 CancelOnTarget, SendAnswer, DropAttempt, DropArrival,
+                 RenewConnection, ReadyToExit>;
 
 /// Effects in the order in which they must be carried out.
 using Effects = std::vector<Effect>;
--- /dev/null
+++ b/tests/calls/test_calls.cpp
@@ -0,0 +1,326 @@
+#include "libpersimmon/node.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace persimmon;
+
+namespace {
+
+const Time Start = Time() + std::chrono::hours(1);
+
+wire::CallRequest request(std::int64_t Number, int RemainingMs = 5000,
+                          int Priority = 5) {
+  wire::CallRequest Out;
+  Out.Id.Sender = "p1";
+  Out.Id.SenderIncarnation = 1;
+  Out.Id.Number = Number;
+  Out.Service = "team/work";
+  Out.RemainingMs = RemainingMs;
+  Out.Priority = Priority;
+  Out.CallId = "call-" + std::to_string(Number);
+  return Out;
+}
+
+/// The replies that effects hold, by attempt number.
+std::map<std::int64_t, wire::CallReply> replies(const Effects &Out) {
+  std::map<std::int64_t, wire::CallReply> Found;
+  for (const Effect &Item : Out) {
+    const auto *Sent = std::get_if<SendMessage>(&Item);
+    if (Sent != nullptr &&
+        std::holds_alternative<wire::CallReply>(Sent->Body)) {
+      const auto &Reply = std::get<wire::CallReply>(Sent->Body);
+      Found[Reply.Id.Number] = Reply;
+    }
+  }
+  return Found;
+}
+
+std::set<std::int64_t> runs(const Effects &Out) {
+  std::set<std::int64_t> Found;
+  for (const Effect &Item : Out) {
+    if (const auto *Run = std::get_if<RunOnTarget>(&Item))
+      Found.insert(Run->Id.Number);
+  }
+  return Found;
+}
+
+/// A ledger whose target serves with two slots.
+struct Ledger {
+  TargetLedger Under;
+  ServiceSpec Limits;
+  Effects Out;
+
+  Ledger() {
+    this->Limits.Name = "team/work";
+    this->Limits.Queue = 2;
+    this->target(wire::TargetState::Serving);
+  }
+
+  void target(wire::TargetState::type State) {
+    TargetAnnounced Event;
+    Event.Service = "team/work";
+    Event.Slots = 2;
+    Event.State = State;
+    this->Under.setTarget(Event, Start, this->Out);
+  }
+
+  void arrive(const wire::CallRequest &Request, Time Now = Start) {
+    this->Under.receive(Request, "#1", true, &this->Limits, Now, this->Out);
+  }
+
+  void query(std::int64_t Number, Time Now = Start) {
+    wire::CallQuery Query;
+    Query.Id = request(Number).Id;
+    this->Under.receive(Query, "#2", true, Now, this->Out);
+  }
+
+  void finish(std::int64_t Number, Time Now, RunEnd End = RunEnd::Answered) {
+    RunFinished Run;
+    Run.Id = request(Number).Id;
+    Run.End = End;
+    this->Under.finished(Run, Now, this->Out);
+  }
+};
+
+} // namespace
+
+TEST_CASE("an attempt that was asked after before it arrived never runs") {
+  Ledger L;
+  L.query(1);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+  L.Out.clear();
+  L.arrive(request(1));
+  CHECK(runs(L.Out).empty());
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+}
+
+TEST_CASE("a fence that was forgotten is never said to be not run") {
+  Ledger L;
+  L.query(1);
+  L.Under.tick(Start + std::chrono::minutes(2), L.Out);
+  L.Out.clear();
+  L.arrive(request(1), Start + std::chrono::minutes(2));
+  CHECK(runs(L.Out).empty());
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::Unknown);
+}
+
+TEST_CASE("a call for an earlier process of the daemon is not run") {
+  Ledger L;
+  L.Under.receive(request(1), "#1", false, &L.Limits, Start, L.Out);
+  CHECK(runs(L.Out).empty());
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+  wire::CallQuery Query;
+  Query.Id = request(2).Id;
+  L.Under.receive(Query, "#1", false, Start, L.Out);
+  CHECK(replies(L.Out)[2].Outcome == wire::CallOutcome::Unknown);
+}
+
+TEST_CASE("slots and queue are bounded, and the queue goes by deadline") {
+  Ledger L;
+  L.arrive(request(1));
+  L.arrive(request(2));
+  L.arrive(request(3, 4000));
+  L.arrive(request(4, 3000));
+  L.arrive(request(5));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{1, 2});
+  CHECK(replies(L.Out)[5].Code == static_cast<int>(ResultCode::Overloaded));
+  L.Out.clear();
+  L.finish(1, Start + milliseconds(10));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{4});
+}
+
+TEST_CASE("a call whose deadline cannot be met is refused before it runs") {
+  Ledger L;
+  L.arrive(request(1));
+  L.finish(1, Start + milliseconds(1000));
+  for (std::int64_t Number = 2; Number <= 20; ++Number) {
+    L.arrive(request(Number), Start);
+    L.finish(Number, Start + milliseconds(1000));
+  }
+  L.arrive(request(21));
+  L.arrive(request(22));
+  L.Out.clear();
+  L.arrive(request(23, 500));
+  CHECK(replies(L.Out)[23].Code ==
+        static_cast<int>(ResultCode::DeadlineCannotBeMet));
+  L.arrive(request(24, 0));
+  CHECK(replies(L.Out)[24].Code ==
+        static_cast<int>(ResultCode::DeadlineCannotBeMet));
+}
+
+TEST_CASE("queued calls whose deadline passes are handed back as not run") {
+  Ledger L;
+  L.arrive(request(1));
+  L.arrive(request(2));
+  L.arrive(request(3, 100));
+  L.Out.clear();
+  L.Under.tick(Start + milliseconds(101), L.Out);
+  CHECK(replies(L.Out)[3].Outcome == wire::CallOutcome::NotRun);
+  L.finish(1, Start + milliseconds(200));
+  CHECK(runs(L.Out).empty());
+}
+
+TEST_CASE("the least important calls are shed first if the settings say so") {
+  Ledger L;
+  L.Limits.ShedBelowPriority = 5;
+  L.arrive(request(1));
+  L.arrive(request(2));
+  L.arrive(request(3, 5000, 5));
+  L.arrive(request(4, 5000, 3));
+  CHECK(replies(L.Out)[4].Code == static_cast<int>(ResultCode::Overloaded));
+  L.arrive(request(5, 5000, 6));
+  L.Out.clear();
+  L.arrive(request(6, 5000, 9));
+  CHECK(replies(L.Out)[3].Code == static_cast<int>(ResultCode::Overloaded));
+  CHECK(replies(L.Out).count(6) == 0);
+}
+
+TEST_CASE("a leaving target gets no new work and hands back its queue") {
+  Ledger L;
+  L.arrive(request(1));
+  L.arrive(request(2));
+  L.arrive(request(3));
+  L.Out.clear();
+  L.target(wire::TargetState::Draining);
+  CHECK(replies(L.Out)[3].Code == static_cast<int>(ResultCode::Draining));
+  L.arrive(request(4));
+  CHECK(replies(L.Out)[4].Code == static_cast<int>(ResultCode::Draining));
+  CHECK(!L.Under.idle());
+  L.Out.clear();
+  L.finish(1, Start);
+  L.finish(2, Start);
+  CHECK(runs(L.Out).empty());
+}
+
+TEST_CASE("a broken run is unknown, an unreachable or shedding target is not") {
+  Ledger L;
+  L.arrive(request(1));
+  L.arrive(request(2));
+  L.Out.clear();
+  L.finish(1, Start, RunEnd::Broken);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::Unknown);
+  L.finish(2, Start, RunEnd::NotConnected);
+  CHECK(replies(L.Out)[2].Outcome == wire::CallOutcome::NotRun);
+  L.arrive(request(3));
+  L.finish(3, Start, RunEnd::Shed);
+  CHECK(replies(L.Out)[3].Outcome == wire::CallOutcome::NotRun);
+}
+
+TEST_CASE("an answer is held until it is taken, and told again when asked") {
+  Ledger L;
+  L.arrive(request(1));
+  L.finish(1, Start);
+  L.Out.clear();
+  L.query(1);
+  REQUIRE(L.Out.size() == 1);
+  CHECK(std::holds_alternative<SendAnswer>(L.Out[0]));
+  wire::AnswerAck Ack;
+  Ack.Id = request(1).Id;
+  L.Under.receive(Ack, Start, L.Out);
+  L.Out.clear();
+  L.query(1);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::Unknown);
+}
+
+namespace {
+
+/// Members with one service, as a proxy sees them.
+struct Targets {
+  Membership Members;
+  LeastOfTwo Policy;
+
+  explicit Targets(int Count) : Members(record("p0", false), {}, 1) {
+    wire::Gossip Head;
+    for (int I = 1; I <= Count; ++I)
+      Head.Updates.push_back(record("p" + std::to_string(I), true));
+    this->Members.absorb(Head, Start);
+  }
+
+  static wire::MemberRecord record(const std::string &Name, bool Serving) {
+    wire::MemberRecord Out;
+    Out.Name = Name;
+    Out.Address = Name + ":1";
+    Out.Zone = "zone-a";
+    Out.Incarnation = 1;
+    Out.Sequence = 1;
+    Out.Slots = 10;
+    Out.Service = "team/work";
+    Out.Target = Serving ? wire::TargetState::Serving : wire::TargetState::None;
+    return Out;
+  }
+
+  void setUnwell(const std::string &Name) {
+    wire::Gossip Head;
+    Head.Updates.push_back(record(Name, true));
+    Head.Updates.back().Sequence = 2;
+    Head.Updates.back().Unwell = true;
+    this->Members.absorb(Head, Start);
+  }
+
+  std::map<std::string, int> chooseMany(TargetChooser &Chooser) {
+    std::map<std::string, int> Out;
+    for (int I = 0; I < 1000; ++I)
+      Out[Chooser.choose(this->Members, "team/work", {}, Start).Record->Name] +=
+          1;
+    return Out;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a target that looks unwell gets less, unless most look so") {
+  Targets T(4);
+  T.setUnwell("p1");
+  TargetChooser Chooser("zone-a", 1, T.Policy);
+  CHECK(T.chooseMany(Chooser)["p1"] < 20);
+  T.setUnwell("p2");
+  T.setUnwell("p3");
+  TargetChooser Fresh("zone-a", 1, T.Policy);
+  auto Counts = T.chooseMany(Fresh);
+  CHECK(Counts["p1"] > 150);
+  CHECK(Counts["p4"] < 500);
+}
+
+TEST_CASE("a failing target is left alone, but never most of them") {
+  Targets T(4);
+  TargetChooser Chooser("zone-a", 1, T.Policy);
+  T.chooseMany(Chooser);
+  for (int I = 0; I < 10; ++I)
+    Chooser.finished("p1", true, Start);
+  CHECK(T.chooseMany(Chooser)["p1"] == 0);
+  for (const char *Name : {"p2", "p3", "p4"}) {
+    for (int I = 0; I < 10; ++I)
+      Chooser.finished(Name, true, Start);
+  }
+  CHECK(T.chooseMany(Chooser).size() == 4);
+}
+
+TEST_CASE("the own zone is preferred until it is loaded") {
+  Targets T(2);
+  wire::Gossip Head;
+  Head.Updates.push_back(Targets::record("far", true));
+  Head.Updates.back().Zone = "zone-b";
+  T.Members.absorb(Head, Start);
+  TargetChooser Chooser("zone-a", 1, T.Policy);
+  CHECK(T.chooseMany(Chooser).count("far") == 0);
+  for (int I = 0; I < 12; ++I) {
+    Chooser.started("p1");
+    Chooser.started("p2");
+  }
+  CHECK(T.chooseMany(Chooser)["far"] > 300);
+}
+
+TEST_CASE("a retry budget is a share of calls") {
+  RetryBudget Budget;
+  int Retries = 0;
+  for (int I = 0; I < 1000; ++I) {
+    Budget.earn("team/work", 10);
+    while (Budget.spend("team/work"))
+      ++Retries;
+  }
+  CHECK(Retries <= 101);
+  CHECK(Retries >= 95);
+}
--- /dev/null
+++ b/tests/diskstore/test_diskstore.cpp
@@ -0,0 +1,225 @@
+#include "libhost/diskstore.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <optional>
+
+using namespace persimmon;
+namespace fs = std::filesystem;
+
+namespace {
+
+/// A folder that is removed with this object.
+class TemporaryFolder {
+public:
+  TemporaryFolder() {
+    std::string Name = (fs::temp_directory_path() / "disk-XXXXXX").string();
+    REQUIRE(::mkdtemp(Name.data()) != nullptr);
+    this->Path = Name;
+  }
+  ~TemporaryFolder() { fs::remove_all(this->Path); }
+
+  std::string path() const { return this->Path + "/data"; }
+  std::string file(const char *Name) const { return this->path() + "/" + Name; }
+
+private:
+  std::string Path;
+};
+
+wire::LogEntry entry(std::int64_t Index, std::int64_t Term) {
+  wire::LogEntry Out;
+  Out.Index = Index;
+  Out.Term = Term;
+  Out.Kind = wire::EntryKind::Change;
+  Out.TheChange.ChangeId = "change-" + std::to_string(Index);
+  return Out;
+}
+
+std::optional<DiskStore> open(const TemporaryFolder &Folder,
+                              std::uint64_t NewId) {
+  std::optional<DiskStore> Out;
+  const Failure Error =
+      settle([&] { return DiskStore::open(Folder.path(), NewId); },
+             [&](DiskStore Made) { Out.emplace(std::move(Made)); });
+  INFO(describe(Error));
+  REQUIRE(Out);
+  return Out;
+}
+
+template <typename RecordT> void write(DiskStore &Disk, const RecordT &Record) {
+  const Failure Error = settle([&] { return Disk.write(Record); }, [] {});
+  REQUIRE(!Error.failed());
+}
+
+/// Writes ten entries and a vote, and closes.
+std::int64_t fill(const TemporaryFolder &Folder) {
+  auto Disk = open(Folder, 100);
+  wire::HardState Hard;
+  Hard.Term = 3;
+  Hard.VotedFor = 7;
+  write(*Disk, PersistHardState{Hard});
+  for (std::int64_t I = 1; I <= 10; ++I)
+    write(*Disk, PersistEntries{{entry(I, 3)}});
+  return Disk->diskId();
+}
+
+std::string content(const std::string &File) {
+  std::ifstream In(File, std::ios::binary);
+  return {std::istreambuf_iterator<char>(In), {}};
+}
+
+void overwrite(const std::string &File, const std::string &Bytes) {
+  std::ofstream(File, std::ios::binary | std::ios::trunc) << Bytes;
+}
+
+} // namespace
+
+TEST_CASE("what was written is read again") {
+  const TemporaryFolder Folder;
+  const std::int64_t Id = fill(Folder);
+  const auto Disk = open(Folder, 200);
+  CHECK(!Disk->damage().failed());
+  CHECK(Disk->diskId() == Id);
+  CHECK(Disk->state().Hard.Term == 3);
+  CHECK(Disk->state().Hard.VotedFor == 7);
+  REQUIRE(Disk->state().Entries.size() == 10);
+  CHECK(Disk->state().Entries.back().TheChange.ChangeId == "change-10");
+}
+
+TEST_CASE("later entries supersede earlier ones of the same index") {
+  const TemporaryFolder Folder;
+  fill(Folder);
+  {
+    auto Disk = open(Folder, 200);
+    write(*Disk, PersistEntries{{entry(8, 4), entry(9, 4)}});
+  }
+  const auto Disk = open(Folder, 200);
+  REQUIRE(Disk->state().Entries.size() == 9);
+  CHECK(Disk->state().Entries[7].Term == 4);
+}
+
+TEST_CASE("a torn tail is cut at every length") {
+  const TemporaryFolder Folder;
+  fill(Folder);
+  const std::string Whole = content(Folder.file("journal"));
+  const std::size_t LastRecord =
+      Whole.size() - makeRecord('e', encodeRecord(entry(10, 3))).size();
+  for (std::size_t Size = LastRecord; Size < Whole.size(); ++Size) {
+    overwrite(Folder.file("journal"), Whole.substr(0, Size));
+    const auto Disk = open(Folder, 200);
+    CHECK(!Disk->damage().failed());
+    CHECK(Disk->state().Entries.size() == 9);
+  }
+}
+
+TEST_CASE("blocks that were never written are a torn tail") {
+  const TemporaryFolder Folder;
+  fill(Folder);
+  const std::string Whole = content(Folder.file("journal"));
+  wire::LogEntry Large = entry(11, 3);
+  Large.TheChange.Edits.resize(1);
+  Large.TheChange.Edits[0].Value = std::string(4000, 'v');
+  std::string Record = makeRecord('e', encodeRecord(Large));
+  std::fill(Record.begin() + 1000, Record.end(), '\0');
+  overwrite(Folder.file("journal"), Whole + Record);
+  const auto Disk = open(Folder, 200);
+  CHECK(!Disk->damage().failed());
+  CHECK(Disk->state().Entries.size() == 10);
+}
+
+TEST_CASE("damage before the synced end is a lost disk") {
+  const TemporaryFolder Folder;
+  const std::int64_t Id = fill(Folder);
+  const std::string Whole = content(Folder.file("journal"));
+  // Every byte of the journal, the last record's included.
+  for (std::size_t At = 0; At < Whole.size(); At += 3) {
+    std::string Damaged = Whole;
+    Damaged[At] = static_cast<char>(Damaged[At] ^ 0x5a);
+    const TemporaryFolder Copy;
+    fs::create_directories(Copy.path());
+    fs::copy(Folder.file("disk-id"), Copy.file("disk-id"));
+    overwrite(Copy.file("journal"), Damaged);
+    const auto Disk = open(Copy, 300 + At * 2);
+    INFO("byte " << At << " of " << Whole.size());
+    if (!Disk->damage().failed()) {
+      // A length that points past the end looks like a write cut off; then
+      // nothing valid may follow it.
+      CHECK(Disk->state().Entries.size() >= 9);
+      continue;
+    }
+    CHECK(Disk->damage().Code == ResultCode::DiskDamaged);
+    CHECK(Disk->diskId() != Id);
+    CHECK(Disk->state().Entries.empty());
+    CHECK(Disk->state().Hard.Term == 0);
+  }
+}
+
+TEST_CASE("damaged files are kept aside") {
+  const TemporaryFolder Folder;
+  fill(Folder);
+  std::string Damaged = content(Folder.file("journal"));
+  Damaged[40] = static_cast<char>(Damaged[40] ^ 1);
+  overwrite(Folder.file("journal"), Damaged);
+  const auto Disk = open(Folder, 200);
+  CHECK(Disk->damage().failed());
+  bool Kept = false;
+  for (const auto &Item : fs::directory_iterator(Folder.path()))
+    Kept = Kept || Item.path().filename().string().starts_with("lost-");
+  CHECK(Kept);
+}
+
+TEST_CASE("a missing journal is a lost disk") {
+  const TemporaryFolder Folder;
+  const std::int64_t Id = fill(Folder);
+  fs::remove(Folder.file("journal"));
+  const auto Disk = open(Folder, 200);
+  CHECK(Disk->damage().Code == ResultCode::DiskDamaged);
+  CHECK(Disk->diskId() != Id);
+}
+
+TEST_CASE("a snapshot shortens the journal and both are read") {
+  const TemporaryFolder Folder;
+  fill(Folder);
+  {
+    auto Disk = open(Folder, 200);
+    wire::StoreSnapshot Snapshot;
+    Snapshot.LastIndex = 8;
+    Snapshot.LastTerm = 3;
+    Snapshot.ConfigurationVersion = 8;
+    write(*Disk, PersistSnapshot{Snapshot});
+    write(*Disk, PersistEntries{{entry(11, 3)}});
+  }
+  const auto Disk = open(Folder, 200);
+  CHECK(Disk->state().Snapshot.ConfigurationVersion == 8);
+  CHECK(Disk->state().Hard.Term == 3);
+  REQUIRE(Disk->state().Entries.size() == 3);
+  CHECK(Disk->state().Entries.front().Index == 9);
+}
+
+TEST_CASE("a crash between snapshot and journal loses nothing") {
+  const TemporaryFolder Folder;
+  fill(Folder);
+  const std::string OldJournal = content(Folder.file("journal"));
+  {
+    auto Disk = open(Folder, 200);
+    wire::StoreSnapshot Snapshot;
+    Snapshot.LastIndex = 8;
+    Snapshot.LastTerm = 3;
+    write(*Disk, PersistSnapshot{Snapshot});
+  }
+  overwrite(Folder.file("journal"), OldJournal);
+  const auto Disk = open(Folder, 200);
+  CHECK(!Disk->damage().failed());
+  CHECK(Disk->state().Entries.size() == 2);
+}
+
+TEST_CASE("two processes do not share a folder") {
+  const TemporaryFolder Folder;
+  const auto First = open(Folder, 100);
+  const Failure Error = settle(
+      [&] { return DiskStore::open(Folder.path(), 200); }, [](DiskStore) {});
+  CHECK(Error.Code == ResultCode::DataFolderUnwritable);
+}
--- /dev/null
+++ b/tests/settings/test_settings.cpp
@@ -0,0 +1,132 @@
+#include "libhost/daemonsettings.h"
+#include "support/process.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace persimmon;
+namespace fs = std::filesystem;
+
+namespace {
+
+const std::string Control = R"({"role":"control","name":"c1",
+  "availabilityZone":"zone-a","listen":"127.61.0.1:7100",
+  "operators":"127.61.0.1:7101","dataFolder":"/nonexistent",
+  "controlInstances":[{"name":"c1","address":"127.61.0.1:7100"}]})";
+
+const std::string Proxy = R"({"role":"proxy","name":"p1",
+  "availabilityZone":"zone-a","listen":"127.61.0.2:7100",
+  "callers":"127.61.0.2:8080","local":"127.61.0.2:7102",
+  "controlInstances":[{"name":"c1","address":"127.61.0.1:7100"}]})";
+
+std::string with(std::string Text, const std::string &Old,
+                 const std::string &New) {
+  const std::size_t At = Text.find(Old);
+  REQUIRE(At != std::string::npos);
+  return Text.replace(At, Old.size(), New);
+}
+
+Failure parse(const std::string &Text) {
+  return settle([&] { return DaemonSettings::parse(Text, "settings"); },
+                [](const DaemonSettings &) {});
+}
+
+/// What a run of the daemon left behind.
+struct DaemonRun {
+  int Status = -1;
+  std::string Output;
+};
+
+DaemonRun runDaemon(const std::string &Option, const std::string &Settings) {
+  std::string Folder = (fs::temp_directory_path() / "run-XXXXXX").string();
+  REQUIRE(::mkdtemp(Folder.data()) != nullptr);
+  std::ofstream(Folder + "/settings.json") << Settings;
+  Process Daemon;
+  REQUIRE(Daemon.start({DAEMON_PROGRAM, Option, Folder + "/settings.json"},
+                       Folder + "/output"));
+  for (int I = 0; I < 250 && Daemon.running(); ++I)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  DaemonRun Out;
+  Out.Status = Daemon.exitStatus();
+  std::ifstream In(Folder + "/output");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  Out.Output = Text.str();
+  fs::remove_all(Folder);
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("valid settings are accepted") {
+  CHECK(parse(Control).Code == ResultCode::Ok);
+  CHECK(parse(Proxy).Code == ResultCode::Ok);
+}
+
+TEST_CASE("bad settings name the key and a code") {
+  const Failure Unknown = parse(with(Proxy, "\"name\"", "\"nmae\":1,\"name\""));
+  CHECK(Unknown.Code == ResultCode::SettingsInvalid);
+  CHECK(Unknown.What.find("nmae") != std::string::npos);
+  const Failure Address =
+      parse(with(Proxy, "127.61.0.2:8080", "127.61.0.2:99999"));
+  CHECK(Address.Code == ResultCode::AddressInvalid);
+  CHECK(Address.Where == "settings[callers]");
+  CHECK(parse(with(Proxy, "127.61.0.2:8080", "host:80")).Code ==
+        ResultCode::AddressInvalid);
+  CHECK(parse("{").Code == ResultCode::SettingsNotJson);
+  CHECK(parse("[]").Code == ResultCode::SettingsInvalid);
+  CHECK(parse(with(Proxy, "\"proxy\"", "\"relay\"")).Code ==
+        ResultCode::SettingsInvalid);
+  const Failure WrongRole =
+      parse(with(Proxy, "\"callers\"", "\"dataFolder\":\"x\",\"callers\""));
+  CHECK(WrongRole.Code == ResultCode::SettingsInvalid);
+  CHECK(WrongRole.Where == "settings[dataFolder]");
+  CHECK(parse(with(Control, "\"name\":\"c1\",\"address\"",
+                   "\"name\":\"c2\",\"address\""))
+            .Where == "settings[controlInstances]");
+}
+
+TEST_CASE("the daemon checks settings without running") {
+  const DaemonRun Good = runDaemon("--check-settings", Proxy);
+  CHECK(Good.Status == 0);
+  const DaemonRun Bad =
+      runDaemon("--check-settings", with(Proxy, "\"zone-a\"", "7"));
+  CHECK(Bad.Status == 1);
+  CHECK(Bad.Output.find("104 SettingsInvalid") != std::string::npos);
+  CHECK(Bad.Output.find("[availabilityZone]") != std::string::npos);
+}
+
+TEST_CASE("the daemon says in one line why it does not start") {
+  const DaemonRun Folder = runDaemon(
+      "--settings", with(Control, "/nonexistent", "/proc/none/folder"));
+  CHECK(Folder.Status == 1);
+  CHECK(Folder.Output.find("106 DataFolderUnwritable") != std::string::npos);
+
+  const std::string Twice = with(Proxy, "127.61.0.2:7102", "127.61.0.2:8080");
+  const DaemonRun Port = runDaemon("--settings", Twice);
+  CHECK(Port.Status == 1);
+  CHECK(Port.Output.find("107 PortInUse") != std::string::npos);
+  CHECK(Port.Output.find("127.61.0.2:8080") != std::string::npos);
+}
+
+TEST_CASE("the shipped examples are valid") {
+  int Checked = 0;
+  for (const auto &Item : fs::recursive_directory_iterator(EXAMPLES_FOLDER)) {
+    const std::string File = Item.path().string();
+    if (Item.path().extension() != ".json" ||
+        File.find("/daemons/") == std::string::npos)
+      continue;
+    const Failure Error = settle([&] { return DaemonSettings::load(File); },
+                                 [](const DaemonSettings &) {});
+    INFO(File << " " << describe(Error));
+    CHECK(!Error.failed());
+    ++Checked;
+  }
+  CHECK(Checked > 0);
+}
--- a/tests/standin/standintarget.cpp
+++ b/tests/standin/standintarget.cpp
@@ -70,6 +70,14 @@
     // Dies with the call half done, as a crash would.
     std::raise(SIGKILL);
   }
+  if (this->Options.HangingUp)
+    return this->Port->breakOff(Request.Id);
+  constexpr std::string_view ChainPrefix = "/chain/";
+  if (Request.Url.starts_with(ChainPrefix)) {
+    const int Left = std::atoi(Request.Url.c_str() + ChainPrefix.size());
+    if (Left > 0)
+      return this->callOnwards(Request, Left - 1);
+  }
   this->Running += 1;
   this->MostRunning = std::max(this->MostRunning, this->Running);
   Answer.Status = this->Options.Failing ? 500 : 200;
@@ -87,6 +95,25 @@
   this->Delays.emplace(Request.Id, std::move(Delay));
 }
 
+void StandinTarget::callOnwards(const HttpRequest &Request, int Left) {
+  TargetRequest Onwards;
+  Onwards.Url =
+      "http://" + this->Options.Callers + "/chain/" + std::to_string(Left);
+  Onwards.Method = "GET";
+  Onwards.Headers = {
+      makeHeader("Host", Left == 0 ? "last" : "hop"),
+      makeHeader("Persimmon-Deadline-Ms",
+                 std::string(Request.header("Persimmon-Deadline-Ms")))};
+  Onwards.MayRepeat = true;
+  this->Client.start(Onwards, [this, Id = Request.Id](TargetAnswer Got) {
+    HttpAnswer Answer;
+    constexpr int BadGateway = 502;
+    Answer.Status = Got.End == RunEnd::Answered ? Got.Status : BadGateway;
+    Answer.Body = std::move(Got.Body);
+    this->Port->answer(Id, std::move(Answer));
+  });
+}
+
 void StandinTarget::finish(std::int64_t Id, HttpAnswer Answer) {
   this->Delays.erase(Id);
   this->Running -= 1;
@@ -112,6 +139,8 @@
     this->Options.Well = Wanted.value("well", this->Options.Well);
     this->Options.Failing = Wanted.value("failing", this->Options.Failing);
     this->Options.Breaking = Wanted.value("breaking", this->Options.Breaking);
+    this->Options.HangingUp =
+        Wanted.value("hangingUp", this->Options.HangingUp);
     this->Options.Shedding = Wanted.value("shedding", this->Options.Shedding);
     this->Draining = Wanted.value("draining", this->Draining);
     this->announce();
--- a/tests/standin/standintarget.h
+++ b/tests/standin/standintarget.h
@@ -21,6 +21,8 @@
   std::string Daemon;
   std::string Service;
   std::string LogFile;
+  /// Where the target sends calls of its own, for chains.
+  std::string Callers;
   int Slots = 20;
   int Connections = 100;
   int DelayMs = 0;
@@ -29,6 +31,7 @@
   bool Failing = false;
   bool Breaking = false;
   bool Shedding = false;
+  bool HangingUp = false;
 };
 
 /// A target for tests and examples: announces itself to the daemon beside it,
@@ -46,6 +49,7 @@
   void onRequest(HttpRequest Request) override;
   void onRequestGone(std::int64_t Id) override;
   void runRequest(HttpRequest Request);
+  void callOnwards(const HttpRequest &Request, int Left);
   void finish(std::int64_t Id, HttpAnswer Answer);
   void configure(const HttpRequest &Request);
   void announce();
--- /dev/null
+++ b/tests/store/test_store.cpp
@@ -0,0 +1,217 @@
+#include "libpersimmon/settingsstore.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+using namespace persimmon;
+
+namespace {
+
+/// A store and the index of its last entry.
+struct Fixture {
+  SettingsStore Store;
+  std::int64_t Index = 0;
+  int Changes = 0;
+
+  static wire::PathEdit put(const std::string &Path, const std::string &Value,
+                            std::int64_t Expected) {
+    wire::PathEdit Out;
+    Out.Path = Path;
+    Out.Value = Value;
+    Out.ExpectedVersion = Expected;
+    return Out;
+  }
+
+  static wire::PathEdit remove(const std::string &Path, std::int64_t Expected) {
+    wire::PathEdit Out;
+    Out.Path = Path;
+    Out.Remove = true;
+    Out.ExpectedVersion = Expected;
+    return Out;
+  }
+
+  wire::Change change(std::vector<wire::PathEdit> Edits) {
+    wire::Change Out;
+    Out.ChangeId = "id-" + std::to_string(++this->Changes);
+    Out.Team = "team";
+    Out.BasedOn = this->Store.version();
+    Out.Edits = std::move(Edits);
+    return Out;
+  }
+
+  Failure submit(const wire::Change &Wanted) {
+    Failure Refusal = this->Store.check(Wanted);
+    if (Refusal.failed())
+      return Refusal;
+    wire::LogEntry Entry;
+    Entry.Kind = wire::EntryKind::Change;
+    Entry.Index = ++this->Index;
+    Entry.TheChange = Wanted;
+    this->Store.apply(Entry);
+    return {};
+  }
+
+  Failure submit(std::vector<wire::PathEdit> Edits) {
+    return this->submit(this->change(std::move(Edits)));
+  }
+};
+
+const std::string Service = R"({"queue":1})";
+const std::string Route = R"({"job":"job","service":"team/work"})";
+
+} // namespace
+
+TEST_CASE("a conflict names the current version and changes nothing") {
+  Fixture F;
+  REQUIRE(!F.submit({Fixture::put("team/services/work", Service, 0)}).failed());
+  const std::uint64_t Hash = F.Store.hash();
+  const Failure Error =
+      F.submit({Fixture::put("team/services/other", Service, 0),
+                Fixture::put("team/services/work", Service, 0)});
+  CHECK(Error.Code == ResultCode::Conflict);
+  CHECK(Error.Where == "team/services/work");
+  CHECK(Error.What.find("current version is 1") != std::string::npos);
+  CHECK(F.Store.version() == 1);
+  CHECK(F.Store.hash() == Hash);
+  CHECK(F.Store.settings().size() == 1);
+}
+
+TEST_CASE("the whole candidate is checked before a change is run") {
+  Fixture F;
+  CHECK(F.submit({Fixture::put("team/routes/r", Route, 0)}).Code ==
+        ResultCode::ReferenceMissing);
+  REQUIRE(!F.submit({Fixture::put("team/services/work", Service, 0),
+                     Fixture::put("team/routes/r", Route, 0)})
+               .failed());
+  CHECK(F.submit({Fixture::remove("team/services/work", 1)}).Code ==
+        ResultCode::ReferenceMissing);
+  CHECK(F.submit({Fixture::put("team/routes/s", Route, 0)}).Code ==
+        ResultCode::MatchTaken);
+  CHECK(
+      F.submit({Fixture::put("team/services/x", R"({"queue":"1"})", 0)}).Code ==
+      ResultCode::ValueInvalid);
+  CHECK(F.submit({Fixture::put("team/services/x", "nonsense", 0)}).Code ==
+        ResultCode::ValueInvalid);
+  CHECK(F.submit({Fixture::put("team/things/x", Service, 0)}).Code ==
+        ResultCode::ValueInvalid);
+  CHECK(F.submit({Fixture::put("other/services/x", Service, 0)}).Code ==
+        ResultCode::OutsideSubtree);
+  CHECK(F.submit({Fixture::remove("team/services/none", 0)}).Code ==
+        ResultCode::PathUnknown);
+  CHECK(F.Store.version() == 1);
+  // One change may remove a service together with its route.
+  CHECK(!F.submit({Fixture::remove("team/services/work", 1),
+                   Fixture::remove("team/routes/r", 1)})
+             .failed());
+  CHECK(F.Store.settings().empty());
+}
+
+TEST_CASE("a change id keeps its first outcome over snapshots") {
+  Fixture F;
+  const wire::Change First =
+      F.change({Fixture::put("team/services/work", Service, 0)});
+  REQUIRE(!F.submit(First).failed());
+  SettingsStore Copy;
+  const wire::StoreSnapshot Snapshot = F.Store.snapshot(F.Index, 1);
+  REQUIRE(!settle([&] { return Copy.restore(Snapshot); }, [] {}).failed());
+  REQUIRE(Copy.outcomeOf(First.ChangeId));
+  CHECK(*Copy.outcomeOf(First.ChangeId) == 1);
+  CHECK(Copy.hash() == F.Store.hash());
+  // Applying it again, as a second log entry, has no effect.
+  wire::LogEntry Again;
+  Again.Kind = wire::EntryKind::Change;
+  Again.Index = 2;
+  Again.TheChange = First;
+  CHECK(!Copy.apply(Again));
+  CHECK(Copy.version() == 1);
+}
+
+TEST_CASE("a resend older than the table is refused, not run") {
+  Fixture F;
+  const wire::Change First =
+      F.change({Fixture::put("team/services/work", Service, 0)});
+  REQUIRE(!F.submit(First).failed());
+  for (int I = 0; I < 5000; ++I)
+    REQUIRE(!F.submit({Fixture::put("team/services/work", Service,
+                                    F.Store.version())})
+                 .failed());
+  CHECK(!F.Store.outcomeOf(First.ChangeId));
+  CHECK(F.submit(First).Code == ResultCode::ChangeTooOld);
+}
+
+TEST_CASE("a team's token gives its own subtree only") {
+  Fixture F;
+  wire::LogEntry Entry;
+  Entry.Kind = wire::EntryKind::Team;
+  Entry.Index = ++F.Index;
+  Entry.Team.Team = "team";
+  Entry.Team.Salt = "salt";
+  Entry.Team.TokenHash = hashToken("salt", "secret-token");
+  F.Store.apply(Entry);
+  CHECK(F.Store.authorized("team", "secret-token"));
+  CHECK(!F.Store.authorized("team", "secret-tokeN"));
+  CHECK(!F.Store.authorized("other", "secret-token"));
+  CHECK(!F.Store.authorized("", "secret-token"));
+}
+
+TEST_CASE("versions after a recovery exceed those that were lost") {
+  Fixture F;
+  REQUIRE(!F.submit({Fixture::put("team/services/work", Service, 0)}).failed());
+  wire::LogEntry Entry;
+  Entry.Kind = wire::EntryKind::Voters;
+  Entry.Index = ++F.Index;
+  Entry.VersionBase = 1'000'000;
+  const auto Applied = F.Store.apply(Entry);
+  REQUIRE(Applied);
+  CHECK(Applied->Change.From == 1);
+  CHECK(F.Store.version() == 1'000'002);
+  REQUIRE(!F.submit({Fixture::put("team/services/work", Service, 1)}).failed());
+  CHECK(F.Store.version() == 1'000'003);
+}
+
+TEST_CASE("claims are granted once and given back by their owner only") {
+  ClaimTable Table;
+  wire::Claim First;
+  First.Key = "key";
+  First.Owner = "p1";
+  First.CallNumber = 1;
+  First.GrantedAt = 100;
+  Table.apply({First}, 0);
+  wire::Claim Second = First;
+  Second.Owner = "p2";
+  Table.apply({Second}, 0);
+  REQUIRE(Table.find("key") != nullptr);
+  CHECK(Table.find("key")->Owner == "p1");
+  Second.Release = true;
+  Table.apply({Second}, 0);
+  CHECK(Table.find("key") != nullptr);
+  First.Release = true;
+  Table.apply({First}, 0);
+  CHECK(Table.find("key") == nullptr);
+  First.Release = false;
+  Table.apply({First}, 0);
+  Table.apply({}, 99);
+  CHECK(Table.size() == 1);
+  Table.apply({}, 100);
+  CHECK(Table.size() == 0);
+}
+
+TEST_CASE("the longest prefix of whole segments wins") {
+  Fixture F;
+  REQUIRE(!F.submit({Fixture::put("team/services/work", Service, 0),
+                     Fixture::put("team/services/photos", Service, 0),
+                     Fixture::put("team/routes/all", Route, 0),
+                     Fixture::put("team/routes/photos",
+                                  R"({"job":"job","service":"team/photos",
+                                      "pathPrefix":"/photos"})",
+                                  0)})
+               .failed());
+  std::shared_ptr<const RouteTable> Table;
+  settle([&] { return RouteTable::build(F.Store.settings(), nullptr); },
+         [&](auto Built) { Table = std::move(Built); });
+  REQUIRE(Table);
+  CHECK(Table->match("job", "/photos/1")->Service == "team/photos");
+  CHECK(Table->match("job", "/photos?x=1")->Service == "team/photos");
+  CHECK(Table->match("job", "/photosets")->Service == "team/work");
+  CHECK(Table->match("oldsales-job", "/photos") == nullptr);
+}
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -143,6 +143,7 @@
     std::map<wire::AttemptId, std::string> Requests;
     std::map<std::int64_t, std::string> CallIds;
     int Running = 0;
+    bool Leaving = false;
   };
   struct Link {
     std::string Opener;
