--- a/bench/calls/callbench.cpp
+++ b/bench/calls/callbench.cpp
@@ -171,6 +171,7 @@
   const auto Start = Clock::now();
   const auto End = Start + std::chrono::seconds(this->Options.Seconds);
   const std::chrono::duration<double> Pause(Plan.Threads / Plan.Rate);
+  Threads.reserve(static_cast<std::size_t>(Plan.Threads));
   for (int Number = 0; Number < Plan.Threads; ++Number)
     Threads.emplace_back([&, Number] {
       const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> Easy(
--- a/bench/fleet/fleetbench.cpp
+++ b/bench/fleet/fleetbench.cpp
@@ -115,6 +115,7 @@
 
 ControlClient FleetBench::client(const std::string &With) const {
   std::vector<std::string> Addresses;
+  Addresses.reserve(ControlCount);
   for (int I = 0; I < ControlCount; ++I)
     Addresses.push_back("127.20.0." + std::to_string(I + 1) + ":7101");
   return {Addresses, With};
--- /dev/null
+++ b/tests/support/fakechecks.cpp
@@ -0,0 +1,121 @@
+#include "fakecluster.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+void FakeCluster::checkCalls() {
+  for (const auto &[Id, Record] : this->Calls) {
+    if (Record.OnceOnly && Record.Runs > 1)
+      this->violation(Id + " ran " + std::to_string(Record.Runs) + " times");
+    if (Record.NotRun && Record.Runs > 0)
+      this->violation(Id + " ran although its caller was told it did not");
+    if (Record.Answers > 1)
+      this->violation(Id + " was answered twice");
+  }
+}
+
+bool FakeCluster::settled() const {
+  const Node *Leader = this->leader();
+  if (Leader == nullptr)
+    return false;
+  const std::int64_t Version = Leader->control()->store().version();
+  std::size_t Controls = 0;
+  for (const auto &[Name, Item] : this->Instances) {
+    if (Item.Daemon == nullptr ||
+        Item.Daemon->distribution().version() != Version)
+      return false;
+    if (!Item.Control && !Item.Daemon->serving())
+      return false;
+    Controls += Item.Control ? 1 : 0;
+  }
+  for (const auto &[Id, Wanted] : this->Wishes) {
+    if (!Wanted.Version)
+      return false;
+  }
+  return Leader->control()->consensus().voters().size() == Controls &&
+         Version >= this->NewestAccepted;
+}
+
+std::vector<std::string> FakeCluster::describe() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Item] : this->Instances) {
+    if (Item.Daemon == nullptr) {
+      Out.push_back(Name + " down");
+      continue;
+    }
+    std::string Line = Name + " version " +
+                       std::to_string(Item.Daemon->distribution().version()) +
+                       " hash " +
+                       std::to_string(Item.Daemon->distribution().hash()) +
+                       (Item.Daemon->serving() ? " serving" : "");
+    if (Item.Control) {
+      const Consensus &Agreement = Item.Daemon->control()->consensus();
+      Line += " disk " + std::to_string(Item.DiskId) + " role " +
+              std::to_string(static_cast<int>(Agreement.role())) + " term " +
+              std::to_string(Agreement.term()) + " commit " +
+              std::to_string(Agreement.commitIndex()) + "/" +
+              std::to_string(Agreement.lastIndex()) + " voters";
+      for (const wire::Replica &Voter : Agreement.voters())
+        Line += " " + Voter.Instance + "/" + std::to_string(Voter.DiskId);
+    }
+    Out.push_back(std::move(Line));
+  }
+  return Out;
+}
+
+void FakeCluster::checkAll(const Instance &Item) {
+  if (Item.Daemon == nullptr)
+    return;
+  if (Item.Control)
+    this->checkControl(Item);
+  else
+    this->checkProxy(Item);
+}
+
+void FakeCluster::checkControl(const Instance &Item) {
+  const ControlService &Control = *Item.Daemon->control();
+  const std::int64_t Version = Control.store().version();
+  const auto [Seen, Fresh] =
+      this->HashOfVersion.emplace(Version, Control.store().hash());
+  if (!Fresh && Seen->second != Control.store().hash())
+    this->violation("version " + std::to_string(Version) + " has two contents");
+  if (!Control.consensus().leader())
+    return;
+  const auto [Known, First] = this->LeaderOfTerm.emplace(
+      Control.consensus().term(),
+      Item.Identity.Name + "/" + std::to_string(Item.DiskId));
+  if (!First &&
+      Known->second != Item.Identity.Name + "/" + std::to_string(Item.DiskId))
+    this->violation("two leaders in term " +
+                    std::to_string(Control.consensus().term()));
+  if (!Control.consensus().ready())
+    return;
+  for (const auto &[Id, Wanted] : this->Wishes) {
+    // A leader cut off from the others may lag; it cannot accept anything.
+    const auto Held = Control.store().outcomeOf(Id);
+    if (Wanted.Version && Held && *Held != *Wanted.Version)
+      this->violation("accepted change " + Id + " has another version");
+    if (Wanted.Version && !Held && *Wanted.Version <= Version)
+      this->violation("accepted change " + Id + " was lost");
+  }
+}
+
+void FakeCluster::checkProxy(const Instance &Item) {
+  const Distribution &Config = Item.Daemon->distribution();
+  const auto Found = this->HashOfVersion.find(Config.version());
+  if (Config.version() != 0 &&
+      (Found == this->HashOfVersion.end() || Found->second != Config.hash()))
+    this->violation("proxy " + Item.Identity.Name + " holds version " +
+                    std::to_string(Config.version()) +
+                    " with a content that was never committed");
+  if (!Item.Daemon->serving())
+    return;
+  if (Config.version() < Item.Served)
+    this->violation("proxy " + Item.Identity.Name + " went back from " +
+                    std::to_string(Item.Served) + " to " +
+                    std::to_string(Config.version()));
+  const_cast<Instance &>(Item).Served = Config.version();
+}
+
+} // namespace persimmon
