--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -83,6 +83,8 @@
   bool refuseUnlessReady(std::int64_t RequestId, Effects &Out) const;
   void answer(std::int64_t RequestId, Failure Error, std::int64_t Version,
               Effects &Out) const;
+  void enqueue(std::int64_t RequestId, wire::LogEntry Entry, Time Now,
+               Effects &Out);
   void advance(Time Now, Effects &Out);
   void applyCommitted(Effects &Out);
   void answerWrite(const wire::LogEntry &Entry, Effects &Out);
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -75,6 +75,9 @@
              wire::CallOutcome::type Outcome, ResultCode Code,
              Effects &Out) const;
   void tell(const Attempt &Item, Effects &Out) const;
+  /// Answers with what is known of the attempt; returns false if nothing is.
+  bool tellIfKnown(const wire::AttemptId &Id, std::string_view From,
+                   Effects &Out);
   bool forgotten(const wire::AttemptId &Id) const;
   void forget(AttemptMap::iterator Item, Time Now, Effects &Out);
   void dropHeldAnswers(Effects &Out);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -1,9 +1,15 @@
 #include "process.h"
 
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 namespace persimmon {
@@ -56,4 +62,25 @@
   return false;
 }
 
+ProgramRun runProgram(const std::vector<std::string> &Words) {
+  constexpr int MaxPolls = 1000;
+  constexpr std::chrono::milliseconds PollPause{20};
+  std::string LogFile =
+      (std::filesystem::temp_directory_path() / "program-XXXXXX").string();
+  const int File = ::mkstemp(LogFile.data());
+  ::close(File);
+  Process Program;
+  Program.start(Words, LogFile);
+  for (int I = 0; I < MaxPolls && Program.running(); ++I)
+    std::this_thread::sleep_for(PollPause);
+  ProgramRun Out;
+  Out.Status = Program.exitStatus();
+  std::ifstream In(LogFile);
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  Out.Output = Text.str();
+  std::filesystem::remove(LogFile);
+  return Out;
+}
+
 } // namespace persimmon
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -36,4 +36,17 @@
   int Status = -1;
 };
 
+/// How a program that ran to its end ended.
+struct ProgramRun {
+  int Status = -1;
+  std::string Output;
+
+  bool says(const std::string &Text) const {
+    return this->Output.find(Text) != std::string::npos;
+  }
+};
+
+/// Runs a program and waits for its end, 20 seconds at most.
+ProgramRun runProgram(const std::vector<std::string> &Words);
+
 } // namespace persimmon
