--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -38,16 +38,20 @@
 
 } // namespace
 
-DaemonHost::DaemonHost(const DaemonSettings &TheSettings)
-    : Settings(TheSettings), TickTimer(Io), Signals(Io, SIGTERM, SIGINT) {}
+DaemonHost::DaemonHost(const DaemonSettings &TheSettings,
+                       const EdgeProtocols &TheProtocols)
+    : Settings(TheSettings), Protocols(TheProtocols), TickTimer(Io),
+      Signals(Io, SIGTERM, SIGINT) {}
 
 DaemonHost::~DaemonHost() = default;
 
 leaf::result<std::unique_ptr<DaemonHost>>
-DaemonHost::open(const DaemonSettings &Settings) {
-  std::unique_ptr<DaemonHost> Out(new DaemonHost(Settings));
+DaemonHost::open(const DaemonSettings &Settings,
+                 const EdgeProtocols &Protocols) {
+  std::unique_ptr<DaemonHost> Out(new DaemonHost(Settings, Protocols));
   BOOST_LEAF_CHECK(Out->openNode());
   BOOST_LEAF_CHECK(Out->openPorts());
+  Out->found();
   Out->watchSignals();
   Out->startTicks();
   return Out;
@@ -61,14 +65,22 @@
   Identity.Incarnation = wallClockMs();
   Identity.Seed = randomNumber();
   Identity.ControlInstances = this->Settings.ControlInstances;
+  Identity.Seeds = this->Settings.Seeds;
+  Identity.Voters = this->Settings.Voters;
+  Identity.Stop = this->Settings.Stop;
+  Identity.RetryBurst = this->Settings.RetryBurst;
   this->Choice = makeChoice(this->Settings.Baselines.Choice);
   this->Spread = makeSpread(this->Settings.Baselines.Distribution);
   if (this->Settings.Role == DaemonRole::Proxy) {
     this->Daemon = Node::makeProxy(Identity, {*this->Choice, *this->Spread});
     return {};
   }
+  std::optional<std::int64_t> FirstId;
+  if (this->Settings.Found)
+    FirstId = founderAt(Identity.Address).DiskId;
   BOOST_LEAF_ASSIGN(this->Disk,
-                    DiskStore::open(this->Settings.DataFolder, randomNumber()));
+                    DiskStore::open(this->Settings.DataFolder,
+                                    diskIdFrom(randomNumber()), FirstId));
   if (this->Disk->damage().failed())
     logError("event=disk-lost disk=" + std::to_string(this->Disk->diskId()) +
              " " + describe(this->Disk->damage()));
@@ -85,16 +97,24 @@
   BOOST_LEAF_ASSIGN(this->Network,
                     PeerNetwork::open(this->Io, this->Settings.Listen, *this));
   if (this->Settings.Role == DaemonRole::Control) {
-    BOOST_LEAF_ASSIGN(
-        this->Operators,
-        OperatorApi::open(this->Io, *this->Settings.Operators, *this));
+    BOOST_LEAF_ASSIGN(this->Operators,
+                      OperatorApi::open(this->Io, this->Settings,
+                                        this->Protocols.Operators.get(),
+                                        *this));
     return {};
   }
-  BOOST_LEAF_ASSIGN(this->Proxy, ProxyApi::open(this->Io, this->Settings, *this,
-                                                this->Bodies, this->Numbers));
+  BOOST_LEAF_ASSIGN(
+      this->Proxy,
+      ProxyApi::open(this->Io, this->Settings,
+                     {*this, this->Bodies, this->Numbers, this->Protocols}));
   return {};
 }
 
+void DaemonHost::found() {
+  if (this->Settings.Found && this->Disk)
+    this->submit(FoundRequested{this->Settings.Seeds});
+}
+
 void DaemonHost::startTicks() {
   this->TickTimer.expires_after(TickInterval);
   this->TickTimer.async_wait([this](std::error_code Error) {
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -2,6 +2,7 @@
 
 #include "bodystore.h"
 #include "diskstore.h"
+#include "edgeprotocol.h"
 #include "eventsink.h"
 #include "metrics.h"
 #include "operatorapi.h"
@@ -21,9 +22,10 @@
 /// the effects in order. Everything runs on one thread.
 class DaemonHost : public PeerListener, public EventSink {
 public:
-  /// Opens disk, ports and timers. Errors: as of the parts that are opened.
+  /// Opens disk, ports and timers. \p Protocols must outlive the host. Errors:
+  /// as of the parts that are opened.
   static leaf::result<std::unique_ptr<DaemonHost>>
-  open(const DaemonSettings &Settings);
+  open(const DaemonSettings &Settings, const EdgeProtocols &Protocols);
 
   ~DaemonHost() override;
 
@@ -36,10 +38,12 @@
   std::string metricsText() override;
 
 private:
-  explicit DaemonHost(const DaemonSettings &Settings);
+  DaemonHost(const DaemonSettings &Settings, const EdgeProtocols &Protocols);
 
   leaf::result<void> openNode();
   leaf::result<void> openPorts();
+  /// Forms the system if this is its first start.
+  void found();
   void startTicks();
   void watchSignals();
   void stopWhenWritten();
@@ -70,6 +74,7 @@
   void carryOut(const ReadyToExit &Item);
 
   DaemonSettings Settings;
+  const EdgeProtocols &Protocols;
   asio::io_context Io;
   asio::steady_timer TickTimer;
   asio::signal_set Signals;
--- /dev/null
+++ b/src/libhost/daemonprogram.cpp
@@ -0,0 +1,112 @@
+#include "daemonprogram.h"
+
+#include "daemonhost.h"
+#include "logging.h"
+
+#include <getopt.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace persimmon {
+
+namespace {
+
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+
+constexpr std::string_view Usage =
+    "Usage: persimmonwheeld --settings FILE\n"
+    "       persimmonwheeld --check-settings FILE\n"
+    "\n"
+    "Runs one daemon of persimmonwheel, as its JSON settings say.\n"
+    "\n"
+    "  -s, --settings FILE        run with these settings\n"
+    "  -c, --check-settings FILE  check the settings and exit\n"
+    "  -V, --version              print the version and exit\n"
+    "  -h, --help                 print this text and exit\n"
+    "\n"
+    "SIGTERM and SIGINT stop it gracefully: nothing in flight is cut off.\n"
+    "Exit status: 0 done, 1 failed, 2 wrong use.\n";
+
+struct Options {
+  std::string SettingsFile;
+  bool CheckOnly = false;
+};
+
+int report(const Failure &Error) {
+  std::cerr << "persimmonwheeld: " << describe(Error) << '\n';
+  return ExitFailure;
+}
+
+int runDaemon(const Options &Chosen, const EdgeProtocols &Protocols) {
+  DaemonSettings Settings;
+  Failure Error =
+      settle([&] { return DaemonSettings::load(Chosen.SettingsFile); },
+             [&](DaemonSettings Loaded) { Settings = std::move(Loaded); });
+  if (Error.failed())
+    return report(Error);
+  if (Chosen.CheckOnly) {
+    std::cout << Chosen.SettingsFile << ": valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  startLogging(Settings.Log);
+  std::unique_ptr<DaemonHost> Host;
+  Error =
+      settle([&] { return DaemonHost::open(Settings, Protocols); },
+             [&](std::unique_ptr<DaemonHost> Made) { Host = std::move(Made); });
+  if (Error.failed())
+    return report(Error);
+  Error = settle([&] { return Host->run(); }, [] {});
+  return Error.failed() ? report(Error) : 0;
+}
+
+} // namespace
+
+int runDaemonProgram(int Count, char **Arguments,
+                     const EdgeProtocols &Protocols,
+                     const char *SettingsVariable) {
+  const std::array<option, 5> Long = {
+      {{"settings", required_argument, nullptr, 's'},
+       {"check-settings", required_argument, nullptr, 'c'},
+       {"version", no_argument, nullptr, 'V'},
+       {"help", no_argument, nullptr, 'h'},
+       {nullptr, 0, nullptr, 0}}};
+  Options Chosen;
+  int Letter = 0;
+  while ((Letter = getopt_long(Count, Arguments, "s:c:Vh", Long.data(),
+                               nullptr)) != -1) {
+    switch (Letter) {
+    case 's':
+      Chosen.SettingsFile = optarg;
+      break;
+    case 'c':
+      Chosen.SettingsFile = optarg;
+      Chosen.CheckOnly = true;
+      break;
+    case 'V':
+      std::cout << "persimmonwheeld " << PERSIMMON_VERSION << '\n';
+      return 0;
+    case 'h':
+      std::cout << Usage;
+      return 0;
+    default:
+      std::cerr << Usage;
+      return ExitUsage;
+    }
+  }
+  const char *Named =
+      SettingsVariable == nullptr ? nullptr : std::getenv(SettingsVariable);
+  if (Chosen.SettingsFile.empty() && Named != nullptr)
+    Chosen.SettingsFile = Named;
+  if (Chosen.SettingsFile.empty() || optind != Count) {
+    std::cerr << Usage;
+    return ExitUsage;
+  }
+  return runDaemon(Chosen, Protocols);
+}
+
+} // namespace persimmon
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -44,6 +44,15 @@
                 std::string(Where) + "[dataFolder]",
                 "the key is required for this role");
   Out.DataFolder = Document.at("dataFolder").get<std::string>();
+  Out.OpenTeams = Document.value("openTeams", Out.OpenTeams);
+  Out.Found = Document.value("found", Out.Found);
+  if (!Out.Seeds.empty()) {
+    if (!Document.contains("voters"))
+      return fail(ResultCode::SettingsInvalid, std::string(Where) + "[voters]",
+                  "the key is required where seeds are given");
+    Out.Voters.Count = Document.at("voters").get<std::size_t>();
+    return {};
+  }
   for (const ControlPeer &Peer : Out.ControlInstances) {
     if (Peer.Instance == Out.Name)
       return {};
@@ -53,6 +62,20 @@
               "the list must name this instance");
 }
 
+leaf::result<void> readTarget(const json &Target, std::string_view Where,
+                              TargetSettings &Out) {
+  Out.Service = Target.value("service", Out.Service);
+  Out.ProbeInterval =
+      milliseconds(Target.value("probeIntervalMs", Out.ProbeInterval.count()));
+  if (!Target.contains("address"))
+    return {};
+  BOOST_LEAF_AUTO(Address,
+                  Endpoint::parse(Target.at("address").get<std::string>(),
+                                  std::string(Where) + "[target][address]"));
+  Out.Address = Address.text();
+  return {};
+}
+
 leaf::result<void> readProxy(const json &Document, std::string_view Where,
                              DaemonSettings &Out) {
   BOOST_LEAF_CHECK(refuseKey(Document, "operators", Where));
@@ -61,12 +84,35 @@
   BOOST_LEAF_AUTO(Local, requiredEndpoint(Document, "local", Where));
   Out.Callers = Callers;
   Out.Local = Local;
+  if (Document.contains("readiness")) {
+    BOOST_LEAF_AUTO(Readiness, requiredEndpoint(Document, "readiness", Where));
+    Out.Readiness = Readiness;
+  }
+  Out.RetryBurst = Document.value("retryBurst", Out.RetryBurst);
+  return readTarget(Document.value("target", json::object()), Where,
+                    Out.Target);
+}
+
+leaf::result<void> readSeeds(const json &Document, std::string_view Where,
+                             DaemonSettings &Out) {
+  const json Seeds = Document.value("seeds", json::array());
+  for (std::size_t I = 0; I < Seeds.size(); ++I) {
+    const std::string Place =
+        std::string(Where) + "[seeds][" + std::to_string(I) + "]";
+    BOOST_LEAF_AUTO(Address,
+                    Endpoint::parse(Seeds[I].get<std::string>(), Place));
+    Address.Port = Document.value("seedPort", Address.Port);
+    Out.Seeds.push_back(Address.text());
+  }
+  if (Out.Seeds.empty() == Out.ControlInstances.empty())
+    return fail(ResultCode::SettingsInvalid, std::string(Where),
+                "either controlInstances or seeds must be given");
   return {};
 }
 
 leaf::result<void> readPeers(const json &Document, std::string_view Where,
                              DaemonSettings &Out) {
-  const json &Peers = Document.at("controlInstances");
+  const json Peers = Document.value("controlInstances", json::array());
   for (std::size_t I = 0; I < Peers.size(); ++I) {
     const std::string Place = std::string(Where) + "[controlInstances][" +
                               std::to_string(I) + "][address]";
@@ -133,14 +179,22 @@
     Out.Advertise = Advertise;
   }
   BOOST_LEAF_CHECK(readPeers(Document, Where, Out));
+  BOOST_LEAF_CHECK(readSeeds(Document, Where, Out));
   if (Out.Role == DaemonRole::Control)
     BOOST_LEAF_CHECK(readControl(Document, Where, Out));
   else
     BOOST_LEAF_CHECK(readProxy(Document, Where, Out));
+  if (Document.contains("stop")) {
+    const json &Stop = Document.at("stop");
+    Out.Stop.ServeOn = milliseconds(Stop.value("serveOnMs", 0));
+    Out.Stop.GiveUp = milliseconds(Stop.value("giveUpMs", 0));
+  }
   if (Document.contains("log")) {
     const json &Log = Document.at("log");
     Out.Log.Level = Log.value("level", Out.Log.Level);
     Out.Log.Decisions = Log.value("decisions", Out.Log.Decisions);
+    Out.Log.LinesPerSecond =
+        Log.value("linesPerSecond", Out.Log.LinesPerSecond);
     Out.Log.File = Log.value("file", Out.Log.File);
   }
   if (Document.contains("baselines")) {
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -23,9 +23,20 @@
 
 enum class DaemonRole { Control, Proxy };
 
+/// The target beside a proxy, as far as the settings know it.
+struct TargetSettings {
+  /// TEAM/SERVICE and IP:PORT; empty if announcements tell.
+  std::string Service;
+  std::string Address;
+  /// Pause between health probes; 0 for none.
+  milliseconds ProbeInterval{1000};
+};
+
 struct LogSettings {
   std::string Level = "info";
   bool Decisions = true;
+  /// Lines that are written each second at most; what is beyond is counted.
+  int LinesPerSecond = 2000;
   std::string File;
 };
 
@@ -45,8 +56,20 @@
   std::optional<Endpoint> Operators;
   std::optional<Endpoint> Callers;
   std::optional<Endpoint> Local;
+  /// Another port for requests of the local interface.
+  std::optional<Endpoint> Readiness;
   std::string DataFolder;
   std::vector<ControlPeer> ControlInstances;
+  /// Daemons to join by, where no control instances are named.
+  std::vector<std::string> Seeds;
+  /// The system starts for the first time and the seeds are its first voters.
+  bool Found = false;
+  VoterPolicy Voters;
+  /// Teams whose subtree may be changed without a token.
+  std::vector<std::string> OpenTeams;
+  TargetSettings Target;
+  StopPolicy Stop;
+  int RetryBurst = 0;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -146,12 +146,13 @@
 }
 
 leaf::result<DiskStore> DiskStore::open(const std::string &Folder,
-                                        std::uint64_t NewDiskId) {
+                                        std::int64_t NewDiskId,
+                                        std::optional<std::int64_t> BlankId) {
   DiskStore Out;
   Out.Folder = Folder;
   BOOST_LEAF_CHECK(Out.prepareFolder());
   if (!fs::exists(Out.path("disk-id"))) {
-    BOOST_LEAF_CHECK(Out.startAfresh(NewDiskId));
+    BOOST_LEAF_CHECK(Out.startAfresh(BlankId.value_or(NewDiskId)));
   } else {
     Out.Damage = settle([&] { return Out.readAll(); }, [] {});
     if (Out.Damage.failed())
@@ -240,7 +241,7 @@
   return {};
 }
 
-leaf::result<void> DiskStore::startAfresh(std::uint64_t NewDiskId) {
+leaf::result<void> DiskStore::startAfresh(std::int64_t NewDiskId) {
   std::error_code Error;
   const std::string Aside = this->path("lost-" + std::to_string(this->DiskId) +
                                        "-" + std::to_string(NewDiskId));
@@ -251,8 +252,7 @@
     fs::rename(this->path(Name), Aside + "/" + Name, Error);
   }
   this->State = DurableState();
-  // The highest bit is left out: disk ids are positive numbers.
-  this->DiskId = static_cast<std::int64_t>(NewDiskId >> 1) | 1;
+  this->DiskId = NewDiskId;
   BOOST_LEAF_CHECK(this->replaceFile("journal", ""));
   return this->replaceFile("disk-id",
                            makeRecord('h', std::to_string(this->DiskId)));
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -16,9 +16,11 @@
 public:
   /// Opens the folder, making it if it is missing, and reads what it holds.
   /// Damaged files are moved aside and the disk gets a new identity, so that
-  /// the replica starts without a vote. Errors: DataFolderUnwritable.
-  static leaf::result<DiskStore> open(const std::string &Folder,
-                                      std::uint64_t NewDiskId);
+  /// the replica starts without a vote. A folder that never held anything gets
+  /// \p BlankId, if that is given. Errors: DataFolderUnwritable.
+  static leaf::result<DiskStore>
+  open(const std::string &Folder, std::int64_t NewDiskId,
+       std::optional<std::int64_t> BlankId = std::nullopt);
 
   DiskStore(DiskStore &&Other) noexcept;
   DiskStore &operator=(DiskStore &&Other) noexcept;
@@ -49,7 +51,7 @@
   leaf::result<void> readSnapshot();
   leaf::result<void> readJournal();
   leaf::result<void> takeRecord(char Kind, std::string_view Payload);
-  leaf::result<void> startAfresh(std::uint64_t NewDiskId);
+  leaf::result<void> startAfresh(std::int64_t NewDiskId);
   leaf::result<void> openJournal();
   leaf::result<void> append(std::string_view Bytes);
   leaf::result<void> replaceFile(const std::string &Name,
--- a/src/libhost/logging.cpp
+++ b/src/libhost/logging.cpp
@@ -1,6 +1,7 @@
 #include "logging.h"
 
-#include <log4cplus/consoleappender.h>
+#include "boundedappender.h"
+
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -43,7 +44,7 @@
   loggers();
   log4cplus::SharedAppenderPtr Appender;
   if (Settings.File.empty())
-    Appender = new log4cplus::ConsoleAppender(true, true);
+    Appender = new BoundedAppender(Settings.LinesPerSecond);
   else
     Appender = new log4cplus::FileAppender(Settings.File, std::ios::app, true);
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -1,8 +1,11 @@
 #include "operatorapi.h"
 
+#include "logging.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace persimmon {
@@ -106,14 +109,75 @@
   return Out;
 }
 
+OperatorApi::OperatorApi(const DaemonSettings &Settings,
+                         const OperatorProtocol *TheForeign, EventSink &TheSink)
+    : Sink(TheSink), Foreign(TheForeign), OwnPort(Settings.Operators->Port),
+      OpenTeams(Settings.OpenTeams) {}
+
 leaf::result<std::unique_ptr<OperatorApi>>
-OperatorApi::open(asio::io_context &Io, const Endpoint &Listen,
-                  EventSink &Sink) {
-  std::unique_ptr<OperatorApi> Out(new OperatorApi(Sink));
-  BOOST_LEAF_ASSIGN(Out->Port, HttpPort::open(Io, Listen, *Out));
+OperatorApi::open(asio::io_context &Io, const DaemonSettings &Settings,
+                  const OperatorProtocol *Foreign, EventSink &Sink) {
+  std::unique_ptr<OperatorApi> Out(new OperatorApi(Settings, Foreign, Sink));
+  BOOST_LEAF_ASSIGN(Out->Port, HttpPort::open(Io, *Settings.Operators, *Out));
   return Out;
 }
 
+std::string OperatorApi::leaderUrl(std::string_view LeaderAddress,
+                                   const std::string &Url) const {
+  if (LeaderAddress.empty())
+    return {};
+  // The operators' port is the same on all control instances.
+  return "http://" +
+         std::string(LeaderAddress.substr(0, LeaderAddress.rfind(':'))) + ":" +
+         std::to_string(this->OwnPort) + Url;
+}
+
+bool OperatorApi::foreignRequest(const HttpRequest &Request) {
+  if (this->Foreign == nullptr)
+    return false;
+  auto Call = this->Foreign->decode(Request);
+  if (!Call)
+    return false;
+  if (const auto *Error = std::get_if<Failure>(&*Call)) {
+    logWarning("event=operator-refused " + describe(*Error));
+    this->Port->answer(Request.Id, this->Foreign->makeRefusal(*Error, {}));
+    return true;
+  }
+  ForeignRequest &Pending = this->ForeignRequests[Request.Id];
+  Pending.Url = Request.Url;
+  if (const auto *Query = std::get_if<SubtreeQuery>(&*Call)) {
+    Pending.ReadTeam = Query->Team;
+    this->Sink.submit(ReadRequested{Request.Id});
+    return true;
+  }
+  ReplaceRequested Event;
+  Event.RequestId = Request.Id;
+  Event.Document = std::move(std::get<SubtreeDocument>(*Call));
+  Event.Token = std::string(bearerToken(Request));
+  Event.Trusted = std::find(this->OpenTeams.begin(), this->OpenTeams.end(),
+                            Event.Document.Team) != this->OpenTeams.end();
+  this->Sink.submit(std::move(Event));
+  return true;
+}
+
+void OperatorApi::answerForeign(const ForeignRequest &Request,
+                                const AnswerOperator &Answer) {
+  logInfo("event=operator-answered url=" + Request.Url +
+          " code=" + std::to_string(static_cast<int>(Answer.Error.Code)) +
+          " where=" + Answer.Error.Where + " version=" +
+          std::to_string(Answer.Version) + " leader=" + Answer.LeaderAddress);
+  HttpAnswer Out;
+  if (Answer.Error.failed())
+    Out = this->Foreign->makeRefusal(
+        Answer.Error, this->leaderUrl(Answer.LeaderAddress, Request.Url));
+  else if (Request.ReadTeam.empty())
+    Out = this->Foreign->makeAccepted();
+  else
+    Out = this->Foreign->makeSubtree(
+        this->Sink.node().control()->store().settings(), Request.ReadTeam);
+  this->Port->answer(Answer.RequestId, std::move(Out));
+}
+
 void OperatorApi::reply(std::int64_t Id, int Status, const json &Body) {
   HttpAnswer Answer;
   Answer.Status = Status;
@@ -131,6 +195,8 @@
 }
 
 void OperatorApi::onRequest(HttpRequest Request) {
+  if (this->foreignRequest(Request))
+    return;
   const std::string Route = Request.Method + " " + Request.Url;
   if (Route == "POST /v1/changes")
     return this->change(Request);
@@ -166,7 +232,10 @@
                             "there is no such request"});
 }
 
-void OperatorApi::onRequestGone(std::int64_t Id) { this->Reads.erase(Id); }
+void OperatorApi::onRequestGone(std::int64_t Id) {
+  this->Reads.erase(Id);
+  this->ForeignRequests.erase(Id);
+}
 
 void OperatorApi::change(const HttpRequest &Request) {
   const Failure Error = settle(
@@ -206,6 +275,12 @@
 }
 
 void OperatorApi::answer(const AnswerOperator &Answer) {
+  const auto Found = this->ForeignRequests.find(Answer.RequestId);
+  if (Found != this->ForeignRequests.end()) {
+    const ForeignRequest Request = std::move(Found->second);
+    this->ForeignRequests.erase(Found);
+    return this->answerForeign(Request, Answer);
+  }
   const bool Read = this->Reads.erase(Answer.RequestId) != 0;
   if (Answer.Error.failed()) {
     json Body = describeJson(Answer.Error);
--- a/src/libhost/operatorapi.h
+++ b/src/libhost/operatorapi.h
@@ -1,33 +1,52 @@
 #pragma once
 
+#include "edgeprotocol.h"
 #include "eventsink.h"
 #include "httpport.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace persimmon {
 
 /// The operators' interface of a control instance: JSON over HTTP.
 class OperatorApi : public HttpHandler {
 public:
-  /// Listens on \p Listen. \p Sink must outlive the interface. Errors:
-  /// PortInUse.
+  /// Listens on the operators' address of \p Settings. \p Foreign decodes
+  /// requests that are not of the project's own interface, or is null. Both it
+  /// and \p Sink must outlive the interface. Errors: PortInUse.
   static leaf::result<std::unique_ptr<OperatorApi>>
-  open(asio::io_context &Io, const Endpoint &Listen, EventSink &Sink);
+  open(asio::io_context &Io, const DaemonSettings &Settings,
+       const OperatorProtocol *Foreign, EventSink &Sink);
 
   /// Passes on the answer to a request that became an event.
   void answer(const AnswerOperator &Answer);
 
 private:
-  explicit OperatorApi(EventSink &TheSink) : Sink(TheSink) {}
+  OperatorApi(const DaemonSettings &Settings, const OperatorProtocol *Foreign,
+              EventSink &TheSink);
+
+  /// A request that another protocol decoded, until it is answered.
+  struct ForeignRequest {
+    std::string Url;
+    /// The subtree to return; empty for a change.
+    std::string ReadTeam;
+  };
 
   void onRequest(HttpRequest Request) override;
   void onRequestGone(std::int64_t Id) override;
 
+  bool foreignRequest(const HttpRequest &Request);
+  void answerForeign(const ForeignRequest &Request,
+                     const AnswerOperator &Answer);
+  std::string leaderUrl(std::string_view LeaderAddress,
+                        const std::string &Url) const;
   void change(const HttpRequest &Request);
   void team(const HttpRequest &Request);
   void form(const HttpRequest &Request);
@@ -39,8 +58,12 @@
   nlohmann::json settings() const;
 
   EventSink &Sink;
+  const OperatorProtocol *Foreign;
+  std::uint16_t OwnPort;
+  std::vector<std::string> OpenTeams;
   std::unique_ptr<HttpPort> Port;
   std::set<std::int64_t> Reads;
+  std::map<std::int64_t, ForeignRequest> ForeignRequests;
 };
 
 /// Returns a random text of hexadecimal digits, from the system's source.
--- /dev/null
+++ b/src/libhost/ownprotocol.cpp
@@ -0,0 +1,195 @@
+#include "edgeprotocol.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace persimmon {
+
+namespace {
+
+using nlohmann::json;
+
+/// Headers that concern one connection only.
+constexpr std::array<std::string_view, 9> HopHeaders = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Connection",
+                                                        "Transfer-Encoding",
+                                                        "Content-Length",
+                                                        "Upgrade",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Expect"};
+
+constexpr std::string_view CallIdHeader = "X-Request-Id";
+constexpr std::string_view DeadlineHeader = "Persimmon-Deadline-Ms";
+constexpr std::string_view NotRunHeader = "Persimmon-Not-Run";
+constexpr std::array<std::string_view, 3> OwnHeaders = {
+    CallIdHeader, DeadlineHeader, NotRunHeader};
+
+bool holds(std::span<const std::string_view> Names, std::string_view Name) {
+  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Other) {
+    return sameHeader(Name, Other);
+  });
+}
+
+/// The headers that the project defines for callers and targets.
+class OwnCallProtocol : public CallProtocol {
+public:
+  leaf::result<CallTerms> readCall(const HttpRequest &Request, std::string_view,
+                                   Time Now) const override {
+    CallTerms Out;
+    BOOST_LEAF_ASSIGN(Out.Deadline, readDeadline(Request, DeadlineHeader, Now));
+    Out.CallId = std::string(Request.header(CallIdHeader));
+    Out.IdempotencyKey = std::string(Request.header("Idempotency-Key"));
+    Out.Headers = endToEnd(Request.Headers, OwnHeaders);
+    return Out;
+  }
+
+  HttpAnswer makeRefusal(const RefuseCaller &Refusal,
+                         bool NotRun) const override {
+    const ResultCode Code = Refusal.Error.Code;
+    HttpAnswer Out;
+    Out.Status = httpStatusOf(Code);
+    Out.Headers.push_back(
+        makeHeader("Persimmon-Code", std::to_string(static_cast<int>(Code))));
+    Out.Headers.push_back(
+        makeHeader(std::string(NotRunHeader), NotRun ? "true" : "false"));
+    Out.Headers.push_back(makeHeader("Content-Type", "application/json"));
+    Out.Body = json{{"code", static_cast<int>(Code)},
+                    {"name", nameOf(Code)},
+                    {"notRun", NotRun},
+                    {"retryAfterMs", Refusal.RetryAfter.count()},
+                    {"text", describe(Refusal.Error)}}
+                   .dump() +
+               "\n";
+    return Out;
+  }
+
+  std::vector<wire::Header>
+  answerHeaders(std::vector<wire::Header> Headers) const override {
+    return endToEnd(std::move(Headers), OwnHeaders);
+  }
+
+  std::vector<wire::Header> targetHeaders(const wire::CallRequest &Request,
+                                          std::string_view,
+                                          milliseconds Left) const override {
+    std::vector<wire::Header> Out = Request.Headers;
+    Out.push_back(makeHeader(std::string(CallIdHeader), Request.CallId));
+    Out.push_back(
+        makeHeader(std::string(DeadlineHeader), std::to_string(Left.count())));
+    return Out;
+  }
+
+  bool saysNotRun(const TargetAnswer &Answer) const override {
+    constexpr int Unavailable = 503;
+    return Answer.Status == Unavailable && !Answer.header(NotRunHeader).empty();
+  }
+
+  bool belongsTo(const TargetAnswer &, std::string_view) const override {
+    // The project does not ask targets to echo the id.
+    return true;
+  }
+};
+
+leaf::result<TargetStatement> readStatement(const std::string &Text) {
+  TargetStatement Out;
+  try {
+    const json Document = json::parse(Text);
+    Out.Said.Service = Document.at("service").get<std::string>();
+    Out.Said.Slots = Document.at("slots").get<int>();
+    const std::string State = Document.value("state", "serving");
+    Out.Said.State = State == "starting"   ? wire::TargetState::Starting
+                     : State == "draining" ? wire::TargetState::Draining
+                     : State == "gone"     ? wire::TargetState::Gone
+                                           : wire::TargetState::Serving;
+    Out.Address = Document.at("address").get<std::string>();
+    Out.Connections = Document.value("connections", 0);
+  } catch (const json::exception &Error) {
+    return fail(ResultCode::RequestMalformed, "target", Error.what());
+  }
+  if (Out.Said.Slots < 1)
+    return fail(ResultCode::RequestMalformed, "target",
+                "slots must be above 0");
+  return Out;
+}
+
+/// The target's announcements in the project's own form.
+class OwnLocalProtocol : public LocalProtocol {
+public:
+  std::optional<LocalCall> decode(const HttpRequest &Request) const override {
+    const std::string Route = Request.Method + " " + Request.Url;
+    if (Route == "GET /ready")
+      return ReadinessQuery{};
+    if (Route != "POST /v1/target")
+      return std::nullopt;
+    LocalCall Out;
+    Failure Error =
+        settle([&] { return readStatement(Request.Body); },
+               [&](TargetStatement Read) { Out = std::move(Read); });
+    if (Error.failed())
+      Out = std::move(Error);
+    return Out;
+  }
+
+  HttpAnswer makeDone() const override {
+    HttpAnswer Out;
+    Out.Body = "{\"code\":0}\n";
+    return Out;
+  }
+
+  HttpAnswer makeRefusal(const Failure &Error) const override {
+    HttpAnswer Out;
+    Out.Status = httpStatusOf(Error.Code);
+    Out.Body = describe(Error) + "\n";
+    return Out;
+  }
+};
+
+} // namespace
+
+wire::Header makeHeader(std::string Name, std::string Value) {
+  wire::Header Out;
+  Out.Name = std::move(Name);
+  Out.Value = std::move(Value);
+  return Out;
+}
+
+std::vector<wire::Header> endToEnd(std::vector<wire::Header> Headers,
+                                   std::span<const std::string_view> Own) {
+  std::erase_if(Headers, [&](const wire::Header &Item) {
+    return holds(HopHeaders, Item.Name) || holds(Own, Item.Name);
+  });
+  return Headers;
+}
+
+leaf::result<Time> readDeadline(const HttpRequest &Request,
+                                std::string_view Name, Time Now) {
+  const std::string_view Left = Request.header(Name);
+  if (Left.empty())
+    return NoDeadline;
+  std::int64_t Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Left.data(), Left.data() + Left.size(), Value);
+  if (Error != std::errc() || End != Left.data() + Left.size() || Value < 0)
+    return fail(ResultCode::RequestMalformed, std::string(Name),
+                "expected milliseconds");
+  constexpr std::int64_t MaxMs = 3'600'000;
+  return Now + milliseconds(std::min(Value, MaxMs));
+}
+
+bool printable(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C > ' ' && C < '\x7f'; });
+}
+
+EdgeProtocols makeOwnProtocols() {
+  EdgeProtocols Out;
+  Out.Calls = std::make_unique<OwnCallProtocol>();
+  Out.Locals = std::make_unique<OwnLocalProtocol>();
+  return Out;
+}
+
+} // namespace persimmon
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -1,12 +1,11 @@
 #include "proxyapi.h"
 
+#include "logging.h"
 #include "operatorapi.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace persimmon {
 
@@ -14,49 +13,11 @@
 
 using nlohmann::json;
 
-constexpr std::size_t MaxBodyBytes = 32u << 20;
-constexpr std::size_t MaxHeaderBytes = 32u << 10;
-constexpr std::chrono::seconds ProbeInterval{1};
 constexpr milliseconds ProbeTimeout{800};
 constexpr std::size_t CallIdDigits = 8;
 constexpr int DefaultConnections = 100;
-
-/// Headers that concern one connection only, or that the proxy sets itself.
-constexpr std::array<std::string_view, 12> HopHeaders = {
-    "Connection",
-    "Keep-Alive",
-    "Proxy-Connection",
-    "Transfer-Encoding",
-    "Content-Length",
-    "Upgrade",
-    "TE",
-    "Trailer",
-    "Expect",
-    "X-Request-Id",
-    "Persimmon-Deadline-Ms",
-    "Persimmon-Not-Run"};
-
-bool isHopHeader(std::string_view Name) {
-  return std::any_of(
-      HopHeaders.begin(), HopHeaders.end(),
-      [&](std::string_view Hop) { return sameHeader(Name, Hop); });
-}
-
-wire::Header makeHeader(std::string Name, std::string Value) {
-  wire::Header Out;
-  Out.Name = std::move(Name);
-  Out.Value = std::move(Value);
-  return Out;
-}
-
-std::vector<wire::Header> endToEnd(const std::vector<wire::Header> &Headers) {
-  std::vector<wire::Header> Out;
-  for (const wire::Header &Item : Headers) {
-    if (!isHopHeader(Item.Name))
-      Out.push_back(Item);
-  }
-  return Out;
-}
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
 
 std::size_t headerBytes(const HttpRequest &Request) {
   std::size_t Sum = Request.Url.size();
@@ -75,41 +36,6 @@
   return Job;
 }
 
-/// Control characters would split log lines and headers.
-bool printable(std::string_view Text) {
-  return std::all_of(Text.begin(), Text.end(),
-                     [](char C) { return C > ' ' && C < '\x7f'; });
-}
-
-Failure checkRequest(const HttpRequest &Request, const std::string &Job) {
-  if (headerBytes(Request) > MaxHeaderBytes)
-    return {ResultCode::HeadersTooLarge, {}, {}};
-  if (Request.Body.size() > MaxBodyBytes)
-    return {ResultCode::BodyTooLarge, {}, {}};
-  if (Job.empty())
-    return {ResultCode::RequestMalformed, "Host", "the header is missing"};
-  if (!Request.Url.starts_with('/') || !printable(Request.Url) ||
-      !printable(Job))
-    return {ResultCode::RequestMalformed, "URL", "expected a path"};
-  const std::string_view Left = Request.header("Persimmon-Deadline-Ms");
-  std::int64_t Value = 0;
-  const auto [End, Error] =
-      std::from_chars(Left.data(), Left.data() + Left.size(), Value);
-  if (!Left.empty() &&
-      (Error != std::errc() || End != Left.data() + Left.size() || Value < 0))
-    return {ResultCode::RequestMalformed, "Persimmon-Deadline-Ms",
-            "expected milliseconds"};
-  return {};
-}
-
-Time deadlineOf(const HttpRequest &Request, Time Now) {
-  const std::string_view Left = Request.header("Persimmon-Deadline-Ms");
-  std::int64_t Value = 0;
-  std::from_chars(Left.data(), Left.data() + Left.size(), Value);
-  constexpr std::int64_t MaxMs = 3'600'000;
-  return Left.empty() ? NoDeadline : Now + milliseconds(std::min(Value, MaxMs));
-}
-
 /// Whether a failure proves that the call did not run.
 bool provesNotRun(ResultCode Code) {
   switch (Code) {
@@ -146,58 +72,99 @@
 
 class ProxyApi::LocalHandler : public HttpHandler {
 public:
-  explicit LocalHandler(ProxyApi &Api) : Owner(Api) {}
+  LocalHandler(ProxyApi &Api, std::unique_ptr<HttpPort> &ThePort)
+      : Owner(Api), Port(ThePort) {}
 
   void onRequest(HttpRequest Request) override {
-    this->Owner.localRequest(Request);
+    this->Owner.localRequest(*this->Port, Request);
   }
   void onRequestGone(std::int64_t) override {}
 
 private:
   ProxyApi &Owner;
+  std::unique_ptr<HttpPort> &Port;
 };
 
-ProxyApi::ProxyApi(asio::io_context &Io, EventSink &TheSink,
-                   BodyStore &TheBodies, Metrics &TheNumbers)
-    : Sink(TheSink), Bodies(TheBodies), Numbers(TheNumbers), Client(Io),
-      ProbeTimer(Io), Callers(std::make_unique<CallerHandler>(*this)),
-      Locals(std::make_unique<LocalHandler>(*this)),
+ProxyApi::ProxyApi(asio::io_context &Io, const DaemonSettings &Settings,
+                   const Parts &Used)
+    : Sink(Used.Sink), Bodies(Used.Bodies), Numbers(Used.Numbers),
+      Protocols(Used.Protocols), Client(Io), ProbeTimer(Io),
+      Callers(std::make_unique<CallerHandler>(*this)),
+      Locals(std::make_unique<LocalHandler>(*this, this->LocalPort)),
+      ReadinessCallers(
+          std::make_unique<LocalHandler>(*this, this->ReadinessPort)),
+      OwnService(Settings.Target.Service),
+      FixedAddress(Settings.Target.Address), TargetAddress(FixedAddress),
+      ProbeInterval(Settings.Target.ProbeInterval),
       IdPrefix(randomText(CallIdDigits)) {}
 
 ProxyApi::~ProxyApi() = default;
 
 leaf::result<std::unique_ptr<ProxyApi>>
 ProxyApi::open(asio::io_context &Io, const DaemonSettings &Settings,
-               EventSink &Sink, BodyStore &Bodies, Metrics &Numbers) {
-  std::unique_ptr<ProxyApi> Out(new ProxyApi(Io, Sink, Bodies, Numbers));
+               const Parts &Used) {
+  std::unique_ptr<ProxyApi> Out(new ProxyApi(Io, Settings, Used));
   Out->Client.setMaxConnections(DefaultConnections);
   BOOST_LEAF_ASSIGN(Out->CallerPort,
                     HttpPort::open(Io, *Settings.Callers, *Out->Callers));
   BOOST_LEAF_ASSIGN(Out->LocalPort,
                     HttpPort::open(Io, *Settings.Local, *Out->Locals));
-  Out->probeTarget();
+  if (Settings.Readiness) {
+    BOOST_LEAF_ASSIGN(
+        Out->ReadinessPort,
+        HttpPort::open(Io, *Settings.Readiness, *Out->ReadinessCallers));
+  }
+  if (Out->ProbeInterval.count() > 0)
+    Out->probeTarget();
   return Out;
 }
 
+Failure ProxyApi::checkCall(const HttpRequest &Request,
+                            const std::string &Job) const {
+  const auto &Table = this->Sink.node().distribution().table();
+  const CallerLimits Limits = Table ? Table->limits() : CallerLimits();
+  if (static_cast<std::int64_t>(headerBytes(Request)) > Limits.MaxHeaderBytes)
+    return {ResultCode::HeadersTooLarge, {}, {}};
+  if (static_cast<std::int64_t>(Request.Body.size()) > Limits.MaxBodyBytes)
+    return {ResultCode::BodyTooLarge, {}, {}};
+  if (Job.empty())
+    return {ResultCode::RequestMalformed, "Host", "the header is missing"};
+  if (!Request.Url.starts_with('/') || !printable(Request.Url) ||
+      !printable(Job))
+    return {ResultCode::RequestMalformed, "URL", "expected a path"};
+  return {};
+}
+
 void ProxyApi::callArrived(HttpRequest Request) {
   const Time Now = std::chrono::steady_clock::now();
   this->ArrivedAt.emplace(Request.Id, Now);
   const std::string Job = jobOf(Request);
-  Failure Error = checkRequest(Request, Job);
+  CallTerms Terms;
+  Failure Error = this->checkCall(Request, Job);
+  if (!Error.failed())
+    Error = settle(
+        [&] {
+          return this->Protocols.Calls->readCall(Request, this->OwnService,
+                                                 Now);
+        },
+        [&](CallTerms Read) { Terms = std::move(Read); });
   if (Error.failed())
     return this->refuse({Request.Id, std::move(Error)});
   CallArrived Call;
   Call.CallNumber = Request.Id;
-  Call.CallId = std::string(Request.header("X-Request-Id"));
+  Call.CallId = std::move(Terms.CallId);
   if (Call.CallId.empty() || !printable(Call.CallId))
     Call.CallId = this->IdPrefix + "-" + std::to_string(Request.Id);
   Call.Job = Job;
   Call.Method = Request.Method;
   Call.Url = Request.Url;
-  Call.Headers = endToEnd(Request.Headers);
+  Call.Headers = std::move(Terms.Headers);
   Call.BodySize = static_cast<std::int64_t>(Request.Body.size());
-  Call.Deadline = deadlineOf(Request, Now);
-  Call.IdempotencyKey = std::string(Request.header("Idempotency-Key"));
+  Call.Deadline = Terms.Deadline;
+  Call.IdempotencyKey = std::move(Terms.IdempotencyKey);
+  // Only the target itself calls from its own address.
+  Call.Nested = !this->FixedAddress.empty() &&
+                this->FixedAddress.starts_with(Request.PeerIp + ":");
   this->Bodies.keepCallerBody(Request.Id, std::move(Request.Body));
   this->Sink.submit(std::move(Call));
 }
@@ -218,21 +185,9 @@
   const ResultCode Code = Refusal.Error.Code;
   this->countCall(Refusal.CallNumber, Code);
   this->Bodies.dropCaller(Refusal.CallNumber);
-  const bool NotRun = provesNotRun(Code);
-  HttpAnswer Answer;
-  Answer.Status = httpStatusOf(Code);
-  Answer.Headers.push_back(
-      makeHeader("Persimmon-Code", std::to_string(static_cast<int>(Code))));
-  Answer.Headers.push_back(
-      makeHeader("Persimmon-Not-Run", NotRun ? "true" : "false"));
-  Answer.Headers.push_back(makeHeader("Content-Type", "application/json"));
-  Answer.Body = json{{"code", static_cast<int>(Code)},
-                     {"name", nameOf(Code)},
-                     {"notRun", NotRun},
-                     {"text", describe(Refusal.Error)}}
-                    .dump() +
-                "\n";
-  Answer.CloseConnection = Code == ResultCode::Stopping ||
+  HttpAnswer Answer =
+      this->Protocols.Calls->makeRefusal(Refusal, provesNotRun(Code));
+  Answer.CloseConnection = this->Sink.node().stopping() ||
                            Code == ResultCode::BodyTooLarge ||
                            Code == ResultCode::HeadersTooLarge;
   this->CallerPort->answer(Refusal.CallNumber, std::move(Answer));
@@ -246,7 +201,8 @@
   this->Bodies.dropCaller(Told.CallNumber);
   HttpAnswer Answer;
   Answer.Status = Arrived->Status;
-  Answer.Headers = std::move(Arrived->Headers);
+  Answer.Headers =
+      this->Protocols.Calls->answerHeaders(std::move(Arrived->Headers));
   Answer.Body = std::move(Arrived->Body);
   Answer.CloseConnection = this->Sink.node().stopping();
   this->CallerPort->answer(Told.CallNumber, std::move(Answer));
@@ -256,34 +212,49 @@
   const BodyStore::Request *Held = this->Bodies.request(Run.Id);
   if (Held == nullptr)
     return this->runEnded(Run.Id, TargetAnswer());
+  this->applyConnectionLimit();
   const Time Now = std::chrono::steady_clock::now();
+  const CallProtocol &Calls = *this->Protocols.Calls;
   TargetRequest Request;
-  Request.Url = "http://" + this->TargetAddress + Held->Header.Url;
+  Request.Address = this->TargetAddress;
+  Request.Url = Held->Header.Url;
   Request.Method = Held->Header.Method;
-  Request.Headers = Held->Header.Headers;
-  Request.Headers.push_back(makeHeader("X-Request-Id", Held->Header.CallId));
-  Request.Headers.push_back(
-      makeHeader("Persimmon-Deadline-Ms",
-                 std::to_string(millisecondsUntil(Run.Deadline, Now))));
+  Request.Headers =
+      Calls.targetHeaders(Held->Header, this->Sink.node().target().InstanceId,
+                          milliseconds(millisecondsUntil(Run.Deadline, Now)));
   Request.Body = Held->Body;
   Request.Deadline = Run.Deadline;
-  Request.MayRepeat = Held->Header.MayRepeat;
+  Request.Belongs = [&Calls,
+                     Id = Held->Header.CallId](const TargetAnswer &Answer) {
+    return Calls.belongsTo(Answer, Id);
+  };
   this->Running[Run.Id] =
       this->Client.start(Request, [this, Id = Run.Id](TargetAnswer Answer) {
         this->runEnded(Id, std::move(Answer));
       });
 }
 
+void ProxyApi::applyConnectionLimit() {
+  const auto &Table = this->Sink.node().distribution().table();
+  const ServiceSpec *Service =
+      Table ? Table->service(this->Sink.node().target().Service) : nullptr;
+  if (Service != nullptr && Service->Connections > 0)
+    this->Client.setMaxConnections(Service->Connections);
+}
+
 void ProxyApi::runEnded(const wire::AttemptId &Id, TargetAnswer Answer) {
   this->Running.erase(Id);
   RunFinished Event;
   Event.Id = Id;
   Event.End = Answer.End;
+  if (Answer.End == RunEnd::Answered &&
+      this->Protocols.Calls->saysNotRun(Answer))
+    Event.End = RunEnd::Shed;
   Event.Status = Answer.Status;
   Event.AnswerBytes = static_cast<std::int64_t>(Answer.Body.size());
-  if (Answer.End == RunEnd::Answered)
+  if (Event.End == RunEnd::Answered)
     this->Bodies.holdAnswer(
-        Id, {Answer.Status, endToEnd(Answer.Headers), std::move(Answer.Body)});
+        Id, {Answer.Status, std::move(Answer.Headers), std::move(Answer.Body)});
   this->Sink.submit(std::move(Event));
 }
 
@@ -293,19 +264,18 @@
     this->Client.cancel(Found->second);
 }
 
-void ProxyApi::localRequest(const HttpRequest &Request) {
+void ProxyApi::localRequest(HttpPort &Port, const HttpRequest &Request) {
+  Port.answer(Request.Id, this->answerLocal(Request));
+}
+
+HttpAnswer ProxyApi::answerLocal(const HttpRequest &Request) {
+  if (const auto Call = this->Protocols.Locals->decode(Request))
+    return std::visit([this](const auto &Item) { return this->carryOut(Item); },
+                      *Call);
   const std::string Route = Request.Method + " " + Request.Url;
-  if (Route == "POST /v1/target")
-    return this->targetAnnounced(Request);
   HttpAnswer Answer;
   if (Route == "GET /health") {
     Answer.Body = "{\"healthy\":true}\n";
-  } else if (Route == "GET /ready") {
-    const Node &Daemon = this->Sink.node();
-    const bool Ready = Daemon.serving() && !Daemon.stopping();
-    constexpr int Unavailable = 503;
-    Answer.Status = Ready ? 200 : Unavailable;
-    Answer.Body = json{{"ready", Ready}}.dump() + "\n";
   } else if (Route == "GET /v1/status") {
     Answer.Body = this->statusText();
   } else if (Route == "GET /metrics") {
@@ -314,7 +284,49 @@
     Answer.Status = httpStatusOf(ResultCode::PathUnknown);
     Answer.Body = describe({ResultCode::PathUnknown, Request.Url, {}}) + "\n";
   }
-  this->LocalPort->answer(Request.Id, std::move(Answer));
+  return Answer;
+}
+
+HttpAnswer ProxyApi::carryOut(const Failure &Error) {
+  logWarning("event=announcement-refused " + describe(Error));
+  return this->Protocols.Locals->makeRefusal(Error);
+}
+
+HttpAnswer ProxyApi::carryOut(const ReadinessQuery &) {
+  const Node &Daemon = this->Sink.node();
+  const bool Ready = Daemon.serving() && !Daemon.stopping() &&
+                     Daemon.distribution().version() > 0;
+  HttpAnswer Out;
+  Out.Status = Ready ? StatusOk : StatusUnavailable;
+  Out.Body = json{{"ready", Ready}}.dump() + "\n";
+  return Out;
+}
+
+HttpAnswer ProxyApi::carryOut(const TargetStatement &Statement) {
+  std::string Address;
+  const Failure Error =
+      settle([&] { return Endpoint::parse(Statement.Address, "address"); },
+             [&](const Endpoint &Valid) { Address = Valid.text(); });
+  if (Error.failed())
+    return this->carryOut(Error);
+  if (!this->FixedAddress.empty() &&
+      (Address != this->FixedAddress ||
+       Statement.Said.Service != this->OwnService))
+    return this->carryOut(Failure{ResultCode::NotOwnTarget, Address,
+                                  "service " + Statement.Said.Service});
+  if (this->TargetAddress != Address ||
+      this->Sink.node().target().InstanceId != Statement.Said.InstanceId)
+    this->Client.forgetIdle();
+  this->TargetAddress = Address;
+  if (Statement.Connections > 0)
+    this->Client.setMaxConnections(Statement.Connections);
+  this->Sink.submit(Statement.Said);
+  return this->Protocols.Locals->makeDone();
+}
+
+HttpAnswer ProxyApi::carryOut(const TargetLeaves &Leave) {
+  this->Sink.submit(Leave);
+  return this->Protocols.Locals->makeDone();
 }
 
 std::string ProxyApi::statusText() const {
@@ -334,51 +346,24 @@
          "\n";
 }
 
-void ProxyApi::targetAnnounced(const HttpRequest &Request) {
-  HttpAnswer Answer;
-  try {
-    const json Document = json::parse(Request.Body);
-    TargetAnnounced Event;
-    Event.Service = Document.at("service").get<std::string>();
-    Event.Slots = Document.at("slots").get<int>();
-    const std::string State = Document.value("state", "serving");
-    Event.State = State == "starting"   ? wire::TargetState::Starting
-                  : State == "draining" ? wire::TargetState::Draining
-                  : State == "gone"     ? wire::TargetState::Gone
-                                        : wire::TargetState::Serving;
-    const std::string Address = Document.at("address").get<std::string>();
-    const Failure Error = settle(
-        [&] { return Endpoint::parse(Address, "address"); },
-        [&](const Endpoint &Valid) { this->TargetAddress = Valid.text(); });
-    if (Error.failed() || Event.Slots < 1)
-      throw std::invalid_argument(describe(Error));
-    this->Client.setMaxConnections(
-        Document.value("connections", DefaultConnections));
-    this->Sink.submit(std::move(Event));
-    Answer.Body = "{\"code\":0}\n";
-  } catch (const std::exception &Error) {
-    Answer.Status = httpStatusOf(ResultCode::RequestMalformed);
-    Answer.Body =
-        describe({ResultCode::RequestMalformed, "target", Error.what()}) + "\n";
-  }
-  this->LocalPort->answer(Request.Id, std::move(Answer));
-}
-
 void ProxyApi::probeTarget() {
-  this->ProbeTimer.expires_after(ProbeInterval);
+  this->ProbeTimer.expires_after(this->ProbeInterval);
   this->ProbeTimer.async_wait([this](std::error_code Error) {
     if (Error)
       return;
     if (!this->TargetAddress.empty()) {
       TargetRequest Request;
-      Request.Url = "http://" + this->TargetAddress + "/health";
+      Request.Address = this->TargetAddress;
+      Request.Url = "/health";
       Request.Method = "GET";
+      Request.Headers = {makeHeader("Host", this->TargetAddress)};
       Request.Deadline = std::chrono::steady_clock::now() + ProbeTimeout;
-      Request.MayRepeat = true;
       this->Client.start(Request, [this](const TargetAnswer &Answer) {
         TargetProbed Event;
-        Event.Reachable = Answer.End != RunEnd::NotConnected;
-        Event.Well = Answer.End == RunEnd::Answered && Answer.Status == 200;
+        Event.Reachable =
+            Answer.End != RunEnd::NotConnected && Answer.End != RunEnd::NotSent;
+        Event.Well =
+            Answer.End == RunEnd::Answered && Answer.Status == StatusOk;
         this->Sink.submit(Event);
       });
     }
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bodystore.h"
+#include "edgeprotocol.h"
 #include "eventsink.h"
 #include "httpport.h"
 #include "metrics.h"
@@ -19,11 +20,17 @@
 /// it, which announces itself there, and for health and metrics.
 class ProxyApi {
 public:
-  /// \p Sink, \p Bodies and \p Numbers must outlive the ports. Errors:
-  /// PortInUse.
+  /// What the ports work with; all of it must outlive them.
+  struct Parts {
+    EventSink &Sink;
+    BodyStore &Bodies;
+    Metrics &Numbers;
+    const EdgeProtocols &Protocols;
+  };
+
+  /// Opens the ports that \p Settings name. Errors: PortInUse.
   static leaf::result<std::unique_ptr<ProxyApi>>
-  open(asio::io_context &Io, const DaemonSettings &Settings, EventSink &Sink,
-       BodyStore &Bodies, Metrics &Numbers);
+  open(asio::io_context &Io, const DaemonSettings &Settings, const Parts &Used);
 
   ~ProxyApi();
   ProxyApi(const ProxyApi &) = delete;
@@ -48,12 +55,18 @@
   class CallerHandler;
   class LocalHandler;
 
-  ProxyApi(asio::io_context &Io, EventSink &Sink, BodyStore &Bodies,
-           Metrics &Numbers);
+  ProxyApi(asio::io_context &Io, const DaemonSettings &Settings,
+           const Parts &Used);
 
   void callArrived(HttpRequest Request);
-  void localRequest(const HttpRequest &Request);
-  void targetAnnounced(const HttpRequest &Request);
+  void localRequest(HttpPort &Port, const HttpRequest &Request);
+  HttpAnswer answerLocal(const HttpRequest &Request);
+  HttpAnswer carryOut(const Failure &Error);
+  HttpAnswer carryOut(const TargetStatement &Statement);
+  HttpAnswer carryOut(const TargetLeaves &Leave);
+  HttpAnswer carryOut(const ReadinessQuery &Query);
+  Failure checkCall(const HttpRequest &Request, const std::string &Job) const;
+  void applyConnectionLimit();
   void runEnded(const wire::AttemptId &Id, TargetAnswer Answer);
   void probeTarget();
   void countCall(std::int64_t CallNumber, ResultCode Code);
@@ -62,13 +75,20 @@
   EventSink &Sink;
   BodyStore &Bodies;
   Metrics &Numbers;
+  const EdgeProtocols &Protocols;
   TargetClient Client;
   asio::steady_timer ProbeTimer;
   std::unique_ptr<CallerHandler> Callers;
   std::unique_ptr<LocalHandler> Locals;
+  std::unique_ptr<LocalHandler> ReadinessCallers;
   std::unique_ptr<HttpPort> CallerPort;
   std::unique_ptr<HttpPort> LocalPort;
+  std::unique_ptr<HttpPort> ReadinessPort;
+  /// Service and address of the target that the settings name, or empty.
+  std::string OwnService;
+  std::string FixedAddress;
   std::string TargetAddress;
+  milliseconds ProbeInterval;
   std::string IdPrefix;
   std::map<wire::AttemptId, std::int64_t> Running;
   std::map<std::int64_t, Time> ArrivedAt;
--- a/src/libhost/targetclient.h
+++ b/src/libhost/targetclient.h
@@ -12,27 +12,34 @@
 
 namespace persimmon {
 
+struct TargetAnswer {
+  RunEnd End = RunEnd::Broken;
+  int Status = 0;
+  std::vector<wire::Header> Headers;
+  std::string Body;
+
+  /// Returns the value of a header, or an empty text. Case does not matter.
+  std::string_view header(std::string_view Name) const;
+};
+
 /// A request to the target beside this daemon.
 struct TargetRequest {
-  std::string Url;
+  /// IP:PORT of the target.
+  std::string Address;
   std::string Method;
+  /// Path and query.
+  std::string Url;
   std::vector<wire::Header> Headers;
-  /// Must stay valid until the request ends.
   std::string_view Body;
   Time Deadline = NoDeadline;
-  /// False gives the request a connection of its own: on a reused one libcurl
-  /// sends a request again when the target closes without an answer.
-  bool MayRepeat = false;
+  /// Says whether an answer is the one to this request. One that is not is
+  /// skipped.
+  std::function<bool(const TargetAnswer &)> Belongs;
 };
 
-struct TargetAnswer {
-  RunEnd End = RunEnd::Broken;
-  int Status = 0;
-  std::vector<wire::Header> Headers;
-  std::string Body;
-};
-
-/// HTTP requests to the target through libcurl, on the caller's io_context.
+/// HTTP requests to the target over connections that are kept open. A request
+/// is written once, to one connection: nothing is ever sent again. Bytes that
+/// no request waits for, and answers that end early, close the connection.
 class TargetClient {
 public:
   using Done = std::function<void(TargetAnswer)>;
@@ -45,8 +52,13 @@
   /// Bounds the open connections to the target.
   void setMaxConnections(int Count);
 
-  /// Starts a request; \p WhenDone is called later, once, unless cancelled.
-  /// Returns the number that cancel() takes.
+  /// Closes the connections that no request uses, as the target is another one
+  /// from now on.
+  void forgetIdle();
+
+  /// Starts a request; \p WhenDone is called later, once. The answer's End
+  /// says what is known: NotConnected only if no byte was sent. Returns the
+  /// number that cancel() takes.
   std::int64_t start(const TargetRequest &Request, Done WhenDone);
 
   /// Ends a request by closing its connection and reports it as Broken.
--- /dev/null
+++ b/src/libhost/targetconnection.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "targetclient.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace persimmon {
+
+class TargetConnection;
+
+/// What a connection tells the client that owns it.
+class TargetConnectionOwner {
+public:
+  virtual ~TargetConnectionOwner() = default;
+
+  /// The connection has no request any more and can take another one.
+  virtual void onIdle(TargetConnection &Free) = 0;
+
+  /// The connection was closed and must not be used again.
+  virtual void onClosed(TargetConnection &Closed) = 0;
+};
+
+/// One connection to the target. Serves one request at a time.
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
+public:
+  TargetConnection(asio::io_context &Io, TargetConnectionOwner &Owner);
+
+  /// Connects if that was not done yet, then sends \p Request. \p WhenDone is
+  /// called once.
+  void run(const TargetRequest &Request, TargetClient::Done WhenDone);
+
+  /// Closes the connection; a request on it ends as Broken.
+  void close();
+
+  /// Closes without telling the owner, which is about to end.
+  void abandon();
+
+  /// Returns whether a request may be sent at \p Now: a connection that is
+  /// about to reach the target's idle timeout might be closed under way.
+  bool usable(Time Now) const;
+
+  bool busy() const { return this->WhenDone != nullptr; }
+  const std::string &address() const { return this->Address; }
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void send();
+  void read();
+  void received(std::error_code Error, std::size_t Size);
+  /// Returns whether the connection can go on reading.
+  bool parse();
+  void answerComplete();
+  void startParser();
+  void closeAs(RunEnd End);
+  void startTimer(Time Deadline);
+  TargetAnswer takeAnswer();
+
+  asio::ip::tcp::socket Socket;
+  asio::steady_timer Timer;
+  TargetConnectionOwner *Owner;
+  std::string Address;
+  std::string Outgoing;
+  TargetClient::Done WhenDone;
+  std::function<bool(const TargetAnswer &)> Belongs;
+  std::string Method;
+  Time Deadline = NoDeadline;
+  Time IdleUntil = NoDeadline;
+  std::array<char, 16384> Buffer{};
+  boost::beast::flat_buffer Unparsed;
+  std::optional<Parser> Incoming;
+  bool Connected = false;
+  bool Sent = false;
+  bool Written = false;
+  bool Closed = false;
+  bool Reusable = true;
+};
+
+} // namespace persimmon
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -7,12 +7,23 @@
 namespace {
 
 constexpr std::size_t MaxCalls = 4096;
-constexpr int MaxAttempts = 4;
-constexpr int MaxOverloadAttempts = 2;
-constexpr milliseconds AskInterval{250};
+/// Daemons that are tried for one call, refusals included.
+constexpr int MaxTries = 4;
+/// A service that is full everywhere is not searched through.
+constexpr int MaxOverloadTries = 3;
+constexpr milliseconds AskInterval{100};
 constexpr milliseconds AskTimeout{3000};
-constexpr milliseconds HeartbeatInterval{250};
-constexpr milliseconds SilenceTimeout{1000};
+constexpr milliseconds HeartbeatInterval{100};
+/// Longer than a daemon pauses whose share of a core is used up for the rest
+/// of a tenth of a second; shorter than the deadlines of interactive calls.
+constexpr milliseconds SilenceTimeout{350};
+/// Calls that a running call makes go before new ones: refusing them would
+/// waste the work that the caller has done.
+constexpr int NestedPriority = 1000;
+/// Callers return within this part of the time that they have left.
+constexpr milliseconds NotReadyRetryAfter{200};
+constexpr int RetryAfterMinPart = 8;
+constexpr int RetryAfterMaxPart = 3;
 
 bool idempotentMethod(std::string_view Method) {
   return Method == "GET" || Method == "HEAD" || Method == "OPTIONS" ||
@@ -31,12 +42,17 @@
                        ClaimKeeper Claims, std::uint64_t Seed,
                        const ChoicePolicy &Policy)
     : Members(Members), Config(Config), Claims(std::move(Claims)),
-      Chooser(Members.self().Zone, Seed, Policy),
-      OwnIncarnation(Members.self().Incarnation) {}
+      Chooser(Members.self().Zone, Seed, Policy), Split(Seed + 1),
+      Rng(Seed + 2), OwnIncarnation(Members.self().Incarnation) {}
 
 void CallRouter::refuse(std::int64_t CallNumber, Failure Error,
                         Effects &Out) const {
-  Out.emplace_back(RefuseCaller{CallNumber, std::move(Error)});
+  const bool NotReady = Error.Code == ResultCode::NotCurrent ||
+                        Error.Code == ResultCode::Stopping ||
+                        Error.Code == ResultCode::TooManyCalls;
+  Out.emplace_back(
+      RefuseCaller{CallNumber, std::move(Error),
+                   NotReady ? NotReadyRetryAfter : milliseconds(0)});
 }
 
 void CallRouter::arrive(const CallArrived &Arrived, bool Serving, Time Now,
@@ -44,7 +60,8 @@
   const std::int64_t Number = Arrived.CallNumber;
   if (this->Stopping)
     return this->refuse(Number, {ResultCode::Stopping, {}, {}}, Out);
-  if (!Serving)
+  // Before the first configuration nothing is known of any job.
+  if (!Serving || this->Config.version() == 0)
     return this->refuse(Number, {ResultCode::NotCurrent, {}, {}}, Out);
   if (this->Calls.size() >= MaxCalls)
     return this->refuse(Number, {ResultCode::TooManyCalls, {}, {}}, Out);
@@ -57,24 +74,11 @@
         " route=none version=" + std::to_string(this->Config.version())});
     return this->refuse(Number, {ResultCode::NoRoute, Arrived.Job, {}}, Out);
   }
-  const ServiceSpec &Service = *Table->service(Route->Service);
+  Call Fresh = this->makeCall(Arrived, *Route, Now);
+  const ServiceSpec &Service = *Table->service(Fresh.Service);
   if (Arrived.BodySize > Service.MaxBodyBytes)
     return this->refuse(Number, {ResultCode::BodyTooLarge, Service.Name, {}},
                         Out);
-  Call Fresh;
-  Fresh.Number = Number;
-  Fresh.CallId = Arrived.CallId;
-  Fresh.Method = Arrived.Method;
-  Fresh.Url = Arrived.Url;
-  Fresh.Headers = Arrived.Headers;
-  Fresh.BodySize = Arrived.BodySize;
-  Fresh.RoutePath = Route->Path;
-  Fresh.Service = Service.Name;
-  Fresh.Priority = Route->Priority;
-  Fresh.Repeat = repeatable(*Route, Arrived.Method);
-  const milliseconds Limit =
-      Route->CallTimeout.count() > 0 ? Route->CallTimeout : Service.CallTimeout;
-  Fresh.Deadline = std::min(Arrived.Deadline, Now + Limit);
   this->Budget.earn(Service.Name, Service.RetryBudgetPercent);
   Call &Stored = this->Calls.emplace(Number, std::move(Fresh)).first->second;
   if (!Stored.Repeat && !Arrived.IdempotencyKey.empty()) {
@@ -87,6 +91,49 @@
   this->dispatch(Stored, Now, Out);
 }
 
+CallRouter::Call CallRouter::makeCall(const CallArrived &Arrived,
+                                      const RouteSpec &Route, Time Now) {
+  Call Out;
+  Out.Number = Arrived.CallNumber;
+  Out.CallId = Arrived.CallId;
+  Out.Method = Arrived.Method;
+  Out.Url = Arrived.Url;
+  Out.Headers = Arrived.Headers;
+  Out.BodySize = Arrived.BodySize;
+  Out.RoutePath = Route.Path;
+  Out.Service = this->Split.next(Route).Service;
+  Out.Priority = Arrived.Nested ? NestedPriority : Route.Priority;
+  Out.Repeat = repeatable(Route, Arrived.Method);
+  Out.MaxSends = Route.MaxAttempts;
+  const ServiceSpec &Service = *this->Config.table()->service(Out.Service);
+  const milliseconds Limit =
+      Route.CallTimeout.count() > 0 ? Route.CallTimeout : Service.CallTimeout;
+  Out.Deadline = std::min(Arrived.Deadline, Now + Limit);
+  Out.UsefulUntil = Out.Deadline;
+  if (Route.TargetLatency.count() == 0)
+    return Out;
+  // A caller that was refused before is served as long as it waits: to be
+  // refused again is the worst that can happen to it.
+  const bool Returning =
+      Arrived.Deadline != NoDeadline &&
+      this->Returns.note(
+          Route.Path, milliseconds(millisecondsUntil(Arrived.Deadline, Now)));
+  if (!Returning && !Arrived.Nested)
+    Out.UsefulUntil = std::min(Out.Deadline, Now + Route.TargetLatency);
+  return Out;
+}
+
+milliseconds CallRouter::retryAfter(const Call &TheCall, ResultCode Code,
+                                    Time Now) {
+  const milliseconds Left(millisecondsUntil(TheCall.Deadline, Now));
+  const milliseconds Least = Left / RetryAfterMinPart;
+  if (Code != ResultCode::Overloaded &&
+      Code != ResultCode::DeadlineCannotBeMet && Code != ResultCode::TargetShed)
+    return Least;
+  // Spread, so that those refused together do not return together.
+  return this->Rng.between(Least, Left / RetryAfterMaxPart);
+}
+
 wire::AttemptId CallRouter::attemptId(const Call &TheCall) const {
   wire::AttemptId Id;
   Id.Sender = this->Members.self().Name;
@@ -134,6 +181,9 @@
   Request.RemainingMs =
       static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now));
   Request.Priority = TheCall.Priority;
+  Request.UsefulMs =
+      static_cast<std::int32_t>(millisecondsUntil(TheCall.UsefulUntil, Now));
+  Request.Route = TheCall.RoutePath;
   Request.CallId = TheCall.CallId;
   Request.MayRepeat = TheCall.Repeat;
   Out.emplace_back(
@@ -169,8 +219,17 @@
     MayHaveRun = true;
     Error = {ResultCode::OutcomeUnknown, Ended.Service, {}};
   }
-  if (Error.failed())
-    this->refuse(CallNumber, std::move(Error), Out);
+  if (Error.failed()) {
+    const milliseconds Later = this->retryAfter(Ended, Error.Code, Now);
+    Out.emplace_back(LogDecision{
+        "event=give-up call=" + Ended.CallId + " route=" + Ended.RoutePath +
+        " service=" + Ended.Service +
+        " tries=" + std::to_string(Ended.Attempts) +
+        " sends=" + std::to_string(Ended.Sends) +
+        " leftMs=" + std::to_string(millisecondsUntil(Ended.Deadline, Now)) +
+        " code=" + std::to_string(static_cast<int>(Error.Code))});
+    Out.emplace_back(RefuseCaller{CallNumber, std::move(Error), Later});
+  }
   this->Claims.finished(CallNumber, MayHaveRun, Now, Out);
   this->Calls.erase(CallNumber);
 }
@@ -221,11 +280,9 @@
       " code=" + std::to_string(static_cast<int>(Code))});
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.LastRefusal = Code;
-  const int Limit =
-      Code == ResultCode::Overloaded ? MaxOverloadAttempts : MaxAttempts;
-  const bool Worthwhile = Code != ResultCode::DeadlineCannotBeMet &&
-                          TheCall.Attempts < Limit && Now < TheCall.Deadline;
-  if (!Worthwhile) {
+  if (Code == ResultCode::TargetShed)
+    TheCall.Sends += 1;
+  if (!this->mayRetry(TheCall, Code, Now)) {
     this->finish(TheCall.Number, {Code, TheCall.Service, {}}, false, Now, Out);
     return;
   }
@@ -233,12 +290,27 @@
   this->dispatch(TheCall, Now, Out);
 }
 
+bool CallRouter::mayRetry(const Call &TheCall, ResultCode Code, Time Now) {
+  const bool Full =
+      Code == ResultCode::Overloaded || Code == ResultCode::DeadlineCannotBeMet;
+  if (TheCall.Attempts >= (Full ? MaxOverloadTries : MaxTries) ||
+      Now >= TheCall.Deadline)
+    return false;
+  // What the target itself refused has cost it work, so it is paid for like a
+  // repeat; a refusal by its daemon is free.
+  if (Code == ResultCode::TargetShed)
+    return TheCall.Sends < TheCall.MaxSends &&
+           this->Budget.spend(TheCall.Service);
+  return true;
+}
+
 bool CallRouter::retryElsewhere(Call &TheCall, Time Now, Effects &Out) {
-  const bool Allowed = TheCall.Repeat && TheCall.Attempts < MaxAttempts &&
-                       Now < TheCall.Deadline &&
+  const bool Allowed = TheCall.Repeat && TheCall.Sends + 1 < TheCall.MaxSends &&
+                       TheCall.Attempts < MaxTries && Now < TheCall.Deadline &&
                        this->Budget.spend(TheCall.Service);
   if (!Allowed)
     return false;
+  TheCall.Sends += 1;
   this->endAttempt(TheCall, true, Now, Out);
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.MayHaveRun = true;
@@ -355,6 +427,7 @@
 }
 
 void CallRouter::tick(Time Now, Effects &Out) {
+  this->Budget.setBurst(this->RetryBurst, this->Members.proxyCount());
   for (const std::int64_t Number : this->Claims.tick(Now, Out))
     this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
                  Out);
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -6,6 +6,7 @@
 #include "membership.h"
 #include "retrybudget.h"
 #include "targetchooser.h"
+#include "trafficsplit.h"
 
 #include <map>
 #include <set>
@@ -47,6 +48,15 @@
   /// Passes deadlines, asks after attempts and watches connections.
   void tick(Time Now, Effects &Out);
 
+  /// Shares \p Burst retries beyond the percentages of the services among all
+  /// daemons.
+  void setRetryBurst(int Burst) { this->RetryBurst = Burst; }
+
+  /// Gives the addresses of the control instances that keep claims.
+  void setControlAddresses(std::vector<std::string> Addresses) {
+    this->Claims.setControlAddresses(std::move(Addresses));
+  }
+
   /// Refuses new calls from now on.
   void stop() { this->Stopping = true; }
 
@@ -70,6 +80,11 @@
     int Priority = 0;
     bool Repeat = false;
     Time Deadline;
+    /// When an answer is worth less to the caller.
+    Time UsefulUntil;
+    /// Attempts that a target received or may have received.
+    int Sends = 0;
+    int MaxSends = 1;
     Phase State = Phase::Sent;
     int Attempts = 0;
     std::int64_t AttemptNumber = 0;
@@ -103,6 +118,9 @@
   void attemptUnknown(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
   void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
+  Call makeCall(const CallArrived &Arrived, const RouteSpec &Route, Time Now);
+  milliseconds retryAfter(const Call &TheCall, ResultCode Code, Time Now);
+  bool mayRetry(const Call &TheCall, ResultCode Code, Time Now);
   void finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun, Time Now,
               Effects &Out);
   void deadlinePassed(Call &TheCall, Time Now, Effects &Out);
@@ -116,6 +134,9 @@
   const Distribution &Config;
   ClaimKeeper Claims;
   TargetChooser Chooser;
+  TrafficSplit Split;
+  ReturnDetector Returns;
+  Random Rng;
   RetryBudget Budget;
   std::map<std::int64_t, Call> Calls;
   std::map<std::int64_t, std::int64_t> CallOfAttempt;
@@ -123,6 +144,7 @@
   std::int64_t LastAttempt = 0;
   std::int64_t OwnIncarnation;
   std::uint64_t Retries = 0;
+  int RetryBurst = 0;
   bool Stopping = false;
 };
 
--- a/src/libpersimmon/claimkeeper.cpp
+++ b/src/libpersimmon/claimkeeper.cpp
@@ -12,11 +12,9 @@
 } // namespace
 
 ClaimKeeper::ClaimKeeper(std::string OwnName, std::string OwnAddress,
-                         std::int64_t OwnIncarnation,
-                         std::vector<std::string> ControlAddresses)
+                         std::int64_t OwnIncarnation)
     : OwnName(std::move(OwnName)), OwnAddress(std::move(OwnAddress)),
-      OwnIncarnation(OwnIncarnation),
-      ControlAddresses(std::move(ControlAddresses)) {}
+      OwnIncarnation(OwnIncarnation) {}
 
 void ClaimKeeper::sendToControl(const wire::Claim &Wanted, Effects &Out) const {
   wire::ClaimRequest Request;
--- a/src/libpersimmon/claimkeeper.h
+++ b/src/libpersimmon/claimkeeper.h
@@ -19,8 +19,12 @@
   enum class Verdict { Waiting, Granted, Taken, Unavailable };
 
   ClaimKeeper(std::string OwnName, std::string OwnAddress,
-              std::int64_t OwnIncarnation,
-              std::vector<std::string> ControlAddresses);
+              std::int64_t OwnIncarnation);
+
+  /// Gives the addresses of the control instances to ask.
+  void setControlAddresses(std::vector<std::string> Addresses) {
+    this->ControlAddresses = std::move(Addresses);
+  }
 
   /// Starts to claim \p Key for a call.
   void request(std::int64_t CallNumber, std::string_view Key, Time Now,
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -10,16 +10,23 @@
 constexpr milliseconds ElectionTimeoutMin{500};
 constexpr milliseconds ElectionTimeoutMax{1000};
 constexpr milliseconds SilenceTimeout{800};
+/// A longer time between two ticks means that this process was held up, by
+/// work of its own, its disk or a processor that others use. What the others
+/// sent meanwhile is read only after the tick.
+constexpr milliseconds OwnPauseMin{100};
 constexpr milliseconds JoinInterval{300};
 constexpr milliseconds LearnerTimeout{5000};
+/// Longer than a restart; a voter that returns later joins again.
+constexpr milliseconds VoterGoneTimeout{3000};
 constexpr milliseconds SnapshotResendInterval{2000};
 constexpr std::size_t EntriesPerMessage = 128;
 
 } // namespace
 
 Consensus::Consensus(wire::Replica Self, std::vector<ControlPeer> Peers,
-                     std::uint64_t Seed)
-    : Self(std::move(Self)), Peers(std::move(Peers)), Rng(Seed) {}
+                     VoterPolicy ThePolicy, std::uint64_t Seed)
+    : Self(std::move(Self)), Peers(std::move(Peers)), Policy(ThePolicy),
+      Rng(Seed) {}
 
 void Consensus::restore(const DurableState &State, Time Now) {
   this->Hard = State.Hard;
@@ -46,6 +53,25 @@
   this->becomeLeader(Now, Out);
 }
 
+void Consensus::found(std::vector<wire::Replica> Founders, Time Now,
+                      Effects &Out) {
+  const bool Founder = std::any_of(Founders.begin(), Founders.end(),
+                                   [&](const wire::Replica &Item) {
+                                     return Item.DiskId == this->Self.DiskId;
+                                   });
+  if (!Founder || this->Hard.Term != 0 || this->Log.lastIndex() != 0)
+    return;
+  this->Hard.Term = 1;
+  Out.emplace_back(PersistHardState{this->Hard});
+  wire::LogEntry Entry;
+  Entry.Kind = wire::EntryKind::Voters;
+  Entry.Voters = std::move(Founders);
+  Entry.Index = 1;
+  Entry.Term = 1;
+  this->appendLocally({std::move(Entry)}, Out);
+  this->resetElection(Now);
+}
+
 void Consensus::recover(std::int64_t VersionBase, Time Now, Effects &Out) {
   this->stepDown(this->Hard.Term + 1, Now, Out);
   this->Hard.VotedFor = this->Self.DiskId;
@@ -98,7 +124,21 @@
   Out.emplace_back(PersistEntries{std::move(Entries)});
 }
 
+void Consensus::excuseOwnPause(Time Now) {
+  const auto Pause = Now - this->LastTick;
+  const bool Paused = this->LastTick != Time() && Pause > OwnPauseMin;
+  this->LastTick = Now;
+  if (!Paused)
+    return;
+  this->ElectionDeadline += Pause;
+  for (auto &[DiskId, Item] : this->Followers) {
+    Item.HeardUntil += Pause;
+    Item.SilentAt += Pause;
+  }
+}
+
 void Consensus::tick(Time Now, Effects &Out) {
+  this->excuseOwnPause(Now);
   if (this->CurrentRole == Role::Leader) {
     this->leaderTick(Now, Out);
     return;
@@ -122,8 +162,15 @@
   this->NextJoin = Now + JoinInterval;
   wire::JoinRequest Request;
   Request.Joiner = this->Self;
-  for (const ControlPeer &Peer : this->Peers)
-    send(Out, Peer.Address, Request, Channel::Datagram);
+  std::set<std::string_view> Asked = {this->Self.Address};
+  for (const ControlPeer &Peer : this->Peers) {
+    if (Asked.insert(Peer.Address).second)
+      send(Out, Peer.Address, Request, Channel::Datagram);
+  }
+  for (const std::string &Address : this->JoinAddresses) {
+    if (Asked.insert(Address).second)
+      send(Out, Address, Request, Channel::Datagram);
+  }
 }
 
 void Consensus::startPreVote(Time Now, Effects &Out) {
@@ -479,10 +526,12 @@
                         Effects &Out) {
   if (!this->leader() || this->isVoter(Request.Joiner.DiskId))
     return;
-  const bool Expected = std::any_of(
-      this->Peers.begin(), this->Peers.end(), [&](const ControlPeer &Peer) {
-        return Peer.Instance == Request.Joiner.Instance;
-      });
+  const bool Expected =
+      this->Policy.open() ||
+      std::any_of(this->Peers.begin(), this->Peers.end(),
+                  [&](const ControlPeer &Peer) {
+                    return Peer.Instance == Request.Joiner.Instance;
+                  });
   if (!Expected) {
     Out.emplace_back(
         LogWarning{"event=join-refused instance=" + Request.Joiner.Instance +
@@ -505,30 +554,65 @@
   });
   if (!this->ready() || this->Commit < this->Log.votersIndex())
     return;
-  wire::LogEntry Entry;
-  Entry.Kind = wire::EntryKind::Voters;
-  Entry.Voters = this->Log.voters();
+  if (!this->removeVoter(Now, Out))
+    this->addVoter(Now, Out);
+}
+
+bool Consensus::gone(const wire::Replica &Voter, Time Now) const {
+  const auto Found = this->Followers.find(Voter.DiskId);
+  return Found != this->Followers.end() &&
+         Now >= Found->second.HeardUntil + VoterGoneTimeout;
+}
+
+bool Consensus::removeVoter(Time Now, Effects &Out) {
+  const std::vector<wire::Replica> &Voters = this->Log.voters();
+  const bool TooMany =
+      this->Policy.open() && Voters.size() > this->Policy.Count;
   // A replaced replica goes only after its successor has the vote.
-  for (auto Old = Entry.Voters.begin(); Old != Entry.Voters.end(); ++Old) {
-    const bool Replaced = std::any_of(Old + 1, Entry.Voters.end(),
-                                      [&](const wire::Replica &Newer) {
-                                        return Newer.Instance == Old->Instance;
-                                      });
-    if (!Replaced)
+  for (auto Old = Voters.begin(); Old != Voters.end(); ++Old) {
+    const bool Replaced =
+        std::any_of(Old + 1, Voters.end(), [&](const wire::Replica &Newer) {
+          return Newer.Instance == Old->Instance;
+        });
+    if (!Replaced && !(TooMany && this->gone(*Old, Now)))
       continue;
     Out.emplace_back(
         LogWarning{"event=replica-removed instance=" + Old->Instance +
-                   " disk=" + std::to_string(Old->DiskId)});
-    Entry.Voters.erase(Old);
+                   " disk=" + std::to_string(Old->DiskId) +
+                   " reason=" + (Replaced ? "replaced" : "gone")});
+    wire::LogEntry Entry;
+    Entry.Kind = wire::EntryKind::Voters;
+    Entry.Voters = Voters;
+    Entry.Voters.erase(Entry.Voters.begin() + (Old - Voters.begin()));
     this->propose(std::move(Entry), Now, Out);
-    return;
+    return true;
   }
+  return false;
+}
+
+bool Consensus::mayVote(const wire::Replica &Learner, Time Now) const {
+  const std::vector<wire::Replica> &Voters = this->Log.voters();
+  if (!this->Policy.open() || Voters.size() < this->Policy.Count)
+    return true;
+  if (Voters.size() > this->Policy.Count)
+    return false;
+  return std::any_of(
+      Voters.begin(), Voters.end(), [&](const wire::Replica &Voter) {
+        return Voter.Instance == Learner.Instance || this->gone(Voter, Now);
+      });
+}
+
+void Consensus::addVoter(Time Now, Effects &Out) {
   for (const auto &[DiskId, Learner] : this->Followers) {
-    if (this->isVoter(DiskId) || Learner.Match < this->Commit)
+    if (this->isVoter(DiskId) || Learner.Match < this->Commit ||
+        Now >= Learner.HeardUntil || !this->mayVote(Learner.Who, Now))
       continue;
     Out.emplace_back(
         LogWarning{"event=replica-added instance=" + Learner.Who.Instance +
                    " disk=" + std::to_string(DiskId)});
+    wire::LogEntry Entry;
+    Entry.Kind = wire::EntryKind::Voters;
+    Entry.Voters = this->Log.voters();
     Entry.Voters.push_back(Learner.Who);
     this->propose(std::move(Entry), Now, Out);
     return;
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "effects.h"
+#include "founding.h"
 #include "random.h"
 #include "replicatedlog.h"
 
@@ -35,7 +36,7 @@
 
   /// \p Self is this instance with its disk; \p Peers are the other ones.
   Consensus(wire::Replica Self, std::vector<ControlPeer> Peers,
-            std::uint64_t Seed);
+            VoterPolicy Policy, std::uint64_t Seed);
 
   /// Takes over what was read from disk, at time \p Now.
   void restore(const DurableState &State, Time Now);
@@ -43,6 +44,16 @@
   /// Forms a new cluster whose only voter is this replica.
   void form(Time Now, Effects &Out);
 
+  /// Starts a new cluster whose voters are \p Founders, on each of them alike.
+  /// Does nothing unless the log is blank and this replica is one of them.
+  void found(std::vector<wire::Replica> Founders, Time Now, Effects &Out);
+
+  /// Gives the addresses of control instances to ask for admission, beside
+  /// those of the settings.
+  void setJoinAddresses(std::vector<std::string> Addresses) {
+    this->JoinAddresses = std::move(Addresses);
+  }
+
   /// Makes this replica the only voter after a quorum of disks was lost.
   /// What only the lost disks held is gone.
   void recover(std::int64_t VersionBase, Time Now, Effects &Out);
@@ -122,6 +133,8 @@
   bool isVoter(std::int64_t DiskId) const;
   bool upToDate(const wire::VoteRequest &Request) const;
   void resetElection(Time Now);
+  /// Does not count a pause of this process itself as silence of the others.
+  void excuseOwnPause(Time Now);
   void stepDown(std::int64_t Term, Time Now, Effects &Out);
   void startPreVote(Time Now, Effects &Out);
   void startElection(Time Now, Effects &Out);
@@ -134,6 +147,10 @@
   bool heardFromQuorum(Time Now) const;
   void adoptVoters(Time Now);
   void changeVoters(Time Now, Effects &Out);
+  bool removeVoter(Time Now, Effects &Out);
+  void addVoter(Time Now, Effects &Out);
+  bool gone(const wire::Replica &Voter, Time Now) const;
+  bool mayVote(const wire::Replica &Learner, Time Now) const;
   void follow(const wire::Replica &Leader, std::int64_t Term, Time Now,
               Effects &Out);
   void sendJoin(Time Now, Effects &Out);
@@ -143,6 +160,8 @@
 
   wire::Replica Self;
   std::vector<ControlPeer> Peers;
+  VoterPolicy Policy;
+  std::vector<std::string> JoinAddresses;
   Random Rng;
   wire::HardState Hard;
   ReplicatedLog Log;
@@ -153,6 +172,7 @@
   std::optional<wire::Replica> CurrentLeader;
   std::set<std::int64_t> Votes;
   std::map<std::int64_t, Progress> Followers;
+  Time LastTick;
   Time ElectionDeadline;
   Time LeaderHeardUntil;
   Time NextHeartbeat;
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -20,9 +20,10 @@
 
 ControlService::ControlService(wire::Replica Self,
                                std::vector<ControlPeer> Peers,
-                               SnapshotPolicy ThePolicy, std::uint64_t Seed)
-    : Agreement(std::move(Self), std::move(Peers), Seed), Snapshots(ThePolicy) {
-}
+                               VoterPolicy Voters, SnapshotPolicy ThePolicy,
+                               std::uint64_t Seed)
+    : Agreement(std::move(Self), std::move(Peers), Voters, Seed),
+      Snapshots(ThePolicy) {}
 
 leaf::result<void> ControlService::restore(const DurableState &State,
                                            Time Now) {
@@ -66,15 +67,11 @@
   this->advance(Now, Out);
 }
 
-void ControlService::enqueue(std::int64_t RequestId, wire::LogEntry Entry,
-                             Time Now, Effects &Out) {
+void ControlService::enqueue(PendingWrite Write, Time Now, Effects &Out) {
   if (this->Writes.size() >= MaxWaitingWrites) {
-    this->answer(RequestId, {ResultCode::Busy, {}, {}}, 0, Out);
+    this->answer(Write.RequestId, {ResultCode::Busy, {}, {}}, 0, Out);
     return;
   }
-  PendingWrite Write;
-  Write.RequestId = RequestId;
-  Write.Entry = std::move(Entry);
   Write.Deadline = Now + RequestTimeout;
   this->Writes.push_back(std::move(Write));
   this->advance(Now, Out);
@@ -90,10 +87,29 @@
                  Out);
     return;
   }
-  wire::LogEntry Entry;
-  Entry.Kind = wire::EntryKind::Change;
-  Entry.TheChange = Request.TheChange;
-  this->enqueue(Request.RequestId, std::move(Entry), Now, Out);
+  PendingWrite Write;
+  Write.RequestId = Request.RequestId;
+  Write.Entry.Kind = wire::EntryKind::Change;
+  Write.Entry.TheChange = Request.TheChange;
+  this->enqueue(std::move(Write), Now, Out);
+}
+
+void ControlService::handle(const ReplaceRequested &Request, Time Now,
+                            Effects &Out) {
+  if (this->refuseUnlessReady(Request.RequestId, Out))
+    return;
+  if (!Request.Trusted &&
+      !this->Store.authorized(Request.Document.Team, Request.Token)) {
+    this->answer(Request.RequestId,
+                 {ResultCode::Unauthorized, Request.Document.Team, {}}, 0, Out);
+    return;
+  }
+  PendingWrite Write;
+  Write.RequestId = Request.RequestId;
+  Write.Entry.Kind = wire::EntryKind::Change;
+  Write.Entry.TheChange.ChangeId = Request.Document.Digest;
+  Write.Subtree = Request.Document;
+  this->enqueue(std::move(Write), Now, Out);
 }
 
 void ControlService::handle(const TeamRequested &Request, Time Now,
@@ -107,10 +123,11 @@
                  0, Out);
     return;
   }
-  wire::LogEntry Entry;
-  Entry.Kind = wire::EntryKind::Team;
-  Entry.Team = Request.Grant;
-  this->enqueue(Request.RequestId, std::move(Entry), Now, Out);
+  PendingWrite Write;
+  Write.RequestId = Request.RequestId;
+  Write.Entry.Kind = wire::EntryKind::Team;
+  Write.Entry.Team = Request.Grant;
+  this->enqueue(std::move(Write), Now, Out);
 }
 
 void ControlService::handle(const ReadRequested &Request, Time Now,
@@ -133,10 +150,16 @@
     return;
   }
   this->Agreement.form(Now, Out);
-  wire::LogEntry Entry;
-  Entry.Kind = wire::EntryKind::Team;
-  Entry.Team = Request.AdminGrant;
-  this->enqueue(Request.RequestId, std::move(Entry), Now, Out);
+  PendingWrite Write;
+  Write.RequestId = Request.RequestId;
+  Write.Entry.Kind = wire::EntryKind::Team;
+  Write.Entry.Team = Request.AdminGrant;
+  this->enqueue(std::move(Write), Now, Out);
+}
+
+void ControlService::handle(const FoundRequested &Request, Time Now,
+                            Effects &Out) {
+  this->Agreement.found(foundersAt(Request.Addresses), Now, Out);
 }
 
 void ControlService::handle(const RecoverRequested &Request, Time Now,
@@ -272,22 +295,40 @@
   this->Writes.pop_front();
 }
 
+std::optional<Failure>
+ControlService::settleEarly(PendingWrite &Write, std::int64_t &Version) const {
+  if (Write.Entry.Kind != wire::EntryKind::Change)
+    return std::nullopt;
+  wire::Change &Wanted = Write.Entry.TheChange;
+  if (const auto First = this->Store.outcomeOf(Wanted.ChangeId)) {
+    Version = *First;
+    return Failure();
+  }
+  Failure Refusal;
+  if (Write.Subtree)
+    Refusal = settle(
+        [&] { return replaceSubtree(this->Store.settings(), *Write.Subtree); },
+        [&](wire::Change Made) {
+          Wanted = std::move(Made);
+          Wanted.BasedOn = this->Store.version();
+        });
+  if (!Refusal.failed())
+    Refusal = this->Store.check(Wanted);
+  if (!Refusal.failed())
+    return std::nullopt;
+  return Refusal;
+}
+
 void ControlService::startWrites(Time Now, Effects &Out) {
   // Its request may have expired while the entry itself can still commit.
   const bool Idle = this->WriteInFlight <= this->Agreement.commitIndex();
   while (Idle && !this->Writes.empty() && this->Writes.front().Index == 0) {
     PendingWrite &Write = this->Writes.front();
-    if (Write.Entry.Kind == wire::EntryKind::Change) {
-      const auto First = this->Store.outcomeOf(Write.Entry.TheChange.ChangeId);
-      Failure Refusal;
-      if (!First)
-        Refusal = this->Store.check(Write.Entry.TheChange);
-      if (First || Refusal.failed()) {
-        this->answer(Write.RequestId, std::move(Refusal), First.value_or(0),
-                     Out);
-        this->Writes.pop_front();
-        continue;
-      }
+    std::int64_t Version = 0;
+    if (auto Early = this->settleEarly(Write, Version)) {
+      this->answer(Write.RequestId, std::move(*Early), Version, Out);
+      this->Writes.pop_front();
+      continue;
     }
     // The index is known before the effects run, because only the leader
     // appends.
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -5,6 +5,7 @@
 #include "settingsstore.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,8 @@
 class ControlService {
 public:
   ControlService(wire::Replica Self, std::vector<ControlPeer> Peers,
-                 SnapshotPolicy Snapshots, std::uint64_t Seed);
+                 VoterPolicy Voters, SnapshotPolicy Snapshots,
+                 std::uint64_t Seed);
 
   /// Takes over what was read from disk. Errors: SnapshotDamaged.
   leaf::result<void> restore(const DurableState &State, Time Now);
@@ -33,10 +35,17 @@
 
   /// Each handles an operator's request; its answer is an effect.
   void handle(const ChangeRequested &Request, Time Now, Effects &Out);
+  void handle(const ReplaceRequested &Request, Time Now, Effects &Out);
   void handle(const TeamRequested &Request, Time Now, Effects &Out);
   void handle(const ReadRequested &Request, Time Now, Effects &Out);
   void handle(const FormRequested &Request, Time Now, Effects &Out);
   void handle(const RecoverRequested &Request, Time Now, Effects &Out);
+  void handle(const FoundRequested &Request, Time Now, Effects &Out);
+
+  /// Gives the addresses of control instances to ask for admission.
+  void setJoinAddresses(std::vector<std::string> Addresses) {
+    this->Agreement.setJoinAddresses(std::move(Addresses));
+  }
 
   /// Handles a consensus message, a stamp request or a claim.
   template <typename MessageT>
@@ -65,6 +74,8 @@
   struct PendingWrite {
     std::int64_t RequestId = 0;
     wire::LogEntry Entry;
+    /// A subtree to replace; becomes the entry's change when it is proposed.
+    std::optional<SubtreeDocument> Subtree;
     std::int64_t Index = 0;
     Time Deadline;
   };
@@ -86,8 +97,11 @@
   bool refuseUnlessReady(std::int64_t RequestId, Effects &Out) const;
   void answer(std::int64_t RequestId, Failure Error, std::int64_t Version,
               Effects &Out) const;
-  void enqueue(std::int64_t RequestId, wire::LogEntry Entry, Time Now,
-               Effects &Out);
+  void enqueue(PendingWrite Write, Time Now, Effects &Out);
+  /// Returns the answer that needs no commit, or nothing if \p Write must be
+  /// proposed.
+  std::optional<Failure> settleEarly(PendingWrite &Write,
+                                     std::int64_t &Version) const;
   void advance(Time Now, Effects &Out);
   void applyCommitted(Effects &Out);
   void answerWrite(const wire::LogEntry &Entry, Effects &Out);
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -69,7 +69,10 @@
   if (static_cast<std::int64_t>(Sum) != ExpectedHash)
     return fail(ResultCode::UpdateRejected, std::to_string(NewVersion),
                 "the content does not have the announced hash");
-  BOOST_LEAF_AUTO(Built, RouteTable::build(Content, this->Table.get()));
+  const RouteTable *Previous =
+      this->Compiled ? this->Compiled.get() : this->Table.get();
+  BOOST_LEAF_AUTO(Built,
+                  RouteTable::build(Content, Previous, Values::Committed));
   this->Table = std::move(Built);
   this->Settings = std::move(Content);
   this->Version = NewVersion;
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -19,6 +19,12 @@
 public:
   explicit Distribution(std::uint64_t Seed) : Rng(Seed) {}
 
+  /// Takes the table of the local replica, whose entries need not be compiled
+  /// again.
+  void shareCompiled(std::shared_ptr<const RouteTable> Compiled) {
+    this->Compiled = std::move(Compiled);
+  }
+
   /// Takes a change that the local replica committed.
   void applyCommitted(const wire::Delta &Change, Effects &Out);
 
@@ -66,6 +72,7 @@
   Random Rng;
   SettingsMap Settings;
   std::shared_ptr<const RouteTable> Table;
+  std::shared_ptr<const RouteTable> Compiled;
   std::int64_t Version = 0;
   std::uint64_t Hash = 0;
   std::deque<wire::Delta> History;
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -69,10 +69,12 @@
   wire::CallRequest Header;
 };
 
-/// Answers a caller with a failure of our own.
+/// Answers a caller with a failure of our own. RetryAfter says when the caller
+/// may come back; 0 for no advice.
 struct RefuseCaller {
   std::int64_t CallNumber = 0;
   Failure Error;
+  milliseconds RetryAfter{0};
 };
 
 /// Answers a caller with the target's answer, held by the host under Id.
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -2,6 +2,7 @@
 
 #include "libwire/libwire.h"
 
+#include "subtree.h"
 #include "time.h"
 
 #include <cstdint>
@@ -38,6 +39,8 @@
   std::int64_t BodySize = 0;
   Time Deadline = NoDeadline;
   std::string IdempotencyKey;
+  /// The target beside this daemon made the call while it runs another.
+  bool Nested = false;
 };
 
 /// The caller closed its connection before it was answered.
@@ -50,6 +53,20 @@
   std::string Service;
   wire::TargetState::type State = wire::TargetState::None;
   int Slots = 0;
+  /// Name of this run of the target; empty if it does not give one.
+  std::string InstanceId;
+  /// Start of this run in milliseconds since 1970, 0 if unknown. A later run
+  /// supersedes an earlier one.
+  std::int64_t Born = 0;
+  /// Orders what one run says of itself, 0 if it does not count.
+  std::int64_t Sequence = 0;
+  /// How long it stays slow after its start.
+  milliseconds ColdFor{0};
+};
+
+/// The target beside this daemon said that it leaves.
+struct TargetLeaves {
+  std::string InstanceId;
 };
 
 /// The target's health endpoint was asked.
@@ -58,8 +75,10 @@
   bool Well = false;
 };
 
-/// How a call on the target beside this daemon ended.
-enum class RunEnd { Answered, NotConnected, Shed, Broken };
+/// How a call on the target beside this daemon ended. NotConnected: nothing
+/// listens there. NotSent: given up before a byte was sent. Shed: the target
+/// says that it did not run it. Broken: it may have run.
+enum class RunEnd { Answered, NotConnected, NotSent, Shed, Broken };
 
 struct RunFinished {
   wire::AttemptId Id;
@@ -75,6 +94,15 @@
   std::string Token;
 };
 
+/// An operator's whole subtree. \p Trusted says that the settings let this
+/// team be changed without a token.
+struct ReplaceRequested {
+  std::int64_t RequestId = 0;
+  SubtreeDocument Document;
+  std::string Token;
+  bool Trusted = false;
+};
+
 /// The administrator gives a team its token.
 struct TeamRequested {
   std::int64_t RequestId = 0;
@@ -93,6 +121,13 @@
   wire::TeamGrant AdminGrant;
 };
 
+/// The system starts for the first time: the control instances at these
+/// addresses are the first voters. Ignored unless the own disk is blank and
+/// belongs to one of them.
+struct FoundRequested {
+  std::vector<std::string> Addresses;
+};
+
 /// The administrator accepts that a quorum of disks is lost.
 struct RecoverRequested {
   std::int64_t RequestId = 0;
@@ -106,7 +141,7 @@
     std::variant<Tick, MessageReceived, StreamLost, CallArrived, CallerGone,
                  TargetAnnounced, TargetProbed, RunFinished, ChangeRequested,
                  TeamRequested, ReadRequested, FormRequested, RecoverRequested,
-                 StopRequested>;
+                 StopRequested, ReplaceRequested, FoundRequested, TargetLeaves>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- /dev/null
+++ b/src/libpersimmon/founding.cpp
@@ -0,0 +1,30 @@
+#include "founding.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+std::int64_t diskIdFrom(std::uint64_t Number) {
+  return static_cast<std::int64_t>(Number >> 1U) | 1;
+}
+
+wire::Replica founderAt(const std::string &Address) {
+  wire::Replica Out;
+  Out.Instance = Address;
+  Out.Address = Address;
+  Out.DiskId = diskIdFrom(hashOf("founder " + Address));
+  return Out;
+}
+
+std::vector<wire::Replica> foundersAt(std::vector<std::string> Addresses) {
+  std::sort(Addresses.begin(), Addresses.end());
+  Addresses.erase(std::unique(Addresses.begin(), Addresses.end()),
+                  Addresses.end());
+  std::vector<wire::Replica> Out;
+  Out.reserve(Addresses.size());
+  for (const std::string &Address : Addresses)
+    Out.push_back(founderAt(Address));
+  return Out;
+}
+
+} // namespace persimmon
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -420,12 +420,28 @@
     return;
   this->IndexedRevision = this->Revision;
   this->Targets.clear();
+  this->Proxies = 0;
   for (const auto &[Name, Record] : this->Records) {
+    this->Proxies += isAlive(Record) && !Record.Control ? 1 : 0;
     if (isAlive(Record) && Record.Target == wire::TargetState::Serving)
       this->Targets[Record.Service].push_back(Name);
   }
 }
 
+std::size_t Membership::proxyCount() const {
+  this->indexTargets();
+  return this->Proxies;
+}
+
+std::vector<std::string> Membership::controlAddresses() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Record] : this->Records) {
+    if (Record.Control && isAlive(Record))
+      Out.push_back(Record.Address);
+  }
+  return Out;
+}
+
 const std::vector<std::string> &
 Membership::targetsOf(std::string_view Service) const {
   static const std::vector<std::string> None;
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -75,6 +75,12 @@
   /// work.
   const std::vector<std::string> &targetsOf(std::string_view Service) const;
 
+  /// Returns the number of living daemons beside targets, this one included.
+  std::size_t proxyCount() const;
+
+  /// Returns the addresses of the control instances that are known and alive.
+  std::vector<std::string> controlAddresses() const;
+
   /// Returns whether there are records still to pass on.
   bool hasNews() const { return !this->Pending.empty(); }
 
@@ -136,6 +142,7 @@
   std::uint64_t Revision = 1;
   mutable std::uint64_t IndexedRevision = 0;
   mutable std::map<std::string, std::vector<std::string>, std::less<>> Targets;
+  mutable std::size_t Proxies = 1;
 };
 
 /// Returns whether a daemon is reachable as far as is known.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -9,6 +9,7 @@
 constexpr int MissedProbesUntilGone = 3;
 constexpr milliseconds LeaveNotice{300};
 constexpr milliseconds StaleWarningInterval{10'000};
+constexpr milliseconds ControlLookupInterval{200};
 
 wire::MemberRecord recordOf(const NodeIdentity &Identity, bool IsControl) {
   wire::MemberRecord Record;
@@ -23,10 +24,10 @@
   return Record;
 }
 
-std::vector<std::string> addressesOf(const std::vector<ControlPeer> &Peers) {
-  std::vector<std::string> Out;
-  Out.reserve(Peers.size());
-  for (const ControlPeer &Peer : Peers)
+/// Returns the addresses by which a daemon finds the others at its start.
+std::vector<std::string> seedsOf(const NodeIdentity &Identity) {
+  std::vector<std::string> Out = Identity.Seeds;
+  for (const ControlPeer &Peer : Identity.ControlInstances)
     Out.push_back(Peer.Address);
   return Out;
 }
@@ -39,19 +40,19 @@
 
 Node::Node(const NodeIdentity &Identity, bool IsControl,
            const NodePolicies &Policies)
-    : Spread(Policies.Spread),
-      Members(recordOf(Identity, IsControl),
-              addressesOf(Identity.ControlInstances), Identity.Seed + 1),
-      Config(Identity.Seed + 2),
-      Gate(addressesOf(Identity.ControlInstances), Identity.Seed + 3) {}
+    : Spread(Policies.Spread), Members(recordOf(Identity, IsControl),
+                                       seedsOf(Identity), Identity.Seed + 1),
+      Config(Identity.Seed + 2), Gate(Identity.Seed + 3),
+      Seeds(seedsOf(Identity)), ControlAddresses(Seeds), Stop(Identity.Stop) {}
 
 std::unique_ptr<Node> Node::makeProxy(const NodeIdentity &Identity,
                                       const NodePolicies &Policies) {
   std::unique_ptr<Node> Out(new Node(Identity, false, Policies));
-  ClaimKeeper Claims(Identity.Name, Identity.Address, Identity.Incarnation,
-                     addressesOf(Identity.ControlInstances));
+  ClaimKeeper Claims(Identity.Name, Identity.Address, Identity.Incarnation);
+  Claims.setControlAddresses(Out->ControlAddresses);
   Out->Router.emplace(Out->Members, Out->Config, std::move(Claims),
                       Identity.Seed + 4, Policies.Choice);
+  Out->Router->setRetryBurst(Identity.RetryBurst);
   return Out;
 }
 
@@ -61,7 +62,8 @@
                   Time Now) {
   std::unique_ptr<Node> Out(new Node(Identity, true, Policies));
   wire::Replica Self;
-  Self.Instance = Identity.Name;
+  // Instances that no settings name are known by their address only.
+  Self.Instance = Identity.Voters.open() ? Identity.Address : Identity.Name;
   Self.DiskId = DiskId;
   Self.Address = Identity.Address;
   std::vector<ControlPeer> Others;
@@ -69,8 +71,8 @@
     if (Peer.Instance != Identity.Name)
       Others.push_back(Peer);
   }
-  Out->Control.emplace(std::move(Self), std::move(Others), Identity.Snapshots,
-                       Identity.Seed + 5);
+  Out->Control.emplace(std::move(Self), std::move(Others), Identity.Voters,
+                       Identity.Snapshots, Identity.Seed + 5);
   BOOST_LEAF_CHECK(Out->Control->restore(State, Now));
   return Out;
 }
@@ -88,6 +90,7 @@
 
 void Node::afterEvent(Time Now, Effects &Out) {
   if (this->Control) {
+    this->Config.shareCompiled(this->Control->store().table());
     if (this->Control->takeReplaced())
       this->Config.adopt(this->Control->store().settings(),
                          this->Control->store().version(), Out);
@@ -104,13 +107,15 @@
 
 void Node::on(const Tick &, const Event &What, Effects &Out) {
   const Time Now = What.At;
+  this->lookForControl(Now);
   if (this->Control)
     this->Control->tick(Now, What.WallMs, Out);
   this->Members.tick(Now, Out);
   this->Config.tick(Now, Out);
   this->Reports.tick(this->Members, this->Config.version(), Now, Out);
   if (this->Router) {
-    this->Gate.tick(Now, this->Config.version(), this->Members.self(), Out);
+    this->Gate.tick(Now, this->Config.version(), this->Members.self(),
+                    this->ControlAddresses, Out);
     this->Router->tick(Now, Out);
     this->Ledger.tick(Now, Out);
   }
@@ -120,18 +125,44 @@
         "event=source-stale version=" + std::to_string(this->Config.version()) +
         " stamp=" + std::to_string(this->Members.stamp().Counter)});
   }
-  if (this->Stopping && !this->ExitSent && this->drained()) {
-    if (this->LeaveUntil == NoDeadline) {
-      this->LeaveUntil = Now + LeaveNotice;
-      this->Members.updateSelf([](wire::MemberRecord &Record) {
-        Record.State = wire::Liveness::Left;
-        Record.Target = wire::TargetState::Gone;
-      });
-      this->announce(Out);
-    } else if (Now >= this->LeaveUntil) {
-      this->ExitSent = true;
-      Out.emplace_back(ReadyToExit{});
-    }
+  if (this->Stopping)
+    this->tickStop(Now, Out);
+}
+
+void Node::lookForControl(Time Now) {
+  if (Now < this->NextControlLookup)
+    return;
+  this->NextControlLookup = Now + ControlLookupInterval;
+  this->ControlAddresses = this->Members.controlAddresses();
+  this->ControlAddresses.insert(this->ControlAddresses.end(),
+                                this->Seeds.begin(), this->Seeds.end());
+  std::sort(this->ControlAddresses.begin(), this->ControlAddresses.end());
+  this->ControlAddresses.erase(
+      std::unique(this->ControlAddresses.begin(), this->ControlAddresses.end()),
+      this->ControlAddresses.end());
+  if (this->Router)
+    this->Router->setControlAddresses(this->ControlAddresses);
+  if (this->Control)
+    this->Control->setJoinAddresses(this->ControlAddresses);
+}
+
+void Node::tickStop(Time Now, Effects &Out) {
+  if (!this->Draining && Now >= this->DrainAt)
+    this->startDraining(Now, Out);
+  if (this->ExitSent || !this->Draining)
+    return;
+  if (Now < this->GiveUpAt && !this->drained())
+    return;
+  if (this->LeaveUntil == NoDeadline) {
+    this->LeaveUntil = Now + LeaveNotice;
+    this->Members.updateSelf([](wire::MemberRecord &Record) {
+      Record.State = wire::Liveness::Left;
+      Record.Target = wire::TargetState::Gone;
+    });
+    this->announce(Out);
+  } else if (Now >= this->LeaveUntil) {
+    this->ExitSent = true;
+    Out.emplace_back(ReadyToExit{});
   }
 }
 
@@ -144,52 +175,72 @@
   if (this->Stopping)
     return;
   this->Stopping = true;
+  this->DrainAt = What.At + this->Stop.ServeOn;
+  if (this->Stop.GiveUp.count() > 0)
+    this->GiveUpAt = What.At + this->Stop.GiveUp;
+  Out.emplace_back(LogDecision{"event=stop-started"});
+  this->tickStop(What.At, Out);
+}
+
+void Node::startDraining(Time Now, Effects &Out) {
+  this->Draining = true;
+  // Callers that are still connected are told to go elsewhere; the host
+  // closes their connections with the answers.
   if (this->Router)
     this->Router->stop();
-  this->Ledger.drain(What.At, Out);
-  if (this->Target.State != wire::TargetState::None) {
+  this->Ledger.drain(Now, Out);
+  if (this->Target.current().State != wire::TargetState::None) {
     this->Members.updateSelf([](wire::MemberRecord &Record) {
       Record.Target = wire::TargetState::Draining;
     });
     this->announce(Out);
   }
-  Out.emplace_back(LogDecision{"event=stop-started"});
 }
 
-void Node::setTargetState(const TargetAnnounced &Announced, Time Now,
-                          Effects &Out) {
-  const bool Changed = Announced.State != this->Target.State ||
-                       Announced.Service != this->Target.Service ||
-                       Announced.Slots != this->Target.Slots;
-  this->Target = Announced;
-  if (!Changed)
-    return;
-  this->Ledger.setTarget(Announced, Now, Out);
-  if (this->Stopping)
+void Node::targetChanged(Time Now, Effects &Out) {
+  const TargetAnnounced &Said = this->Target.current();
+  this->Ledger.setTarget(Said, Now, Out);
+  Out.emplace_back(LogDecision{
+      "event=target service=" + Said.Service + " id=" + Said.InstanceId +
+      " born=" + std::to_string(Said.Born) + " sequence=" +
+      std::to_string(Said.Sequence) + " state=" + wire::to_string(Said.State)});
+  if (this->Draining)
     return;
   this->Members.updateSelf([&](wire::MemberRecord &Record) {
-    Record.Service = Announced.Service;
-    Record.Target = Announced.State;
-    Record.Slots = Announced.Slots;
+    Record.Service = Said.Service;
+    Record.Target = Said.State;
+    Record.Slots = Said.Slots;
+    Record.ColdMs = static_cast<std::int32_t>(Said.ColdFor.count());
   });
   this->announce(Out);
-  Out.emplace_back(LogDecision{"event=target service=" + Announced.Service +
-                               " state=" + wire::to_string(Announced.State)});
 }
 
 void Node::on(const TargetAnnounced &Body, const Event &What, Effects &Out) {
   this->MissedProbes = 0;
-  this->setTargetState(Body, What.At, Out);
+  const AnnouncementVerdict Verdict = this->Target.announce(Body);
+  if (Verdict == AnnouncementVerdict::Accepted)
+    return this->targetChanged(What.At, Out);
+  if (Verdict != AnnouncementVerdict::Unchanged)
+    Out.emplace_back(LogDecision{
+        "event=announcement-ignored id=" + Body.InstanceId +
+        " born=" + std::to_string(Body.Born) +
+        " sequence=" + std::to_string(Body.Sequence) + " reason=" +
+        (Verdict == AnnouncementVerdict::OtherRun ? "other-run" : "outdated")});
+}
+
+void Node::on(const TargetLeaves &Body, const Event &What, Effects &Out) {
+  if (this->Target.leave(Body.InstanceId))
+    this->targetChanged(What.At, Out);
 }
 
 void Node::on(const TargetProbed &Body, const Event &What, Effects &Out) {
   this->MissedProbes = Body.Reachable ? 0 : this->MissedProbes + 1;
-  const bool Present = this->Target.State != wire::TargetState::None &&
-                       this->Target.State != wire::TargetState::Gone;
+  const wire::TargetState::type State = this->Target.current().State;
+  const bool Present =
+      State != wire::TargetState::None && State != wire::TargetState::Gone;
   if (Present && this->MissedProbes >= MissedProbesUntilGone) {
-    TargetAnnounced Gone = this->Target;
-    Gone.State = wire::TargetState::Gone;
-    this->setTargetState(Gone, What.At, Out);
+    if (this->Target.lost())
+      this->targetChanged(What.At, Out);
     return;
   }
   if (!Present || !Body.Reachable || this->Stopping ||
@@ -201,6 +252,8 @@
 
 void Node::on(const RunFinished &Body, const Event &What, Effects &Out) {
   this->Ledger.finished(Body, What.At, Out);
+  if (Body.End == RunEnd::NotConnected && this->Target.lost())
+    this->targetChanged(What.At, Out);
 }
 
 void Node::on(const StreamLost &Body, const Event &What, Effects &Out) {
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -8,6 +8,7 @@
 #include "reporttree.h"
 #include "servinggate.h"
 #include "targetledger.h"
+#include "targetwatch.h"
 #include "topology.h"
 
 #include <memory>
@@ -17,6 +18,14 @@
 
 namespace persimmon {
 
+/// How a daemon stops. First it goes on serving while whoever routes callers
+/// to it learns that it is not ready; then its target takes no more work.
+struct StopPolicy {
+  milliseconds ServeOn{0};
+  /// When it ends although calls are outstanding; 0 for never.
+  milliseconds GiveUp{0};
+};
+
 /// What a daemon is told of itself at start.
 struct NodeIdentity {
   std::string Name;
@@ -26,7 +35,13 @@
   std::uint64_t Seed = 0;
   /// Control instances, this one included if it is one.
   std::vector<ControlPeer> ControlInstances;
+  /// Addresses of daemons to join by, when control instances are not named.
+  std::vector<std::string> Seeds;
+  VoterPolicy Voters;
   SnapshotPolicy Snapshots;
+  StopPolicy Stop;
+  /// Retries beyond the percentages of the services, for all daemons together.
+  int RetryBurst = 0;
 };
 
 /// Policies of a daemon; all must outlive its node.
@@ -66,6 +81,8 @@
   }
   bool serving() const { return this->Gate.open(); }
   bool stopping() const { return this->Stopping; }
+  /// Returns what the target beside this daemon last said of itself.
+  const TargetAnnounced &target() const { return this->Target.current(); }
 
 private:
   Node(const NodeIdentity &Identity, bool IsControl,
@@ -77,6 +94,7 @@
   void on(const CallArrived &Body, const Event &What, Effects &Out);
   void on(const CallerGone &Body, const Event &What, Effects &Out);
   void on(const TargetAnnounced &Body, const Event &What, Effects &Out);
+  void on(const TargetLeaves &Body, const Event &What, Effects &Out);
   void on(const TargetProbed &Body, const Event &What, Effects &Out);
   void on(const RunFinished &Body, const Event &What, Effects &Out);
   void on(const StopRequested &Body, const Event &What, Effects &Out);
@@ -87,7 +105,10 @@
   void receive(const MessageT &Body, const std::string &From, Time Now,
                Effects &Out);
   void afterEvent(Time Now, Effects &Out);
-  void setTargetState(const TargetAnnounced &Target, Time Now, Effects &Out);
+  void targetChanged(Time Now, Effects &Out);
+  void lookForControl(Time Now);
+  void startDraining(Time Now, Effects &Out);
+  void tickStop(Time Now, Effects &Out);
   bool drained() const;
   void announce(Effects &Out);
 
@@ -100,11 +121,18 @@
   TargetLedger Ledger;
   std::optional<ControlService> Control;
   std::optional<CallRouter> Router;
-  TargetAnnounced Target;
+  TargetWatch Target;
+  std::vector<std::string> Seeds;
+  std::vector<std::string> ControlAddresses;
+  Time NextControlLookup;
+  StopPolicy Stop;
   int MissedProbes = 0;
   std::int64_t AnnouncedVersion = 0;
   bool Stopping = false;
+  bool Draining = false;
   bool ExitSent = false;
+  Time DrainAt = NoDeadline;
+  Time GiveUpAt = NoDeadline;
   Time LeaveUntil = NoDeadline;
   Time NextStaleWarning;
 };
--- a/src/libpersimmon/retrybudget.h
+++ b/src/libpersimmon/retrybudget.h
@@ -13,7 +13,15 @@
   /// Notes a new call; each earns \p Percent hundredths of a retry.
   void earn(std::string_view Service, int Percent) {
     double &Left = this->slot(Service);
-    Left = std::min(MaxSaved, Left + Percent / 100.0);
+    Left = std::min(this->MaxSaved, Left + Percent / 100.0);
+  }
+
+  /// Shares \p Burst retries among \p Daemons; each may save up its part. A
+  /// burst of 0 leaves every daemon the default.
+  void setBurst(int Burst, std::size_t Daemons) {
+    if (Burst > 0 && Daemons > 0)
+      this->MaxSaved =
+          static_cast<double>(Burst) / static_cast<double>(Daemons);
   }
 
   /// Takes one retry; returns whether there was one.
@@ -26,7 +34,7 @@
   }
 
 private:
-  static constexpr double MaxSaved = 10.0;
+  double MaxSaved = 10.0;
 
   double &slot(std::string_view Service) {
     const auto Found = this->Saved.find(Service);
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -12,25 +12,43 @@
 
 using nlohmann::json;
 
+/// Texts are checked here, as patterns of a schema cost more than all the rest
+/// of a change.
+bool validJob(std::string_view Job) {
+  return std::all_of(Job.begin(), Job.end(), [](char C) {
+    return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-' ||
+           C == '_' || C == '.';
+  });
+}
+
 bool validName(std::string_view Name) {
-  constexpr std::size_t MaxNameBytes = 64;
+  constexpr std::size_t MaxNameBytes = 100;
   if (Name.empty() || Name.size() > MaxNameBytes)
     return false;
   return std::all_of(Name.begin(), Name.end(), [](char C) {
-    return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-';
+    return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+           (C >= '0' && C <= '9') || C == '-' || C == '_' || C == '.';
   });
 }
 
 leaf::result<json> parseValue(const wire::Setting &Entry,
-                              std::string_view Schema) {
+                              std::string_view Schema, Values State) {
   json Document = json::parse(Entry.Value, nullptr, false);
   if (Document.is_discarded())
     return fail(ResultCode::ValueInvalid, Entry.Path, "not valid JSON");
-  BOOST_LEAF_CHECK(checkAgainstSchema(Document, Schema, Entry.Path,
-                                      ResultCode::ValueInvalid));
+  if (State == Values::Unchecked)
+    BOOST_LEAF_CHECK(checkAgainstSchema(Document, Schema, Entry.Path,
+                                        ResultCode::ValueInvalid));
   return Document;
 }
 
+/// Returns whether \p Name has the form TEAM/SERVICE.
+bool validServiceName(std::string_view Name) {
+  const std::size_t Slash = Name.find('/');
+  return Slash != std::string_view::npos && validName(Name.substr(0, Slash)) &&
+         validName(Name.substr(Slash + 1));
+}
+
 ServiceSpec makeService(std::string Name, const json &Value) {
   ServiceSpec Spec;
   Spec.Name = std::move(Name);
@@ -43,15 +61,40 @@
       milliseconds(Value.value("deadlineMs", Spec.CallTimeout.count()));
   Spec.ShedBelowPriority =
       Value.value("shedBelowPriority", Spec.ShedBelowPriority);
+  Spec.Connections = Value.value("connections", Spec.Connections);
+  Spec.HealthPath = Value.value("healthPath", Spec.HealthPath);
   return Spec;
 }
 
-RouteSpec makeRoute(std::string Path, const json &Value) {
+leaf::result<RouteSpec> makeRoute(std::string Path, const json &Value) {
   RouteSpec Spec;
   Spec.Path = std::move(Path);
   Spec.Job = Value.at("job").get<std::string>();
-  Spec.Service = Value.at("service").get<std::string>();
+  if (Value.contains("service") == Value.contains("split"))
+    return fail(ResultCode::ValueInvalid, Spec.Path,
+                "a route needs either service or split");
+  if (Value.contains("service"))
+    Spec.Parts.push_back({Value.at("service").get<std::string>(), 1});
+  else
+    for (const json &Part : Value.at("split"))
+      Spec.Parts.push_back({Part.at("service").get<std::string>(),
+                            Part.at("weight").get<int>()});
+  for (const SplitPart &Part : Spec.Parts) {
+    if (!validServiceName(Part.Service))
+      return fail(ResultCode::ValueInvalid, Spec.Path,
+                  "a service has the form TEAM/SERVICE");
+  }
+  const bool Weighted =
+      std::any_of(Spec.Parts.begin(), Spec.Parts.end(),
+                  [](const SplitPart &Part) { return Part.Weight > 0; });
+  if (!Weighted)
+    return fail(ResultCode::ValueInvalid, Spec.Path,
+                "the weights of a split add up to 0");
   Spec.PathPrefix = Value.value("pathPrefix", Spec.PathPrefix);
+  if (!validJob(Spec.Job) || !Spec.PathPrefix.starts_with('/'))
+    return fail(ResultCode::ValueInvalid, Spec.Path,
+                "a job holds a-z, 0-9, '-', '_' and '.'; a path prefix starts "
+                "with '/'");
   while (Spec.PathPrefix.size() > 1 && Spec.PathPrefix.back() == '/')
     Spec.PathPrefix.pop_back();
   const std::string Repeat = Value.value("repeatable", "by-method");
@@ -60,6 +103,8 @@
   if (Repeat == "never")
     Spec.Repeat = Repeatable::Never;
   Spec.CallTimeout = milliseconds(Value.value("deadlineMs", 0));
+  Spec.TargetLatency = milliseconds(Value.value("targetLatencyMs", 0));
+  Spec.MaxAttempts = Value.value("maxAttempts", Spec.MaxAttempts);
   Spec.Priority = Value.value("priority", Spec.Priority);
   return Spec;
 }
@@ -82,76 +127,111 @@
       First == std::string_view::npos ? First : Path.find('/', First + 1);
   if (Second == std::string_view::npos)
     return fail(ResultCode::ValueInvalid, std::string(Path),
-                "a path has the form TEAM/services/NAME or TEAM/routes/NAME");
+                "a path has the form TEAM/KIND/NAME");
   SettingPath Parts;
   Parts.Team = Path.substr(0, First);
   Parts.Kind = Path.substr(First + 1, Second - First - 1);
   Parts.Name = Path.substr(Second + 1);
   if (!validName(Parts.Team) || !validName(Parts.Name))
     return fail(ResultCode::ValueInvalid, std::string(Path),
-                "names hold a-z, 0-9 and -, at most 64 characters");
-  if (Parts.Kind != "services" && Parts.Kind != "routes")
+                "names hold letters, digits, '-', '_' and '.', at most 100 "
+                "characters");
+  if (Parts.Kind != "services" && Parts.Kind != "routes" &&
+      Parts.Kind != "limits" && Parts.Kind != "revision")
     return fail(ResultCode::ValueInvalid, std::string(Path),
-                "the kind must be services or routes");
+                "the kind must be services, routes, limits or revision");
   return Parts;
 }
 
 leaf::result<std::shared_ptr<const RouteTable>>
-RouteTable::build(const SettingsMap &Settings, const RouteTable *Previous) {
+RouteTable::build(const SettingsMap &Settings, const RouteTable *Previous,
+                  Values State) {
   auto Table = std::make_shared<RouteTable>();
-  for (const auto &[Path, Entry] : Settings) {
-    BOOST_LEAF_AUTO(Parts, parseSettingPath(Path));
-    if (Parts.Kind == "services")
-      BOOST_LEAF_CHECK(Table->addService(Entry, Previous));
-    else
-      BOOST_LEAF_CHECK(Table->addRoute(Entry, Previous));
-  }
+  for (const auto &[Path, Entry] : Settings)
+    BOOST_LEAF_CHECK(Table->add(Entry, Previous, State));
   BOOST_LEAF_CHECK(Table->indexRoutes());
   return std::shared_ptr<const RouteTable>(std::move(Table));
 }
 
+leaf::result<void> RouteTable::add(const wire::Setting &Entry,
+                                   const RouteTable *Previous, Values State) {
+  BOOST_LEAF_AUTO(Parts, parseSettingPath(Entry.Path));
+  try {
+    if (Parts.Kind == "services")
+      return this->addService(Entry, Previous, State);
+    if (Parts.Kind == "routes")
+      return this->addRoute(Entry, Previous, State);
+    if (Parts.Kind == "limits")
+      return this->addLimits(Entry, State);
+    BOOST_LEAF_CHECK(parseValue(Entry, revisionSchema(), State));
+    return {};
+  } catch (const json::exception &Error) {
+    // Only a value that no schema was checked against gets here.
+    return fail(ResultCode::ValueInvalid, Entry.Path, Error.what());
+  }
+}
+
 leaf::result<void> RouteTable::addService(const wire::Setting &Entry,
-                                          const RouteTable *Previous) {
+                                          const RouteTable *Previous,
+                                          Values State) {
+  const std::uint64_t ValueHash = hashOf(std::string_view(Entry.Value));
   BOOST_LEAF_AUTO(Parts, parseSettingPath(Entry.Path));
   std::string Name = std::string(Parts.Team) + "/" + std::string(Parts.Name);
   if (Previous != nullptr) {
     const auto Old = Previous->ServiceEntries.find(Name);
     if (Old != Previous->ServiceEntries.end() &&
-        Old->second.Version == Entry.Version) {
+        Old->second.ValueHash == ValueHash) {
       this->ServiceEntries.emplace(std::move(Name), Old->second);
       return {};
     }
   }
-  BOOST_LEAF_AUTO(Value, parseValue(Entry, serviceSchema()));
+  BOOST_LEAF_AUTO(Value, parseValue(Entry, serviceSchema(), State));
   auto Spec = std::make_shared<const ServiceSpec>(makeService(Name, Value));
   this->ServiceEntries.emplace(std::move(Name),
-                               ServiceEntry{Entry.Version, std::move(Spec)});
+                               ServiceEntry{ValueHash, std::move(Spec)});
   return {};
 }
 
 leaf::result<void> RouteTable::addRoute(const wire::Setting &Entry,
-                                        const RouteTable *Previous) {
+                                        const RouteTable *Previous,
+                                        Values State) {
+  const std::uint64_t ValueHash = hashOf(std::string_view(Entry.Value));
   if (Previous != nullptr) {
     const auto Old = Previous->RouteEntries.find(Entry.Path);
     if (Old != Previous->RouteEntries.end() &&
-        Old->second.Version == Entry.Version) {
+        Old->second.ValueHash == ValueHash) {
       this->RouteEntries.emplace(Entry.Path, Old->second);
       return {};
     }
   }
-  BOOST_LEAF_AUTO(Value, parseValue(Entry, routeSchema()));
-  auto Spec = std::make_shared<const RouteSpec>(makeRoute(Entry.Path, Value));
+  BOOST_LEAF_AUTO(Value, parseValue(Entry, routeSchema(), State));
+  BOOST_LEAF_AUTO(Made, makeRoute(Entry.Path, Value));
+  auto Spec = std::make_shared<const RouteSpec>(std::move(Made));
   this->RouteEntries.emplace(Entry.Path,
-                             RouteEntry{Entry.Version, std::move(Spec)});
+                             RouteEntry{ValueHash, std::move(Spec)});
+  return {};
+}
+
+leaf::result<void> RouteTable::addLimits(const wire::Setting &Entry,
+                                         Values State) {
+  BOOST_LEAF_AUTO(Value, parseValue(Entry, limitsSchema(), State));
+  this->Limits.MaxHeaderBytes =
+      std::min(this->Limits.MaxHeaderBytes,
+               Value.value("maxHeaderBytes", this->Limits.MaxHeaderBytes));
+  this->Limits.MaxBodyBytes =
+      std::min(this->Limits.MaxBodyBytes,
+               Value.value("maxBodyBytes", this->Limits.MaxBodyBytes));
   return {};
 }
 
 leaf::result<void> RouteTable::indexRoutes() {
   for (const auto &[Path, Entry] : this->RouteEntries) {
     const RouteSpec &Route = *Entry.Spec;
-    if (this->service(Route.Service) == nullptr)
-      return fail(ResultCode::ReferenceMissing, Path,
-                  "the service " + Route.Service + " does not exist");
+    for (const SplitPart &Part : Route.Parts) {
+      if (this->service(Part.Service) == nullptr)
+        return fail(ResultCode::ReferenceMissing, Path,
+                    "the service " + Part.Service + " does not exist");
+    }
     auto &Routes = this->ByJob[Route.Job];
     for (const auto &Other : Routes) {
       if (Other->PathPrefix == Route.PathPrefix)
--- a/src/libpersimmon/schemas.cpp
+++ b/src/libpersimmon/schemas.cpp
@@ -57,4 +57,8 @@
 
 std::string_view routeSchema() { return RouteSchemaText; }
 
+std::string_view limitsSchema() { return LimitsSchemaText; }
+
+std::string_view revisionSchema() { return RevisionSchemaText; }
+
 } // namespace persimmon
--- a/src/libpersimmon/schemas.h
+++ b/src/libpersimmon/schemas.h
@@ -20,4 +20,10 @@
 /// Returns the schema that ships as route.schema.json.
 std::string_view routeSchema();
 
+/// Returns the schema that ships as limits.schema.json.
+std::string_view limitsSchema();
+
+/// Returns the schema that ships as revision.schema.json.
+std::string_view revisionSchema();
+
 } // namespace persimmon
--- a/src/libpersimmon/servinggate.cpp
+++ b/src/libpersimmon/servinggate.cpp
@@ -11,14 +11,14 @@
 
 } // namespace
 
-ServingGate::ServingGate(std::vector<std::string> ControlAddresses,
-                         std::uint64_t Seed)
-    : ControlAddresses(std::move(ControlAddresses)), Rng(Seed),
-      Nonce(static_cast<std::int64_t>(
-          this->Rng.below(std::numeric_limits<std::int64_t>::max()))) {}
+ServingGate::ServingGate(std::uint64_t Seed)
+    : Rng(Seed), Nonce(static_cast<std::int64_t>(this->Rng.below(
+                     std::numeric_limits<std::int64_t>::max()))) {}
 
 void ServingGate::tick(Time Now, std::int64_t VersionInForce,
-                       const wire::MemberRecord &Self, Effects &Out) {
+                       const wire::MemberRecord &Self,
+                       std::span<const std::string> ControlAddresses,
+                       Effects &Out) {
   if (this->Open)
     return;
   this->check(VersionInForce, Out);
@@ -29,7 +29,7 @@
   wire::StampRequest Request;
   Request.Nonce = this->Nonce;
   Request.Who = Self;
-  for (const std::string &Address : this->ControlAddresses)
+  for (const std::string &Address : ControlAddresses)
     send(Out, Address, Request, Channel::Datagram);
 }
 
--- a/src/libpersimmon/servinggate.h
+++ b/src/libpersimmon/servinggate.h
@@ -4,8 +4,8 @@
 #include "random.h"
 
 #include <optional>
+#include <span>
 #include <string>
-#include <vector>
 
 namespace persimmon {
 
@@ -14,12 +14,12 @@
 /// has no disk; everything it served before was committed, hence not newer.
 class ServingGate {
 public:
-  /// \p ControlAddresses are all asked until one confirms a version.
-  ServingGate(std::vector<std::string> ControlAddresses, std::uint64_t Seed);
+  explicit ServingGate(std::uint64_t Seed);
 
-  /// Asks the control instances while no confirmation has come.
+  /// Asks all of \p ControlAddresses while no confirmation has come.
   void tick(Time Now, std::int64_t VersionInForce,
-            const wire::MemberRecord &Self, Effects &Out);
+            const wire::MemberRecord &Self,
+            std::span<const std::string> ControlAddresses, Effects &Out);
   /// Takes a confirmation; one for an earlier run has another nonce.
   void receive(const wire::StampReply &Reply, std::int64_t VersionInForce,
                Effects &Out);
@@ -30,7 +30,6 @@
 private:
   void check(std::int64_t VersionInForce, Effects &Out);
 
-  std::vector<std::string> ControlAddresses;
   Random Rng;
   std::int64_t Nonce;
   std::optional<std::int64_t> RequiredVersion;
--- a/src/libpersimmon/settingsstore.cpp
+++ b/src/libpersimmon/settingsstore.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t MaxOutcomes = 4096;
 constexpr std::size_t MaxSettings = 20'000;
 constexpr std::size_t MaxValueBytes = 16'384;
-constexpr std::size_t MaxEdits = 256;
+constexpr std::size_t MaxEdits = 8192;
 constexpr std::size_t MaxChangeIdBytes = 100;
 
 /// Carries out \p Edits, whose versions have been checked, as \p Version.
@@ -86,8 +86,11 @@
   carryOut(Candidate.Edits, this->Version + 1, After);
   if (After.size() > MaxSettings)
     return {ResultCode::LimitExceeded, Candidate.ChangeId, "too many settings"};
-  return settle([&] { return RouteTable::build(After, this->Table.get()); },
-                [](const auto &) {});
+  return settle(
+      [&] {
+        return RouteTable::build(After, this->Table.get(), Values::Unchecked);
+      },
+      [&](auto Built) { this->Checked = std::move(Built); });
 }
 
 std::optional<std::int64_t>
@@ -122,8 +125,16 @@
   this->Hash = hashOfAll(this->Settings);
   Out.Change.Hash = static_cast<std::int64_t>(this->Hash);
   this->remember(TheChange.ChangeId, NewVersion);
-  settle([&] { return RouteTable::build(this->Settings, this->Table.get()); },
-         [&](auto Built) { this->Table = std::move(Built); });
+  // What was compiled for the check is not compiled again.
+  const std::shared_ptr<const RouteTable> Previous =
+      this->Checked ? std::move(this->Checked) : this->Table;
+  this->Checked.reset();
+  settle(
+      [&] {
+        return RouteTable::build(this->Settings, Previous.get(),
+                                 Values::Committed);
+      },
+      [&](auto Built) { this->Table = std::move(Built); });
   return Out;
 }
 
@@ -206,7 +217,8 @@
   Fresh.Version = Snapshot.ConfigurationVersion;
   Fresh.VersionBase = Snapshot.VersionBase;
   Fresh.Hash = hashOfAll(Fresh.Settings);
-  BOOST_LEAF_AUTO(Built, RouteTable::build(Fresh.Settings, nullptr));
+  BOOST_LEAF_AUTO(Built, RouteTable::build(Fresh.Settings, this->Table.get(),
+                                           Values::Committed));
   Fresh.Table = std::move(Built);
   *this = std::move(Fresh);
   return {};
--- a/src/libpersimmon/settingsstore.h
+++ b/src/libpersimmon/settingsstore.h
@@ -44,6 +44,7 @@
   std::int64_t version() const { return this->Version; }
   std::uint64_t hash() const { return this->Hash; }
   std::int64_t versionBase() const { return this->VersionBase; }
+  const std::shared_ptr<const RouteTable> &table() const { return this->Table; }
   const SettingsMap &settings() const { return this->Settings; }
   const ClaimTable &claims() const { return this->Claims; }
 
@@ -57,6 +58,8 @@
 
   SettingsMap Settings;
   std::shared_ptr<const RouteTable> Table;
+  /// Compiled for the last check that passed.
+  mutable std::shared_ptr<const RouteTable> Checked;
   std::map<std::string, wire::TeamGrant, std::less<>> Teams;
   std::map<std::string, std::int64_t, std::less<>> Outcomes;
   std::deque<std::string> OutcomeOrder;
--- /dev/null
+++ b/src/libpersimmon/subtree.cpp
@@ -0,0 +1,73 @@
+#include "subtree.h"
+
+#include <nlohmann/json.hpp>
+
+namespace persimmon {
+
+namespace {
+
+using nlohmann::json;
+
+wire::PathEdit makeEdit(const std::string &Path, const wire::Setting *Current) {
+  wire::PathEdit Edit;
+  Edit.Path = Path;
+  Edit.ExpectedVersion = Current == nullptr ? 0 : Current->Version;
+  return Edit;
+}
+
+} // namespace
+
+std::string revisionPath(std::string_view Team) {
+  return std::string(Team) + "/revision/current";
+}
+
+Revision revisionOf(const SettingsMap &Settings, std::string_view Team) {
+  const auto Found = Settings.find(revisionPath(Team));
+  if (Found == Settings.end())
+    return {};
+  // The schema was checked when the record was committed.
+  const json Value = json::parse(Found->second.Value, nullptr, false);
+  return {Value.value("number", std::int64_t{0}), Value.value("digest", "")};
+}
+
+leaf::result<wire::Change> replaceSubtree(const SettingsMap &Current,
+                                          const SubtreeDocument &Wanted) {
+  const std::string RecordPath = revisionPath(Wanted.Team);
+  const Revision InForce = revisionOf(Current, Wanted.Team);
+  if (Wanted.BasedOn != InForce.Number)
+    return fail(ResultCode::Conflict, RecordPath,
+                "revision " + std::to_string(InForce.Number) +
+                    " is in force, the document builds on " +
+                    std::to_string(Wanted.BasedOn));
+  if (Wanted.Number <= InForce.Number)
+    return fail(ResultCode::ValueInvalid, RecordPath,
+                "the revision number must be above " +
+                    std::to_string(InForce.Number));
+  wire::Change Out;
+  Out.ChangeId = Wanted.Digest;
+  Out.Team = Wanted.Team;
+  auto Values = Wanted.Values;
+  Values[RecordPath] =
+      json{{"number", Wanted.Number}, {"digest", Wanted.Digest}}.dump();
+  for (const auto &[Path, Value] : Values) {
+    const auto Found = Current.find(Path);
+    if (Found != Current.end() && Found->second.Value == Value)
+      continue;
+    wire::PathEdit Edit =
+        makeEdit(Path, Found == Current.end() ? nullptr : &Found->second);
+    Edit.Value = Value;
+    Out.Edits.push_back(std::move(Edit));
+  }
+  const std::string Prefix = Wanted.Team + "/";
+  for (auto Item = Current.lower_bound(Prefix);
+       Item != Current.end() && Item->first.starts_with(Prefix); ++Item) {
+    if (Values.count(Item->first) != 0)
+      continue;
+    wire::PathEdit Edit = makeEdit(Item->first, &Item->second);
+    Edit.Remove = true;
+    Out.Edits.push_back(std::move(Edit));
+  }
+  return Out;
+}
+
+} // namespace persimmon
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -34,6 +34,12 @@
     Target.InFlight = InFlight;
     Target.Incarnation = Record.Incarnation;
     Target.RampUntil = Restarted ? Now + RampDuration : Now;
+    Target.RampLength = RampDuration;
+  }
+  if (Record.ColdMs > 0 && Target.ColdSequence != Record.Sequence) {
+    Target.ColdSequence = Record.Sequence;
+    Target.RampLength = milliseconds(Record.ColdMs);
+    Target.RampUntil = Now + Target.RampLength;
   }
   return Target;
 }
@@ -51,7 +57,7 @@
   if (Now < Target.RampUntil) {
     const double Left =
         static_cast<double>(millisecondsUntil(Target.RampUntil, Now)) /
-        static_cast<double>(RampDuration.count());
+        static_cast<double>(Target.RampLength.count());
     const double Share = 1.0 - Left * (1.0 - RampStartShare);
     Score = (Score + 1.0 / Slots) / Share;
   }
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -71,6 +71,8 @@
     Time EjectedUntil;
     std::int64_t Incarnation = 0;
     Time RampUntil;
+    milliseconds RampLength{0};
+    std::int64_t ColdSequence = 0;
   };
 
   double score(const wire::MemberRecord &Record, Stats &Target, bool UseHints,
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -14,7 +14,9 @@
 constexpr std::int64_t MaxHeldBytes = 64 << 20;
 /// A call lives ten minutes at most, as the schemas bound its deadline.
 constexpr milliseconds KeepFloor{3'600'000};
-constexpr double RunTimeWeight = 0.1;
+/// What a run beyond its route's mean is expected to take still, as a share of
+/// the mean.
+constexpr double LongRunShare = 0.3;
 
 } // namespace
 
@@ -27,8 +29,8 @@
 
 wire::Load TargetLedger::load() const {
   wire::Load Out;
-  Out.Running = this->Running;
-  Out.Queued = static_cast<std::int32_t>(this->Queue.size());
+  Out.Running = static_cast<std::int32_t>(this->RunningIds.size());
+  Out.Queued = static_cast<std::int32_t>(this->Line.size());
   Out.Slots = this->SlotsInUse;
   return Out;
 }
@@ -57,11 +59,8 @@
 }
 
 void TargetLedger::handBackQueued(ResultCode Code, Time Now, Effects &Out) {
-  while (!this->Queue.empty()) {
-    const wire::AttemptId Id = this->Queue.begin()->second;
-    this->Queue.erase(this->Queue.begin());
-    this->refuse(this->Attempts.at(Id), Code, Now, Out);
-  }
+  while (!this->Line.empty())
+    this->refuse(this->Attempts.at(this->Line.takeNext().Id), Code, Now, Out);
 }
 
 void TargetLedger::reply(const wire::AttemptId &Id, std::string_view To,
@@ -90,8 +89,7 @@
   return Found != this->ForgottenUpTo.end() && Id.Number <= Found->second.UpTo;
 }
 
-ResultCode TargetLedger::admissionOf(const wire::CallRequest &Request,
-                                     const ServiceSpec *Limits) const {
+ResultCode TargetLedger::admissionOf(const wire::CallRequest &Request) const {
   if (this->Leaving || this->Target.State == wire::TargetState::Draining)
     return ResultCode::Draining;
   if (this->Target.State == wire::TargetState::Starting)
@@ -102,23 +100,56 @@
     return ResultCode::NoTarget;
   if (Request.RemainingMs <= 0)
     return ResultCode::DeadlineCannotBeMet;
-  const int Slots = this->slots(Limits);
-  if (this->Running < Slots)
-    return ResultCode::Ok;
-  // Each slot takes the next call after the mean run time.
-  const double Ahead = static_cast<double>(this->Queue.size() + 1) / Slots;
-  const double ExpectedMs = (Ahead + 1.0) * this->MeanRunMs;
-  if (ExpectedMs > Request.RemainingMs)
+  return ResultCode::Ok;
+}
+
+SlotState TargetLedger::slotState(Time Now) const {
+  SlotState Out;
+  Out.Slots = this->SlotsInUse;
+  for (const wire::AttemptId &Id : this->RunningIds) {
+    const Attempt &Item = this->Attempts.at(Id);
+    const double MeanMs = this->Times.expectedMs(Item.Route);
+    const std::chrono::duration<double, std::milli> Ran = Now - Item.StartedAt;
+    // A run that is longer than the mean is not about to end.
+    Out.RunningMs += std::max(MeanMs - Ran.count(), MeanMs * LongRunShare);
+  }
+  return Out;
+}
+
+ResultCode TargetLedger::enqueue(const Attempt &Item, const ServiceSpec *Limits,
+                                 Time Now, Effects &Out) {
+  WaitingCall Call;
+  Call.Id = Item.Id;
+  Call.Route = Item.Route;
+  Call.Priority = Item.Priority;
+  Call.UsefulUntil = Item.UsefulUntil;
+  Call.Deadline = Item.Deadline;
+  if (!this->Line.canServe(Call, this->slotState(Now), Now))
     return ResultCode::DeadlineCannotBeMet;
+  if (!this->makeRoom(Item.Priority, Limits, Now, Out))
+    return ResultCode::Overloaded;
+  this->Line.add(std::move(Call));
   return ResultCode::Ok;
 }
 
+void TargetLedger::giveUpHopeless(Time Now, Effects &Out) {
+  if (this->Line.empty())
+    return;
+  for (const WaitingCall &Call :
+       this->Line.takeHopeless(this->slotState(Now), Now))
+    this->refuse(this->Attempts.at(Call.Id), ResultCode::DeadlineCannotBeMet,
+                 Now, Out);
+}
+
 TargetLedger::Attempt &TargetLedger::add(const wire::CallRequest &Request,
                                          std::string_view From, Time Now) {
   Attempt Item;
   Item.Id = Request.Id;
   Item.From = std::string(From);
   Item.Deadline = Now + milliseconds(Request.RemainingMs);
+  Item.UsefulUntil = Request.UsefulMs > 0 ? Now + milliseconds(Request.UsefulMs)
+                                          : Item.Deadline;
+  Item.Route = Request.Route;
   Item.Priority = Request.Priority;
   return this->Attempts.emplace(Request.Id, std::move(Item)).first->second;
 }
@@ -128,23 +159,14 @@
   const std::size_t Bound =
       Limits == nullptr ? 0 : static_cast<std::size_t>(Limits->Queue);
   const int Floor = Limits == nullptr ? 0 : Limits->ShedBelowPriority;
-  if (this->Queue.size() * 2 >= Bound && Priority < Floor)
+  if (this->Line.size() * 2 >= Bound && Priority < Floor)
     return false;
-  if (this->Queue.size() < Bound)
+  if (this->Line.size() < Bound)
     return true;
-  if (Floor == 0 || this->Queue.empty())
-    return false;
-  const auto Least =
-      std::min_element(this->Queue.begin(), this->Queue.end(),
-                       [&](const auto &Left, const auto &Right) {
-                         return this->Attempts.at(Left.second).Priority <
-                                this->Attempts.at(Right.second).Priority;
-                       });
-  Attempt &Shed = this->Attempts.at(Least->second);
-  if (Shed.Priority >= Priority)
+  if (this->Line.empty() || this->Line.last().Priority >= Priority)
     return false;
-  this->Queue.erase(Least);
-  this->refuse(Shed, ResultCode::Overloaded, Now, Out);
+  this->refuse(this->Attempts.at(this->Line.takeLast().Id),
+               ResultCode::Overloaded, Now, Out);
   return true;
 }
 
@@ -171,36 +193,33 @@
     return;
   Attempt &Item = this->add(Request, From, Now);
   this->SlotsInUse = this->slots(Limits);
-  ResultCode Code =
-      Addressed ? this->admissionOf(Request, Limits) : ResultCode::Fenced;
-  const bool SlotFree = this->Running < this->SlotsInUse;
-  if (Code == ResultCode::Ok && !SlotFree &&
-      !this->makeRoom(Request.Priority, Limits, Now, Out))
-    Code = ResultCode::Overloaded;
-  Out.emplace_back(LogDecision{
-      "event=admit call=" + Request.CallId + " service=" + Request.Service +
-      " running=" + std::to_string(this->Running) +
-      " queued=" + std::to_string(this->Queue.size()) +
-      " slots=" + std::to_string(this->SlotsInUse) + " choice=" +
-      (Code != ResultCode::Ok ? "refuse"
-       : SlotFree             ? "run"
-                              : "queue") +
-      " code=" + std::to_string(static_cast<int>(Code))});
-  if (Code != ResultCode::Ok) {
-    this->refuse(Item, Code, Now, Out);
-    return;
-  }
-  if (SlotFree) {
-    this->run(Item, Now, Out);
-    return;
-  }
-  this->Queue.emplace(Item.Deadline, Request.Id);
+  ResultCode Code = Addressed ? this->admissionOf(Request) : ResultCode::Fenced;
+  const bool SlotFree =
+      static_cast<int>(this->RunningIds.size()) < this->SlotsInUse;
+  if (Code == ResultCode::Ok && !SlotFree)
+    Code = this->enqueue(Item, Limits, Now, Out);
+  Out.emplace_back(
+      LogDecision{"event=admit call=" + Request.CallId +
+                  " service=" + Request.Service + " route=" + Request.Route +
+                  " running=" + std::to_string(this->RunningIds.size()) +
+                  " queued=" + std::to_string(this->Line.size()) +
+                  " slots=" + std::to_string(this->SlotsInUse) +
+                  " usefulMs=" + std::to_string(Request.UsefulMs) + " choice=" +
+                  (Code != ResultCode::Ok ? "refuse"
+                   : SlotFree             ? "run"
+                                          : "queue") +
+                  " code=" + std::to_string(static_cast<int>(Code))});
+  if (Code != ResultCode::Ok)
+    return this->refuse(Item, Code, Now, Out);
+  if (SlotFree)
+    return this->run(Item, Now, Out);
+  this->giveUpHopeless(Now, Out);
 }
 
 void TargetLedger::run(Attempt &Item, Time Now, Effects &Out) {
   Item.State = Stage::Running;
   Item.StartedAt = Now;
-  this->Running += 1;
+  this->RunningIds.insert(Item.Id);
   Out.emplace_back(RunOnTarget{Item.Id, Item.Deadline});
 }
 
@@ -215,17 +234,10 @@
 }
 
 void TargetLedger::startQueued(Time Now, Effects &Out) {
-  while (!this->Queue.empty() && this->Running < this->SlotsInUse) {
-    const wire::AttemptId Id = this->Queue.begin()->second;
-    this->Queue.erase(this->Queue.begin());
-    Attempt &Item = this->Attempts.at(Id);
-    const double LeftMs =
-        static_cast<double>(millisecondsUntil(Item.Deadline, Now));
-    if (LeftMs <= this->MeanRunMs)
-      this->refuse(Item, ResultCode::DeadlineCannotBeMet, Now, Out);
-    else
-      this->run(Item, Now, Out);
-  }
+  this->giveUpHopeless(Now, Out);
+  while (!this->Line.empty() &&
+         static_cast<int>(this->RunningIds.size()) < this->SlotsInUse)
+    this->run(this->Attempts.at(this->Line.takeNext().Id), Now, Out);
 }
 
 void TargetLedger::finished(const RunFinished &Run, Time Now, Effects &Out) {
@@ -233,12 +245,13 @@
   if (Found == this->Attempts.end() || Found->second.State != Stage::Running)
     return;
   Attempt &Item = Found->second;
-  this->Running -= 1;
+  this->RunningIds.erase(Run.Id);
   const std::chrono::duration<double, std::milli> Took = Now - Item.StartedAt;
   if (Run.End == RunEnd::Answered)
-    this->MeanRunMs += RunTimeWeight * (Took.count() - this->MeanRunMs);
+    this->Times.note(Item.Route, Took.count());
   switch (Run.End) {
   case RunEnd::NotConnected:
+  case RunEnd::NotSent:
     this->refuse(Item, ResultCode::TargetUnreachable, Now, Out);
     break;
   case RunEnd::Shed:
@@ -321,7 +334,7 @@
     return;
   }
   if (Item.State == Stage::Queued)
-    this->Queue.erase({Item.Deadline, Found->first});
+    this->Line.remove(Found->first);
   if (Item.State == Stage::Queued || Item.State == Stage::Finished)
     this->forget(Found, Now, Out);
 }
@@ -352,12 +365,7 @@
 }
 
 void TargetLedger::tick(Time Now, Effects &Out) {
-  while (!this->Queue.empty() && Now >= this->Queue.begin()->first) {
-    const wire::AttemptId Id = this->Queue.begin()->second;
-    this->Queue.erase(this->Queue.begin());
-    this->refuse(this->Attempts.at(Id), ResultCode::DeadlineCannotBeMet, Now,
-                 Out);
-  }
+  this->giveUpHopeless(Now, Out);
   if (Now < this->NextSweep)
     return;
   this->NextSweep = Now + SweepInterval;
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -3,6 +3,7 @@
 #include "effects.h"
 #include "events.h"
 #include "routetable.h"
+#include "waitingline.h"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +18,11 @@
 /// fenced: it is refused if it arrives late.
 class TargetLedger {
 public:
+  TargetLedger() = default;
+  // The line refers to the run times of this ledger.
+  TargetLedger(const TargetLedger &) = delete;
+  TargetLedger &operator=(const TargetLedger &) = delete;
+
   /// Handles a call whose whole body has arrived. \p Addressed says that it
   /// was meant for this process and not for an earlier one.
   void receive(const wire::CallRequest &Request, std::string_view From,
@@ -53,7 +59,9 @@
     Stage State = Stage::Queued;
     std::string From;
     Time Deadline;
+    Time UsefulUntil;
     Time StartedAt;
+    std::string Route;
     Time KeepUntil = NoDeadline;
     int Priority = 0;
     bool Taken = false;
@@ -69,10 +77,14 @@
   using AttemptMap = std::map<wire::AttemptId, Attempt>;
 
   int slots(const ServiceSpec *Limits) const;
-  ResultCode admissionOf(const wire::CallRequest &Request,
-                         const ServiceSpec *Limits) const;
+  ResultCode admissionOf(const wire::CallRequest &Request) const;
+  /// Lets the attempt wait for a slot, or returns why it cannot.
+  ResultCode enqueue(const Attempt &Item, const ServiceSpec *Limits, Time Now,
+                     Effects &Out);
   bool makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
                 Effects &Out);
+  SlotState slotState(Time Now) const;
+  void giveUpHopeless(Time Now, Effects &Out);
   void run(Attempt &Item, Time Now, Effects &Out);
   void refuse(Attempt &Item, ResultCode Code, Time Now, Effects &Out);
   void startQueued(Time Now, Effects &Out);
@@ -94,10 +106,10 @@
   bool Leaving = false;
   int SlotsInUse = 1;
   AttemptMap Attempts;
-  std::set<std::pair<Time, wire::AttemptId>> Queue;
+  RunTimes Times;
+  WaitingLine Line{Times};
+  std::set<wire::AttemptId> RunningIds;
   std::map<std::pair<std::string, std::int64_t>, Floor> ForgottenUpTo;
-  int Running = 0;
-  double MeanRunMs = 0;
   std::int64_t HeldBytes = 0;
   Time NextSweep;
 };
--- /dev/null
+++ b/src/libpersimmon/trafficsplit.cpp
@@ -0,0 +1,65 @@
+#include "trafficsplit.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace persimmon {
+
+namespace {
+
+/// A first attempt loses a few milliseconds on its way; one that waited for
+/// Retry-After loses far more.
+constexpr double ReturnShare = 0.9;
+
+bool sameParts(const std::vector<SplitPart> &Left,
+               const std::vector<SplitPart> &Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](const SplitPart &A, const SplitPart &B) {
+                      return A.Service == B.Service && A.Weight == B.Weight;
+                    });
+}
+
+} // namespace
+
+void TrafficSplit::start(const RouteSpec &Route, Credits &Fresh) {
+  Fresh.Parts = Route.Parts;
+  Fresh.Left.clear();
+  // Daemons start at different places, so that they do not choose in step.
+  constexpr std::size_t Steps = 1000;
+  for (const SplitPart &Part : Route.Parts)
+    Fresh.Left.push_back(static_cast<double>(Part.Weight) *
+                         static_cast<double>(this->Rng.below(Steps)) / Steps);
+}
+
+const SplitPart &TrafficSplit::next(const RouteSpec &Route) {
+  if (Route.Parts.size() == 1)
+    return Route.Parts.front();
+  Credits &State = this->ByRoute[Route.Path];
+  if (!sameParts(State.Parts, Route.Parts))
+    this->start(Route, State);
+  const double Sum = std::accumulate(
+      Route.Parts.begin(), Route.Parts.end(), 0.0,
+      [](double Total, const SplitPart &Part) { return Total + Part.Weight; });
+  std::size_t Best = Route.Parts.size();
+  for (std::size_t I = 0; I < Route.Parts.size(); ++I) {
+    State.Left[I] += Route.Parts[I].Weight;
+    if (Route.Parts[I].Weight > 0 &&
+        (Best == Route.Parts.size() || State.Left[I] > State.Left[Best]))
+      Best = I;
+  }
+  State.Left[Best] -= Sum;
+  return Route.Parts[Best];
+}
+
+bool ReturnDetector::note(std::string_view Route, milliseconds Brought) {
+  const auto Found = this->UsualByRoute.find(Route);
+  if (Found == this->UsualByRoute.end()) {
+    this->UsualByRoute.emplace(std::string(Route), Brought);
+    return false;
+  }
+  Found->second = std::max(Found->second, Brought);
+  return static_cast<double>(Brought.count()) <
+         ReturnShare * static_cast<double>(Found->second.count());
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/waitingline.cpp
@@ -0,0 +1,97 @@
+#include "waitingline.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace persimmon {
+
+namespace {
+
+/// Weight of the newest run in a mean; about the last twenty runs count.
+constexpr double RunTimeWeight = 0.05;
+/// Share of its remaining time by which a waiting call may be predicted late
+/// before it is given up; predictions from means are off by about that much.
+constexpr double PredictionSlack = 0.25;
+
+double millisecondsOf(Time::duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+} // namespace
+
+double RunTimes::expectedMs(std::string_view Route) const {
+  const auto Found = this->ByRoute.find(Route);
+  return Found == this->ByRoute.end() ? this->AnyRoute : Found->second;
+}
+
+void RunTimes::note(std::string_view Route, double TookMs) {
+  const auto Found = this->ByRoute.find(Route);
+  if (Found == this->ByRoute.end())
+    this->ByRoute.emplace(std::string(Route), TookMs);
+  else
+    Found->second += RunTimeWeight * (TookMs - Found->second);
+  this->AnyRoute +=
+      this->AnyRoute == 0 ? TookMs : RunTimeWeight * (TookMs - this->AnyRoute);
+}
+
+bool WaitingLine::Before::operator()(const WaitingCall &Left,
+                                     const WaitingCall &Right) const {
+  return std::tie(Right.Priority, Left.UsefulUntil, Left.Id) <
+         std::tie(Left.Priority, Right.UsefulUntil, Right.Id);
+}
+
+bool WaitingLine::canServe(const WaitingCall &Call, const SlotState &State,
+                           Time Now) const {
+  double AheadMs = State.RunningMs;
+  for (const WaitingCall &Other : this->Calls) {
+    if (!Before()(Other, Call))
+      break;
+    AheadMs += this->Known.expectedMs(Other.Route);
+  }
+  const double NeededMs =
+      AheadMs / State.Slots + this->Known.expectedMs(Call.Route);
+  return NeededMs <= millisecondsOf(Call.UsefulUntil - Now);
+}
+
+void WaitingLine::add(WaitingCall Call) { this->Calls.insert(std::move(Call)); }
+
+void WaitingLine::remove(const wire::AttemptId &Id) {
+  std::erase_if(this->Calls,
+                [&](const WaitingCall &Call) { return Call.Id == Id; });
+}
+
+WaitingCall WaitingLine::takeNext() {
+  WaitingCall Out = *this->Calls.begin();
+  this->Calls.erase(this->Calls.begin());
+  return Out;
+}
+
+WaitingCall WaitingLine::takeLast() {
+  const auto Last = std::prev(this->Calls.end());
+  WaitingCall Out = *Last;
+  this->Calls.erase(Last);
+  return Out;
+}
+
+std::vector<WaitingCall> WaitingLine::takeHopeless(const SlotState &State,
+                                                   Time Now) {
+  std::vector<WaitingCall> Out;
+  double AheadMs = State.RunningMs;
+  for (auto Item = this->Calls.begin(); Item != this->Calls.end();) {
+    const double RunMs = this->Known.expectedMs(Item->Route);
+    const double NeededMs = AheadMs / State.Slots + RunMs;
+    const double LeftMs = millisecondsOf(Item->UsefulUntil - Now);
+    const bool Hopeless =
+        Now >= Item->Deadline || NeededMs > LeftMs * (1 + PredictionSlack);
+    if (!Hopeless) {
+      AheadMs += RunMs;
+      ++Item;
+      continue;
+    }
+    Out.push_back(*Item);
+    Item = this->Calls.erase(Item);
+  }
+  return Out;
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/src/libpersimmon/waitingline.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "libwire/libwire.h"
+
+#include "time.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmon {
+
+/// Learns how long calls of each route run on the own target, in milliseconds.
+class RunTimes {
+public:
+  /// Returns the mean of the route, or of all routes while it is unknown.
+  double expectedMs(std::string_view Route) const;
+
+  void note(std::string_view Route, double TookMs);
+
+private:
+  std::map<std::string, double, std::less<>> ByRoute;
+  double AnyRoute = 0;
+};
+
+/// A call that waits for a slot of the target.
+struct WaitingCall {
+  wire::AttemptId Id;
+  std::string Route;
+  int Priority = 0;
+  /// When an answer is worth less to the caller; never after Deadline.
+  Time UsefulUntil = NoDeadline;
+  Time Deadline = NoDeadline;
+};
+
+/// The work ahead of a call that would join the line.
+struct SlotState {
+  int Slots = 1;
+  /// Expected time left of all running calls together, in milliseconds.
+  double RunningMs = 0;
+};
+
+/// The order in which calls wait for a target, and which of them are given up.
+/// The most important go first and among equals the one whose value ends
+/// first, so a caller that was refused before and has less time left is not
+/// the last. Load pattern: a burst above the target's capacity. A line that
+/// admits all who can meet their deadline answers everyone late; this one
+/// admits who can be answered in useful time and refuses the rest at once.
+class WaitingLine {
+public:
+  explicit WaitingLine(const RunTimes &Known) : Known(Known) {}
+
+  /// Returns whether \p Call would be answered in useful time if it joined.
+  bool canServe(const WaitingCall &Call, const SlotState &State,
+                Time Now) const;
+
+  void add(WaitingCall Call);
+
+  /// Removes a call; does nothing if it does not wait.
+  void remove(const wire::AttemptId &Id);
+
+  /// Removes and returns the next call. The line must not be empty.
+  WaitingCall takeNext();
+
+  /// Removes and returns the last call. The line must not be empty.
+  WaitingCall takeLast();
+
+  /// Removes and returns calls that cannot be served any more, because their
+  /// time is over or because more important calls went ahead of them.
+  std::vector<WaitingCall> takeHopeless(const SlotState &State, Time Now);
+
+  std::size_t size() const { return this->Calls.size(); }
+  bool empty() const { return this->Calls.empty(); }
+  const WaitingCall &last() const { return *this->Calls.rbegin(); }
+
+private:
+  struct Before {
+    bool operator()(const WaitingCall &Left, const WaitingCall &Right) const;
+  };
+
+  const RunTimes &Known;
+  std::set<WaitingCall, Before> Calls;
+};
+
+} // namespace persimmon
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -3689,6 +3689,10 @@
 void MemberRecord::__set_Unwell(const bool val) {
   this->Unwell = val;
 }
+
+void MemberRecord::__set_ColdMs(const int32_t val) {
+  this->ColdMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -3809,6 +3813,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ColdMs);
+          this->__isset.ColdMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3870,6 +3882,10 @@
   xfer += oprot->writeBool(this->Unwell);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ColdMs", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->ColdMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3888,6 +3904,7 @@
   swap(a.Target, b.Target);
   swap(a.Slots, b.Slots);
   swap(a.Unwell, b.Unwell);
+  swap(a.ColdMs, b.ColdMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3903,6 +3920,7 @@
   Target = other141.Target;
   Slots = other141.Slots;
   Unwell = other141.Unwell;
+  ColdMs = other141.ColdMs;
   __isset = other141.__isset;
 }
 MemberRecord::MemberRecord(MemberRecord&& other142) noexcept {
@@ -3917,6 +3935,7 @@
   Target = other142.Target;
   Slots = other142.Slots;
   Unwell = other142.Unwell;
+  ColdMs = other142.ColdMs;
   __isset = other142.__isset;
 }
 MemberRecord& MemberRecord::operator=(const MemberRecord& other143) {
@@ -3931,6 +3950,7 @@
   Target = other143.Target;
   Slots = other143.Slots;
   Unwell = other143.Unwell;
+  ColdMs = other143.ColdMs;
   __isset = other143.__isset;
   return *this;
 }
@@ -3946,6 +3966,7 @@
   Target = other144.Target;
   Slots = other144.Slots;
   Unwell = other144.Unwell;
+  ColdMs = other144.ColdMs;
   __isset = other144.__isset;
   return *this;
 }
@@ -3963,6 +3984,7 @@
   out << ", " << "Target=" << to_string(Target);
   out << ", " << "Slots=" << to_string(Slots);
   out << ", " << "Unwell=" << to_string(Unwell);
+  out << ", " << "ColdMs=" << to_string(ColdMs);
   out << ")";
 }
 
@@ -6289,6 +6311,14 @@
 void CallRequest::__set_MayRepeat(const bool val) {
   this->MayRepeat = val;
 }
+
+void CallRequest::__set_UsefulMs(const int32_t val) {
+  this->UsefulMs = val;
+}
+
+void CallRequest::__set_Route(const std::string& val) {
+  this->Route = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -6425,6 +6455,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->UsefulMs);
+          this->__isset.UsefulMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Route);
+          this->__isset.Route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6498,6 +6544,14 @@
   xfer += oprot->writeBool(this->MayRepeat);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("UsefulMs", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->UsefulMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Route", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeString(this->Route);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6517,6 +6571,8 @@
   swap(a.Priority, b.Priority);
   swap(a.CallId, b.CallId);
   swap(a.MayRepeat, b.MayRepeat);
+  swap(a.UsefulMs, b.UsefulMs);
+  swap(a.Route, b.Route);
   swap(a.__isset, b.__isset);
 }
 
@@ -6533,6 +6589,8 @@
   Priority = other253.Priority;
   CallId = other253.CallId;
   MayRepeat = other253.MayRepeat;
+  UsefulMs = other253.UsefulMs;
+  Route = other253.Route;
   __isset = other253.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other254) noexcept {
@@ -6548,6 +6606,8 @@
   Priority = other254.Priority;
   CallId = std::move(other254.CallId);
   MayRepeat = other254.MayRepeat;
+  UsefulMs = other254.UsefulMs;
+  Route = std::move(other254.Route);
   __isset = other254.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other255) {
@@ -6563,6 +6623,8 @@
   Priority = other255.Priority;
   CallId = other255.CallId;
   MayRepeat = other255.MayRepeat;
+  UsefulMs = other255.UsefulMs;
+  Route = other255.Route;
   __isset = other255.__isset;
   return *this;
 }
@@ -6579,6 +6641,8 @@
   Priority = other256.Priority;
   CallId = std::move(other256.CallId);
   MayRepeat = other256.MayRepeat;
+  UsefulMs = other256.UsefulMs;
+  Route = std::move(other256.Route);
   __isset = other256.__isset;
   return *this;
 }
@@ -6597,6 +6661,8 @@
   out << ", " << "Priority=" << to_string(Priority);
   out << ", " << "CallId=" << to_string(CallId);
   out << ", " << "MayRepeat=" << to_string(MayRepeat);
+  out << ", " << "UsefulMs=" << to_string(UsefulMs);
+  out << ", " << "Route=" << to_string(Route);
   out << ")";
 }
 
@@ -6948,6 +7014,10 @@
 void CallReply::__set_TargetLoad(const Load& val) {
   this->TargetLoad = val;
 }
+
+void CallReply::__set_RetryAfterMs(const int32_t val) {
+  this->RetryAfterMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -7054,6 +7124,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->RetryAfterMs);
+          this->__isset.RetryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7111,6 +7189,10 @@
   xfer += this->TargetLoad.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("RetryAfterMs", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->RetryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7126,6 +7208,7 @@
   swap(a.BodySize, b.BodySize);
   swap(a.Body, b.Body);
   swap(a.TargetLoad, b.TargetLoad);
+  swap(a.RetryAfterMs, b.RetryAfterMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7138,6 +7221,7 @@
   BodySize = other272.BodySize;
   Body = other272.Body;
   TargetLoad = other272.TargetLoad;
+  RetryAfterMs = other272.RetryAfterMs;
   __isset = other272.__isset;
 }
 CallReply::CallReply(CallReply&& other273) noexcept {
@@ -7149,6 +7233,7 @@
   BodySize = other273.BodySize;
   Body = std::move(other273.Body);
   TargetLoad = std::move(other273.TargetLoad);
+  RetryAfterMs = other273.RetryAfterMs;
   __isset = other273.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other274) {
@@ -7160,6 +7245,7 @@
   BodySize = other274.BodySize;
   Body = other274.Body;
   TargetLoad = other274.TargetLoad;
+  RetryAfterMs = other274.RetryAfterMs;
   __isset = other274.__isset;
   return *this;
 }
@@ -7172,6 +7258,7 @@
   BodySize = other275.BodySize;
   Body = std::move(other275.Body);
   TargetLoad = std::move(other275.TargetLoad);
+  RetryAfterMs = other275.RetryAfterMs;
   __isset = other275.__isset;
   return *this;
 }
@@ -7186,6 +7273,7 @@
   out << ", " << "BodySize=" << to_string(BodySize);
   out << ", " << "Body=" << to_string(Body);
   out << ", " << "TargetLoad=" << to_string(TargetLoad);
+  out << ", " << "RetryAfterMs=" << to_string(RetryAfterMs);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -1462,7 +1462,7 @@
 std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
 
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false) {}
+  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true) {}
   bool Name :1;
   bool Address :1;
   bool Zone :1;
@@ -1474,10 +1474,12 @@
   bool Target :1;
   bool Slots :1;
   bool Unwell :1;
+  bool ColdMs :1;
 } _MemberRecord__isset;
 
 /**
- * A daemon and the target beside it. Only that daemon raises Incarnation and Sequence.
+ * A daemon and the target beside it. Only that daemon raises Incarnation and
+ * Sequence. ColdMs is how long the target stays slow after its start.
  */
 class MemberRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -1497,7 +1499,8 @@
                  Service(),
                  Target(static_cast<TargetState::type>(0)),
                  Slots(0),
-                 Unwell(0) {
+                 Unwell(0),
+                 ColdMs(0) {
   }
 
   virtual ~MemberRecord() noexcept;
@@ -1520,6 +1523,7 @@
   TargetState::type Target;
   int32_t Slots;
   bool Unwell;
+  int32_t ColdMs;
 
   _MemberRecord__isset __isset;
 
@@ -1545,6 +1549,8 @@
 
   void __set_Unwell(const bool val);
 
+  void __set_ColdMs(const int32_t val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(Name == rhs.Name))
@@ -1569,6 +1575,8 @@
       return false;
     if (!(Unwell == rhs.Unwell))
       return false;
+    if (!(ColdMs == rhs.ColdMs))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
@@ -2460,7 +2468,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : Id(false), ReceiverIncarnation(false), Service(false), Method(false), Url(false), Headers(false), BodySize(false), Body(false), RemainingMs(false), Priority(false), CallId(false), MayRepeat(false) {}
+  _CallRequest__isset() : Id(false), ReceiverIncarnation(false), Service(false), Method(false), Url(false), Headers(false), BodySize(false), Body(false), RemainingMs(false), Priority(false), CallId(false), MayRepeat(false), UsefulMs(true), Route(false) {}
   bool Id :1;
   bool ReceiverIncarnation :1;
   bool Service :1;
@@ -2473,8 +2481,14 @@
   bool Priority :1;
   bool CallId :1;
   bool MayRepeat :1;
+  bool UsefulMs :1;
+  bool Route :1;
 } _CallRequest__isset;
 
+/**
+ * RemainingMs is the time until the caller's deadline, UsefulMs the time until
+ * an answer is worth less to the caller; 0 if that is the deadline.
+ */
 class CallRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2492,7 +2506,9 @@
                 RemainingMs(0),
                 Priority(0),
                 CallId(),
-                MayRepeat(0) {
+                MayRepeat(0),
+                UsefulMs(0),
+                Route() {
   }
 
   virtual ~CallRequest() noexcept;
@@ -2508,6 +2524,8 @@
   int32_t Priority;
   std::string CallId;
   bool MayRepeat;
+  int32_t UsefulMs;
+  std::string Route;
 
   _CallRequest__isset __isset;
 
@@ -2535,6 +2553,10 @@
 
   void __set_MayRepeat(const bool val);
 
+  void __set_UsefulMs(const int32_t val);
+
+  void __set_Route(const std::string& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2561,6 +2583,10 @@
       return false;
     if (!(MayRepeat == rhs.MayRepeat))
       return false;
+    if (!(UsefulMs == rhs.UsefulMs))
+      return false;
+    if (!(Route == rhs.Route))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -2707,7 +2733,7 @@
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false) {}
+  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), RetryAfterMs(true) {}
   bool Id :1;
   bool Outcome :1;
   bool Code :1;
@@ -2716,8 +2742,12 @@
   bool BodySize :1;
   bool Body :1;
   bool TargetLoad :1;
+  bool RetryAfterMs :1;
 } _CallReply__isset;
 
+/**
+ * RetryAfterMs says when a refused call may find room; 0 if that is unknown.
+ */
 class CallReply : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2730,7 +2760,8 @@
               Code(0),
               Status(0),
               BodySize(0),
-              Body() {
+              Body(),
+              RetryAfterMs(0) {
   }
 
   virtual ~CallReply() noexcept;
@@ -2746,6 +2777,7 @@
   int64_t BodySize;
   std::string Body;
   Load TargetLoad;
+  int32_t RetryAfterMs;
 
   _CallReply__isset __isset;
 
@@ -2765,6 +2797,8 @@
 
   void __set_TargetLoad(const Load& val);
 
+  void __set_RetryAfterMs(const int32_t val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2783,6 +2817,8 @@
       return false;
     if (!(TargetLoad == rhs.TargetLoad))
       return false;
+    if (!(RetryAfterMs == rhs.RetryAfterMs))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -182,7 +182,10 @@
   Gone = 4
 }
 
-/** A daemon and the target beside it. Only that daemon raises Incarnation and Sequence. */
+/**
+ * A daemon and the target beside it. Only that daemon raises Incarnation and
+ * Sequence. ColdMs is how long the target stays slow after its start.
+ */
 struct MemberRecord {
   1: string Name
   2: string Address
@@ -195,6 +198,7 @@
   9: TargetState Target
   10: i32 Slots
   11: bool Unwell
+  12: i32 ColdMs = 0
 }
 
 struct Gossip {
@@ -298,6 +302,10 @@
   2: string Value
 }
 
+/**
+ * RemainingMs is the time until the caller's deadline, UsefulMs the time until
+ * an answer is worth less to the caller; 0 if that is the deadline.
+ */
 struct CallRequest {
   1: AttemptId Id
   2: i64 ReceiverIncarnation
@@ -311,6 +319,8 @@
   10: i32 Priority
   11: string CallId
   12: bool MayRepeat
+  13: i32 UsefulMs = 0
+  14: string Route
 }
 
 /** A part of a body that is too large for its first message. */
@@ -334,6 +344,7 @@
   3: i32 Slots
 }
 
+/** RetryAfterMs says when a refused call may find room; 0 if that is unknown. */
 struct CallReply {
   1: AttemptId Id
   2: CallOutcome Outcome
@@ -343,6 +354,7 @@
   6: i64 BodySize
   7: binary Body
   8: Load TargetLoad
+  9: i32 RetryAfterMs = 0
 }
 
 struct CallQuery {
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -30,7 +30,7 @@
 
 /// A replica c1 of three, with a log of the given terms behind the voters.
 struct Fixture {
-  Consensus Under{replica("c1", 1), {{"c2", "c2:1"}, {"c3", "c3:1"}}, 1};
+  Consensus Under{replica("c1", 1), {{"c2", "c2:1"}, {"c3", "c3:1"}}, {}, 1};
   Time Now = Start;
   Effects Out;
 
@@ -48,6 +48,14 @@
     this->Under.restore(State, this->Now);
   }
 
+  /// Passes time as a daemon does, in ticks of 20 ms.
+  void tickFor(milliseconds Span) {
+    for (const Time End = this->Now + Span; this->Now < End;) {
+      this->Now += milliseconds(20);
+      this->Under.tick(this->Now, this->Out);
+    }
+  }
+
   template <typename T> std::vector<T> sent() const {
     std::vector<T> Found;
     for (const Effect &Item : this->Out) {
@@ -188,8 +196,21 @@
   REQUIRE(F.Under.ready());
   const std::int64_t Round = F.Under.confirmLeadership(F.Now, F.Out);
   CHECK(F.Under.confirmedRound() < Round);
+  F.tickFor(milliseconds(1500));
+  CHECK(!F.Under.leader());
+}
+
+TEST_CASE("a leader does not take its own pause for silence of the others") {
+  Fixture F(4);
+  F.lead();
+  F.acknowledge(2, F.Under.lastIndex());
+  F.tickFor(milliseconds(100));
+  REQUIRE(F.Under.leader());
   F.Now += milliseconds(1500);
   F.Under.tick(F.Now, F.Out);
+  CHECK(F.Under.leader());
+  // What it heard before the pause does not keep it leading for good.
+  F.tickFor(milliseconds(1500));
   CHECK(!F.Under.leader());
 }
 
--- a/tests/diskstore/test_diskstore.cpp
+++ b/tests/diskstore/test_diskstore.cpp
@@ -39,7 +39,7 @@
 }
 
 std::optional<DiskStore> open(const TemporaryFolder &Folder,
-                              std::uint64_t NewId) {
+                              std::int64_t NewId) {
   std::optional<DiskStore> Out;
   const Failure Error =
       settle([&] { return DiskStore::open(Folder.path(), NewId); },
--- a/tests/standin/standintarget.cpp
+++ b/tests/standin/standintarget.cpp
@@ -1,5 +1,7 @@
 #include "standintarget.h"
 
+#include "libhost/edgeprotocol.h"
+
 #include <nlohmann/json.hpp>
 
 #include <csignal>
@@ -13,13 +15,6 @@
 constexpr milliseconds AnnounceInterval{500};
 constexpr milliseconds AnnounceTimeout{1000};
 
-wire::Header makeHeader(std::string Name, std::string Value) {
-  wire::Header Out;
-  Out.Name = std::move(Name);
-  Out.Value = std::move(Value);
-  return Out;
-}
-
 } // namespace
 
 StandinTarget::StandinTarget(asio::io_context &Context,
@@ -97,14 +92,13 @@
 
 void StandinTarget::callOnwards(const HttpRequest &Request, int Left) {
   TargetRequest Onwards;
-  Onwards.Url =
-      "http://" + this->Options.Callers + "/chain/" + std::to_string(Left);
+  Onwards.Address = this->Options.Callers;
+  Onwards.Url = "/chain/" + std::to_string(Left);
   Onwards.Method = "GET";
   Onwards.Headers = {
       makeHeader("Host", Left == 0 ? "last" : "hop"),
       makeHeader("Persimmon-Deadline-Ms",
                  std::string(Request.header("Persimmon-Deadline-Ms")))};
-  Onwards.MayRepeat = true;
   this->Client.start(Onwards, [this, Id = Request.Id](TargetAnswer Got) {
     HttpAnswer Answer;
     constexpr int BadGateway = 502;
@@ -166,11 +160,12 @@
                       : "serving"}}.dump();
   auto Body = std::make_shared<std::string>(this->AnnouncementBody);
   TargetRequest Request;
-  Request.Url = "http://" + this->Options.Daemon + "/v1/target";
+  Request.Address = this->Options.Daemon;
+  Request.Url = "/v1/target";
+  Request.Headers = {makeHeader("Host", this->Options.Daemon)};
   Request.Method = "POST";
   Request.Body = *Body;
   Request.Deadline = std::chrono::steady_clock::now() + AnnounceTimeout;
-  Request.MayRepeat = true;
   this->Client.start(Request, [Body](const TargetAnswer &) {});
 }
 
--- a/tests/store/test_store.cpp
+++ b/tests/store/test_store.cpp
@@ -211,12 +211,19 @@
                                   0)})
                .failed());
   std::shared_ptr<const RouteTable> Table;
-  settle([&] { return RouteTable::build(F.Store.settings(), nullptr); },
-         [&](auto Built) { Table = std::move(Built); });
+  settle(
+      [&] {
+        return RouteTable::build(F.Store.settings(), nullptr,
+                                 Values::Unchecked);
+      },
+      [&](auto Built) { Table = std::move(Built); });
   REQUIRE(Table);
-  CHECK(Table->match("job", "/photos/1")->Service == "team/photos");
-  CHECK(Table->match("job", "/photos?x=1")->Service == "team/photos");
-  CHECK(Table->match("job", "/photosets")->Service == "team/work");
+  CHECK(Table->match("job", "/photos/1")->Parts.front().Service ==
+        "team/photos");
+  CHECK(Table->match("job", "/photos?x=1")->Parts.front().Service ==
+        "team/photos");
+  CHECK(Table->match("job", "/photosets")->Parts.front().Service ==
+        "team/work");
   CHECK(Table->match("oldsales-job", "/photos") == nullptr);
 }
 
