Nested calls go first; settings are reloaded on SIGHUP and on change

Cause: a SIGHUP ended the daemon (exit 129). Useful time of all calls was the deadline, because calls of the target were told from those of callers by their address, and both come from the instance's own address. Now the target's daemon learns which routes only daemons of one service use.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds TickInterval{20};
+/// The settings file may change without a signal.
+constexpr milliseconds SettingsCheckInterval{1000};
 
 std::uint64_t randomNumber() {
   std::random_device Device;
@@ -41,7 +43,7 @@
 DaemonHost::DaemonHost(const DaemonSettings &TheSettings,
                        const EdgeProtocols &TheProtocols)
     : Settings(TheSettings), Protocols(TheProtocols), TickTimer(Io),
-      Signals(Io, SIGTERM, SIGINT) {}
+      Signals(Io, SIGTERM, SIGINT), ReloadSignals(Io, SIGHUP), SettingsTimer(Io) {}
 
 DaemonHost::~DaemonHost() = default;
 
@@ -53,6 +55,8 @@
   BOOST_LEAF_CHECK(Out->openPorts());
   Out->found();
   Out->watchSignals();
+  Out->watchReloadSignal();
+  Out->watchSettingsFile();
   Out->startTicks();
   return Out;
 }
@@ -134,6 +138,45 @@
   });
 }
 
+void DaemonHost::watchReloadSignal() {
+  this->ReloadSignals.async_wait([this](std::error_code Error, int) {
+    if (Error)
+      return;
+    this->reload("signal");
+    this->watchReloadSignal();
+  });
+}
+
+void DaemonHost::watchSettingsFile() {
+  if (this->Settings.File.empty())
+    return;
+  std::error_code Unreadable;
+  const auto WrittenAt =
+      std::filesystem::last_write_time(this->Settings.File, Unreadable);
+  const bool Changed = !Unreadable && WrittenAt != this->SettingsWrittenAt;
+  if (Changed && this->SettingsWrittenAt != std::filesystem::file_time_type())
+    this->reload("file");
+  if (Changed)
+    this->SettingsWrittenAt = WrittenAt;
+  this->SettingsTimer.expires_after(SettingsCheckInterval);
+  this->SettingsTimer.async_wait([this](std::error_code Error) {
+    if (!Error)
+      this->watchSettingsFile();
+  });
+}
+
+void DaemonHost::reload(std::string_view Reason) {
+  const Failure Error = settle(
+      [&] { return DaemonSettings::load(this->Settings.File); },
+      [&](const DaemonSettings &Fresh) {
+        this->Settings.Seeds = Fresh.Seeds;
+        this->Settings.RetryBurst = Fresh.RetryBurst;
+        this->submit(SettingsChanged{Fresh.Seeds, Fresh.RetryBurst});
+      });
+  logInfo("event=reload reason=" + std::string(Reason) + " outcome=" +
+          (Error.failed() ? "kept-old " + describe(Error) : "done"));
+}
+
 leaf::result<void> DaemonHost::run() {
   logInfo("event=started name=" + this->Settings.Name +
           " address=" + this->Settings.Advertise.text());
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -13,8 +13,10 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <filesystem>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace persimmon {
 
@@ -46,6 +48,10 @@
   void found();
   void startTicks();
   void watchSignals();
+  void watchReloadSignal();
+  void watchSettingsFile();
+  /// Takes over from the settings file what may change while the daemon runs.
+  void reload(std::string_view Reason);
   void stopWhenWritten();
 
   void onMessage(std::string From, Message Body) override;
@@ -78,6 +84,9 @@
   asio::io_context Io;
   asio::steady_timer TickTimer;
   asio::signal_set Signals;
+  asio::signal_set ReloadSignals;
+  asio::steady_timer SettingsTimer;
+  std::filesystem::file_time_type SettingsWrittenAt;
   std::unique_ptr<ChoicePolicy> Choice;
   std::unique_ptr<Topology> Spread;
   BodyStore Bodies;
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -156,7 +156,9 @@
   std::ostringstream Text;
   if (!In || !(Text << In.rdbuf()))
     return fail(ResultCode::FileUnreadable, File);
-  return DaemonSettings::parse(Text.str(), File);
+  BOOST_LEAF_AUTO(Out, DaemonSettings::parse(Text.str(), File));
+  Out.File = File;
+  return Out;
 }
 
 leaf::result<DaemonSettings> DaemonSettings::parse(std::string_view Text,
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -48,6 +48,8 @@
 
 /// The settings of one daemon, checked against daemon.schema.json.
 struct DaemonSettings {
+  /// The file that they were read from; empty if they were given as text.
+  std::string File;
   DaemonRole Role = DaemonRole::Proxy;
   std::string Name;
   std::string Zone;
--- a/src/libhost/httpport.cpp
+++ b/src/libhost/httpport.cpp
@@ -175,7 +175,6 @@
   accept(restinio::request_handle_t Request) {
     HttpRequest Out;
     Out.Id = ++this->LastId;
-    Out.PeerIp = Request->remote_endpoint().address().to_string();
     Out.Method = methodName(Request->header());
     Out.Url = std::string(Request->header().request_target());
     for (const auto &Field : Request->header()) {
--- a/src/libhost/httpport.h
+++ b/src/libhost/httpport.h
@@ -15,7 +15,6 @@
 /// One whole HTTP request. Id names it when it is answered.
 struct HttpRequest {
   std::int64_t Id = 0;
-  std::string PeerIp;
   std::string Method;
   std::string Url;
   std::vector<wire::Header> Headers;
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -162,9 +162,6 @@
   Call.BodySize = static_cast<std::int64_t>(Request.Body.size());
   Call.Deadline = Terms.Deadline;
   Call.IdempotencyKey = std::move(Terms.IdempotencyKey);
-  // Only the target itself calls from its own address.
-  Call.Nested = !this->FixedAddress.empty() &&
-                this->FixedAddress.starts_with(Request.PeerIp + ":");
   this->Bodies.keepCallerBody(Request.Id, std::move(Request.Body));
   this->Sink.submit(std::move(Call));
 }
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -17,9 +17,6 @@
 /// Longer than a daemon pauses whose share of a core is used up for the rest
 /// of a tenth of a second; shorter than the deadlines of interactive calls.
 constexpr milliseconds SilenceTimeout{350};
-/// Calls that a running call makes go before new ones: refusing them would
-/// waste the work that the caller has done.
-constexpr int NestedPriority = 1000;
 /// Callers return within this part of the time that they have left.
 constexpr milliseconds NotReadyRetryAfter{200};
 constexpr int RetryAfterMinPart = 8;
@@ -102,7 +99,7 @@
   Out.BodySize = Arrived.BodySize;
   Out.RoutePath = Route.Path;
   Out.Service = this->Split.next(Route).Service;
-  Out.Priority = Arrived.Nested ? NestedPriority : Route.Priority;
+  Out.Priority = Route.Priority;
   Out.Repeat = repeatable(Route, Arrived.Method);
   Out.MaxSends = Route.MaxAttempts;
   const ServiceSpec &Service = *this->Config.table()->service(Out.Service);
@@ -118,7 +115,7 @@
       Arrived.Deadline != NoDeadline &&
       this->Returns.note(
           Route.Path, milliseconds(millisecondsUntil(Arrived.Deadline, Now)));
-  if (!Returning && !Arrived.Nested)
+  if (!Returning)
     Out.UsefulUntil = std::min(Out.Deadline, Now + Route.TargetLatency);
   return Out;
 }
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -39,8 +39,6 @@
   std::int64_t BodySize = 0;
   Time Deadline = NoDeadline;
   std::string IdempotencyKey;
-  /// The target beside this daemon made the call while it runs another.
-  bool Nested = false;
 };
 
 /// The caller closed its connection before it was answered.
@@ -134,6 +132,12 @@
   std::string AdminToken;
 };
 
+/// The settings file has changed.
+struct SettingsChanged {
+  std::vector<std::string> Seeds;
+  int RetryBurst = 0;
+};
+
 /// The process was asked to stop gracefully.
 struct StopRequested {};
 
@@ -141,7 +145,7 @@
     std::variant<Tick, MessageReceived, StreamLost, CallArrived, CallerGone,
                  TargetAnnounced, TargetProbed, RunFinished, ChangeRequested,
                  TeamRequested, ReadRequested, FormRequested, RecoverRequested,
-                 StopRequested, ReplaceRequested, FoundRequested, TargetLeaves>;
+                 StopRequested, ReplaceRequested, FoundRequested, TargetLeaves, SettingsChanged>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -42,11 +42,9 @@
 } // namespace
 
 Membership::Membership(wire::MemberRecord OwnRecord,
-                       std::vector<std::string> SeedAddresses,
-                       std::uint64_t Seed)
-    : Self(std::move(OwnRecord)), SeedAddresses(std::move(SeedAddresses)),
-      Rng(Seed) {
-  std::erase(this->SeedAddresses, this->Self.Address);
+                       std::vector<std::string> Seeds, std::uint64_t Seed)
+    : Self(std::move(OwnRecord)), Rng(Seed) {
+  this->setSeeds(std::move(Seeds));
   this->OwnIncarnations.insert(this->Self.Incarnation);
   this->Records.emplace(this->Self.Name, this->Self);
   this->spread(this->Self.Name);
@@ -428,6 +426,16 @@
   }
 }
 
+void Membership::setSeeds(std::vector<std::string> Addresses) {
+  this->SeedAddresses = std::move(Addresses);
+  std::erase(this->SeedAddresses, this->Self.Address);
+}
+
+std::size_t Membership::serviceCount() const {
+  this->indexTargets();
+  return this->Targets.size();
+}
+
 std::size_t Membership::proxyCount() const {
   this->indexTargets();
   return this->Proxies;
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -75,6 +75,12 @@
   /// work.
   const std::vector<std::string> &targetsOf(std::string_view Service) const;
 
+  /// Gives the addresses to join by from now on.
+  void setSeeds(std::vector<std::string> Addresses);
+
+  /// Returns the number of services that have targets which take work.
+  std::size_t serviceCount() const;
+
   /// Returns the number of living daemons beside targets, this one included.
   std::size_t proxyCount() const;
 
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -166,6 +166,21 @@
   }
 }
 
+bool Node::nested(const wire::CallRequest &Request) {
+  const wire::MemberRecord *Entry = this->Members.find(Request.Id.Sender);
+  return Entry != nullptr && this->Origins.note(Request.Route, Entry->Service,
+                                                this->Members.serviceCount());
+}
+
+void Node::on(const SettingsChanged &Body, const Event &, Effects &Out) {
+  this->Seeds = Body.Seeds;
+  this->Members.setSeeds(Body.Seeds);
+  if (this->Router)
+    this->Router->setRetryBurst(Body.RetryBurst);
+  Out.emplace_back(LogDecision{"event=settings-changed seeds=" +
+                               std::to_string(Body.Seeds.size())});
+}
+
 bool Node::drained() const {
   return this->Ledger.idle() &&
          (!this->Router || this->Router->callCount() == 0);
@@ -322,8 +337,10 @@
   else if constexpr (std::is_same_v<T, wire::CallRequest>) {
     const auto &Table = this->Config.table();
     this->Ledger.receive(
-        Body, From, this->Members.hadIncarnation(Body.ReceiverIncarnation),
-        Table ? Table->service(Body.Service) : nullptr, Now, Out);
+        Body, From,
+        {this->Members.hadIncarnation(Body.ReceiverIncarnation),
+         this->nested(Body), Table ? Table->service(Body.Service) : nullptr},
+        Now, Out);
   } else if constexpr (std::is_same_v<T, wire::CallQuery>)
     this->Ledger.receive(Body, From,
                          this->Members.hadIncarnation(Body.ReceiverIncarnation),
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -5,6 +5,7 @@
 #include "distribution.h"
 #include "events.h"
 #include "membership.h"
+#include "originwatch.h"
 #include "reporttree.h"
 #include "servinggate.h"
 #include "targetledger.h"
@@ -97,6 +98,7 @@
   void on(const TargetLeaves &Body, const Event &What, Effects &Out);
   void on(const TargetProbed &Body, const Event &What, Effects &Out);
   void on(const RunFinished &Body, const Event &What, Effects &Out);
+  void on(const SettingsChanged &Body, const Event &What, Effects &Out);
   void on(const StopRequested &Body, const Event &What, Effects &Out);
   template <typename RequestT>
   void on(const RequestT &Body, const Event &What, Effects &Out);
@@ -110,6 +112,7 @@
   void startDraining(Time Now, Effects &Out);
   void tickStop(Time Now, Effects &Out);
   bool drained() const;
+  bool nested(const wire::CallRequest &Request);
   void announce(Effects &Out);
 
   const Topology &Spread;
@@ -119,6 +122,7 @@
   ReportTree Reports;
   ServingGate Gate;
   TargetLedger Ledger;
+  OriginWatch Origins;
   std::optional<ControlService> Control;
   std::optional<CallRouter> Router;
   TargetWatch Target;
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -17,6 +17,8 @@
 /// What a run beyond its route's mean is expected to take still, as a share of
 /// the mean.
 constexpr double LongRunShare = 0.3;
+/// Above every priority of a route.
+constexpr int NestedPriority = 1000;
 
 } // namespace
 
@@ -142,15 +144,19 @@
 }
 
 TargetLedger::Attempt &TargetLedger::add(const wire::CallRequest &Request,
-                                         std::string_view From, Time Now) {
+                                         std::string_view From, bool Nested,
+                                         Time Now) {
   Attempt Item;
   Item.Id = Request.Id;
   Item.From = std::string(From);
   Item.Deadline = Now + milliseconds(Request.RemainingMs);
-  Item.UsefulUntil = Request.UsefulMs > 0 ? Now + milliseconds(Request.UsefulMs)
-                                          : Item.Deadline;
   Item.Route = Request.Route;
-  Item.Priority = Request.Priority;
+  // To refuse a nested call would waste what the call that waits for it has
+  // done, so it goes first and is served as long as that call lives.
+  Item.Priority = Nested ? NestedPriority : Request.Priority;
+  Item.UsefulUntil = Request.UsefulMs > 0 && !Nested
+                         ? Now + milliseconds(Request.UsefulMs)
+                         : Item.Deadline;
   return this->Attempts.emplace(Request.Id, std::move(Item)).first->second;
 }
 
@@ -187,13 +193,14 @@
 }
 
 void TargetLedger::receive(const wire::CallRequest &Request,
-                           std::string_view From, bool Addressed,
-                           const ServiceSpec *Limits, Time Now, Effects &Out) {
+                           std::string_view From, const CallContext &Context,
+                           Time Now, Effects &Out) {
   if (this->tellIfKnown(Request.Id, From, Out))
     return;
-  Attempt &Item = this->add(Request, From, Now);
+  Attempt &Item = this->add(Request, From, Context.Nested, Now);
+  const ServiceSpec *Limits = Context.Limits;
   this->SlotsInUse = this->slots(Limits);
-  ResultCode Code = Addressed ? this->admissionOf(Request) : ResultCode::Fenced;
+  ResultCode Code = Context.Addressed ? this->admissionOf(Request) : ResultCode::Fenced;
   const bool SlotFree =
       static_cast<int>(this->RunningIds.size()) < this->SlotsInUse;
   if (Code == ResultCode::Ok && !SlotFree)
@@ -204,7 +211,8 @@
                   " running=" + std::to_string(this->RunningIds.size()) +
                   " queued=" + std::to_string(this->Line.size()) +
                   " slots=" + std::to_string(this->SlotsInUse) +
-                  " usefulMs=" + std::to_string(Request.UsefulMs) + " choice=" +
+                  " usefulMs=" + std::to_string(Request.UsefulMs) +
+      " nested=" + (Context.Nested ? "yes" : "no") + " choice=" +
                   (Code != ResultCode::Ok ? "refuse"
                    : SlotFree             ? "run"
                                           : "queue") +
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -23,11 +23,18 @@
   TargetLedger(const TargetLedger &) = delete;
   TargetLedger &operator=(const TargetLedger &) = delete;
 
-  /// Handles a call whose whole body has arrived. \p Addressed says that it
-  /// was meant for this process and not for an earlier one.
+  /// What the daemon knows of a call beside its request.
+  struct CallContext {
+    /// It was meant for this process and not for an earlier one.
+    bool Addressed = true;
+    /// A running call made it.
+    bool Nested = false;
+    const ServiceSpec *Limits = nullptr;
+  };
+
+  /// Handles a call whose whole body has arrived.
   void receive(const wire::CallRequest &Request, std::string_view From,
-               bool Addressed, const ServiceSpec *Limits, Time Now,
-               Effects &Out);
+               const CallContext &Context, Time Now, Effects &Out);
   /// Tells what became of an attempt; fences one that has not arrived.
   void receive(const wire::CallQuery &Query, std::string_view From,
                bool Addressed, Time Now, Effects &Out);
@@ -100,7 +107,7 @@
   void forget(AttemptMap::iterator Item, Time Now, Effects &Out);
   void dropHeldAnswers(Effects &Out);
   Attempt &add(const wire::CallRequest &Request, std::string_view From,
-               Time Now);
+               bool Nested, Time Now);
 
   TargetAnnounced Target;
   bool Leaving = false;
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -68,7 +68,7 @@
   }
 
   void arrive(const wire::CallRequest &Request, Time Now = Start) {
-    this->Under.receive(Request, "#1", true, &this->Limits, Now, this->Out);
+    this->Under.receive(Request, "#1", {true, false, &this->Limits}, Now, this->Out);
   }
 
   void query(std::int64_t Number, Time Now = Start) {
@@ -128,7 +128,7 @@
 
 TEST_CASE("a call for an earlier process of the daemon is not run") {
   Ledger L;
-  L.Under.receive(request(1), "#1", false, &L.Limits, Start, L.Out);
+  L.Under.receive(request(1), "#1", {false, false, &L.Limits}, Start, L.Out);
   CHECK(runs(L.Out).empty());
   CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
   wire::CallQuery Query;
