--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -95,6 +95,7 @@
 }
 
 void TargetConnection::startTimer(Time Until) {
+  this->CloseAt = Until;
   if (Until == NoDeadline) {
     this->Timer.cancel();
     return;
@@ -102,7 +103,10 @@
   this->Timer.expires_at(Until);
   this->Timer.async_wait(
       [Self = this->shared_from_this()](std::error_code Error) {
-        if (!Error && Self->busy())
+        // A wait that ended just before it was cancelled may be of an earlier
+        // request.
+        if (!Error && Self->busy() &&
+            std::chrono::steady_clock::now() >= Self->CloseAt)
           Self->close();
       });
 }
--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -77,6 +77,7 @@
   std::function<bool(const TargetAnswer &)> Belongs;
   std::string Method;
   Time Deadline = NoDeadline;
+  Time CloseAt = NoDeadline;
   Time IdleUntil = NoDeadline;
   std::array<char, 16384> Buffer{};
   boost::beast::flat_buffer Unparsed;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -125,7 +125,8 @@
   const milliseconds Left(millisecondsUntil(TheCall.Deadline, Now));
   const milliseconds Least = Left / RetryAfterMinPart;
   if (Code != ResultCode::Overloaded &&
-      Code != ResultCode::DeadlineCannotBeMet && Code != ResultCode::TargetShed)
+      Code != ResultCode::DeadlineCannotBeMet &&
+      Code != ResultCode::TargetFailing && Code != ResultCode::TargetShed)
     return Least;
   // Spread, so that those refused together do not return together.
   return this->Rng.between(Least, Left / RetryAfterMaxPart);
@@ -217,6 +218,7 @@
     Error = {ResultCode::OutcomeUnknown, Ended.Service, {}};
   }
   if (Error.failed()) {
+    this->NestedRefused = this->NestedRefused || Ended.Nested;
     const milliseconds Later = this->retryAfter(Ended, Error.Code, Now);
     Out.emplace_back(LogDecision{
         "event=give-up call=" + Ended.CallId + " route=" + Ended.RoutePath +
@@ -246,6 +248,7 @@
   const auto Code = static_cast<ResultCode>(Reply.Code);
   switch (Reply.Outcome) {
   case wire::CallOutcome::NotRun:
+    TheCall.Nested = Reply.Nested;
     this->attemptNotRun(TheCall, Code, Now, Out);
     return;
   case wire::CallOutcome::Running:
@@ -288,8 +291,9 @@
 }
 
 bool CallRouter::mayRetry(const Call &TheCall, ResultCode Code, Time Now) {
-  const bool Full =
-      Code == ResultCode::Overloaded || Code == ResultCode::DeadlineCannotBeMet;
+  const bool Full = Code == ResultCode::Overloaded ||
+                    Code == ResultCode::TargetFailing ||
+                    Code == ResultCode::DeadlineCannotBeMet;
   if (TheCall.Attempts >= (Full ? MaxOverloadTries : MaxTries) ||
       Now >= TheCall.Deadline)
     return false;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace persimmon {
 
@@ -60,6 +61,9 @@
   /// Refuses new calls from now on.
   void stop() { this->Stopping = true; }
 
+  /// Returns whether a call that targets made was refused since the last call.
+  bool takeNestedRefused() { return std::exchange(this->NestedRefused, false); }
+
   /// Returns the number of calls that are not answered.
   std::size_t callCount() const { return this->Calls.size(); }
   /// Returns the number of attempts beyond the first of each call.
@@ -97,6 +101,8 @@
     ResultCode LastRefusal = ResultCode::NoTarget;
     /// An attempt ended without proof that it did not run.
     bool MayHaveRun = false;
+    /// The last target's daemon takes it for a call of a running call.
+    bool Nested = false;
 
     /// Returns whether an attempt is under way.
     bool dispatched() const {
@@ -145,6 +151,7 @@
   std::int64_t OwnIncarnation;
   std::uint64_t Retries = 0;
   int RetryBurst = 0;
+  bool NestedRefused = false;
   bool Stopping = false;
 };
 
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -43,7 +43,8 @@
     : Spread(Policies.Spread), Members(recordOf(Identity, IsControl),
                                        seedsOf(Identity), Identity.Seed + 1),
       Config(Identity.Seed + 2), Gate(Identity.Seed + 3),
-      Seeds(seedsOf(Identity)), ControlAddresses(Seeds), Stop(Identity.Stop) {}
+      Ledger(Identity.Seed + 6), Seeds(seedsOf(Identity)),
+      ControlAddresses(Seeds), Stop(Identity.Stop) {}
 
 std::unique_ptr<Node> Node::makeProxy(const NodeIdentity &Identity,
                                       const NodePolicies &Policies) {
@@ -89,6 +90,8 @@
 }
 
 void Node::afterEvent(Time Now, Effects &Out) {
+  if (this->Router && this->Router->takeNestedRefused())
+    this->Ledger.nestedRefused(Now);
   if (this->Control) {
     this->Config.shareCompiled(this->Control->store().table());
     if (this->Control->takeReplaced())
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -17,8 +17,10 @@
 /// What a run beyond its route's mean is expected to take still, as a share of
 /// the mean.
 constexpr double LongRunShare = 0.3;
-/// Above every priority of a route.
-constexpr int NestedPriority = 1000;
+constexpr int FirstServerError = 500;
+/// A run fails at once when its own call is refused, but it may make another
+/// attempt first.
+constexpr milliseconds NestedRefusalCounts{300};
 
 } // namespace
 
@@ -67,12 +69,13 @@
 
 void TargetLedger::reply(const wire::AttemptId &Id, std::string_view To,
                          wire::CallOutcome::type Outcome, ResultCode Code,
-                         Effects &Out) const {
+                         bool Nested, Effects &Out) const {
   wire::CallReply Reply;
   Reply.Id = Id;
   Reply.Outcome = Outcome;
   Reply.Code = static_cast<std::int32_t>(Code);
   Reply.TargetLoad = this->load();
+  Reply.Nested = Nested;
   send(Out, To, std::move(Reply));
 }
 
@@ -82,7 +85,7 @@
     Out.emplace_back(SendAnswer{Item.Id, Item.From, this->load()});
     return;
   }
-  this->reply(Item.Id, Item.From, Item.Outcome, Item.Code, Out);
+  this->reply(Item.Id, Item.From, Item.Outcome, Item.Code, Item.Nested, Out);
 }
 
 bool TargetLedger::forgotten(const wire::AttemptId &Id) const {
@@ -91,7 +94,8 @@
   return Found != this->ForgottenUpTo.end() && Id.Number <= Found->second.UpTo;
 }
 
-ResultCode TargetLedger::admissionOf(const wire::CallRequest &Request) const {
+ResultCode TargetLedger::admissionOf(const wire::CallRequest &Request,
+                                     Time Now) {
   if (this->Leaving || this->Target.State == wire::TargetState::Draining)
     return ResultCode::Draining;
   if (this->Target.State == wire::TargetState::Starting)
@@ -102,6 +106,8 @@
     return ResultCode::NoTarget;
   if (Request.RemainingMs <= 0)
     return ResultCode::DeadlineCannotBeMet;
+  if (!this->Guard.admit(Request.Route, Now))
+    return ResultCode::TargetFailing;
   return ResultCode::Ok;
 }
 
@@ -151,9 +157,10 @@
   Item.From = std::string(From);
   Item.Deadline = Now + milliseconds(Request.RemainingMs);
   Item.Route = Request.Route;
+  Item.Nested = Nested;
   // To refuse a nested call would waste what the call that waits for it has
   // done, so it goes first and is served as long as that call lives.
-  Item.Priority = Nested ? NestedPriority : Request.Priority;
+  Item.Priority = Request.Priority;
   Item.UsefulUntil = Request.UsefulMs > 0 && !Nested
                          ? Now + milliseconds(Request.UsefulMs)
                          : Item.Deadline;
@@ -187,7 +194,7 @@
   if (!this->forgotten(Id))
     return false;
   this->reply(Id, From, wire::CallOutcome::Unknown, ResultCode::OutcomeUnknown,
-              Out);
+              false, Out);
   Out.emplace_back(DropAttempt{Id});
   return true;
 }
@@ -200,7 +207,8 @@
   Attempt &Item = this->add(Request, From, Context.Nested, Now);
   const ServiceSpec *Limits = Context.Limits;
   this->SlotsInUse = this->slots(Limits);
-  ResultCode Code = Context.Addressed ? this->admissionOf(Request) : ResultCode::Fenced;
+  ResultCode Code =
+      Context.Addressed ? this->admissionOf(Request, Now) : ResultCode::Fenced;
   const bool SlotFree =
       static_cast<int>(this->RunningIds.size()) < this->SlotsInUse;
   if (Code == ResultCode::Ok && !SlotFree)
@@ -212,7 +220,7 @@
                   " queued=" + std::to_string(this->Line.size()) +
                   " slots=" + std::to_string(this->SlotsInUse) +
                   " usefulMs=" + std::to_string(Request.UsefulMs) +
-      " nested=" + (Context.Nested ? "yes" : "no") + " choice=" +
+                  " nested=" + (Context.Nested ? "yes" : "no") + " choice=" +
                   (Code != ResultCode::Ok ? "refuse"
                    : SlotFree             ? "run"
                                           : "queue") +
@@ -255,6 +263,11 @@
   Attempt &Item = Found->second;
   this->RunningIds.erase(Run.Id);
   const std::chrono::duration<double, std::milli> Took = Now - Item.StartedAt;
+  if (Run.End == RunEnd::Answered) {
+    const bool ForWant =
+        Run.Status >= FirstServerError && Now < this->NestedRefusedUntil;
+    this->Guard.note(Item.Route, ForWant, Now);
+  }
   if (Run.End == RunEnd::Answered)
     this->Times.note(Item.Route, Took.count());
   switch (Run.End) {
@@ -314,7 +327,7 @@
                            bool Addressed, Time Now, Effects &Out) {
   if (!Addressed) {
     this->reply(Query.Id, From, wire::CallOutcome::Unknown,
-                ResultCode::WrongIncarnation, Out);
+                ResultCode::WrongIncarnation, false, Out);
     return;
   }
   if (this->tellIfKnown(Query.Id, From, Out))
@@ -372,6 +385,10 @@
   this->Attempts.erase(Item);
 }
 
+void TargetLedger::nestedRefused(Time Now) {
+  this->NestedRefusedUntil = Now + NestedRefusalCounts;
+}
+
 void TargetLedger::tick(Time Now, Effects &Out) {
   this->giveUpHopeless(Now, Out);
   if (Now < this->NextSweep)
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -2,6 +2,7 @@
 
 #include "effects.h"
 #include "events.h"
+#include "failureguard.h"
 #include "routetable.h"
 #include "waitingline.h"
 
@@ -18,7 +19,7 @@
 /// fenced: it is refused if it arrives late.
 class TargetLedger {
 public:
-  TargetLedger() = default;
+  explicit TargetLedger(std::uint64_t Seed) : Guard(Seed) {}
   // The line refers to the run times of this ledger.
   TargetLedger(const TargetLedger &) = delete;
   TargetLedger &operator=(const TargetLedger &) = delete;
@@ -44,6 +45,9 @@
   void receive(const wire::AnswerAck &Ack, Time Now, Effects &Out);
   /// Takes the end of a run on the target and starts what waits.
   void finished(const RunFinished &Run, Time Now, Effects &Out);
+  /// Notes that a call which the own target may have made was refused, so that
+  /// runs which fail now may fail for want of it.
+  void nestedRefused(Time Now);
   /// Refuses what waited past its deadline and forgets old attempts.
   void tick(Time Now, Effects &Out);
 
@@ -72,6 +76,7 @@
     Time KeepUntil = NoDeadline;
     int Priority = 0;
     bool Taken = false;
+    bool Nested = false;
     wire::CallOutcome::type Outcome = wire::CallOutcome::Running;
     ResultCode Code = ResultCode::Ok;
     std::int64_t AnswerBytes = 0;
@@ -84,7 +89,7 @@
   using AttemptMap = std::map<wire::AttemptId, Attempt>;
 
   int slots(const ServiceSpec *Limits) const;
-  ResultCode admissionOf(const wire::CallRequest &Request) const;
+  ResultCode admissionOf(const wire::CallRequest &Request, Time Now);
   /// Lets the attempt wait for a slot, or returns why it cannot.
   ResultCode enqueue(const Attempt &Item, const ServiceSpec *Limits, Time Now,
                      Effects &Out);
@@ -97,7 +102,7 @@
   void startQueued(Time Now, Effects &Out);
   void handBackQueued(ResultCode Code, Time Now, Effects &Out);
   void reply(const wire::AttemptId &Id, std::string_view To,
-             wire::CallOutcome::type Outcome, ResultCode Code,
+             wire::CallOutcome::type Outcome, ResultCode Code, bool Nested,
              Effects &Out) const;
   void tell(const Attempt &Item, Effects &Out) const;
   /// Answers with what is known of the attempt; returns false if nothing is.
@@ -113,6 +118,8 @@
   bool Leaving = false;
   int SlotsInUse = 1;
   AttemptMap Attempts;
+  FailureGuard Guard;
+  Time NestedRefusedUntil;
   RunTimes Times;
   WaitingLine Line{Times};
   std::set<wire::AttemptId> RunningIds;
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -7018,6 +7018,10 @@
 void CallReply::__set_RetryAfterMs(const int32_t val) {
   this->RetryAfterMs = val;
 }
+
+void CallReply::__set_Nested(const bool val) {
+  this->Nested = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -7132,6 +7136,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Nested);
+          this->__isset.Nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7193,6 +7205,10 @@
   xfer += oprot->writeI32(this->RetryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Nested", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->Nested);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7209,6 +7225,7 @@
   swap(a.Body, b.Body);
   swap(a.TargetLoad, b.TargetLoad);
   swap(a.RetryAfterMs, b.RetryAfterMs);
+  swap(a.Nested, b.Nested);
   swap(a.__isset, b.__isset);
 }
 
@@ -7222,6 +7239,7 @@
   Body = other272.Body;
   TargetLoad = other272.TargetLoad;
   RetryAfterMs = other272.RetryAfterMs;
+  Nested = other272.Nested;
   __isset = other272.__isset;
 }
 CallReply::CallReply(CallReply&& other273) noexcept {
@@ -7234,6 +7252,7 @@
   Body = std::move(other273.Body);
   TargetLoad = std::move(other273.TargetLoad);
   RetryAfterMs = other273.RetryAfterMs;
+  Nested = other273.Nested;
   __isset = other273.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other274) {
@@ -7246,6 +7265,7 @@
   Body = other274.Body;
   TargetLoad = other274.TargetLoad;
   RetryAfterMs = other274.RetryAfterMs;
+  Nested = other274.Nested;
   __isset = other274.__isset;
   return *this;
 }
@@ -7259,6 +7279,7 @@
   Body = std::move(other275.Body);
   TargetLoad = std::move(other275.TargetLoad);
   RetryAfterMs = other275.RetryAfterMs;
+  Nested = other275.Nested;
   __isset = other275.__isset;
   return *this;
 }
@@ -7274,6 +7295,7 @@
   out << ", " << "Body=" << to_string(Body);
   out << ", " << "TargetLoad=" << to_string(TargetLoad);
   out << ", " << "RetryAfterMs=" << to_string(RetryAfterMs);
+  out << ", " << "Nested=" << to_string(Nested);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -2733,7 +2733,7 @@
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), RetryAfterMs(true) {}
+  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), RetryAfterMs(true), Nested(true) {}
   bool Id :1;
   bool Outcome :1;
   bool Code :1;
@@ -2743,10 +2743,12 @@
   bool Body :1;
   bool TargetLoad :1;
   bool RetryAfterMs :1;
+  bool Nested :1;
 } _CallReply__isset;
 
 /**
  * RetryAfterMs says when a refused call may find room; 0 if that is unknown.
+ * Nested says that the call is taken for one that a running call made.
  */
 class CallReply : public virtual ::apache::thrift::TBase {
  public:
@@ -2761,7 +2763,8 @@
               Status(0),
               BodySize(0),
               Body(),
-              RetryAfterMs(0) {
+              RetryAfterMs(0),
+              Nested(false) {
   }
 
   virtual ~CallReply() noexcept;
@@ -2778,6 +2781,7 @@
   std::string Body;
   Load TargetLoad;
   int32_t RetryAfterMs;
+  bool Nested;
 
   _CallReply__isset __isset;
 
@@ -2799,6 +2803,8 @@
 
   void __set_RetryAfterMs(const int32_t val);
 
+  void __set_Nested(const bool val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2819,6 +2825,8 @@
       return false;
     if (!(RetryAfterMs == rhs.RetryAfterMs))
       return false;
+    if (!(Nested == rhs.Nested))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -344,7 +344,10 @@
   3: i32 Slots
 }
 
-/** RetryAfterMs says when a refused call may find room; 0 if that is unknown. */
+/**
+ * RetryAfterMs says when a refused call may find room; 0 if that is unknown.
+ * Nested says that the call is taken for one that a running call made.
+ */
 struct CallReply {
   1: AttemptId Id
   2: CallOutcome Outcome
@@ -355,6 +358,7 @@
   7: binary Body
   8: Load TargetLoad
   9: i32 RetryAfterMs = 0
+  10: bool Nested = false
 }
 
 struct CallQuery {
