--- a/src/libhost/boundedappender.cpp
+++ b/src/libhost/boundedappender.cpp
@@ -15,15 +15,13 @@
 namespace {
 
 /// A pipe that is writable takes this much at once without blocking.
-constexpr std::size_t MaxLineBytes = 4096;
+constexpr std::size_t BlockBytes = 4096;
+/// Lines that wait for a slow reader; more are dropped.
+constexpr std::size_t MaxWaitingBytes = 256u << 10;
 
-bool writeLine(std::string_view Line) {
+bool outputReady() {
   pollfd Output{STDOUT_FILENO, POLLOUT, 0};
-  if (::poll(&Output, 1, 0) != 1 || (Output.revents & POLLOUT) == 0)
-    return false;
-  const std::size_t Size = std::min(Line.size(), MaxLineBytes);
-  return ::write(STDOUT_FILENO, Line.data(), Size) ==
-         static_cast<ssize_t>(Size);
+  return ::poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
 }
 
 } // namespace
@@ -32,7 +30,10 @@
     : LinesPerSecond(Rate), Tokens(Rate),
       RefilledAt(std::chrono::steady_clock::now()) {}
 
-BoundedAppender::~BoundedAppender() { this->destructorImpl(); }
+BoundedAppender::~BoundedAppender() {
+  this->flush();
+  this->destructorImpl();
+}
 
 bool BoundedAppender::takeToken() {
   const auto Now = std::chrono::steady_clock::now();
@@ -46,27 +47,36 @@
   return true;
 }
 
-void BoundedAppender::reportDropped() {
-  if (this->Dropped == 0)
-    return;
-  const std::string Line = "level=WARN log=events event=log-lines-dropped "
-                           "count=" +
-                           std::to_string(this->Dropped) + "\n";
-  if (writeLine(Line))
-    this->Dropped = 0;
-}
-
 void BoundedAppender::append(
     const log4cplus::spi::InternalLoggingEvent &Event) {
-  if (!this->takeToken()) {
+  if (!this->takeToken() || this->Waiting.size() > MaxWaitingBytes) {
     this->Dropped += 1;
     return;
   }
-  this->reportDropped();
+  if (this->Dropped > 0) {
+    this->Waiting += "level=WARN log=events event=log-lines-dropped count=" +
+                     std::to_string(this->Dropped) + "\n";
+    this->Dropped = 0;
+  }
   std::ostringstream Line;
   this->layout->formatAndAppend(Line, Event);
-  if (!writeLine(Line.str()))
-    this->Dropped += 1;
+  this->Waiting += Line.str();
+  if (this->Waiting.size() >= BlockBytes)
+    this->flush();
+}
+
+void BoundedAppender::flush() {
+  std::size_t Written = 0;
+  while (Written < this->Waiting.size() && outputReady()) {
+    const std::size_t Size =
+        std::min(BlockBytes, this->Waiting.size() - Written);
+    const ssize_t Done =
+        ::write(STDOUT_FILENO, this->Waiting.data() + Written, Size);
+    if (Done <= 0)
+      break;
+    Written += static_cast<std::size_t>(Done);
+  }
+  this->Waiting.erase(0, Written);
 }
 
 } // namespace persimmon
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -43,7 +43,8 @@
 DaemonHost::DaemonHost(const DaemonSettings &TheSettings,
                        const EdgeProtocols &TheProtocols)
     : Settings(TheSettings), Protocols(TheProtocols), TickTimer(Io),
-      Signals(Io, SIGTERM, SIGINT), ReloadSignals(Io, SIGHUP), SettingsTimer(Io) {}
+      Signals(Io, SIGTERM, SIGINT), ReloadSignals(Io, SIGHUP),
+      SettingsTimer(Io) {}
 
 DaemonHost::~DaemonHost() = default;
 
@@ -125,6 +126,7 @@
     if (Error)
       return;
     this->submit(Tick());
+    flushLog();
     this->startTicks();
   });
 }
@@ -166,13 +168,13 @@
 }
 
 void DaemonHost::reload(std::string_view Reason) {
-  const Failure Error = settle(
-      [&] { return DaemonSettings::load(this->Settings.File); },
-      [&](const DaemonSettings &Fresh) {
-        this->Settings.Seeds = Fresh.Seeds;
-        this->Settings.RetryBurst = Fresh.RetryBurst;
-        this->submit(SettingsChanged{Fresh.Seeds, Fresh.RetryBurst});
-      });
+  const Failure Error =
+      settle([&] { return DaemonSettings::load(this->Settings.File); },
+             [&](const DaemonSettings &Fresh) {
+               this->Settings.Seeds = Fresh.Seeds;
+               this->Settings.RetryBurst = Fresh.RetryBurst;
+               this->submit(SettingsChanged{Fresh.Seeds, Fresh.RetryBurst});
+             });
   logInfo("event=reload reason=" + std::string(Reason) + " outcome=" +
           (Error.failed() ? "kept-old " + describe(Error) : "done"));
 }
@@ -181,9 +183,11 @@
   logInfo("event=started name=" + this->Settings.Name +
           " address=" + this->Settings.Advertise.text());
   this->Io.run();
+  flushLog();
   if (this->Fatal.failed())
     return fail(this->Fatal.Code, this->Fatal.Where, this->Fatal.What);
   logInfo("event=stopped name=" + this->Settings.Name);
+  flushLog();
   return {};
 }
 
--- a/src/libhost/daemonprogram.cpp
+++ b/src/libhost/daemonprogram.cpp
@@ -61,7 +61,11 @@
   if (Error.failed())
     return report(Error);
   Error = settle([&] { return Host->run(); }, [] {});
-  return Error.failed() ? report(Error) : 0;
+  Host.reset();
+  flushLog();
+  // The logging library joins its worker threads in a static destructor. Where
+  // one thread runs at a time that may last longer than a stop is given.
+  std::quick_exit(Error.failed() ? report(Error) : 0);
 }
 
 } // namespace
--- a/src/libhost/logging.cpp
+++ b/src/libhost/logging.cpp
@@ -21,6 +21,8 @@
   log4cplus::Initializer Lifetime;
   Logger Events = Logger::getInstance("events");
   Logger Decisions = Logger::getInstance("decisions");
+  /// Standard output, if that is where lines go; owned by the root logger.
+  BoundedAppender *Output = nullptr;
 };
 
 Loggers &loggers() {
@@ -43,9 +45,10 @@
 void startLogging(const LogSettings &Settings) {
   loggers();
   log4cplus::SharedAppenderPtr Appender;
-  if (Settings.File.empty())
-    Appender = new BoundedAppender(Settings.LinesPerSecond);
-  else
+  if (Settings.File.empty()) {
+    loggers().Output = new BoundedAppender(Settings.LinesPerSecond);
+    Appender = loggers().Output;
+  } else
     Appender = new log4cplus::FileAppender(Settings.File, std::ios::app, true);
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p log=%c %m%n"));
@@ -57,6 +60,11 @@
                                       : log4cplus::OFF_LOG_LEVEL);
 }
 
+void flushLog() {
+  if (loggers().Output != nullptr)
+    loggers().Output->flush();
+}
+
 void logDecision(std::string_view Line) {
   LOG4CPLUS_INFO(loggers().Decisions, std::string(Line));
 }
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t MaxDatagramBytes = 65'000;
 constexpr std::size_t MaxQueuedBytes = 256u << 20;
 constexpr std::chrono::seconds IdleTimeout{60};
+/// Many round trips between availability zones; an instance that is down or
+/// cut off does not answer at all, and nothing was sent to it.
+constexpr std::chrono::milliseconds ConnectTimeout{200};
 constexpr std::chrono::seconds IdleCheckInterval{10};
 
 std::string frame(std::string_view Payload) {
@@ -66,15 +69,23 @@
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   Connection(tcp::socket Socket, std::string Name, ConnectionOwner &Owner)
-      : Socket(std::move(Socket)), Name(std::move(Name)), Owner(&Owner),
+      : Socket(std::move(Socket)), ConnectTimer(this->Socket.get_executor()),
+        Name(std::move(Name)), Owner(&Owner),
         LastUse(std::chrono::steady_clock::now()) {}
 
   const std::string &name() const { return this->Name; }
   bool wasOpen() const { return this->Ready; }
 
   void connect(const tcp::endpoint &Peer) {
+    this->ConnectTimer.expires_after(ConnectTimeout);
+    this->ConnectTimer.async_wait(
+        [Self = this->shared_from_this()](std::error_code Error) {
+          if (!Error && !Self->Ready)
+            Self->end();
+        });
     this->Socket.async_connect(
         Peer, [Self = this->shared_from_this()](std::error_code Error) {
+          Self->ConnectTimer.cancel();
           if (Error)
             return Self->end();
           Self->start();
@@ -174,6 +185,7 @@
   }
 
   tcp::socket Socket;
+  asio::steady_timer ConnectTimer;
   std::string Name;
   ConnectionOwner *Owner;
   std::chrono::steady_clock::time_point LastUse;
--- a/src/libhost/targetclient.cpp
+++ b/src/libhost/targetclient.cpp
@@ -59,7 +59,7 @@
   std::shared_ptr<TargetConnection> choose(const TargetRequest &Request) {
     const Time Now = std::chrono::steady_clock::now();
     while (!this->Idle.empty()) {
-      const std::shared_ptr<TargetConnection> Last = this->Idle.back();
+      std::shared_ptr<TargetConnection> Last = this->Idle.back();
       if (Last->usable(Now) && Last->address() == Request.Address) {
         this->Idle.pop_back();
         return Last;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -275,6 +275,8 @@
                                Effects &Out) {
   const bool Unreachable = Code == ResultCode::TargetUnreachable;
   this->endAttempt(TheCall, Unreachable, Now, Out);
+  if (Unreachable)
+    this->Chooser.unreachable(TheCall.Target, Now);
   Out.emplace_back(LogDecision{
       "event=not-run call=" + TheCall.CallId + " choice=" + TheCall.Target +
       " code=" + std::to_string(static_cast<int>(Code))});
@@ -407,6 +409,10 @@
   for (const std::string &Address : Silent) {
     Out.emplace_back(LogDecision{"event=connection-silent peer=" + Address});
     Out.emplace_back(RenewConnection{Address});
+    for (const auto &[Number, TheCall] : this->Calls) {
+      if (TheCall.Address == Address)
+        this->Chooser.unreachable(TheCall.Target, Now);
+    }
     this->streamLost(Address, true, Now, Out);
   }
 }
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -145,7 +145,8 @@
     std::variant<Tick, MessageReceived, StreamLost, CallArrived, CallerGone,
                  TargetAnnounced, TargetProbed, RunFinished, ChangeRequested,
                  TeamRequested, ReadRequested, FormRequested, RecoverRequested,
-                 StopRequested, ReplaceRequested, FoundRequested, TargetLeaves, SettingsChanged>;
+                 StopRequested, ReplaceRequested, FoundRequested, TargetLeaves,
+                 SettingsChanged>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -10,6 +10,8 @@
 constexpr milliseconds ReportValidity{500};
 constexpr milliseconds RampDuration{5000};
 constexpr milliseconds EjectionDuration{5000};
+/// Until membership has told of a daemon that is down, or it is tried again.
+constexpr milliseconds UnreachableDuration{1000};
 constexpr double FailureWeight = 0.2;
 constexpr double EjectionThreshold = 0.6;
 constexpr double RampStartShare = 0.1;
@@ -79,6 +81,11 @@
     Unwell += Record->Unwell ? 1 : 0;
     Ejected += Now < this->statsOf(*Record, Now).EjectedUntil ? 1 : 0;
   }
+  const auto Unreachable = [&](const wire::MemberRecord *Record) {
+    return Now < this->statsOf(*Record, Now).UnreachableUntil;
+  };
+  if (!std::all_of(All.begin(), All.end(), Unreachable))
+    std::erase_if(All, Unreachable);
   // Hints and ejection are not believed when they rule out most targets.
   const bool UseHints = Unwell * 2 <= All.size();
   if (Ejected * 2 <= All.size()) {
@@ -142,6 +149,12 @@
     Target.EjectedUntil = Now + EjectionDuration;
 }
 
+void TargetChooser::unreachable(std::string_view Name, Time Now) {
+  const auto Found = this->Targets.find(Name);
+  if (Found != this->Targets.end())
+    Found->second.UnreachableUntil = Now + UnreachableDuration;
+}
+
 void TargetChooser::reported(std::string_view Name, const wire::Load &Load,
                              Time Now) {
   const auto Found = this->Targets.find(Name);
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -58,6 +58,9 @@
   /// Notes the end of an attempt. \p Failed says that the target or its
   /// daemon did not do its work.
   void finished(std::string_view Name, bool Failed, Time Now);
+  /// Notes that nothing could be sent to the target, or that its daemon fell
+  /// silent. It is passed over for a while if there are others.
+  void unreachable(std::string_view Name, Time Now);
   /// Takes the load that came back with an answer.
   void reported(std::string_view Name, const wire::Load &Load, Time Now);
 
@@ -69,6 +72,7 @@
     Time ReportValidUntil;
     double FailureRate = 0;
     Time EjectedUntil;
+    Time UnreachableUntil;
     std::int64_t Incarnation = 0;
     Time RampUntil;
     milliseconds RampLength{0};
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -49,7 +49,7 @@
 
 /// A ledger whose target serves with two slots.
 struct Ledger {
-  TargetLedger Under;
+  TargetLedger Under{1};
   ServiceSpec Limits;
   Effects Out;
 
@@ -68,7 +68,8 @@
   }
 
   void arrive(const wire::CallRequest &Request, Time Now = Start) {
-    this->Under.receive(Request, "#1", {true, false, &this->Limits}, Now, this->Out);
+    this->Under.receive(Request, "#1", {true, false, &this->Limits}, Now,
+                        this->Out);
   }
 
   void query(std::int64_t Number, Time Now = Start) {
--- a/tests/diskstore/test_diskstore.cpp
+++ b/tests/diskstore/test_diskstore.cpp
@@ -142,7 +142,7 @@
     fs::create_directories(Copy.path());
     fs::copy(Folder.file("disk-id"), Copy.file("disk-id"));
     overwrite(Copy.file("journal"), Damaged);
-    const auto Disk = open(Copy, 300 + At * 2);
+    const auto Disk = open(Copy, static_cast<std::int64_t>(300 + At * 2));
     INFO("byte " << At << " of " << Whole.size());
     if (!Disk->damage().failed()) {
       // A length that points past the end looks like a write cut off; then
--- /dev/null
+++ b/tests/founding/test_founding.cpp
@@ -0,0 +1,119 @@
+#include "support/fakecluster.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace persimmon;
+
+namespace {
+
+constexpr milliseconds FormTime{3000};
+constexpr milliseconds SettleTime{30'000};
+
+/// Starts three founders, with \p Plan striking, and returns what is wrong once
+/// the faults are over. \p Steps gets the number of effects.
+std::string form(const std::vector<std::string> &Order,
+                 const std::vector<FaultPlan> &Plan, std::size_t &Steps,
+                 bool &Struck) {
+  FakeCluster Cluster(1);
+  Cluster.addFounders();
+  Cluster.arm(Plan);
+  for (const std::string &Name : Order) {
+    Cluster.start(Name);
+    Cluster.run(milliseconds(60));
+  }
+  Cluster.run(FormTime);
+  Struck = Cluster.allStruck();
+  Steps = Cluster.steps();
+  Cluster.disarm();
+  const auto Formed = [&] {
+    if (Cluster.leader() == nullptr)
+      return false;
+    const auto &Voters = Cluster.leader()->control()->consensus().voters();
+    return Voters.size() == 3;
+  };
+  if (!Cluster.run(SettleTime, Formed))
+    return "no leader with three voters";
+  return Cluster.violations().empty() ? "" : Cluster.violations().front();
+}
+
+} // namespace
+
+TEST_CASE("founders form one system in every order of their starts") {
+  std::vector<std::string> Order = {"c1", "c2", "c3"};
+  do {
+    std::size_t Steps = 0;
+    bool Struck = false;
+    CHECK(form(Order, {}, Steps, Struck).empty());
+  } while (std::next_permutation(Order.begin(), Order.end()));
+}
+
+TEST_CASE("two founders form the system while the third is missing") {
+  FakeCluster Cluster(2);
+  Cluster.addFounders();
+  Cluster.start("c1");
+  Cluster.start("c3");
+  REQUIRE(Cluster.run(FormTime, [&] { return Cluster.leader() != nullptr; }));
+  Cluster.start("c2");
+  REQUIRE(Cluster.run(FormTime, [&] {
+    return !Cluster.node("c2")->control()->consensus().leaderAddress().empty();
+  }));
+  CHECK(Cluster.violations().empty());
+}
+
+TEST_CASE("one founder alone forms nothing") {
+  FakeCluster Cluster(3);
+  Cluster.addFounders();
+  Cluster.start("c2");
+  CHECK(!Cluster.run(FormTime, [&] { return Cluster.leader() != nullptr; }));
+}
+
+TEST_CASE("a founder that lost its disk returns without its first vote") {
+  FakeCluster Cluster(4);
+  Cluster.addFounders();
+  for (const char *Name : {"c1", "c2", "c3"})
+    Cluster.start(Name);
+  REQUIRE(Cluster.run(FormTime, [&] { return Cluster.leader() != nullptr; }));
+  Cluster.crash("c2");
+  Cluster.wipeDisk("c2");
+  const std::int64_t First = founderAt("c2:1").DiskId;
+  REQUIRE(Cluster.run(SettleTime, [&] {
+    if (Cluster.leader() == nullptr)
+      return false;
+    const auto &Voters = Cluster.leader()->control()->consensus().voters();
+    return Voters.size() == 3 &&
+           std::none_of(Voters.begin(), Voters.end(),
+                        [&](const auto &V) { return V.DiskId == First; });
+  }));
+  CHECK(Cluster.violations().empty());
+}
+
+TEST_CASE("every fault at every step: forming by founders") {
+  const std::vector<std::string> Order = {"c1", "c2", "c3"};
+  std::size_t Steps = 0;
+  bool Struck = false;
+  REQUIRE(form(Order, {}, Steps, Struck).empty());
+  // Steps after the first election repeat themselves.
+  constexpr std::size_t FormingSteps = 120;
+  Steps = std::min(Steps, FormingSteps);
+  std::size_t Cases = 0;
+  std::size_t Failed = 0;
+  for (std::size_t Step = 1; Step <= Steps; ++Step) {
+    for (int Kind = 0; Kind < FaultKindCount; ++Kind) {
+      std::size_t Ignored = 0;
+      const std::vector<FaultPlan> Plan = {
+          {static_cast<FaultKind>(Kind), Step}};
+      const std::string Problem = form(Order, Plan, Ignored, Struck);
+      Cases += Struck ? 1 : 0;
+      if (Problem.empty())
+        continue;
+      ++Failed;
+      std::cout << "FAILED " << nameOf(Plan[0].Kind) << " at " << Step << ": "
+                << Problem << '\n';
+    }
+  }
+  std::cout << "forming: " << Cases << " cases, " << Failed << " failed\n";
+  CHECK(Failed == 0);
+}
--- /dev/null
+++ b/tests/policies/loadreplay.cpp
@@ -0,0 +1,135 @@
+#include "loadreplay.h"
+
+#include "libpersimmon/waitingline.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <random>
+
+namespace persimmon {
+
+namespace {
+
+constexpr double MsPerSecond = 1000.0;
+/// Spread of the run times in the logarithm, as the targets that we serve have.
+constexpr double RunSpread = 0.5;
+
+struct Waiting {
+  std::size_t Route = 0;
+  Time ArrivedAt;
+};
+
+class Replay {
+public:
+  Replay(const ReplayedLoad &TheLoad, ReplayedPolicy ThePolicy,
+         std::uint64_t Seed)
+      : Load(TheLoad), Policy(ThePolicy), Rng(Seed),
+        Ends(TheLoad.Routes.size()) {}
+
+  std::vector<ReplayedEnds> run() {
+    Time Now{std::chrono::hours(1)};
+    const Time Start = Now;
+    while (Now < Start + this->Load.Length) {
+      const bool Burst = Now >= Start + this->Load.BurstFrom &&
+                         Now < Start + this->Load.BurstUntil;
+      for (std::size_t I = 0; I < this->Load.Routes.size(); ++I)
+        this->arrivals(I, Burst ? this->Load.BurstFactor : 1.0, Now);
+      Now += milliseconds(1);
+      this->finishDue(Now);
+    }
+    return this->Ends;
+  }
+
+private:
+  void arrivals(std::size_t Route, double Factor, Time Now) {
+    std::poisson_distribution<int> Count(this->Load.Routes[Route].PerSecond *
+                                         Factor / MsPerSecond);
+    for (int Left = Count(this->Rng); Left > 0; --Left)
+      this->arrive(Route, Now);
+  }
+
+  void arrive(std::size_t Route, Time Now) {
+    const ReplayedRoute &Kind = this->Load.Routes[Route];
+    this->Ends[Route].Arrived += 1;
+    WaitingCall Call;
+    Call.Id.Number = ++this->LastNumber;
+    Call.Route = Kind.Name;
+    const bool ByUse = this->Policy == ReplayedPolicy::Useful;
+    Call.Priority = ByUse ? Kind.Priority : 0;
+    Call.Deadline = Now + Kind.Deadline;
+    Call.UsefulUntil = ByUse ? Now + Kind.Useful : Call.Deadline;
+    this->Calls[Call.Id.Number] = {Route, Now};
+    if (static_cast<int>(this->Running.size()) < this->Load.Slots)
+      return this->start(Call.Id.Number, Now);
+    if (!this->Line.canServe(Call, this->state(), Now)) {
+      this->Ends[Route].RefusedAtOnce += 1;
+      return;
+    }
+    this->Line.add(std::move(Call));
+    this->giveUp(Now);
+  }
+
+  SlotState state() const {
+    SlotState Out;
+    Out.Slots = this->Load.Slots;
+    for (const auto &[End, Number] : this->Running)
+      Out.RunningMs +=
+          this->Times.expectedMs(
+              this->Load.Routes[this->Calls.at(Number).Route].Name) /
+          2;
+    return Out;
+  }
+
+  void giveUp(Time Now) {
+    for (const WaitingCall &Call : this->Line.takeHopeless(this->state(), Now))
+      this->Ends[this->Calls.at(Call.Id.Number).Route].RefusedLater += 1;
+  }
+
+  void start(std::int64_t Number, Time Now) {
+    const ReplayedRoute &Kind = this->Load.Routes[this->Calls.at(Number).Route];
+    std::lognormal_distribution<double> Run(
+        std::log(Kind.MeanRunMs) - RunSpread * RunSpread / 2, RunSpread);
+    const double TookMs = Run(this->Rng);
+    this->Times.note(Kind.Name, TookMs);
+    this->Running.emplace(
+        Now + std::chrono::microseconds(
+                  static_cast<std::int64_t>(TookMs * MsPerSecond)),
+        Number);
+  }
+
+  void finishDue(Time Now) {
+    while (!this->Running.empty() && this->Running.begin()->first <= Now) {
+      const auto [End, Number] = *this->Running.begin();
+      this->Running.erase(this->Running.begin());
+      const Waiting &Ended = this->Calls.at(Number);
+      const ReplayedRoute &Kind = this->Load.Routes[Ended.Route];
+      if (End <= Ended.ArrivedAt + Kind.Useful)
+        this->Ends[Ended.Route].Useful += 1;
+      else if (End <= Ended.ArrivedAt + Kind.Deadline)
+        this->Ends[Ended.Route].Late += 1;
+      this->giveUp(Now);
+      if (!this->Line.empty())
+        this->start(this->Line.takeNext().Id.Number, Now);
+    }
+  }
+
+  const ReplayedLoad &Load;
+  ReplayedPolicy Policy;
+  std::mt19937_64 Rng;
+  std::vector<ReplayedEnds> Ends;
+  RunTimes Times;
+  WaitingLine Line{Times};
+  std::multimap<Time, std::int64_t> Running;
+  std::map<std::int64_t, Waiting> Calls;
+  std::int64_t LastNumber = 0;
+};
+
+} // namespace
+
+std::vector<ReplayedEnds> replay(const ReplayedLoad &Load,
+                                 ReplayedPolicy Policy, std::uint64_t Seed) {
+  return Replay(Load, Policy, Seed).run();
+}
+
+} // namespace persimmon
--- /dev/null
+++ b/tests/policies/test_policies.cpp
@@ -0,0 +1,226 @@
+#include "loadreplay.h"
+
+#include "libpersimmon/failureguard.h"
+#include "libpersimmon/originwatch.h"
+#include "libpersimmon/retrybudget.h"
+#include "libpersimmon/targetwatch.h"
+#include "libpersimmon/trafficsplit.h"
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace persimmon;
+
+namespace {
+
+const Time Start{std::chrono::hours(1)};
+
+/// A target of eight slots under a burst of twice what it can run.
+ReplayedLoad burst() {
+  ReplayedLoad Out;
+  Out.Slots = 8;
+  Out.Routes = {{"lookup", 98, 60, 60, milliseconds(200), milliseconds(500)},
+                {"booking", 99, 20, 78, milliseconds(250), milliseconds(600)}};
+  Out.BurstFactor = 2.6;
+  Out.BurstFrom = milliseconds(5'000);
+  Out.BurstUntil = milliseconds(25'000);
+  Out.Length = milliseconds(30'000);
+  return Out;
+}
+
+TargetAnnounced said(const char *Id, std::int64_t Born, std::int64_t Sequence,
+                     wire::TargetState::type State) {
+  TargetAnnounced Out;
+  Out.Service = "team/work";
+  Out.Slots = 2;
+  Out.InstanceId = Id;
+  Out.Born = Born;
+  Out.Sequence = Sequence;
+  Out.State = State;
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("in a burst more callers are answered in useful time") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    const auto Before = replay(burst(), ReplayedPolicy::Deadline, Seed);
+    const auto After = replay(burst(), ReplayedPolicy::Useful, Seed);
+    INFO("seed " << Seed);
+    const int UsefulBefore = Before[0].Useful + Before[1].Useful;
+    const int UsefulAfter = After[0].Useful + After[1].Useful;
+    CHECK(UsefulAfter > UsefulBefore);
+    // The more important kind is served before the other one.
+    CHECK(After[1].Useful * After[0].Arrived >
+          After[0].Useful * After[1].Arrived);
+    // Whoever cannot be served is told at once, but for few.
+    const int Later = After[0].RefusedLater + After[1].RefusedLater;
+    CHECK(Later * 5 < After[0].Arrived + After[1].Arrived);
+    if (Seed == 1)
+      std::cout << "burst, useful of " << After[0].Arrived + After[1].Arrived
+                << ": " << UsefulBefore << " before, " << UsefulAfter
+                << " after\n";
+  }
+}
+
+TEST_CASE("a call that comes back has less time and goes before its equals") {
+  RunTimes Times;
+  WaitingLine Line(Times);
+  WaitingCall New;
+  New.Id.Number = 1;
+  New.UsefulUntil = Start + milliseconds(300);
+  WaitingCall Back = New;
+  Back.Id.Number = 2;
+  Back.UsefulUntil = Start + milliseconds(200);
+  WaitingCall Urgent = New;
+  Urgent.Id.Number = 3;
+  Urgent.Priority = 1;
+  Line.add(New);
+  Line.add(Back);
+  Line.add(Urgent);
+  CHECK(Line.takeNext().Id.Number == 3);
+  CHECK(Line.takeNext().Id.Number == 2);
+  CHECK(Line.takeNext().Id.Number == 1);
+}
+
+TEST_CASE("calls that others pushed out of their useful time are given up") {
+  RunTimes Times;
+  Times.note("route", 100);
+  WaitingLine Line(Times);
+  WaitingCall Least;
+  Least.Id.Number = 1;
+  Least.Route = "route";
+  Least.UsefulUntil = Start + milliseconds(220);
+  Least.Deadline = Start + milliseconds(500);
+  const SlotState State{1, 100};
+  REQUIRE(Line.canServe(Least, State, Start));
+  Line.add(Least);
+  CHECK(Line.takeHopeless(State, Start).empty());
+  for (std::int64_t I = 2; I <= 3; ++I) {
+    WaitingCall More = Least;
+    More.Id.Number = I;
+    More.Priority = 1;
+    More.UsefulUntil = Start + milliseconds(400);
+    Line.add(More);
+  }
+  const auto GivenUp = Line.takeHopeless(State, Start);
+  REQUIRE(GivenUp.size() == 1);
+  CHECK(GivenUp[0].Id.Number == 1);
+}
+
+TEST_CASE("a split keeps its shares in every short run of calls") {
+  RouteSpec Route;
+  Route.Path = "team/routes/r";
+  Route.Parts = {{"team/a", 90}, {"team/b", 10}, {"team/c", 0}};
+  TrafficSplit Split(7);
+  for (int Run = 0; Run < 10; ++Run) {
+    std::map<std::string, int> Count;
+    for (int I = 0; I < 100; ++I)
+      Count[Split.next(Route).Service] += 1;
+    CHECK(Count["team/a"] >= 89);
+    CHECK(Count["team/b"] >= 9);
+    CHECK(Count["team/c"] == 0);
+  }
+}
+
+TEST_CASE("callers that come back are told from new ones") {
+  ReturnDetector Returns;
+  CHECK(!Returns.note("r", milliseconds(498)));
+  CHECK(!Returns.note("r", milliseconds(500)));
+  CHECK(!Returns.note("r", milliseconds(490)));
+  CHECK(Returns.note("r", milliseconds(350)));
+  CHECK(!Returns.note("other", milliseconds(350)));
+}
+
+TEST_CASE("routes that only targets of one service use carry nested calls") {
+  OriginWatch Origins;
+  bool Nested = false;
+  for (int I = 0; I < 100; ++I) {
+    Nested = Origins.note("inner", "team/a", 2);
+    CHECK(!Origins.note("outer", I % 4 == 0 ? "team/b" : "team/a", 2));
+  }
+  CHECK(Nested);
+  CHECK(!Origins.note("inner", "team/b", 2));
+  OriginWatch OneService;
+  for (int I = 0; I < 100; ++I)
+    CHECK(!OneService.note("any", "team/a", 1));
+}
+
+TEST_CASE("runs that fail for want of a nested call are cut down and return") {
+  FailureGuard Guard(5);
+  Time Now = Start;
+  const auto Play = [&](milliseconds Span, double FailShare) {
+    int Admitted = 0;
+    int Asked = 0;
+    for (const Time End = Now + Span; Now < End; Now += milliseconds(10)) {
+      ++Asked;
+      if (!Guard.admit("r", Now))
+        continue;
+      ++Admitted;
+      Guard.note("r", Admitted % 100 < FailShare * 100, Now);
+    }
+    return static_cast<double>(Admitted) / Asked;
+  };
+  CHECK(Play(milliseconds(2000), 0.05) == 1.0);
+  Play(milliseconds(3000), 0.8);
+  CHECK(Play(milliseconds(1000), 0.8) < 0.5);
+  Play(milliseconds(3000), 0.0);
+  CHECK(Play(milliseconds(1000), 0.0) > 0.9);
+}
+
+TEST_CASE("the retry burst is shared among the daemons") {
+  RetryBudget Budget;
+  Budget.setBurst(20, 10);
+  for (int I = 0; I < 1000; ++I)
+    Budget.earn("team/work", 10);
+  CHECK(Budget.spend("team/work"));
+  CHECK(Budget.spend("team/work"));
+  CHECK(!Budget.spend("team/work"));
+}
+
+TEST_CASE("late announcements and those of an earlier run change nothing") {
+  using State = wire::TargetState;
+  TargetWatch Watch;
+  CHECK(Watch.announce(said("a", 100, 5, State::Serving)) ==
+        AnnouncementVerdict::Accepted);
+  CHECK(Watch.announce(said("a", 100, 6, State::Serving)) ==
+        AnnouncementVerdict::Unchanged);
+  CHECK(Watch.announce(said("a", 100, 4, State::Draining)) ==
+        AnnouncementVerdict::Outdated);
+  CHECK(Watch.announce(said("b", 200, 1, State::Serving)) ==
+        AnnouncementVerdict::Accepted);
+  CHECK(Watch.announce(said("a", 100, 9, State::Draining)) ==
+        AnnouncementVerdict::OtherRun);
+  CHECK(Watch.current().InstanceId == "b");
+  // The same id may be a new process, whose count starts anew.
+  CHECK(Watch.announce(said("b", 300, 1, State::Serving)) ==
+        AnnouncementVerdict::Accepted);
+}
+
+TEST_CASE("a run that left is not believed to be ready again") {
+  using State = wire::TargetState;
+  TargetWatch Watch;
+  Watch.announce(said("a", 100, 5, State::Serving));
+  CHECK(!Watch.leave("other"));
+  CHECK(Watch.leave("a"));
+  CHECK(Watch.current().State == State::Draining);
+  Watch.announce(said("a", 100, 6, State::Serving));
+  CHECK(Watch.current().State == State::Draining);
+  Watch.announce(said("b", 200, 1, State::Serving));
+  CHECK(Watch.current().State == State::Serving);
+}
+
+TEST_CASE("a target that is lost returns with its next announcement") {
+  using State = wire::TargetState;
+  TargetWatch Watch;
+  CHECK(!Watch.lost());
+  Watch.announce(said("a", 100, 5, State::Serving));
+  CHECK(Watch.lost());
+  CHECK(!Watch.lost());
+  CHECK(Watch.announce(said("a", 100, 5, State::Serving)) ==
+        AnnouncementVerdict::Outdated);
+  CHECK(Watch.announce(said("a", 100, 6, State::Serving)) ==
+        AnnouncementVerdict::Accepted);
+}
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -98,6 +98,18 @@
     Existing.Identity.ControlInstances = Item.Identity.ControlInstances;
 }
 
+void FakeCluster::addFounders() {
+  const std::vector<std::string> Names = {"c1", "c2", "c3"};
+  for (const std::string &Name : Names) {
+    this->addControl(Name);
+    Instance &Item = this->Instances.at(Name);
+    Item.Identity.Seeds = {"c1:1", "c2:1", "c3:1"};
+    Item.Identity.Voters.Count = Names.size();
+  }
+  for (const std::string &Name : Names)
+    this->Instances.at(Name).Identity.ControlInstances.clear();
+}
+
 void FakeCluster::addProxy(const std::string &Name, const std::string &Zone,
                            const std::string &Service, int Slots) {
   Instance &Item = this->Instances[Name];
@@ -128,8 +140,10 @@
     this->submit(Item, Target);
     return;
   }
+  const bool Founder = !Item.Identity.Seeds.empty() && Item.FirstDisk;
   if (Item.DiskId == 0)
-    Item.DiskId = ++this->LastDisk;
+    Item.DiskId =
+        Founder ? founderAt(Item.Identity.Address).DiskId : ++this->LastDisk;
   this->note(Name + " starts with disk " + std::to_string(Item.DiskId));
   const Failure Error = settle(
       [&] {
@@ -139,6 +153,8 @@
       [&](std::unique_ptr<Node> Made) { Item.Daemon = std::move(Made); });
   if (Error.failed())
     this->violation("restore failed on " + Name);
+  else if (Founder)
+    this->submit(Item, FoundRequested{Item.Identity.Seeds});
 }
 
 void FakeCluster::form(const std::string &Name) {
@@ -170,6 +186,7 @@
   Instance &Item = this->Instances.at(Name);
   Item.Disk = DurableState();
   Item.DiskId = 0;
+  Item.FirstDisk = false;
 }
 
 void FakeCluster::freeze(const std::string &Name, milliseconds For) {
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -59,6 +59,9 @@
   void addControl(const std::string &Name);
   void addProxy(const std::string &Name, const std::string &Zone,
                 const std::string &Service, int Slots);
+  /// Adds three control instances that know only each other's addresses and
+  /// form the system when they are first started.
+  void addFounders();
   /// Forms the control instances from \p Name, with a token for the team
   /// "team".
   void form(const std::string &Name);
@@ -144,6 +147,8 @@
     std::map<std::int64_t, std::string> CallIds;
     int Running = 0;
     bool Leaving = false;
+    /// The disk has not been lost since the first start.
+    bool FirstDisk = true;
   };
   struct Link {
     std::string Opener;
--- /dev/null
+++ b/tests/targetclient/test_targetclient.cpp
@@ -0,0 +1,278 @@
+#include "libhost/targetclient.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <optional>
+#include <thread>
+
+using namespace persimmon;
+
+namespace {
+
+using asio::ip::tcp;
+
+/// What the target does when a request's headers have arrived.
+struct Step {
+  std::string Bytes;
+  enum class Then { KeepOpen, Close, Reset } End = Then::KeepOpen;
+  /// Holds up the whole loop before the bytes are written.
+  milliseconds BlockFor{0};
+};
+
+std::string answer(const std::string &Id, const std::string &Body,
+                   const std::string &More = {}) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + Id + "\r\n" + More +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// A target that answers each request with the next step of a script.
+class ScriptedTarget {
+public:
+  ScriptedTarget(asio::io_context &Context, std::deque<Step> TheScript)
+      : Acceptor(Context,
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        Script(std::move(TheScript)) {
+    this->accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->Acceptor.local_endpoint().port());
+  }
+
+  int Connections = 0;
+  int Requests = 0;
+
+private:
+  struct Peer {
+    explicit Peer(tcp::socket TheSocket) : Socket(std::move(TheSocket)) {}
+    tcp::socket Socket;
+    std::string Buffer;
+  };
+
+  void accept() {
+    this->Acceptor.async_accept(
+        [this](std::error_code Error, tcp::socket Socket) {
+          if (Error)
+            return;
+          this->Connections += 1;
+          this->serve(std::make_shared<Peer>(std::move(Socket)));
+          this->accept();
+        });
+  }
+
+  void serve(const std::shared_ptr<Peer> &From) {
+    asio::async_read_until(
+        From->Socket, asio::dynamic_buffer(From->Buffer), "\r\n\r\n",
+        [this, From](std::error_code Error, std::size_t Size) {
+          if (Error || this->Script.empty())
+            return;
+          From->Buffer.erase(0, Size);
+          this->Requests += 1;
+          this->carryOut(From);
+        });
+  }
+
+  void carryOut(const std::shared_ptr<Peer> &From) {
+    const Step Now = this->Script.front();
+    this->Script.pop_front();
+    std::this_thread::sleep_for(Now.BlockFor);
+    std::error_code Ignored;
+    asio::write(From->Socket, asio::buffer(Now.Bytes), Ignored);
+    if (Now.End == Step::Then::KeepOpen)
+      return this->serve(From);
+    if (Now.End == Step::Then::Reset)
+      From->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    From->Socket.close(Ignored);
+  }
+
+  tcp::acceptor Acceptor;
+  std::deque<Step> Script;
+};
+
+struct Fixture {
+  asio::io_context Io;
+  ScriptedTarget Target;
+  TargetClient Client{Io};
+
+  explicit Fixture(std::deque<Step> Script) : Target(Io, std::move(Script)) {}
+
+  TargetRequest request(const std::string &Id, std::string_view Body = {}) {
+    TargetRequest Out;
+    Out.Address = this->Target.address();
+    Out.Method = Body.empty() ? "GET" : "POST";
+    Out.Url = "/x";
+    Out.Body = Body;
+    Out.Deadline = std::chrono::steady_clock::now() + milliseconds(1000);
+    Out.Belongs = [Id](const TargetAnswer &Got) {
+      return Got.header("X-Id") == Id;
+    };
+    return Out;
+  }
+
+  TargetAnswer run(const TargetRequest &Request) {
+    std::optional<TargetAnswer> Got;
+    this->Client.start(Request,
+                       [&](TargetAnswer Answer) { Got = std::move(Answer); });
+    this->Io.restart();
+    while (!Got && this->Io.run_one() > 0)
+      ;
+    REQUIRE(Got);
+    return *Got;
+  }
+
+  TargetAnswer run(const std::string &Id, std::string_view Body = {}) {
+    return this->run(this->request(Id, Body));
+  }
+
+  void pass(milliseconds Span) {
+    this->Io.restart();
+    this->Io.run_for(Span);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a connection is used again after a whole answer") {
+  Fixture F({{answer("1", "one")}, {answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  CHECK(F.run("2").Body == "two");
+  CHECK(F.Target.Connections == 1);
+}
+
+TEST_CASE("bytes behind an answer close the connection") {
+  Fixture F({{answer("1", "one") + "HTTP/1.1 200"}, {answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  CHECK(F.run("2").Body == "two");
+  CHECK(F.Target.Connections == 2);
+}
+
+TEST_CASE("an extra answer is nobody's") {
+  Fixture F(
+      {{answer("1", "one") + answer("1", "again")}, {answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  CHECK(F.run("2").Body == "two");
+}
+
+TEST_CASE("a late answer to another request is skipped") {
+  Fixture F({{answer("1", "one")}, {answer("1", "late") + answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  const TargetAnswer Second = F.run("2");
+  CHECK(Second.End == RunEnd::Answered);
+  CHECK(Second.Body == "two");
+}
+
+TEST_CASE("an answer that is cut off is not whole") {
+  Fixture F({{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\ncut",
+              Step::Then::Close}});
+  CHECK(F.run("1").End == RunEnd::Broken);
+}
+
+TEST_CASE("an answer without a length ends with its connection") {
+  Fixture F(
+      {{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it", Step::Then::Close}});
+  const TargetAnswer Got = F.run("1");
+  CHECK(Got.End == RunEnd::Answered);
+  CHECK(Got.Body == "all of it");
+}
+
+TEST_CASE("an answer without a length that is reset is not whole") {
+  Fixture F({{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nsome", Step::Then::Reset}});
+  CHECK(F.run("1").End == RunEnd::Broken);
+}
+
+TEST_CASE("a request on a closed connection is not sent again") {
+  Fixture F(
+      {{answer("1", "one")}, {"", Step::Then::Close}, {answer("2", "x")}});
+  CHECK(F.run("1").Body == "one");
+  CHECK(F.run("2").End == RunEnd::Broken);
+  CHECK(F.Target.Requests == 2);
+}
+
+TEST_CASE("a connection that the target closed while idle is not used") {
+  Fixture F({{answer("1", "one"), Step::Then::Close}, {answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  F.pass(milliseconds(20));
+  CHECK(F.run("2").Body == "two");
+  CHECK(F.Target.Connections == 2);
+}
+
+TEST_CASE("a connection is not used after Connection: close") {
+  Fixture F(
+      {{answer("1", "one", "Connection: close\r\n")}, {answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  CHECK(F.run("2").Body == "two");
+  CHECK(F.Target.Connections == 2);
+}
+
+TEST_CASE("a connection is not used close to the target's idle timeout") {
+  Fixture F({{answer("1", "one", "Keep-Alive: timeout=1\r\n")},
+             {answer("2", "two")}});
+  CHECK(F.run("1").Body == "one");
+  F.pass(milliseconds(800));
+  CHECK(F.run("2").Body == "two");
+  CHECK(F.Target.Connections == 2);
+}
+
+TEST_CASE("an answer that comes before a long body is in ends its connection") {
+  const std::string Body(8u << 20, 'x');
+  Fixture F({{answer("1", "no")}, {answer("2", "two")}});
+  CHECK(F.run("1", Body).Body == "no");
+  CHECK(F.run("2").Body == "two");
+  CHECK(F.Target.Connections == 2);
+}
+
+TEST_CASE("a target that refuses connections did not get the request") {
+  Fixture F({});
+  TargetRequest Request = F.request("1");
+  Request.Address = "127.0.0.1:1";
+  CHECK(F.run(Request).End == RunEnd::NotConnected);
+}
+
+TEST_CASE("a cancelled request ends its connection") {
+  Fixture F({{""}, {answer("2", "two")}});
+  std::optional<TargetAnswer> Got;
+  const std::int64_t Number = F.Client.start(
+      F.request("1"), [&](TargetAnswer A) { Got = std::move(A); });
+  F.pass(milliseconds(50));
+  F.Client.cancel(Number);
+  F.pass(milliseconds(20));
+  REQUIRE(Got);
+  CHECK(Got->End == RunEnd::Broken);
+  CHECK(F.run("2").Body == "two");
+}
+
+TEST_CASE("no more connections are opened than the target accepts") {
+  Fixture F({{""}, {""}});
+  F.Client.setMaxConnections(1);
+  F.Client.start(F.request("1"), [](const TargetAnswer &) {});
+  CHECK(F.run("2").End == RunEnd::Shed);
+  CHECK(F.Target.Connections <= 1);
+}
+
+TEST_CASE("the deadline of one request does not end the next one") {
+  // Answer and deadline are both due when the loop looks at them: the wait for
+  // the deadline has ended although the answer is handled first.
+  Fixture F(
+      {{answer("1", "one"), Step::Then::KeepOpen, milliseconds(80)}, {""}});
+  TargetRequest First = F.request("1");
+  First.Deadline = std::chrono::steady_clock::now() + milliseconds(60);
+  std::optional<TargetAnswer> Second;
+  bool Answered = false;
+  F.Client.start(First, [&](const TargetAnswer &Got) {
+    Answered = Got.End == RunEnd::Answered;
+    F.Client.start(F.request("2"),
+                   [&](TargetAnswer A) { Second = std::move(A); });
+  });
+  F.pass(milliseconds(200));
+  CHECK(Answered);
+  CHECK(!Second);
+}
