Losses that are borne give the number of voters; founding is repeated after a cut

One deploy file serves deployments that bear one loss and two, so three voters must not be a constant: the settings give the losses and the daemon derives the voters. A founder that crashed between its two first writes never founded again (found by reading; the test failed first). The give-up line said sends=0 for a call that was sent once; it now says whether the call may have run.

--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -47,10 +47,12 @@
   Out.OpenTeams = Document.value("openTeams", Out.OpenTeams);
   Out.Found = Document.value("found", Out.Found);
   if (!Out.Seeds.empty()) {
-    if (!Document.contains("voters"))
-      return fail(ResultCode::SettingsInvalid, std::string(Where) + "[voters]",
+    if (!Document.contains("lossesBorne"))
+      return fail(ResultCode::SettingsInvalid,
+                  std::string(Where) + "[lossesBorne]",
                   "the key is required where seeds are given");
-    Out.Voters.Count = Document.at("voters").get<std::size_t>();
+    // More than half of the voters are left after the losses.
+    Out.Voters.Count = 2 * Document.at("lossesBorne").get<std::size_t>() + 1;
     return {};
   }
   for (const ControlPeer &Peer : Out.ControlInstances) {
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -17,8 +17,10 @@
 /// Longer than a daemon pauses whose share of a core is used up for the rest
 /// of a tenth of a second; shorter than the deadlines of interactive calls.
 constexpr milliseconds SilenceTimeout{350};
-/// Callers return within this part of the time that they have left.
+/// A daemon that has just started is usually ready after this time.
 constexpr milliseconds NotReadyRetryAfter{200};
+/// Refused callers return after between an eighth and a third of the time that
+/// they have left; after a third they could not be served in time any more.
 constexpr int RetryAfterMinPart = 8;
 constexpr int RetryAfterMaxPart = 3;
 
@@ -224,7 +226,7 @@
         "event=give-up call=" + Ended.CallId + " route=" + Ended.RoutePath +
         " service=" + Ended.Service +
         " tries=" + std::to_string(Ended.Attempts) +
-        " sends=" + std::to_string(Ended.Sends) +
+        " mayHaveRun=" + (MayHaveRun ? "yes" : "no") +
         " leftMs=" + std::to_string(millisecondsUntil(Ended.Deadline, Now)) +
         " code=" + std::to_string(static_cast<int>(Error.Code))});
     Out.emplace_back(RefuseCaller{CallNumber, std::move(Error), Later});
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -59,7 +59,10 @@
                                    [&](const wire::Replica &Item) {
                                      return Item.DiskId == this->Self.DiskId;
                                    });
-  if (!Founder || this->Hard.Term != 0 || this->Log.lastIndex() != 0)
+  // A crash may have come between the two writes below.
+  const bool Blank = this->Hard.Term <= 1 && this->Hard.VotedFor == 0 &&
+                     this->Log.lastIndex() == 0;
+  if (!Founder || !Blank)
     return;
   this->Hard.Term = 1;
   Out.emplace_back(PersistHardState{this->Hard});
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -214,6 +214,22 @@
   CHECK(!F.Under.leader());
 }
 
+TEST_CASE("founding that was cut off between its writes is repeated") {
+  Consensus Under(founderAt("a:1"), {}, VoterPolicy{3}, 1);
+  DurableState Disk;
+  Disk.Hard.Term = 1;
+  Under.restore(Disk, Start);
+  Effects Out;
+  Under.found(foundersAt({"a:1", "b:1", "c:1"}), Start, Out);
+  CHECK(Under.voters().size() == 3);
+  // A replica that has voted founds nothing.
+  Consensus Voted(founderAt("a:1"), {}, VoterPolicy{3}, 1);
+  Disk.Hard.VotedFor = founderAt("b:1").DiskId;
+  Voted.restore(Disk, Start);
+  Voted.found(foundersAt({"a:1", "b:1", "c:1"}), Start, Out);
+  CHECK(!Voted.formed());
+}
+
 TEST_CASE("a pre-vote is not given while a leader is heard") {
   Fixture F(4);
   wire::AppendRequest Heartbeat;
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -112,3 +112,26 @@
   }
   CHECK(Checked > 0);
 }
+
+TEST_CASE("seeds take the place of named control instances") {
+  const std::string Seeds =
+      R"("seeds":["10.0.0.1:8144"],"seedPort":7100,"lossesBorne":2,)";
+  const std::string Named =
+      Control.substr(0, Control.find("\"controlInstances\""));
+  DaemonSettings Read;
+  const Failure Error = settle(
+      [&] {
+        return DaemonSettings::parse(
+            Named + Seeds + R"("found":true,"openTeams":["mesh"]})",
+            "settings");
+      },
+      [&](DaemonSettings Parsed) { Read = std::move(Parsed); });
+  INFO(describe(Error));
+  REQUIRE(!Error.failed());
+  CHECK(Read.Seeds == std::vector<std::string>{"10.0.0.1:7100"});
+  CHECK(Read.Voters.Count == 5);
+  CHECK(Read.Found);
+  CHECK(parse(Named + R"("seeds":["10.0.0.1:8144"]})").Where ==
+        "settings[lossesBorne]");
+  CHECK(parse(Named + R"("found":true})").Code == ResultCode::SettingsInvalid);
+}
