A large configuration no longer costs the leader its term

Its leader read, checked and committed for longer than an election timeout on 0.075 of a core, so another replica was elected, the write ended as pending, and the operator's resend met the same: five leaders in nine seconds. Replicas that did not lead read the whole document too before they sent the operator on.

Ruled out: forming (done 1.1 s after the start), the size of the message.

--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -102,8 +102,11 @@
   std::string Team;
 };
 
-/// What an operator's request asks. Failure refuses it.
-using OperatorCall = std::variant<Failure, SubtreeDocument, SubtreeQuery>;
+/// An operator sends a whole subtree; its document is in the request's body.
+struct SubtreeReplacement {};
+
+/// What an operator's request asks.
+using OperatorCall = std::variant<SubtreeReplacement, SubtreeQuery>;
 
 /// Operators' requests in the terms of another system.
 class OperatorProtocol {
@@ -114,6 +117,12 @@
   virtual std::optional<OperatorCall>
   decode(const HttpRequest &Request) const = 0;
 
+  /// Reads the document of a replacement. Kept apart from decode(), as reading
+  /// a large document takes long on a small instance and only the leader has
+  /// use for it. Errors: ValueInvalid.
+  virtual leaf::result<SubtreeDocument>
+  readDocument(const HttpRequest &Request) const = 0;
+
   virtual HttpAnswer makeSubtree(const SettingsMap &Settings,
                                  std::string_view Team) const = 0;
   virtual HttpAnswer makeAccepted() const = 0;
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -138,10 +138,19 @@
   auto Call = this->Foreign->decode(Request);
   if (!Call)
     return false;
-  if (const auto *Error = std::get_if<Failure>(&*Call)) {
-    logWarning("event=operator-refused " + describe(*Error));
-    this->Port->answer(Request.Id, this->Foreign->makeRefusal(*Error, {}));
-    return true;
+  ReplaceRequested Event;
+  Event.RequestId = Request.Id;
+  const bool Replaces = std::holds_alternative<SubtreeReplacement>(*Call);
+  // Whoever does not lead refuses without a look at the document.
+  if (Replaces && this->Sink.node().control()->consensus().ready()) {
+    const Failure Error =
+        settle([&] { return this->Foreign->readDocument(Request); },
+               [&](SubtreeDocument Read) { Event.Document = std::move(Read); });
+    if (Error.failed()) {
+      logWarning("event=operator-refused " + describe(Error));
+      this->Port->answer(Request.Id, this->Foreign->makeRefusal(Error, {}));
+      return true;
+    }
   }
   ForeignRequest &Pending = this->ForeignRequests[Request.Id];
   Pending.Url = Request.Url;
@@ -150,9 +159,6 @@
     this->Sink.submit(ReadRequested{Request.Id});
     return true;
   }
-  ReplaceRequested Event;
-  Event.RequestId = Request.Id;
-  Event.Document = std::move(std::get<SubtreeDocument>(*Call));
   Event.Token = std::string(bearerToken(Request));
   Event.Trusted = std::find(this->OpenTeams.begin(), this->OpenTeams.end(),
                             Event.Document.Team) != this->OpenTeams.end();
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -320,3 +320,42 @@
   Silent.Headers.pop_back();
   CHECK(!Calls->readHealth(Silent));
 }
+
+TEST_CASE("what the project cannot express is returned as it was sent") {
+  json Sent = json::parse(Example);
+  Sent["routes"][0]["timeoutS"] = 0.61234567;
+  Sent["routes"][0]["priority"] = 250;
+  Sent["routes"][1]["trafficSplit"][0]["colour"] = "a field to come";
+  Sent["services"][0]["maxConnections"] = 7;
+  SubtreeDocument Document;
+  const Failure Error =
+      settle([&] { return platform::readConfiguration(Sent.dump()); },
+             [&](SubtreeDocument Read) { Document = std::move(Read); });
+  REQUIRE(!Error.failed());
+  SettingsMap Settings;
+  for (const auto &[Path, Value] : Document.Values) {
+    Settings[Path].Path = Path;
+    Settings[Path].Value = Value;
+  }
+  json Returned = sorted(platform::writeConfiguration(Settings));
+  Returned["version"] = Sent["version"];
+  Sent.erase("baseVersion");
+  CHECK(Returned == sorted(Sent));
+}
+
+TEST_CASE("a replacement is told apart without a look at its document") {
+  const auto Operators = platform::makeOperatorProtocol();
+  const auto Call = Operators->decode(
+      request("POST", "/persimmonwheel/Config.Replace", "{\"version\":"));
+  REQUIRE(Call);
+  CHECK(std::holds_alternative<SubtreeReplacement>(*Call));
+  ResultCode Code = ResultCode::Ok;
+  Code = settle(
+             [&] {
+               return Operators->readDocument(request(
+                   "POST", "/persimmonwheel/Config.Replace", "{\"version\":"));
+             },
+             [](const SubtreeDocument &) {})
+             .Code;
+  CHECK(Code == ResultCode::ValueInvalid);
+}
