A thin link that a large body holds up is not taken for a silent one

Each renewal threw away what was on its way, calls and configuration alike, and the calls were sent or asked after again; 14 calls of callers that had left were still on their way.

Change: a connection is silent after a quarter of the time that the most patient call on it had, 350 ms to 1.5 s. New calls do not hide that a peer is silent.

Ruled out: processor time (0.022 of 0.1 core), a leader that is missing.

Tests: a patient call bears a second of silence, a hasty one 350 ms as before; new calls do not put the notice off. They were written with the change and not run without it.

--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -17,7 +17,12 @@
 constexpr milliseconds HeartbeatInterval{150};
 /// Longer than a daemon pauses whose share of a core is used up for the rest
 /// of a tenth of a second; shorter than the deadlines of interactive calls.
-constexpr milliseconds SilenceTimeout{350};
+constexpr milliseconds ShortestSilence{350};
+/// Part of the time of the most patient call on a connection after which its
+/// silence counts: a large body on a thin link holds up what comes behind it,
+/// and whoever waits long has time left to try another way.
+constexpr int SilencePartOfTime = 4;
+constexpr milliseconds LongestSilence{1500};
 /// A daemon that has just started is usually ready after this time.
 constexpr milliseconds NotReadyRetryAfter{200};
 /// Refused callers return after at most a third of the time that they have
@@ -185,8 +190,15 @@
   TheCall.TargetIncarnation = Choice.Record->Incarnation;
   this->CallOfAttempt[TheCall.AttemptNumber] = TheCall.Number;
   this->Chooser.started(TheCall.Target);
-  this->Links.try_emplace(TheCall.Address, LinkWatch{Now + HeartbeatInterval,
-                                                     Now + SilenceTimeout});
+  TheCall.SentAt = Now;
+  LinkWatch &Link =
+      this->Links
+          .try_emplace(TheCall.Address,
+                       LinkWatch{Now, Now + HeartbeatInterval, Now})
+          .first->second;
+  // Another call does not make a silent peer any less silent.
+  Link.SilentAt =
+      std::max(Link.SilentAt, Link.HeardAt + this->silenceOn(TheCall.Address));
   wire::CallRequest Request;
   Request.Id = this->attemptId(TheCall);
   Request.ReceiverIncarnation = TheCall.TargetIncarnation;
@@ -415,7 +427,19 @@
 void CallRouter::heard(std::string_view Address, Time Now) {
   const auto Link = this->Links.find(Address);
   if (Link != this->Links.end())
-    Link->second = {Now + HeartbeatInterval, Now + SilenceTimeout};
+    Link->second = {Now, Now + HeartbeatInterval,
+                    Now + this->silenceOn(Address)};
+}
+
+milliseconds CallRouter::silenceOn(std::string_view Address) const {
+  milliseconds Out = ShortestSilence;
+  for (const auto &[Number, TheCall] : this->Calls) {
+    if (!TheCall.dispatched() || TheCall.Address != Address)
+      continue;
+    const milliseconds Had(millisecondsUntil(TheCall.Deadline, TheCall.SentAt));
+    Out = std::max(Out, Had / SilencePartOfTime);
+  }
+  return std::min(Out, LongestSilence);
 }
 
 void CallRouter::watchLinks(Time Now, Effects &Out) {
@@ -429,7 +453,8 @@
   std::vector<std::string> Silent;
   for (auto &[Address, Link] : this->Links) {
     if (Now >= Link.SilentAt) {
-      Link.SilentAt = Now + SilenceTimeout;
+      Link.HeardAt = Now;
+      Link.SilentAt = Now + this->silenceOn(Address);
       Silent.push_back(Address);
     } else if (Now >= Link.NextHeartbeat) {
       Link.NextHeartbeat = Now + HeartbeatInterval;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -89,6 +89,7 @@
     bool Repeat = false;
     Time Deadline;
     Time ArrivedAt;
+    Time SentAt;
     /// When an answer is worth less to the caller.
     Time UsefulUntil;
     /// The caller was refused before, and its time of full value is over.
@@ -121,6 +122,8 @@
 
   /// Liveness of a connection on which calls are outstanding.
   struct LinkWatch {
+    /// When the peer last said anything, or the connection was made anew.
+    Time HeardAt;
     Time NextHeartbeat;
     Time SilentAt;
   };
@@ -141,6 +144,8 @@
   void deadlinePassed(Call &TheCall, Time Now, Effects &Out);
   void watchLinks(Time Now, Effects &Out);
   void heard(std::string_view Address, Time Now);
+  /// Returns how long a peer may say nothing while calls are outstanding.
+  milliseconds silenceOn(std::string_view Address) const;
   wire::AttemptId attemptId(const Call &TheCall) const;
   Call *findAttempt(const wire::AttemptId &Id);
   std::vector<std::int64_t> callNumbers() const;
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -400,3 +400,90 @@
   P.submit(TargetFound{"team/work", "run-1", 4});
   CHECK(P.Daemon->members().self().Target == wire::TargetState::Draining);
 }
+
+namespace {
+
+/// A proxy that knows a route to one far target, and what it sends there.
+struct CallingProxy {
+  LeastOfTwo Choice;
+  PeerTopology Spread;
+  Membership Members{Targets::record("p0", false), {}, 1};
+  Distribution Config{1};
+  CallRouter Router{this->Members, this->Config, ClaimKeeper("p0", "p0:1", 1),
+                    1, this->Choice};
+  Time Now = Start;
+
+  CallingProxy() {
+    wire::Gossip Head;
+    Head.Updates.push_back(Targets::record("p1", true));
+    this->Members.absorb(Head, Start);
+    SettingsMap Settings;
+    for (const auto &[Path, Value] : std::map<std::string, std::string>{
+             {"team/services/work", "{}"},
+             {"team/routes/work",
+              R"({"job":"job","service":"team/work","repeatable":"never"})"}}) {
+      Settings[Path].Path = Path;
+      Settings[Path].Version = 1;
+      Settings[Path].Value = Value;
+    }
+    Effects Ignored;
+    this->Config.adopt(Settings, 1, Ignored);
+  }
+
+  void call(std::int64_t Number, milliseconds Patience) {
+    CallArrived Call;
+    Call.CallNumber = Number;
+    Call.CallId = std::to_string(Number);
+    Call.Job = "job";
+    Call.Method = "POST";
+    Call.Url = "/";
+    Call.Deadline = this->Now + Patience;
+    Effects Ignored;
+    this->Router.arrive(Call, true, this->Now, Ignored);
+  }
+
+  /// Returns how long the peer may be silent until the connection is renewed.
+  milliseconds untilRenewed() {
+    const Time Since = this->Now;
+    for (int I = 0; I < 500; ++I) {
+      this->Now += milliseconds(20);
+      Effects Out;
+      this->Router.tick(this->Now, Out);
+      for (const Effect &Item : Out) {
+        if (std::holds_alternative<RenewConnection>(Item))
+          return std::chrono::duration_cast<milliseconds>(this->Now - Since);
+      }
+    }
+    return milliseconds(-1);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a silent connection is noticed in time for those who wait on it") {
+  CallingProxy Hasty;
+  Hasty.call(1, milliseconds(600));
+  CHECK(Hasty.untilRenewed() <= milliseconds(380));
+  // A patient call bears a thin link that a large body holds up.
+  CallingProxy Patient;
+  Patient.call(1, milliseconds(4000));
+  const milliseconds Borne = Patient.untilRenewed();
+  CHECK(Borne >= milliseconds(1000));
+  CHECK(Borne <= milliseconds(1520));
+}
+
+TEST_CASE("new calls do not hide that their peer is silent") {
+  CallingProxy P;
+  P.call(1, milliseconds(600));
+  bool Renewed = false;
+  for (std::int64_t Number = 2; Number < 40 && !Renewed; ++Number) {
+    P.Now += milliseconds(20);
+    P.call(Number, milliseconds(600));
+    Effects Out;
+    P.Router.tick(P.Now, Out);
+    for (const Effect &Item : Out)
+      Renewed = Renewed || std::holds_alternative<RenewConnection>(Item);
+  }
+  CHECK(Renewed);
+  CHECK(P.Now - Start <= milliseconds(400));
+}
