Renewed and lost connections leave a log line and a count

Cause of the change: an incident in which a call that may run once ran on two targets. A renewal of a peer connection left no trace, so the logs could not tell whose time-out abandoned the connection of a call, nor what fills a link. Now each renewal is logged and counted with its reason (silent, pull-timeout, follower-silent), each lost connection with whether it had opened, and the bytes by kind of message every two seconds. Decision lines stay bounded as before. No decision is changed.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds TickInterval{20};
 /// The settings file may change without a signal.
 constexpr milliseconds SettingsCheckInterval{1000};
+/// Short enough to see the seconds in which a link was full.
+constexpr milliseconds TrafficLineInterval{2000};
 
 std::uint64_t randomNumber() {
   std::random_device Device;
@@ -126,11 +128,33 @@
     if (Error)
       return;
     this->submit(Tick());
+    this->logTraffic(std::chrono::steady_clock::now());
     flushLog();
     this->startTicks();
   });
 }
 
+void DaemonHost::logTraffic(Time Now) {
+  if (Now < this->NextTrafficLine)
+    return;
+  this->NextTrafficLine = Now + TrafficLineInterval;
+  const auto &Traffic = this->Network->traffic();
+  std::string Line = "event=peer-traffic intervalMs=" +
+                     std::to_string(TrafficLineInterval.count());
+  for (std::size_t I = 0; I < Traffic.size(); ++I) {
+    const std::uint64_t Sent =
+        Traffic[I].SentBytes - this->LoggedTraffic[I].SentBytes;
+    const std::uint64_t Received =
+        Traffic[I].ReceivedBytes - this->LoggedTraffic[I].ReceivedBytes;
+    if (Sent + Received == 0)
+      continue;
+    Line += " " + std::string(messageKindName(I)) + "=" + std::to_string(Sent) +
+            "/" + std::to_string(Received);
+  }
+  this->LoggedTraffic = Traffic;
+  logDecision(Line);
+}
+
 void DaemonHost::watchSignals() {
   this->Signals.async_wait([this](std::error_code Error, int) {
     if (Error)
@@ -232,6 +256,9 @@
 }
 
 void DaemonHost::onStreamLost(std::string Address, bool WasOpen) {
+  const std::string How = WasOpen ? "ended" : "not-opened";
+  logDecision("event=connection-lost peer=" + Address + " how=" + How);
+  this->Numbers.add("persimmon_connections_lost_total{how=\"" + How + "\"}");
   this->submit(StreamLost{std::move(Address), WasOpen});
 }
 
@@ -336,6 +363,11 @@
 }
 
 void DaemonHost::carryOut(const RenewConnection &Item) {
+  const std::string Reason(Item.Reason);
+  logDecision("event=connection-renewed peer=" + Item.Address +
+              " reason=" + Reason);
+  this->Numbers.add("persimmon_connections_renewed_total{reason=\"" + Reason +
+                    "\"}");
   this->Network->renew(Item.Address);
 }
 
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -13,6 +13,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <array>
 #include <filesystem>
 #include <memory>
 #include <optional>
@@ -47,6 +48,8 @@
   /// Forms the system if this is its first start.
   void found();
   void startTicks();
+  /// Logs the bytes sent and received by kind of message since the last line.
+  void logTraffic(Time Now);
   void watchSignals();
   void watchReloadSignal();
   void watchSettingsFile();
@@ -87,6 +90,8 @@
   asio::signal_set ReloadSignals;
   asio::steady_timer SettingsTimer;
   std::filesystem::file_time_type SettingsWrittenAt;
+  Time NextTrafficLine;
+  std::array<TrafficCount, std::variant_size_v<Message>> LoggedTraffic{};
   std::unique_ptr<ChoicePolicy> Choice;
   std::unique_ptr<Topology> Spread;
   BodyStore Bodies;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -463,7 +463,7 @@
   }
   for (const std::string &Address : Silent) {
     Out.emplace_back(LogDecision{"event=connection-silent peer=" + Address});
-    Out.emplace_back(RenewConnection{Address});
+    Out.emplace_back(RenewConnection{Address, "silent"});
     for (const auto &[Number, TheCall] : this->Calls) {
       if (TheCall.Address == Address)
         this->Chooser.unreachable(TheCall.Target, Now);
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -420,7 +420,7 @@
   if (Now >= To.SilentAt) {
     To.SilentAt = Now + SilenceTimeout;
     To.SnapshotResend = Now;
-    Out.emplace_back(RenewConnection{To.Who.Address});
+    Out.emplace_back(RenewConnection{To.Who.Address, "follower-silent"});
   }
   const bool Behind = !this->Log.knows(To.Next - 1);
   if (Behind && Now >= To.SnapshotResend) {
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -127,7 +127,7 @@
 
 void Distribution::tick(Time Now, Effects &Out) {
   if (!this->PullFrom.empty() && Now >= this->PullDeadline) {
-    Out.emplace_back(RenewConnection{this->PullFrom});
+    Out.emplace_back(RenewConnection{this->PullFrom, "pull-timeout"});
     this->dropSource(this->PullFrom);
     this->PullFrom.clear();
     this->PullDeadline = NoDeadline;
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -117,6 +118,8 @@
 /// Abandons the connection to an address; the next message opens a new one.
 struct RenewConnection {
   std::string Address;
+  /// What took the connection for dead, for the log.
+  std::string_view Reason;
 };
 
 /// Everything planned is done; the process may end.
