A call that left on an abandoned connection, over real sockets

What callers would see: a call that may run once is told to have been "not run" (319), or runs on a second target, although the first target's daemon has read it. After PeerNetwork::renew the next connection to the address did not open, and the only word on the address is that nothing was sent.

The test is written in terms of today's interface: the first onStreamLost after a call was sent decides, as in CallRouter. Its counterpart, a call whose connection never opened is told to be unsent, passes and must go on to. Not covered: checkIdle, which would take 60 s of real time.

--- /dev/null
+++ b/tests/peernetwork/test_peernetwork.cpp
@@ -0,0 +1,241 @@
+#include "libhost/peernetwork.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace persimmon;
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t LengthBytes = 4;
+/// Longer than the network waits for a connection to open.
+constexpr milliseconds WordTimeout{2000};
+
+/// A peer that reads messages and never answers.
+class RawPeer {
+public:
+  /// \p Backlog connections wait beyond the one that is accepted next.
+  RawPeer(asio::io_context &Context, int Backlog)
+      : Io(Context), Acceptor(Context) {
+    this->Acceptor.open(tcp::v4());
+    this->Acceptor.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    this->Acceptor.listen(Backlog);
+    this->Bound = this->Acceptor.local_endpoint();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(this->Bound.port());
+  }
+
+  void acceptOne() {
+    this->Acceptor.async_accept(
+        [this](std::error_code Error, tcp::socket Socket) {
+          if (Error)
+            return;
+          this->Accepted.push_back(
+              std::make_unique<tcp::socket>(std::move(Socket)));
+          this->readFrame(*this->Accepted.back());
+        });
+  }
+
+  /// From now on the port refuses connections; accepted ones stay open.
+  void refuseMore() { this->Acceptor.close(); }
+
+  /// From now on connections to the port do not open: what may wait, waits.
+  void fillBacklog() {
+    for (int I = 0; I < 4; ++I) {
+      this->Waiting.push_back(std::make_unique<tcp::socket>(this->Io));
+      this->Waiting.back()->async_connect(this->Bound, [](std::error_code) {});
+    }
+  }
+
+  std::vector<Message> Read;
+
+private:
+  void readFrame(tcp::socket &From) {
+    asio::async_read(From, asio::buffer(this->Length),
+                     [this, &From](std::error_code Error, std::size_t) {
+                       if (Error)
+                         return;
+                       std::size_t Size = 0;
+                       for (const unsigned char Byte : this->Length)
+                         Size = (Size << 8U) | Byte;
+                       this->Payload.resize(Size);
+                       this->readPayload(From);
+                     });
+  }
+
+  void readPayload(tcp::socket &From) {
+    asio::async_read(
+        From, asio::buffer(this->Payload),
+        [this, &From](std::error_code Error, std::size_t) {
+          if (Error)
+            return;
+          settle([&] { return decode(this->Payload); },
+                 [&](Message Body) { this->Read.push_back(std::move(Body)); });
+          this->readFrame(From);
+        });
+  }
+
+  asio::io_context &Io;
+  tcp::acceptor Acceptor;
+  tcp::endpoint Bound;
+  std::vector<std::unique_ptr<tcp::socket>> Accepted;
+  std::vector<std::unique_ptr<tcp::socket>> Waiting;
+  std::array<unsigned char, LengthBytes> Length{};
+  std::string Payload;
+};
+
+/// What the network says of a call that was sent.
+enum class Word { Nothing, Unsent, Unsure };
+
+/// Notes what the network says, as the router of calls would take it: the
+/// first word on the address of a call that was sent decides.
+class NotingListener : public PeerListener {
+public:
+  void onMessage(std::string, Message) override {}
+  void onPathClosed(std::string) override {}
+  void onStreamLost(std::string Address, bool WasOpen) override {
+    this->First.try_emplace(std::move(Address),
+                            WasOpen ? Word::Unsure : Word::Unsent);
+    this->Words += 1;
+  }
+
+  Word saidOfCallTo(const std::string &Address) const {
+    const auto Found = this->First.find(Address);
+    return Found == this->First.end() ? Word::Nothing : Found->second;
+  }
+
+  int Words = 0;
+
+private:
+  std::map<std::string, Word> First;
+};
+
+wire::CallRequest request(std::int64_t Number) {
+  wire::CallRequest Out;
+  Out.Id.Sender = "p1";
+  Out.Id.SenderIncarnation = 1;
+  Out.Id.Number = Number;
+  Out.Service = "team/work";
+  Out.Method = "POST";
+  Out.CallId = "call-" + std::to_string(Number);
+  Out.Body = "once";
+  return Out;
+}
+
+struct Fixture {
+  asio::io_context Io;
+  NotingListener Listener;
+  RawPeer Peer;
+  std::unique_ptr<PeerNetwork> Network;
+
+  explicit Fixture(int Backlog = 16) : Peer(Io, Backlog) {
+    const Failure Error = settle(
+        [&] {
+          return PeerNetwork::open(this->Io, {"127.0.0.1", 0}, this->Listener);
+        },
+        [&](std::unique_ptr<PeerNetwork> Made) {
+          this->Network = std::move(Made);
+        });
+    REQUIRE_FALSE(Error.failed());
+  }
+
+  bool runUntil(const std::function<bool()> &Holds) {
+    const auto End = std::chrono::steady_clock::now() + WordTimeout;
+    while (!Holds() && std::chrono::steady_clock::now() < End) {
+      this->Io.restart();
+      this->Io.run_for(milliseconds(5));
+    }
+    return Holds();
+  }
+
+  void pass(milliseconds Span) {
+    this->Io.restart();
+    this->Io.run_for(Span);
+  }
+
+  void sendCall(std::int64_t Number) {
+    this->Network->send(this->Peer.address(), request(Number), Channel::Stream);
+  }
+
+  /// Sends a call and waits until the peer has read it.
+  void sendCallAndAwaitIt(std::int64_t Number) {
+    this->Peer.acceptOne();
+    this->sendCall(Number);
+    REQUIRE(this->runUntil([&] { return !this->Peer.Read.empty(); }));
+    const auto &Got = std::get<wire::CallRequest>(this->Peer.Read.front());
+    REQUIRE(Got.Id.Number == Number);
+    REQUIRE(this->Listener.Words == 0);
+  }
+
+  /// A pull or replication renews the connection and something else is sent.
+  void renewAndSend() {
+    this->Network->renew(this->Peer.address());
+    this->Network->send(this->Peer.address(), wire::Heartbeat(),
+                        Channel::Stream);
+    this->runUntil([&] { return this->Listener.Words > 0; });
+  }
+};
+
+} // namespace
+
+TEST_CASE("a call that left on an abandoned connection is not taken for "
+          "unsent") {
+  SECTION("when the next connection is refused") {
+    Fixture F;
+    F.sendCallAndAwaitIt(1);
+    F.Peer.refuseMore();
+    F.renewAndSend();
+    CHECK(F.Listener.saidOfCallTo(F.Peer.address()) != Word::Unsent);
+  }
+  SECTION("when the next connection does not open in time") {
+    Fixture F(0);
+    F.sendCallAndAwaitIt(1);
+    F.Peer.fillBacklog();
+    F.pass(milliseconds(100));
+    F.renewAndSend();
+    CHECK(F.Listener.saidOfCallTo(F.Peer.address()) != Word::Unsent);
+  }
+  SECTION("when the connection was renewed more than once") {
+    Fixture F;
+    F.sendCallAndAwaitIt(1);
+    F.Peer.refuseMore();
+    F.Network->renew(F.Peer.address());
+    F.Network->send(F.Peer.address(), wire::Heartbeat(), Channel::Stream);
+    F.renewAndSend();
+    CHECK(F.Listener.saidOfCallTo(F.Peer.address()) != Word::Unsent);
+  }
+}
+
+TEST_CASE("a call whose connection never opened is told to be unsent") {
+  SECTION("because the port refused it") {
+    Fixture F;
+    F.Peer.refuseMore();
+    F.sendCall(1);
+    REQUIRE(F.runUntil([&] { return F.Listener.Words > 0; }));
+    CHECK(F.Listener.saidOfCallTo(F.Peer.address()) == Word::Unsent);
+  }
+  SECTION("because it did not open in time") {
+    Fixture F(0);
+    F.Peer.fillBacklog();
+    F.pass(milliseconds(100));
+    F.sendCall(1);
+    REQUIRE(F.runUntil([&] { return F.Listener.Words > 0; }));
+    CHECK(F.Listener.saidOfCallTo(F.Peer.address()) == Word::Unsent);
+  }
+}
