A late pull on the connection of a once-only call, in the fake cluster

What callers would see: an upload that may run once runs on two targets, or is said to be "not run" after it ran. Calls of p1 run on p2 and p3; the settings change, p1 pulls from a daemon that runs its call, the reply takes 900 ms more, Distribution::tick renews the connection and the next one does not open.

The fake could not show this before: its longest delay (700 ms) is shorter than the time out of a pull (800 ms), and a connection between daemons that live always opened. It has two more ways now: slowDown() and shut(), with the word that comes 200 ms after a connection was tried. The faults of the matrix are as they were.

build/tests/matrix/test_matrix "a late pull*"

--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -163,6 +163,30 @@
   Cluster.call("p3", true, "key");
 }
 
+/// Calls of p1 run on p2 and p3 while each pull of p1 takes longer than it
+/// waits for one, and what it renews does not open.
+void actLatePulls(FakeCluster &Cluster) {
+  Cluster.setTarget("p1", wire::TargetState::Draining);
+  Cluster.run(milliseconds(300));
+  Cluster.setRunTime(milliseconds(4000));
+  for (int I = 0; I < 2; ++I) {
+    Cluster.call("p1", true);
+    Cluster.run(milliseconds(80));
+  }
+  for (const auto &[Id, Record] : Cluster.calls())
+    REQUIRE(Record.Runs == 1);
+  Cluster.slowDown("p1", milliseconds(900));
+  Cluster.shut("p2", true);
+  Cluster.shut("p3", true);
+  for (int I = 0; I < 12; ++I) {
+    changeService(Cluster, 10 + I);
+    Cluster.run(milliseconds(300));
+  }
+  Cluster.slowDown("p1", milliseconds(0));
+  Cluster.shut("p2", false);
+  Cluster.shut("p3", false);
+}
+
 std::string describe(const std::vector<FaultPlan> &Plan) {
   std::string Out;
   for (const FaultPlan &Item : Plan)
@@ -354,6 +378,30 @@
   }
 }
 
+TEST_CASE("a late pull on the connection of a once-only call does not make "
+          "it run again") {
+  int LatePulls = 0;
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    FakeCluster Cluster(Seed);
+    prepareAll(Cluster);
+    actLatePulls(Cluster);
+    Cluster.run(CallTime);
+    Cluster.checkCalls();
+    LatePulls += Cluster.slowPullReplies("p2") + Cluster.slowPullReplies("p3");
+    INFO("seed " << Seed);
+    for (const std::string &Problem : Cluster.violations())
+      UNSCOPED_INFO(Problem);
+    CHECK(Cluster.violations().empty());
+    for (const auto &[Id, Record] : Cluster.calls()) {
+      INFO(Id << " code " << static_cast<int>(Record.Code));
+      CHECK(Record.Runs == 1);
+      CHECK(Record.Answers == 1);
+    }
+  }
+  // Otherwise nothing was tried.
+  CHECK(LatePulls > 0);
+}
+
 TEST_CASE("pairs of faults, sampled") {
   for (const Flow &Item : flows())
     runPairs(Item);
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -9,6 +9,8 @@
 constexpr milliseconds TickInterval{20};
 constexpr milliseconds Latency{1};
 constexpr milliseconds LongDelay{700};
+/// As long as the network waits for a connection to open.
+constexpr milliseconds ConnectTimeout{200};
 constexpr milliseconds FaultDuration{2500};
 constexpr milliseconds RestartPause{400};
 constexpr std::size_t TraceLines = 400;
@@ -203,6 +205,17 @@
   }
 }
 
+void FakeCluster::slowDown(const std::string &Name, milliseconds Delay) {
+  this->note("streams to " + Name + " take " + std::to_string(Delay.count()) +
+             " ms more");
+  this->Instances.at(Name).StreamDelay = Delay;
+}
+
+void FakeCluster::shut(const std::string &Name, bool Shut) {
+  this->note(Name + (Shut ? " lets no connection open" : " is open again"));
+  this->Instances.at(Name).Shut = Shut;
+}
+
 void FakeCluster::setTarget(const std::string &Name,
                             wire::TargetState::type State) {
   Instance &Item = this->Instances.at(Name);
@@ -270,13 +283,19 @@
       Delivery Lost;
       Lost.To = L.Opener;
       Lost.Incarnation = Opener.LastIncarnation;
-      Lost.Body = StreamLost{L.Peer + ":1", true};
+      Lost.Body = StreamLost{L.Peer + ":1", !L.Shut};
       this->deliver(this->Now + Latency, std::move(Lost));
     }
     Item = this->Links.erase(Item);
   }
 }
 
+void FakeCluster::forgetLink(const Link &Ended) {
+  const auto Found = this->OpenLinks.find({Ended.Opener, Ended.Peer + ":1"});
+  this->Links.erase(Found->second);
+  this->OpenLinks.erase(Found);
+}
+
 FakeCluster::Instance *FakeCluster::byAddress(const std::string &Address) {
   const auto Found = this->Instances.find(Address.substr(0, Address.find(':')));
   return Found == this->Instances.end() ? nullptr : &Found->second;
@@ -294,8 +313,17 @@
   Fresh.Opener = By.Identity.Name;
   Fresh.Peer = Address.substr(0, Address.find(':'));
   Fresh.Silent = this->cut(By) || this->cut(*this->byAddress(Address));
+  Fresh.Shut = this->byAddress(Address)->Shut;
   this->OpenLinks[Key] = ++this->LastLink;
   this->Links.emplace(this->LastLink, Fresh);
+  if (!Fresh.Shut)
+    return;
+  Delivery Lost;
+  Lost.To = By.Identity.Name;
+  Lost.Incarnation = By.LastIncarnation;
+  Lost.LinkId = this->LastLink;
+  Lost.Body = StreamLost{Address, false};
+  this->deliver(this->Now + ConnectTimeout, std::move(Lost));
 }
 
 void FakeCluster::sendMessage(Instance &By, const SendMessage &What,
@@ -346,7 +374,7 @@
   Link &Over = Found->second;
   if (Fault == FaultKind::SilentConnection)
     Over.Silent = true;
-  if (Over.Silent)
+  if (Over.Silent || Over.Shut)
     return;
   const bool Forward =
       Over.Opener == By.Identity.Name && !What.Address.starts_with('#');
@@ -359,6 +387,10 @@
   // Streams keep their order, so a delay holds up all that follows.
   if (Fault == FaultKind::DelayMessage)
     At += LongDelay;
+  At += To.StreamDelay;
+  if (To.StreamDelay.count() > 0 &&
+      std::holds_alternative<wire::PullReply>(What.Body))
+    By.SlowPullReplies += 1;
   At = std::max(At, Over.LastDelivery);
   Over.LastDelivery = At;
   this->deliver(At, std::move(Out));
@@ -501,7 +533,11 @@
         continue;
       if (Item.LinkId != 0) {
         const auto Over = this->Links.find(Item.LinkId);
-        if (Over == this->Links.end() || Over->second.Silent)
+        if (Over == this->Links.end())
+          continue;
+        if (Over->second.Shut)
+          this->forgetLink(Over->second);
+        else if (Over->second.Silent)
           continue;
       }
       this->submit(To, std::move(Item.Body));
@@ -520,6 +556,10 @@
 
 void FakeCluster::disarm() { this->Armed = false; }
 
+int FakeCluster::slowPullReplies(const std::string &Name) const {
+  return this->Instances.at(Name).SlowPullReplies;
+}
+
 const Node *FakeCluster::node(const std::string &Name) const {
   return this->Instances.at(Name).Daemon.get();
 }
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -70,6 +70,12 @@
   void wipeDisk(const std::string &Name);
   void freeze(const std::string &Name, milliseconds For);
   void cutOff(const std::string &Name, milliseconds For);
+  /// What is sent to \p Name on streams from now on arrives \p Delay later,
+  /// as over a link that large bodies fill. Zero ends it.
+  void slowDown(const std::string &Name, milliseconds Delay);
+  /// Connections to \p Name do not open from now on, or do again; open ones
+  /// stay.
+  void shut(const std::string &Name, bool Shut);
   void setTarget(const std::string &Name, wire::TargetState::type State);
   void stop(const std::string &Name);
 
@@ -103,6 +109,9 @@
   /// Returns whether every planned fault found an effect that it fits.
   bool allStruck() const { return this->Struck == this->Plan.size(); }
 
+  /// Returns how many answers to pulls \p Name sent over a slow link.
+  int slowPullReplies(const std::string &Name) const;
+
   const Node *node(const std::string &Name) const;
   const Node *leader() const;
   const std::map<std::string, CallRecord> &calls() const { return this->Calls; }
@@ -137,6 +146,9 @@
     std::int64_t DiskId = 0;
     Time FrozenUntil;
     Time CutUntil;
+    milliseconds StreamDelay{0};
+    bool Shut = false;
+    int SlowPullReplies = 0;
     Time RestartAt = NoDeadline;
     Time NextTick;
     std::int64_t Served = 0;
@@ -154,6 +166,8 @@
     std::string Opener;
     std::string Peer;
     bool Silent = false;
+    /// It never opens; its end is told after the time for that.
+    bool Shut = false;
     Time LastDelivery;
   };
   struct Delivery {
@@ -190,6 +204,7 @@
   void openLink(Instance &By, const std::string &Address);
   void deliver(Time At, Delivery What);
   void closeLinksOf(const std::string &Name);
+  void forgetLink(const Link &Ended);
   void restartDue();
   void retryWishes();
   void tickDue();
