--- a/tests/scenario/forwarder.cpp
+++ b/tests/scenario/forwarder.cpp
@@ -5,9 +5,13 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
+#include <fcntl.h>
+
 #include <array>
+#include <deque>
 #include <future>
 #include <list>
 #include <map>
@@ -19,32 +23,103 @@
 
 using asio::ip::tcp;
 using asio::ip::udp;
+using Clock = std::chrono::steady_clock;
 
+/// Chunks that one direction of a connection holds up at most.
+constexpr std::size_t MaxWaiting = 256;
 constexpr std::size_t BufferBytes = 64u << 10;
 
+/// How long what is sent to an address is held up, by address.
+using Delays = std::map<std::string, std::chrono::milliseconds>;
+
 /// One forwarded TCP connection. Silent ones stay open and pass nothing.
 struct Pair : std::enable_shared_from_this<Pair> {
-  explicit Pair(asio::io_context &Io) : Client(Io), Server(Io) {}
-
-  void pump(tcp::socket &From, tcp::socket &To,
-            std::array<char, BufferBytes> &Buffer) {
-    From.async_read_some(asio::buffer(Buffer),
-                         [this, Self = this->shared_from_this(), &From, &To,
-                          &Buffer](std::error_code Error, std::size_t Size) {
-                           if (this->Silent)
-                             return;
-                           if (Error)
-                             return this->close();
-                           asio::async_write(
-                               To, asio::buffer(Buffer.data(), Size),
-                               [this, Self, &From, &To,
-                                &Buffer](std::error_code Failed, std::size_t) {
-                                 if (Failed && !this->Silent)
-                                   return this->close();
-                                 if (!Failed)
-                                   this->pump(From, To, Buffer);
-                               });
-                         });
+  /// One direction. What was read waits here until it is due.
+  struct Stream {
+    Stream(asio::io_context &Io, tcp::socket &TheFrom, tcp::socket &TheTo,
+           const std::string &TheReceiver)
+        : Timer(Io), From(TheFrom), To(TheTo), Receiver(TheReceiver) {}
+    struct Chunk {
+      Clock::time_point Due;
+      std::string Bytes;
+    };
+    asio::steady_timer Timer;
+    tcp::socket &From;
+    tcp::socket &To;
+    const std::string &Receiver;
+    std::array<char, BufferBytes> Buffer{};
+    std::deque<Chunk> Waiting;
+    bool Reading = false;
+    bool Passing = false;
+    bool Ended = false;
+  };
+
+  Pair(asio::io_context &Io, const Delays &TheHeldUp)
+      : Client(Io), Server(Io), HeldUp(TheHeldUp),
+        Up(Io, this->Client, this->Server, this->ServerIp),
+        Down(Io, this->Server, this->Client, this->ClientIp) {}
+
+  void start() {
+    this->read(this->Up);
+    this->read(this->Down);
+  }
+
+  /// Reads on while there is room; one slow reader does not fill the memory.
+  void read(Stream &Way) {
+    if (Way.Reading || Way.Ended || Way.Waiting.size() >= MaxWaiting)
+      return;
+    Way.Reading = true;
+    Way.From.async_read_some(
+        asio::buffer(Way.Buffer), [this, Self = this->shared_from_this(), &Way](
+                                      std::error_code Error, std::size_t Size) {
+          Way.Reading = false;
+          if (this->Silent)
+            return;
+          Way.Ended = static_cast<bool>(Error);
+          if (!Error)
+            Way.Waiting.push_back({Clock::now() + this->delayOf(Way),
+                                   std::string(Way.Buffer.data(), Size)});
+          this->pass(Way);
+          this->read(Way);
+        });
+  }
+
+  std::chrono::milliseconds delayOf(const Stream &Way) const {
+    const auto Found = this->HeldUp.find(Way.Receiver);
+    return Found == this->HeldUp.end() ? std::chrono::milliseconds(0)
+                                       : Found->second;
+  }
+
+  void pass(Stream &Way) {
+    if (Way.Passing || this->Silent)
+      return;
+    if (Way.Waiting.empty()) {
+      if (Way.Ended)
+        this->close();
+      return;
+    }
+    Way.Passing = true;
+    Way.Timer.expires_at(Way.Waiting.front().Due);
+    Way.Timer.async_wait(
+        [this, Self = this->shared_from_this(), &Way](std::error_code Error) {
+          if (!Error && !this->Silent)
+            this->write(Way);
+        });
+  }
+
+  void write(Stream &Way) {
+    asio::async_write(Way.To, asio::buffer(Way.Waiting.front().Bytes),
+                      [this, Self = this->shared_from_this(),
+                       &Way](std::error_code Error, std::size_t) {
+                        if (this->Silent)
+                          return;
+                        if (Error)
+                          return this->close();
+                        Way.Passing = false;
+                        Way.Waiting.pop_front();
+                        this->pass(Way);
+                        this->read(Way);
+                      });
   }
 
   void close() {
@@ -58,8 +133,9 @@
   std::string ClientIp;
   std::string ServerIp;
   bool Silent = false;
-  std::array<char, BufferBytes> Up{};
-  std::array<char, BufferBytes> Down{};
+  const Delays &HeldUp;
+  Stream Up;
+  Stream Down;
 };
 
 /// The datagrams of one client to one address.
@@ -81,6 +157,7 @@
   void add(const std::string &Ip, std::uint16_t Port, std::uint16_t RealPort) {
     this->Entries.push_back(
         std::make_unique<Entry>(this->Io, Ip, Port, RealPort));
+    listen(*this->Entries.back());
     this->accept(*this->Entries.back());
     this->receive(*this->Entries.back());
   }
@@ -102,15 +179,36 @@
     }
   }
 
+  void delay(const std::string &Ip, std::chrono::milliseconds Delay) {
+    this->HeldUp[Ip] = Delay;
+  }
+
+  void shut(const std::string &Ip) {
+    for (const auto &At : this->Entries) {
+      if (At->Ip == Ip)
+        At->Acceptor.close();
+    }
+  }
+
+  void reopen(const std::string &Ip) {
+    for (const auto &At : this->Entries) {
+      if (At->Ip != Ip || At->Acceptor.is_open())
+        continue;
+      listen(*At);
+      this->accept(*At);
+    }
+  }
+
 private:
   struct Entry {
     Entry(asio::io_context &Context, const std::string &TheIp,
           std::uint16_t Port, std::uint16_t RealPort)
         : Ip(TheIp), Address(asio::ip::make_address(TheIp)),
-          Acceptor(Context, tcp::endpoint(Address, Port)),
+          Listen(Address, Port), Acceptor(Context),
           Datagrams(Context, udp::endpoint(Address, Port)), Real(RealPort) {}
     std::string Ip;
     asio::ip::address Address;
+    tcp::endpoint Listen;
     tcp::acceptor Acceptor;
     udp::socket Datagrams;
     std::uint16_t Real;
@@ -123,8 +221,18 @@
     return this->CutIps.count(Left) != 0 || this->CutIps.count(Right) != 0;
   }
 
+  /// Opens the port for this process alone: a daemon that is started later
+  /// would hold it open else.
+  static void listen(Entry &At) {
+    At.Acceptor.open(At.Listen.protocol());
+    ::fcntl(At.Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    At.Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    At.Acceptor.bind(At.Listen);
+    At.Acceptor.listen();
+  }
+
   void accept(Entry &At) {
-    auto Fresh = std::make_shared<Pair>(this->Io);
+    auto Fresh = std::make_shared<Pair>(this->Io, this->HeldUp);
     At.Acceptor.async_accept(
         Fresh->Client, [this, &At, Fresh](std::error_code Error) {
           if (Error)
@@ -151,8 +259,7 @@
           std::error_code Ignored;
           Item->Client.set_option(tcp::no_delay(true), Ignored);
           Item->Server.set_option(tcp::no_delay(true), Ignored);
-          Item->pump(Item->Client, Item->Server, Item->Up);
-          Item->pump(Item->Server, Item->Client, Item->Down);
+          Item->start();
         });
   }
 
@@ -199,6 +306,7 @@
   std::list<std::weak_ptr<Pair>> Pairs;
   std::vector<std::shared_ptr<Pair>> Silenced;
   std::set<std::string> CutIps;
+  Delays HeldUp;
 };
 
 Forwarder::Forwarder()
@@ -234,4 +342,17 @@
   asio::post(this->Io, [this, Ip] { this->Implementation->silence(Ip); });
 }
 
+void Forwarder::delay(const std::string &Ip, std::chrono::milliseconds Delay) {
+  asio::post(this->Io,
+             [this, Ip, Delay] { this->Implementation->delay(Ip, Delay); });
+}
+
+void Forwarder::shut(const std::string &Ip) {
+  asio::post(this->Io, [this, Ip] { this->Implementation->shut(Ip); });
+}
+
+void Forwarder::reopen(const std::string &Ip) {
+  asio::post(this->Io, [this, Ip] { this->Implementation->reopen(Ip); });
+}
+
 } // namespace persimmon
--- a/tests/scenario/forwarder.h
+++ b/tests/scenario/forwarder.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <set>
 #include <string>
@@ -31,6 +32,16 @@
   /// Open connections from and to \p Ip go silent; new ones work.
   void silence(const std::string &Ip);
 
+  /// What is sent to \p Ip on connections from now on arrives \p Delay later,
+  /// in its order. Zero ends it; datagrams are not delayed.
+  void delay(const std::string &Ip, std::chrono::milliseconds Delay);
+
+  /// New connections to \p Ip are refused from now on; open ones go on.
+  void shut(const std::string &Ip);
+
+  /// New connections to \p Ip work again.
+  void reopen(const std::string &Ip);
+
 private:
   class Impl;
 
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -189,6 +189,22 @@
     this->Network->silence(this->machine(Line.at(1)).Ip);
     return true;
   };
+  S["delay"] = [this](const Words &Line, const std::string &) {
+    this->Network->delay(this->machine(Line.at(1)).Ip, durationOf(Line.at(2)));
+    return true;
+  };
+  S["shut"] = [this](const Words &Line, const std::string &) {
+    return this->forEach(Line, [this](Machine &Item) {
+      this->Network->shut(Item.Ip);
+      return true;
+    });
+  };
+  S["reopen"] = [this](const Words &Line, const std::string &) {
+    return this->forEach(Line, [this](Machine &Item) {
+      this->Network->reopen(Item.Ip);
+      return true;
+    });
+  };
   S["load"] = [this](const Words &Line, const std::string &) {
     return this->startLoad(Line);
   };
