A cancellation that overtakes its call keeps it from running

What callers saw: after a client had left, its request still reached a target.

Cause: a cancellation goes to the address of the daemon. After a renewal it travels on another connection than the request and may arrive first; the ledger did not know the attempt and forgot the cancellation, so that the request ran when its body was whole. The same class as the call that ran twice: what was said of an attempt was tied to the order on one shared connection.

Change: the cancellation of an attempt that has not arrived fences it, as a question after it does, and what has arrived of its body is dropped.

Before: "a call whose cancellation overtook it on a new connection never runs" failed. After: passes.

--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -353,22 +353,32 @@
   }
   if (this->tellIfKnown(Query.Id, From, Now, Out))
     return;
+  this->tell(this->fence(Query.Id, From, Now), Now, Out);
+}
+
+const TargetLedger::Attempt &TargetLedger::fence(const wire::AttemptId &Id,
+                                                 std::string_view From,
+                                                 Time Now) {
   Attempt Fence;
-  Fence.Id = Query.Id;
+  Fence.Id = Id;
   Fence.From = std::string(From);
   Fence.State = Stage::Fenced;
   Fence.Outcome = wire::CallOutcome::NotRun;
   Fence.Code = ResultCode::Fenced;
   Fence.KeepUntil = Now + KeepRefused;
-  this->tell(Fence, Now, Out);
-  this->Attempts.emplace(Query.Id, std::move(Fence));
+  return this->Attempts.emplace(Id, std::move(Fence)).first->second;
 }
 
 void TargetLedger::receive(const wire::CallCancel &Cancel, Time Now,
                            Effects &Out) {
   const auto Found = this->Attempts.find(Cancel.Id);
-  if (Found == this->Attempts.end())
+  if (Found == this->Attempts.end()) {
+    if (this->forgotten(Cancel.Id))
+      return;
+    this->fence(Cancel.Id, {}, Now);
+    Out.emplace_back(DropAttempt{Cancel.Id});
     return;
+  }
   Attempt &Item = Found->second;
   if (Item.State == Stage::Running) {
     Item.Taken = true;
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -40,7 +40,8 @@
   /// Tells what became of an attempt; fences one that has not arrived.
   void receive(const wire::CallQuery &Query, std::string_view From,
                bool Addressed, Time Now, Effects &Out);
-  /// Ends a running attempt, or forgets one that waits.
+  /// Ends a running attempt, forgets one that waits, and fences one that has
+  /// not arrived: a cancellation may overtake its call on another connection.
   void receive(const wire::CallCancel &Cancel, Time Now, Effects &Out);
   /// Lets go of an answer that its sender has taken.
   void receive(const wire::AnswerAck &Ack, Time Now, Effects &Out);
@@ -115,6 +116,9 @@
                    Effects &Out);
   bool forgotten(const wire::AttemptId &Id) const;
   void forget(AttemptMap::iterator Item, Time Now, Effects &Out);
+  /// Notes that an attempt that has not arrived must not run any more.
+  const Attempt &fence(const wire::AttemptId &Id, std::string_view From,
+                       Time Now);
   void dropHeldAnswers(Effects &Out);
   Attempt &add(const wire::CallRequest &Request, std::string_view From,
                bool Nested, Time Now);
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -78,6 +78,12 @@
     this->Under.receive(Query, "#2", true, Now, this->Out);
   }
 
+  void cancel(std::int64_t Number, Time Now = Start) {
+    wire::CallCancel Cancel;
+    Cancel.Id = request(Number).Id;
+    this->Under.receive(Cancel, Now, this->Out);
+  }
+
   void finish(std::int64_t Number, Time Now, RunEnd End = RunEnd::Answered) {
     RunFinished Run;
     Run.Id = request(Number).Id;
@@ -98,6 +104,19 @@
   CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
 }
 
+TEST_CASE("a call whose cancellation overtook it on a new connection never "
+          "runs") {
+  Ledger L;
+  L.cancel(1);
+  // What has arrived of its body is dropped.
+  REQUIRE(L.Out.size() == 1);
+  CHECK(std::holds_alternative<DropAttempt>(L.Out.front()));
+  L.Out.clear();
+  L.arrive(request(1));
+  CHECK(runs(L.Out).empty());
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+}
+
 TEST_CASE("a fence that was forgotten is never said to be not run") {
   Ledger L;
   L.query(1);
