A connection that a large message fills is not taken for silent

What callers saw: too little is served on thin links; after a fault that restarts all proxies nothing is served any more.

Cause: whoever waits for an answer renewed the connection after a fixed time (a pull after 800 ms, calls after 350 ms to 1.5 s without an answer), although bytes were arriving on it. What was on its way was thrown away and sent again.

Change: RenewConnection says since when the peer is missed; the network abandons the connection only if there was no sign of life on it since (bytes that arrived, or bytes that had to wait and were taken), else StreamAlive says so. A pull goes on as long as its connection lives; when it ends, another source is asked at once.

Test: "a source that does not answer is left for another" expected the other source to be asked at the time-out itself; it now demands the check of the silent connection, with the right time, and that the other source is asked when that ends. "an answer that a thin link brings slowly is not asked for again" and "a connection that a large message fills is not taken for silent" are new; the former behaviour asks again after 800 ms (the old expectation shows it).

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -264,6 +264,10 @@
   this->submit(std::move(Lost));
 }
 
+void DaemonHost::onStreamAlive(std::string Address) {
+  this->submit(StreamAlive{std::move(Address)});
+}
+
 void DaemonHost::onPathClosed(std::string Path) {
   this->Bodies.pathClosed(Path);
 }
@@ -366,12 +370,14 @@
 }
 
 void DaemonHost::carryOut(const RenewConnection &Item) {
+  const bool Renewed = this->Network->renew(Item.Address, Item.SilentSince);
   const std::string Reason(Item.Reason);
-  logDecision("event=connection-renewed peer=" + Item.Address +
-              " reason=" + Reason);
-  this->Numbers.add("persimmon_connections_renewed_total{reason=\"" + Reason +
-                    "\"}");
-  this->Network->renew(Item.Address);
+  const std::string Outcome = Renewed ? "renewed" : "alive";
+  if (Renewed)
+    logDecision("event=connection-renewed peer=" + Item.Address +
+                " reason=" + Reason);
+  this->Numbers.add("persimmon_connections_checked_total{reason=\"" + Reason +
+                    "\",outcome=\"" + Outcome + "\"}");
 }
 
 void DaemonHost::carryOut(const ReadyToExit &) { this->stopWhenWritten(); }
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -59,6 +59,7 @@
 
   void onMessage(std::string From, Message Body) override;
   void onStreamLost(StreamLost Lost) override;
+  void onStreamAlive(std::string Address) override;
   void onPathClosed(std::string Path) override;
 
   void perform(const Effects &All);
--- a/src/libhost/peerconnection.cpp
+++ b/src/libhost/peerconnection.cpp
@@ -1,6 +1,7 @@
 #include "peerconnection.h"
 
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -16,6 +17,8 @@
 /// Many round trips between availability zones; an instance that is down or
 /// cut off does not answer at all, and nothing was sent to it.
 constexpr milliseconds ConnectTimeout{200};
+/// Far longer than a system call: the socket's buffer was full.
+constexpr milliseconds WriteHadToWait{5};
 
 std::string frame(std::string_view Payload) {
   const auto Size = static_cast<std::uint32_t>(Payload.size());
@@ -33,7 +36,7 @@
                                PeerConnectionOwner &TheOwner)
     : Socket(std::move(TheSocket)), ConnectTimer(this->Socket.get_executor()),
       Name(std::move(TheName)), Owner(&TheOwner),
-      LastUse(std::chrono::steady_clock::now()) {}
+      LastUse(std::chrono::steady_clock::now()), SignOfLifeAt(this->LastUse) {}
 
 void PeerConnection::connect(const tcp::endpoint &Peer) {
   this->ConnectTimer.expires_after(ConnectTimeout);
@@ -115,7 +118,7 @@
                                      std::error_code Error, std::size_t Size) {
         if (Error || Self->Owner == nullptr)
           return Self->end();
-        Self->LastUse = std::chrono::steady_clock::now();
+        Self->noteArrival();
         Self->Incoming.append(Self->Chunk.data(), Size);
         Self->takeFrames();
       });
@@ -155,21 +158,45 @@
   asio::async_read(
       this->Socket,
       asio::buffer(this->Incoming.data() + Held, WholeSize - Held),
+      [Self = this->shared_from_this()](std::error_code Error,
+                                        std::size_t Size) {
+        if (Size > 0)
+          Self->noteArrival();
+        return asio::transfer_all()(Error, Size);
+      },
       [Self = this->shared_from_this()](std::error_code Error, std::size_t) {
         if (Error || Self->Owner == nullptr)
           return Self->end();
-        Self->LastUse = std::chrono::steady_clock::now();
         Self->takeFrames();
       });
 }
 
+void PeerConnection::noteArrival() {
+  this->SignOfLifeAt = std::chrono::steady_clock::now();
+  this->LastUse = this->SignOfLifeAt;
+}
+
+void PeerConnection::noteWritten() {
+  const Time Now = std::chrono::steady_clock::now();
+  // What goes straight into the socket's buffer says nothing of the peer.
+  if (Now - this->WriteStartedAt >= WriteHadToWait)
+    this->SignOfLifeAt = Now;
+}
+
 void PeerConnection::writeNext() {
   this->Current = this->Outbox.takeNext(ChunkBytes);
   if (this->Current.empty())
     return;
   this->Writing = true;
+  this->WriteStartedAt = std::chrono::steady_clock::now();
   asio::async_write(
       this->Socket, asio::buffer(this->Current),
+      [Self = this->shared_from_this()](std::error_code Error,
+                                        std::size_t Size) {
+        if (!Error && Size > 0)
+          Self->noteWritten();
+        return asio::transfer_all()(Error, Size);
+      },
       [Self = this->shared_from_this()](std::error_code Error, std::size_t) {
         Self->Writing = false;
         if (Error || Self->Owner == nullptr)
--- a/src/libhost/peerconnection.h
+++ b/src/libhost/peerconnection.h
@@ -53,6 +53,10 @@
 
   bool idleSince(Time Limit) const;
 
+  /// Returns when the peer last showed that it lives: by bytes that arrived, or
+  /// by taking bytes that had to wait.
+  Time signOfLifeAt() const { return this->SignOfLifeAt; }
+
 private:
   static constexpr std::size_t ChunkBytes = 8u << 10;
 
@@ -61,6 +65,8 @@
   void read();
   void takeFrames();
   void readRest(std::size_t WholeSize);
+  void noteArrival();
+  void noteWritten();
   void writeNext();
 
   asio::ip::tcp::socket Socket;
@@ -68,6 +74,8 @@
   std::string Name;
   PeerConnectionOwner *Owner;
   Time LastUse;
+  Time SignOfLifeAt;
+  Time WriteStartedAt;
   bool Ready = false;
   bool Writing = false;
   /// Holds several messages of usual calls; there are some hundred connections.
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -109,10 +109,23 @@
       this->open(To)->send(Bytes, Body);
   }
 
-  void renew(const std::string &Address) {
+  bool renew(const std::string &Address, Time SilentSince) {
     const auto Found = this->Connections.find(Address);
-    if (Found != this->Connections.end())
+    if (Found == this->Connections.end()) {
+      StreamLost None;
+      None.Address = Address;
+      asio::post(this->Io, [this, None = std::move(None)] {
+        this->Listener.onStreamLost(None);
+      });
+      return false;
+    }
+    if (Found->second->signOfLifeAt() <= SilentSince) {
       this->giveUp(Found);
+      return true;
+    }
+    asio::post(this->Io,
+               [this, Address] { this->Listener.onStreamAlive(Address); });
+    return false;
   }
 
   void endAttempt(const std::string &Address, const wire::AttemptId &Id) {
@@ -281,8 +294,8 @@
   this->Implementation->send(To, Body, Via);
 }
 
-void PeerNetwork::renew(const std::string &Address) {
-  this->Implementation->renew(Address);
+bool PeerNetwork::renew(const std::string &Address, Time SilentSince) {
+  return this->Implementation->renew(Address, SilentSince);
 }
 
 void PeerNetwork::endAttempt(const std::string &Address,
--- a/src/libhost/peernetwork.h
+++ b/src/libhost/peernetwork.h
@@ -24,6 +24,9 @@
   /// A connection that this daemon opened ended, or could not be opened.
   virtual void onStreamLost(StreamLost Lost) = 0;
 
+  /// A connection that was to be renewed is not silent.
+  virtual void onStreamAlive(std::string Address) = 0;
+
   /// The accepted connection \p Path ended.
   virtual void onPathClosed(std::string Path) = 0;
 };
@@ -54,9 +57,10 @@
   /// path of an accepted connection. Never calls the listener.
   void send(const std::string &To, const Message &Body, Channel Via);
 
-  /// Abandons the connection to \p Address. The listener is told later, not
-  /// within this call.
-  void renew(const std::string &Address);
+  /// Abandons the connection to \p Address unless the peer has given a sign of
+  /// life on it since \p SilentSince. Returns whether it did. The listener is
+  /// told of either later, not within this call.
+  bool renew(const std::string &Address, Time SilentSince);
 
   /// Drops what still waits of the request of \p Id for \p Address; the end of
   /// the connection does not name the attempt any more.
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -407,8 +407,11 @@
   }
   for (const wire::AttemptId &Id : Lost.Sent) {
     Call *TheCall = this->findAttempt(Id);
-    if (TheCall != nullptr)
-      this->connectionFailed(*TheCall, Now, Out);
+    if (TheCall == nullptr)
+      continue;
+    if (Lost.End == StreamEnd::Abandoned)
+      this->Chooser.unreachable(TheCall->Target, Now);
+    this->connectionFailed(*TheCall, Now, Out);
   }
 }
 
@@ -449,25 +452,16 @@
   }
   std::erase_if(this->Links,
                 [&](const auto &Item) { return Busy.count(Item.first) == 0; });
-  std::vector<std::string> Silent;
   for (auto &[Address, Link] : this->Links) {
     if (Now >= Link.SilentAt) {
+      Out.emplace_back(RenewConnection{Address, "silent", Link.HeardAt});
       Link.HeardAt = Now;
       Link.SilentAt = Now + this->silenceOn(Address);
-      Silent.push_back(Address);
     } else if (Now >= Link.NextHeartbeat) {
       Link.NextHeartbeat = Now + HeartbeatInterval;
       send(Out, Address, wire::Heartbeat());
     }
   }
-  for (const std::string &Address : Silent) {
-    Out.emplace_back(LogDecision{"event=connection-silent peer=" + Address});
-    Out.emplace_back(RenewConnection{Address, "silent"});
-    for (const auto &[Number, TheCall] : this->Calls) {
-      if (TheCall.Address == Address)
-        this->Chooser.unreachable(TheCall.Target, Now);
-    }
-  }
 }
 
 void CallRouter::deadlinePassed(Call &TheCall, Time Now, Effects &Out) {
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -418,9 +418,10 @@
 
 void Consensus::replicate(Progress &To, Time Now, Effects &Out) {
   if (Now >= To.SilentAt) {
+    Out.emplace_back(RenewConnection{To.Who.Address, "follower-silent",
+                                     To.SilentAt - SilenceTimeout});
     To.SilentAt = Now + SilenceTimeout;
     To.SnapshotResend = Now;
-    Out.emplace_back(RenewConnection{To.Who.Address, "follower-silent"});
   }
   const bool Behind = !this->Log.knows(To.Next - 1);
   if (Behind && Now >= To.SnapshotResend) {
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -11,7 +11,9 @@
 constexpr std::size_t DeltaPullsPerWindow = 64;
 constexpr std::size_t SnapshotPullsPerWindow = 16;
 constexpr milliseconds PullWindow{200};
-constexpr milliseconds PullTimeout{800};
+/// A source that is asked answers within this time or its answer is large; the
+/// pull goes on as long as the connection gives signs of life.
+constexpr milliseconds PullCheckInterval{800};
 constexpr milliseconds BusyRetryMin{50};
 constexpr milliseconds BusyRetryMax{400};
 
@@ -112,7 +114,7 @@
     return;
   const Source &Chosen = this->Sources[this->Rng.below(this->Sources.size())];
   this->PullFrom = Chosen.Address;
-  this->PullDeadline = Now + PullTimeout;
+  this->PullCheckAt = Now + PullCheckInterval;
   wire::PullRequest Request;
   Request.HaveVersion = this->NeedsSnapshot ? 0 : this->Version;
   Request.HaveHash =
@@ -126,15 +128,24 @@
 }
 
 void Distribution::tick(Time Now, Effects &Out) {
-  if (!this->PullFrom.empty() && Now >= this->PullDeadline) {
-    Out.emplace_back(RenewConnection{this->PullFrom, "pull-timeout"});
-    this->dropSource(this->PullFrom);
-    this->PullFrom.clear();
-    this->PullDeadline = NoDeadline;
+  if (!this->PullFrom.empty() && Now >= this->PullCheckAt) {
+    Out.emplace_back(RenewConnection{this->PullFrom, "pull-timeout",
+                                     this->PullCheckAt - PullCheckInterval});
+    this->PullCheckAt = Now + PullCheckInterval;
   }
   this->startPull(Now, Out);
 }
 
+void Distribution::streamLost(std::string_view Address, Time Now,
+                              Effects &Out) {
+  if (Address != this->PullFrom)
+    return;
+  this->dropSource(Address);
+  this->PullFrom.clear();
+  this->PullCheckAt = NoDeadline;
+  this->startPull(Now, Out);
+}
+
 bool Distribution::admitPull(bool IsSnapshot, Time Now) {
   if (Now >= this->WindowEnd) {
     this->WindowEnd = Now + PullWindow;
@@ -199,7 +210,7 @@
   if (From != this->PullFrom)
     return;
   this->PullFrom.clear();
-  this->PullDeadline = NoDeadline;
+  this->PullCheckAt = NoDeadline;
   if (Reply.Busy) {
     this->dropSource(From);
     this->NextPull = Now + milliseconds(Reply.RetryAfterMs);
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -41,8 +41,11 @@
   /// Puts a pulled version in force whole, or changes nothing.
   void receive(const wire::PullReply &Reply, std::string_view From, Time Now,
                Effects &Out);
-  /// Gives up on a source that does not answer, and pulls again when due.
+  /// Has the connection to a source that does not answer checked, and pulls
+  /// again when due.
   void tick(Time Now, Effects &Out);
+  /// Gives up on a source whose connection ended.
+  void streamLost(std::string_view Address, Time Now, Effects &Out);
 
   std::int64_t version() const { return this->Version; }
   std::uint64_t hash() const { return this->Hash; }
@@ -79,7 +82,8 @@
   std::int64_t HistoryBaseHash = 0;
   std::vector<Source> Sources;
   std::string PullFrom;
-  Time PullDeadline = NoDeadline;
+  /// When the connection of the pull is checked next.
+  Time PullCheckAt = NoDeadline;
   Time NextPull;
   bool NeedsSnapshot = false;
   Time WindowEnd;
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -117,12 +117,16 @@
   std::string Address;
 };
 
-/// Abandons the connection to an address; the next message opens a new one.
-/// StreamLost tells what the abandoned one carried.
+/// Abandons the connection to an address if the peer has given no sign of life
+/// on it since SilentSince; the next message opens a new one. StreamLost tells
+/// what the abandoned one carried, StreamAlive that there was a sign: whoever
+/// waits for an answer cannot tell a dead connection from one that a large
+/// message fills.
 struct RenewConnection {
   std::string Address;
   /// What took the connection for dead, for the log.
   std::string_view Reason;
+  Time SilentSince;
 };
 
 /// Everything planned is done; the process may end.
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -52,6 +52,12 @@
   std::vector<wire::AttemptId> Sent;
 };
 
+/// The peer at this address gave a sign of life on a connection that was taken
+/// for silent.
+struct StreamAlive {
+  std::string Address;
+};
+
 /// A caller's whole request has arrived; the host holds its body.
 struct CallArrived {
   std::int64_t CallNumber = 0;
@@ -178,7 +184,7 @@
                  TargetAnnounced, TargetFound, TargetProbed, RunFinished,
                  ChangeRequested, TeamRequested, ReadRequested, FormRequested,
                  RecoverRequested, StopRequested, ReplaceRequested,
-                 FoundRequested, TargetLeaves, SettingsChanged>;
+                 FoundRequested, TargetLeaves, SettingsChanged, StreamAlive>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -288,7 +288,13 @@
     this->targetChanged(What.At, Out);
 }
 
+void Node::on(const StreamAlive &Body, const Event &What, Effects &) {
+  if (this->Router)
+    this->Router->streamAlive(Body.Address, What.At);
+}
+
 void Node::on(const StreamLost &Body, const Event &What, Effects &Out) {
+  this->Config.streamLost(Body.Address, What.At, Out);
   if (this->Router)
     this->Router->streamLost(Body, What.At, Out);
 }
--- a/tests/distribution/test_distribution.cpp
+++ b/tests/distribution/test_distribution.cpp
@@ -188,6 +188,14 @@
   F.Proxy.heard("other", 6, Start, F.Out);
   CHECK(F.Out.empty());
   F.Proxy.tick(Start + milliseconds(900), F.Out);
+  const auto *Checked =
+      F.Out.empty() ? nullptr : std::get_if<RenewConnection>(&F.Out.front());
+  REQUIRE(Checked != nullptr);
+  CHECK(Checked->SilentSince == Start);
+  // The connection gave no sign of life, so it has ended.
+  const std::string Silent = Checked->Address;
+  F.Out.clear();
+  F.Proxy.streamLost(Silent, Start + milliseconds(900), F.Out);
   bool AskedOther = false;
   for (const Effect &Item : F.Out) {
     const auto *Sent = std::get_if<SendMessage>(&Item);
@@ -195,3 +203,18 @@
   }
   CHECK(AskedOther);
 }
+
+TEST_CASE("an answer that a thin link brings slowly is not asked for again") {
+  Fixture F;
+  const wire::PullReply Slow = F.serve(F.ask(Start), Start);
+  F.Out.clear();
+  // Each check finds that bytes arrive, so nothing ends the pull.
+  for (Time Now = Start; Now < Start + milliseconds(4000);
+       Now += milliseconds(20))
+    F.Proxy.tick(Now, F.Out);
+  for (const Effect &Item : F.Out)
+    CHECK_FALSE(std::holds_alternative<SendMessage>(Item));
+  F.Out.clear();
+  F.Proxy.receive(Slow, "source", Start + milliseconds(4000), F.Out);
+  CHECK(F.Proxy.version() == 6);
+}
--- a/tests/peernetwork/test_peernetwork.cpp
+++ b/tests/peernetwork/test_peernetwork.cpp
@@ -3,6 +3,7 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/write.hpp>
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
@@ -63,7 +64,17 @@
     }
   }
 
+  /// Sends bytes of a message that does not become whole.
+  void sendPartOfMessage(std::size_t Size) {
+    constexpr std::array<unsigned char, LengthBytes> LargeLength = {0, 8, 0, 0};
+    if (this->PartSent == 0)
+      asio::write(*this->Accepted.back(), asio::buffer(LargeLength));
+    asio::write(*this->Accepted.back(), asio::buffer(std::string(Size, 'x')));
+    this->PartSent += Size;
+  }
+
   std::vector<Message> Read;
+  std::size_t PartSent = 0;
 
 private:
   void readFrame(tcp::socket &From) {
@@ -109,6 +120,7 @@
 public:
   void onMessage(std::string, Message) override {}
   void onPathClosed(std::string) override {}
+  void onStreamAlive(std::string) override { this->SignsOfLife += 1; }
   void onStreamLost(StreamLost Lost) override {
     for (const wire::AttemptId &Id : Lost.NotSent)
       this->First.try_emplace(Id.Number, Word::Unsent);
@@ -123,6 +135,7 @@
   }
 
   int Words = 0;
+  int SignsOfLife = 0;
 
 private:
   std::map<std::int64_t, Word> First;
@@ -188,7 +201,8 @@
   /// A pull or replication renews the connection and something else is sent.
   void renewAndSend() {
     const int Before = this->Listener.Words;
-    this->Network->renew(this->Peer.address());
+    this->Network->renew(this->Peer.address(),
+                         std::chrono::steady_clock::now());
     this->Network->send(this->Peer.address(), wire::Heartbeat(),
                         Channel::Stream);
     // The end of the abandoned connection, and that of the next one.
@@ -219,7 +233,7 @@
     Fixture F;
     F.sendCallAndAwaitIt(1);
     F.Peer.refuseMore();
-    F.Network->renew(F.Peer.address());
+    F.Network->renew(F.Peer.address(), std::chrono::steady_clock::now());
     F.Network->send(F.Peer.address(), wire::Heartbeat(), Channel::Stream);
     F.renewAndSend();
     CHECK(F.Listener.saidOfCall(1) == Word::Unsure);
@@ -230,11 +244,35 @@
   Fixture F;
   F.sendCallAndAwaitIt(1);
   F.Network->endAttempt(F.Peer.address(), request(1).Id);
-  F.Network->renew(F.Peer.address());
+  F.Network->renew(F.Peer.address(), std::chrono::steady_clock::now());
   REQUIRE(F.runUntil([&] { return F.Listener.Words > 0; }));
   CHECK(F.Listener.saidOfCall(1) == Word::Nothing);
 }
 
+TEST_CASE("a connection that a large message fills is not taken for silent") {
+  Fixture F;
+  F.sendCallAndAwaitIt(1);
+  F.Peer.sendPartOfMessage(40'000);
+  F.pass(milliseconds(50));
+  const Time Since = std::chrono::steady_clock::now();
+  F.Peer.sendPartOfMessage(10'000);
+  F.pass(milliseconds(50));
+  CHECK_FALSE(F.Network->renew(F.Peer.address(), Since));
+  REQUIRE(F.runUntil([&] { return F.Listener.SignsOfLife > 0; }));
+  CHECK(F.Listener.Words == 0);
+}
+
+TEST_CASE("a connection without a sign of life is renewed") {
+  Fixture F;
+  F.sendCallAndAwaitIt(1);
+  const Time Since = std::chrono::steady_clock::now();
+  F.Network->send(F.Peer.address(), wire::Heartbeat(), Channel::Stream);
+  F.pass(milliseconds(50));
+  CHECK(F.Network->renew(F.Peer.address(), Since));
+  REQUIRE(F.runUntil([&] { return F.Listener.Words > 0; }));
+  CHECK(F.Listener.saidOfCall(1) == Word::Unsure);
+}
+
 TEST_CASE("a call whose connection never opened is told to be unsent") {
   SECTION("because the port refused it") {
     Fixture F;
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -340,6 +340,7 @@
   Fresh.Peer = Address.substr(0, Address.find(':'));
   Fresh.Silent = this->cut(By) || this->cut(*this->byAddress(Address));
   Fresh.Shut = this->byAddress(Address)->Shut;
+  Fresh.HeardAt = this->Now;
   this->OpenLinks[Key] = ++this->LastLink;
   this->Links.emplace(this->LastLink, Fresh);
   if (!Fresh.Shut)
@@ -562,8 +563,11 @@
         if (Over->second.Shut) {
           Item.Body = lostWith(Over->second, StreamEnd::NotOpened);
           this->forgetLink(Over->second);
-        } else if (Over->second.Silent)
+        } else if (Over->second.Silent) {
           continue;
+        } else if (To.Identity.Name == Over->second.Opener) {
+          Over->second.HeardAt = this->Now;
+        }
       }
       this->submit(To, std::move(Item.Body));
     }
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -169,6 +169,8 @@
     /// It never opens; its end is told after the time for that.
     bool Shut = false;
     Time LastDelivery;
+    /// When a message last reached the opener.
+    Time HeardAt;
     /// Attempts that left on this link and are not decided.
     std::set<wire::AttemptId> Carried;
   };
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -103,6 +103,14 @@
   const auto Found = this->OpenLinks.find(Key);
   if (Found == this->OpenLinks.end())
     return;
+  if (this->Links.at(Found->second).HeardAt > What.SilentSince) {
+    Delivery Alive;
+    Alive.To = By.Identity.Name;
+    Alive.Incarnation = By.LastIncarnation;
+    Alive.Body = StreamAlive{What.Address};
+    this->deliver(this->Now, std::move(Alive));
+    return;
+  }
   this->tellLost(By, this->Links.at(Found->second), StreamEnd::Abandoned,
                  this->Now);
   this->Links.erase(Found->second);
