Bench of whole configurations

bench_contents measures what the pull of a whole configuration, and of a delta that adds 1,268 routes, takes on the wire and of the processor on both sides. The routes have the shape in which the platform adapter stores them, with random digits in names and prefixes.

--- /dev/null
+++ b/bench/contents/main.cpp
@@ -0,0 +1,170 @@
+#include "libpersimmon/libpersimmon.h"
+#include "support/platformroutes.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+#include <functional>
+#include <iostream>
+
+using namespace persimmon;
+using nlohmann::json;
+
+namespace {
+
+constexpr int Repeats = 15;
+constexpr int RoutesBefore = 1632;
+constexpr int RoutesAdded = 1268;
+
+/// Runs \p Work several times and returns least, median and greatest
+/// milliseconds of processor time.
+json measure(const std::function<void()> &Work) {
+  std::vector<double> Times;
+  for (int I = 0; I < Repeats; ++I) {
+    const std::clock_t Started = std::clock();
+    Work();
+    Times.push_back(1000.0 * static_cast<double>(std::clock() - Started) /
+                    CLOCKS_PER_SEC);
+  }
+  std::sort(Times.begin(), Times.end());
+  return {{"minMs", Times.front()},
+          {"medianMs", Times[Times.size() / 2]},
+          {"maxMs", Times.back()}};
+}
+
+std::uint64_t sumOf(const SettingsMap &Settings) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Path, Entry] : Settings)
+    Sum += hashOf(Entry);
+  return Sum;
+}
+
+wire::Delta deltaOf(const Distribution &On, std::vector<wire::Setting> Puts) {
+  SettingsMap Content = On.settings();
+  for (const wire::Setting &Entry : Puts)
+    Content[Entry.Path] = Entry;
+  wire::Delta Out;
+  Out.From = On.version();
+  Out.To = Out.From + 1;
+  Out.Hash = static_cast<std::int64_t>(sumOf(Content));
+  Out.Puts = std::move(Puts);
+  return Out;
+}
+
+void apply(Distribution &On, std::vector<wire::Setting> Puts) {
+  const wire::Delta Change = deltaOf(On, std::move(Puts));
+  Effects Out;
+  On.applyCommitted(Change, Out);
+  if (On.version() != Change.To)
+    std::abort();
+}
+
+/// What one pull costs on both sides.
+class PullMeasure {
+public:
+  PullMeasure(Distribution &TheSource, const Distribution &TheReader)
+      : Source(TheSource), Reader(TheReader) {}
+
+  json run() {
+    json Out;
+    Distribution Asking = this->Reader;
+    this->Request = this->ask(Asking);
+    Out["firstServe"] = measure([&] {
+      Distribution Fresh = this->Source;
+      this->serve(Fresh);
+    });
+    Out["copyOfSource"] = measure([&] { Distribution Fresh = this->Source; });
+    this->serve(this->Source);
+    Out["serveAgain"] = measure([&] { this->serve(this->Source); });
+    Out["bytes"] = this->Bytes.size();
+    Out["decode"] = measure([&] { this->read(); });
+    const wire::PullReply Reply = this->read();
+    Out["copyOfReader"] = measure([&] { Distribution Fresh = this->Reader; });
+    Out["copyAndPutInForce"] = measure([&] {
+      Distribution Fresh = this->Reader;
+      this->ask(Fresh);
+      Effects Ignored;
+      Fresh.receive(Reply, "source", this->Now, Ignored);
+      if (Fresh.version() != this->Source.version())
+        std::abort();
+    });
+    return Out;
+  }
+
+private:
+  /// Returns what \p By asks.
+  wire::PullRequest ask(Distribution &By) const {
+    Effects Out;
+    By.heard("source", this->Source.version(), this->Now, Out);
+    return std::get<wire::PullRequest>(std::get<SendMessage>(Out.at(0)).Body);
+  }
+
+  void serve(Distribution &By) {
+    this->Now += std::chrono::seconds(1);
+    Effects Out;
+    By.receive(this->Request, "reader", this->Now, Out);
+    this->Bytes = encode(std::get<SendMessage>(Out.at(0)).Body);
+  }
+
+  wire::PullReply read() const {
+    wire::PullReply Out;
+    settle([&] { return decode(this->Bytes); },
+           [&](Message Body) { Out = std::get<wire::PullReply>(Body); });
+    return Out;
+  }
+
+  Distribution &Source;
+  const Distribution &Reader;
+  wire::PullRequest Request;
+  std::string Bytes;
+  Time Now{std::chrono::hours(1)};
+};
+
+/// Fills \p Out with services and \p Routes routes.
+void fill(Distribution &Out, int Routes) {
+  apply(Out, platformServices(1));
+  apply(Out, platformRoutes(0, Routes, 2));
+}
+
+void measureSnapshot(int Routes) {
+  Distribution Source(1);
+  fill(Source, Routes);
+  json Line = PullMeasure(Source, Distribution(2)).run();
+  Line["phase"] = "snapshot";
+  Line["routes"] = Routes;
+  Line["hashOfAll"] = measure([&] { sumOf(Source.settings()); });
+  const wire::Setting One = Source.settings().begin()->second;
+  Line["oneChange"] = measure([&] {
+    wire::Delta Change;
+    Change.From = Source.version();
+    Change.To = Change.From + 1;
+    Change.Hash = static_cast<std::int64_t>(Source.hash());
+    Change.Puts = {One};
+    Effects Out;
+    Source.applyCommitted(Change, Out);
+    if (Source.version() != Change.To)
+      std::abort();
+  });
+  std::cout << Line.dump() << std::endl;
+}
+
+void measureDelta() {
+  Distribution Source(1);
+  fill(Source, RoutesBefore);
+  const Distribution Reader = Source;
+  apply(Source, platformRoutes(RoutesBefore, RoutesAdded, 3));
+  json Line = PullMeasure(Source, Reader).run();
+  Line["phase"] = "delta";
+  Line["routesBefore"] = RoutesBefore;
+  Line["routesAdded"] = RoutesAdded;
+  std::cout << Line.dump() << std::endl;
+}
+
+} // namespace
+
+int main() {
+  measureSnapshot(1600);
+  measureSnapshot(2900);
+  measureDelta();
+  return 0;
+}
