Large pull replies are packed

Cause: an incident in which 84 daemons started at once behind links of 4.45 Mbit/s. Each pulled a whole configuration of about 2,900 routes, some 600 kB, which takes such a link 1.1 s; none arrived within the pull's time-out.

Content from 4 kB on, whole or deltas, is packed by zlib (level 5). A reply is packed once and kept while it is asked for, at most the whole content and three runs of deltas; a daemon hands on what it pulled without packing it. Unpacking is bounded by the stated size, which is bounded by that of a message; damaged or oversized replies give UpdateRejected (403) and change nothing. Pulls say whether they take packed replies, so a daemon of the older code gets them as before, and unpacked replies are still read. Small replies grow by 4 bytes.

The bound of the test, 139 kB, is what the link carries in a quarter of a second, an eighth of the two seconds in which a version must be in force. Seen failing before: "a whole configuration is too large for a slow link", 620104 <= 139062. The other new tests were written with the change; each of these faults, put in by hand, made one of them fail: kept replies not cleared with their version, not dropped when unasked, no bound on delta runs, pulled replies not handed on, packed for daemons that do not read it, deltas not packed, zlib's status, surplus bytes and the stated size not checked, hash not checked. Not checking that all stated bytes came still passes, as the decoder refuses surplus bytes then.

--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -77,6 +77,7 @@
   this->Settings = std::move(Content);
   this->Version = NewVersion;
   this->Hash = Sum;
+  this->Packed.clear();
   return {};
 }
 
@@ -117,6 +118,7 @@
   Request.HaveVersion = this->NeedsSnapshot ? 0 : this->Version;
   Request.HaveHash =
       this->NeedsSnapshot ? 0 : static_cast<std::int64_t>(this->Hash);
+  Request.TakesPacked = true;
   send(Out, this->PullFrom, Request);
 }
 
@@ -149,20 +151,32 @@
   return true;
 }
 
-bool Distribution::fillDeltas(std::int64_t Have, std::int64_t HaveHash,
-                              wire::PullReply &Reply) const {
-  const auto First =
-      std::find_if(this->History.begin(), this->History.end(),
-                   [&](const wire::Delta &D) { return D.From == Have; });
+std::deque<wire::Delta>::const_iterator
+Distribution::deltasFrom(std::int64_t Have) const {
+  return std::find_if(this->History.begin(), this->History.end(),
+                      [&](const wire::Delta &D) { return D.From == Have; });
+}
+
+bool Distribution::hasDeltasFrom(std::int64_t Have,
+                                 std::int64_t HaveHash) const {
+  const auto First = this->deltasFrom(Have);
   if (First == this->History.end())
     return false;
   const std::int64_t BaseHash = First == this->History.begin()
                                     ? this->HistoryBaseHash
                                     : std::prev(First)->Hash;
-  if (BaseHash != HaveHash)
-    return false;
-  Reply.Deltas.assign(First, this->History.end());
-  return true;
+  return BaseHash == HaveHash;
+}
+
+void Distribution::fillContent(std::int64_t Base,
+                               wire::PullReply &Reply) const {
+  if (Base > 0) {
+    Reply.Deltas.assign(this->deltasFrom(Base), this->History.end());
+    return;
+  }
+  Reply.IsSnapshot = true;
+  for (const auto &[Path, Entry] : this->Settings)
+    Reply.Settings.push_back(Entry);
 }
 
 void Distribution::receive(const wire::PullRequest &Request,
@@ -177,20 +191,24 @@
   // Whoever has nothing, or rejected a delta, asks for all of it.
   const bool HasDeltas =
       Request.HaveVersion > 0 &&
-      this->fillDeltas(Request.HaveVersion, Request.HaveHash, Reply);
+      this->hasDeltasFrom(Request.HaveVersion, Request.HaveHash);
   if (!this->admitPull(!HasDeltas, Now)) {
     Reply.Busy = true;
-    Reply.Deltas.clear();
     Reply.RetryAfterMs = static_cast<std::int32_t>(
         this->Rng.between(BusyRetryMin, BusyRetryMax).count());
     send(Out, From, std::move(Reply));
     return;
   }
-  if (!HasDeltas) {
-    Reply.IsSnapshot = true;
-    for (const auto &[Path, Entry] : this->Settings)
-      Reply.Settings.push_back(Entry);
+  const std::int64_t Base = HasDeltas ? Request.HaveVersion : 0;
+  const wire::PullReply *Kept =
+      Request.TakesPacked ? this->Packed.find(Base, Now) : nullptr;
+  if (Kept != nullptr) {
+    send(Out, From, *Kept);
+    return;
   }
+  this->fillContent(Base, Reply);
+  if (Request.TakesPacked)
+    this->Packed.pack(Base, Reply, Now);
   send(Out, From, std::move(Reply));
 }
 
@@ -210,6 +228,7 @@
     this->startPull(Now, Out);
     return;
   }
+  const std::int64_t Base = Reply.IsSnapshot ? 0 : this->Version;
   const Failure Error = settle([&] { return this->applyReply(Reply); }, [] {});
   if (Error.failed()) {
     Out.emplace_back(LogWarning{"event=update-rejected from=" +
@@ -218,12 +237,21 @@
     this->dropSource(From);
   } else {
     this->NeedsSnapshot = false;
+    // Peers with the same base get what was pulled, without another packing.
+    this->Packed.keep(Base, Reply, Now);
     Out.emplace_back(VersionInForce{this->Version});
   }
   this->startPull(Now, Out);
 }
 
 leaf::result<void> Distribution::applyReply(const wire::PullReply &Reply) {
+  if (Reply.Packed.empty())
+    return this->applyContent(Reply);
+  BOOST_LEAF_AUTO(Unpacked, unpack(Reply));
+  return this->applyContent(Unpacked);
+}
+
+leaf::result<void> Distribution::applyContent(const wire::PullReply &Reply) {
   return Reply.IsSnapshot ? this->applySnapshot(Reply)
                           : this->applyDeltas(Reply);
 }
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "effects.h"
+#include "packedreplies.h"
 #include "random.h"
 #include "routetable.h"
 
@@ -43,6 +44,8 @@
                Effects &Out);
   /// Gives up on a source that does not answer, and pulls again when due.
   void tick(Time Now, Effects &Out);
+  /// Drops packed replies that nobody asks for any more.
+  void dropUnasked(Time Now) { this->Packed.tick(Now); }
 
   std::int64_t version() const { return this->Version; }
   std::uint64_t hash() const { return this->Hash; }
@@ -60,13 +63,15 @@
   void startPull(Time Now, Effects &Out);
   void dropSource(std::string_view Address);
   leaf::result<void> applyReply(const wire::PullReply &Reply);
+  leaf::result<void> applyContent(const wire::PullReply &Reply);
   leaf::result<void> applyDeltas(const wire::PullReply &Reply);
   leaf::result<void> applySnapshot(const wire::PullReply &Reply);
   leaf::result<void> putInForce(SettingsMap Content, std::int64_t NewVersion,
                                 std::int64_t ExpectedHash);
   void remember(const wire::Delta &Change);
-  bool fillDeltas(std::int64_t Have, std::int64_t HaveHash,
-                  wire::PullReply &Reply) const;
+  std::deque<wire::Delta>::const_iterator deltasFrom(std::int64_t Have) const;
+  bool hasDeltasFrom(std::int64_t Have, std::int64_t HaveHash) const;
+  void fillContent(std::int64_t Base, wire::PullReply &Reply) const;
   bool admitPull(bool IsSnapshot, Time Now);
 
   Random Rng;
@@ -77,6 +82,7 @@
   std::uint64_t Hash = 0;
   std::deque<wire::Delta> History;
   std::int64_t HistoryBaseHash = 0;
+  PackedReplies Packed;
   std::vector<Source> Sources;
   std::string PullFrom;
   Time PullDeadline = NoDeadline;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -117,6 +117,7 @@
     this->Control->tick(Now, What.WallMs, Out);
   this->Members.tick(Now, Out);
   this->Config.tick(Now, Out);
+  this->Config.dropUnasked(Now);
   this->Reports.tick(this->Members, this->Config.version(), Now, Out);
   if (this->Router) {
     this->Gate.tick(Now, this->Config.version(), this->Members.self(),
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -5029,6 +5029,10 @@
 void PullRequest::__set_HaveHash(const int64_t val) {
   this->HaveHash = val;
 }
+
+void PullRequest::__set_TakesPacked(const bool val) {
+  this->TakesPacked = val;
+}
 std::ostream& operator<<(std::ostream& out, const PullRequest& obj)
 {
   obj.printTo(out);
@@ -5073,6 +5077,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->TakesPacked);
+          this->__isset.TakesPacked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5098,6 +5110,10 @@
   xfer += oprot->writeI64(this->HaveHash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TakesPacked", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->TakesPacked);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5107,28 +5123,33 @@
   using ::std::swap;
   swap(a.HaveVersion, b.HaveVersion);
   swap(a.HaveHash, b.HaveHash);
+  swap(a.TakesPacked, b.TakesPacked);
   swap(a.__isset, b.__isset);
 }
 
 PullRequest::PullRequest(const PullRequest& other197) noexcept {
   HaveVersion = other197.HaveVersion;
   HaveHash = other197.HaveHash;
+  TakesPacked = other197.TakesPacked;
   __isset = other197.__isset;
 }
 PullRequest::PullRequest(PullRequest&& other198) noexcept {
   HaveVersion = other198.HaveVersion;
   HaveHash = other198.HaveHash;
+  TakesPacked = other198.TakesPacked;
   __isset = other198.__isset;
 }
 PullRequest& PullRequest::operator=(const PullRequest& other199) noexcept {
   HaveVersion = other199.HaveVersion;
   HaveHash = other199.HaveHash;
+  TakesPacked = other199.TakesPacked;
   __isset = other199.__isset;
   return *this;
 }
 PullRequest& PullRequest::operator=(PullRequest&& other200) noexcept {
   HaveVersion = other200.HaveVersion;
   HaveHash = other200.HaveHash;
+  TakesPacked = other200.TakesPacked;
   __isset = other200.__isset;
   return *this;
 }
@@ -5137,6 +5158,7 @@
   out << "PullRequest(";
   out << "HaveVersion=" << to_string(HaveVersion);
   out << ", " << "HaveHash=" << to_string(HaveHash);
+  out << ", " << "TakesPacked=" << to_string(TakesPacked);
   out << ")";
 }
 
@@ -5172,6 +5194,14 @@
 void PullReply::__set_Hash(const int64_t val) {
   this->Hash = val;
 }
+
+void PullReply::__set_Packed(const std::string& val) {
+  this->Packed = val;
+}
+
+void PullReply::__set_UnpackedBytes(const int32_t val) {
+  this->UnpackedBytes = val;
+}
 std::ostream& operator<<(std::ostream& out, const PullReply& obj)
 {
   obj.printTo(out);
@@ -5280,6 +5310,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->Packed);
+          this->__isset.Packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->UnpackedBytes);
+          this->__isset.UnpackedBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5341,6 +5387,14 @@
   xfer += oprot->writeI64(this->Hash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Packed", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeBinary(this->Packed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("UnpackedBytes", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->UnpackedBytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5355,6 +5409,8 @@
   swap(a.Settings, b.Settings);
   swap(a.Version, b.Version);
   swap(a.Hash, b.Hash);
+  swap(a.Packed, b.Packed);
+  swap(a.UnpackedBytes, b.UnpackedBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -5366,6 +5422,8 @@
   Settings = other213.Settings;
   Version = other213.Version;
   Hash = other213.Hash;
+  Packed = other213.Packed;
+  UnpackedBytes = other213.UnpackedBytes;
   __isset = other213.__isset;
 }
 PullReply::PullReply(PullReply&& other214) noexcept {
@@ -5376,6 +5434,8 @@
   Settings = std::move(other214.Settings);
   Version = other214.Version;
   Hash = other214.Hash;
+  Packed = std::move(other214.Packed);
+  UnpackedBytes = other214.UnpackedBytes;
   __isset = other214.__isset;
 }
 PullReply& PullReply::operator=(const PullReply& other215) {
@@ -5386,6 +5446,8 @@
   Settings = other215.Settings;
   Version = other215.Version;
   Hash = other215.Hash;
+  Packed = other215.Packed;
+  UnpackedBytes = other215.UnpackedBytes;
   __isset = other215.__isset;
   return *this;
 }
@@ -5397,6 +5459,8 @@
   Settings = std::move(other216.Settings);
   Version = other216.Version;
   Hash = other216.Hash;
+  Packed = std::move(other216.Packed);
+  UnpackedBytes = other216.UnpackedBytes;
   __isset = other216.__isset;
   return *this;
 }
@@ -5410,6 +5474,8 @@
   out << ", " << "Settings=" << to_string(Settings);
   out << ", " << "Version=" << to_string(Version);
   out << ", " << "Hash=" << to_string(Hash);
+  out << ", " << "Packed=" << to_string(Packed);
+  out << ", " << "UnpackedBytes=" << to_string(UnpackedBytes);
   out << ")";
 }
 
@@ -8408,4 +8474,167 @@
   out << ")";
 }
 
+
+PullContent::~PullContent() noexcept {
+}
+
+
+void PullContent::__set_Deltas(const std::vector<Delta> & val) {
+  this->Deltas = val;
+}
+
+void PullContent::__set_Settings(const std::vector<Setting> & val) {
+  this->Settings = val;
+}
+std::ostream& operator<<(std::ostream& out, const PullContent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PullContent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Deltas.clear();
+            uint32_t _size313;
+            ::apache::thrift::protocol::TType _etype316;
+            xfer += iprot->readListBegin(_etype316, _size313);
+            this->Deltas.resize(_size313);
+            uint32_t _i317;
+            for (_i317 = 0; _i317 < _size313; ++_i317)
+            {
+              xfer += this->Deltas[_i317].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Deltas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Settings.clear();
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->Settings.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
+            {
+              xfer += this->Settings[_i322].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Settings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PullContent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PullContent");
+
+  xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
+    std::vector<Delta> ::const_iterator _iter323;
+    for (_iter323 = this->Deltas.begin(); _iter323 != this->Deltas.end(); ++_iter323)
+    {
+      xfer += (*_iter323).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Settings", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Settings.size()));
+    std::vector<Setting> ::const_iterator _iter324;
+    for (_iter324 = this->Settings.begin(); _iter324 != this->Settings.end(); ++_iter324)
+    {
+      xfer += (*_iter324).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PullContent &a, PullContent &b) {
+  using ::std::swap;
+  swap(a.Deltas, b.Deltas);
+  swap(a.Settings, b.Settings);
+  swap(a.__isset, b.__isset);
+}
+
+PullContent::PullContent(const PullContent& other325) {
+  Deltas = other325.Deltas;
+  Settings = other325.Settings;
+  __isset = other325.__isset;
+}
+PullContent::PullContent(PullContent&& other326) noexcept {
+  Deltas = std::move(other326.Deltas);
+  Settings = std::move(other326.Settings);
+  __isset = other326.__isset;
+}
+PullContent& PullContent::operator=(const PullContent& other327) {
+  Deltas = other327.Deltas;
+  Settings = other327.Settings;
+  __isset = other327.__isset;
+  return *this;
+}
+PullContent& PullContent::operator=(PullContent&& other328) noexcept {
+  Deltas = std::move(other328.Deltas);
+  Settings = std::move(other328.Settings);
+  __isset = other328.__isset;
+  return *this;
+}
+void PullContent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PullContent(";
+  out << "Deltas=" << to_string(Deltas);
+  out << ", " << "Settings=" << to_string(Settings);
+  out << ")";
+}
+
 }} // namespace
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -177,6 +177,8 @@
 
 class OutcomeReply;
 
+class PullContent;
+
 typedef struct _Replica__isset {
   _Replica__isset() : Instance(false), DiskId(false), Address(false) {}
   bool Instance :1;
@@ -1988,11 +1990,15 @@
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj);
 
 typedef struct _PullRequest__isset {
-  _PullRequest__isset() : HaveVersion(false), HaveHash(false) {}
+  _PullRequest__isset() : HaveVersion(false), HaveHash(false), TakesPacked(true) {}
   bool HaveVersion :1;
   bool HaveHash :1;
+  bool TakesPacked :1;
 } _PullRequest__isset;
 
+/**
+ * TakesPacked says that the sender reads packed replies.
+ */
 class PullRequest : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2002,12 +2008,14 @@
   PullRequest& operator=(PullRequest&&) noexcept;
   PullRequest() noexcept
               : HaveVersion(0),
-                HaveHash(0) {
+                HaveHash(0),
+                TakesPacked(false) {
   }
 
   virtual ~PullRequest() noexcept;
   int64_t HaveVersion;
   int64_t HaveHash;
+  bool TakesPacked;
 
   _PullRequest__isset __isset;
 
@@ -2015,12 +2023,16 @@
 
   void __set_HaveHash(const int64_t val);
 
+  void __set_TakesPacked(const bool val);
+
   bool operator == (const PullRequest & rhs) const
   {
     if (!(HaveVersion == rhs.HaveVersion))
       return false;
     if (!(HaveHash == rhs.HaveHash))
       return false;
+    if (!(TakesPacked == rhs.TakesPacked))
+      return false;
     return true;
   }
   bool operator != (const PullRequest &rhs) const {
@@ -2040,7 +2052,7 @@
 std::ostream& operator<<(std::ostream& out, const PullRequest& obj);
 
 typedef struct _PullReply__isset {
-  _PullReply__isset() : Busy(true), RetryAfterMs(true), Deltas(false), IsSnapshot(true), Settings(false), Version(false), Hash(false) {}
+  _PullReply__isset() : Busy(true), RetryAfterMs(true), Deltas(false), IsSnapshot(true), Settings(false), Version(false), Hash(false), Packed(false), UnpackedBytes(true) {}
   bool Busy :1;
   bool RetryAfterMs :1;
   bool Deltas :1;
@@ -2048,8 +2060,14 @@
   bool Settings :1;
   bool Version :1;
   bool Hash :1;
+  bool Packed :1;
+  bool UnpackedBytes :1;
 } _PullReply__isset;
 
+/**
+ * In a packed reply, Packed is a PullContent of UnpackedBytes bytes in compact
+ * encoding, packed by zlib; Deltas and Settings are empty.
+ */
 class PullReply : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2062,7 +2080,9 @@
               RetryAfterMs(0),
               IsSnapshot(false),
               Version(0),
-              Hash(0) {
+              Hash(0),
+              Packed(),
+              UnpackedBytes(0) {
   }
 
   virtual ~PullReply() noexcept;
@@ -2073,6 +2093,8 @@
   std::vector<Setting>  Settings;
   int64_t Version;
   int64_t Hash;
+  std::string Packed;
+  int32_t UnpackedBytes;
 
   _PullReply__isset __isset;
 
@@ -2090,6 +2112,10 @@
 
   void __set_Hash(const int64_t val);
 
+  void __set_Packed(const std::string& val);
+
+  void __set_UnpackedBytes(const int32_t val);
+
   bool operator == (const PullReply & rhs) const
   {
     if (!(Busy == rhs.Busy))
@@ -2106,6 +2132,10 @@
       return false;
     if (!(Hash == rhs.Hash))
       return false;
+    if (!(Packed == rhs.Packed))
+      return false;
+    if (!(UnpackedBytes == rhs.UnpackedBytes))
+      return false;
     return true;
   }
   bool operator != (const PullReply &rhs) const {
@@ -3321,6 +3351,59 @@
 
 std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj);
 
+typedef struct _PullContent__isset {
+  _PullContent__isset() : Deltas(false), Settings(false) {}
+  bool Deltas :1;
+  bool Settings :1;
+} _PullContent__isset;
+
+/**
+ * What a packed PullReply holds.
+ */
+class PullContent : public virtual ::apache::thrift::TBase {
+ public:
+
+  PullContent(const PullContent&);
+  PullContent(PullContent&&) noexcept;
+  PullContent& operator=(const PullContent&);
+  PullContent& operator=(PullContent&&) noexcept;
+  PullContent() noexcept {
+  }
+
+  virtual ~PullContent() noexcept;
+  std::vector<Delta>  Deltas;
+  std::vector<Setting>  Settings;
+
+  _PullContent__isset __isset;
+
+  void __set_Deltas(const std::vector<Delta> & val);
+
+  void __set_Settings(const std::vector<Setting> & val);
+
+  bool operator == (const PullContent & rhs) const
+  {
+    if (!(Deltas == rhs.Deltas))
+      return false;
+    if (!(Settings == rhs.Settings))
+      return false;
+    return true;
+  }
+  bool operator != (const PullContent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PullContent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PullContent &a, PullContent &b);
+
+std::ostream& operator<<(std::ostream& out, const PullContent& obj);
+
 }} // namespace
 
 #endif
--- a/src/libwire/libwire.h
+++ b/src/libwire/libwire.h
@@ -1,9 +1,10 @@
 #pragma once
 
 /// \file
-/// Public header of libwire: messages, result codes and hashes.
+/// Public header of libwire: messages, packing, result codes and hashes.
 
 #include "hash.h"
 #include "message.h"
+#include "packing.h"
 #include "result.h"
 #include "resultcode.h"
--- a/src/libwire/message.cpp
+++ b/src/libwire/message.cpp
@@ -118,6 +118,12 @@
   return Out;
 }
 
+std::string encodeRecord(const wire::PullContent &Record) {
+  std::string Out;
+  append(Out, Record);
+  return Out;
+}
+
 leaf::result<wire::LogEntry> decodeLogEntry(std::string_view Bytes) {
   return parse<wire::LogEntry>(Bytes);
 }
@@ -130,6 +136,10 @@
   return parse<wire::StoreSnapshot>(Bytes);
 }
 
+leaf::result<wire::PullContent> decodePullContent(std::string_view Bytes) {
+  return parse<wire::PullContent>(Bytes);
+}
+
 namespace wire {
 
 bool AttemptId::operator<(const AttemptId &Other) const {
--- a/src/libwire/message.h
+++ b/src/libwire/message.h
@@ -42,9 +42,15 @@
 std::string encodeRecord(const wire::HardState &Record);
 std::string encodeRecord(const wire::StoreSnapshot &Record);
 
+/// Returns the Thrift compact encoding of what a packed reply holds.
+std::string encodeRecord(const wire::PullContent &Record);
+
 /// Decodes a record of the disk. Errors: FrameMalformed.
 leaf::result<wire::LogEntry> decodeLogEntry(std::string_view Bytes);
 leaf::result<wire::HardState> decodeHardState(std::string_view Bytes);
 leaf::result<wire::StoreSnapshot> decodeSnapshot(std::string_view Bytes);
 
+/// Decodes what a packed reply holds. Errors: FrameMalformed.
+leaf::result<wire::PullContent> decodePullContent(std::string_view Bytes);
+
 } // namespace persimmon
--- /dev/null
+++ b/src/libwire/packing.cpp
@@ -0,0 +1,80 @@
+#include "packing.h"
+
+#include <zlib.h>
+
+namespace persimmon {
+
+namespace {
+
+/// 2,900 routes of 620 kB took 5.9 ms of a processor for 86 kB; level 1 took
+/// 3.4 ms for 109 kB, level 9 25 ms for 77 kB.
+constexpr int PackLevel = 5;
+
+const Bytef *bytesOf(const std::string &Text) {
+  return reinterpret_cast<const Bytef *>(Text.data());
+}
+
+Bytef *bytesOf(std::string &Text) {
+  return reinterpret_cast<Bytef *>(Text.data());
+}
+
+leaf::result<std::string> inflated(const wire::PullReply &Reply) {
+  const std::string Version = std::to_string(Reply.Version);
+  const std::int64_t Stated = Reply.UnpackedBytes;
+  if (Stated <= 0 || Stated > static_cast<std::int64_t>(MaxUnpackedBytes))
+    return fail(ResultCode::UpdateRejected, Version,
+                "the packed content has a size of " + std::to_string(Stated));
+  std::string Out(static_cast<std::size_t>(Stated), '\0');
+  uLongf OutBytes = Out.size();
+  uLong Used = Reply.Packed.size();
+  const int Status =
+      uncompress2(bytesOf(Out), &OutBytes, bytesOf(Reply.Packed), &Used);
+  if (Status != Z_OK || OutBytes != Out.size() || Used != Reply.Packed.size())
+    return fail(ResultCode::UpdateRejected, Version,
+                "the packed content is damaged");
+  return Out;
+}
+
+} // namespace
+
+void pack(wire::PullReply &Reply) {
+  wire::PullContent Content;
+  Content.Deltas = std::move(Reply.Deltas);
+  Content.Settings = std::move(Reply.Settings);
+  const std::string Plain = encodeRecord(Content);
+  std::string Packed(compressBound(Plain.size()), '\0');
+  uLongf PackedBytes = Packed.size();
+  const int Status = compress2(bytesOf(Packed), &PackedBytes, bytesOf(Plain),
+                               Plain.size(), PackLevel);
+  if (Status != Z_OK || Plain.size() > MaxUnpackedBytes) {
+    Reply.Deltas = std::move(Content.Deltas);
+    Reply.Settings = std::move(Content.Settings);
+    return;
+  }
+  Packed.resize(PackedBytes);
+  Packed.shrink_to_fit();
+  Reply.Deltas.clear();
+  Reply.Settings.clear();
+  Reply.Packed = std::move(Packed);
+  Reply.UnpackedBytes = static_cast<std::int32_t>(Plain.size());
+}
+
+leaf::result<wire::PullReply> unpack(const wire::PullReply &Packed) {
+  BOOST_LEAF_AUTO(Plain, inflated(Packed));
+  wire::PullReply Out;
+  const Failure Unreadable = settle([&] { return decodePullContent(Plain); },
+                                    [&](wire::PullContent Content) {
+                                      Out.Deltas = std::move(Content.Deltas);
+                                      Out.Settings =
+                                          std::move(Content.Settings);
+                                    });
+  if (Unreadable.failed())
+    return fail(ResultCode::UpdateRejected, std::to_string(Packed.Version),
+                "the packed content cannot be read: " + Unreadable.What);
+  Out.IsSnapshot = Packed.IsSnapshot;
+  Out.Version = Packed.Version;
+  Out.Hash = Packed.Hash;
+  return Out;
+}
+
+} // namespace persimmon
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -245,11 +245,17 @@
   3: bool WantsRecords
 }
 
+/** TakesPacked says that the sender reads packed replies. */
 struct PullRequest {
   1: i64 HaveVersion
   2: i64 HaveHash
+  3: bool TakesPacked = false
 }
 
+/**
+ * In a packed reply, Packed is a PullContent of UnpackedBytes bytes in compact
+ * encoding, packed by zlib; Deltas and Settings are empty.
+ */
 struct PullReply {
   1: bool Busy = false
   2: i32 RetryAfterMs = 0
@@ -258,6 +264,8 @@
   5: list<Setting> Settings
   6: i64 Version
   7: i64 Hash
+  8: binary Packed
+  9: i32 UnpackedBytes = 0
 }
 
 struct Laggard {
@@ -411,3 +419,9 @@
   1: i64 RequestId
   2: CallOutcome Outcome
 }
+
+/** What a packed PullReply holds. */
+struct PullContent {
+  1: list<Delta> Deltas
+  2: list<Setting> Settings
+}
--- a/tests/distribution/test_distribution.cpp
+++ b/tests/distribution/test_distribution.cpp
@@ -1,8 +1,11 @@
 #include "libpersimmon/distribution.h"
+#include "support/platformroutes.h"
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace persimmon;
 
 namespace {
@@ -58,6 +61,21 @@
     this->Out.clear();
   }
 
+  /// Commits one change at the source.
+  void add(std::vector<wire::Setting> Puts) {
+    const std::int64_t Version = this->Source.version() + 1;
+    this->Source.applyCommitted(delta(this->Source, Version, std::move(Puts)),
+                                this->Out);
+    REQUIRE(this->Source.version() == Version);
+    this->Out.clear();
+  }
+
+  /// Gives the source 2,900 routes.
+  void fill() {
+    this->add(platformServices(7));
+    this->add(platformRoutes(0, 2900, 8));
+  }
+
   /// Returns what the proxy asks once it hears of the source's version.
   wire::PullRequest ask(Time Now) {
     this->Out.clear();
@@ -195,3 +213,154 @@
   }
   CHECK(AskedOther);
 }
+
+TEST_CASE("a whole configuration is too large for a slow link") {
+  // A version must be in force within two seconds. On the slowest link seen,
+  // 4.45 Mbit/s, 139 kB take a quarter of a second.
+  constexpr std::size_t LargestBytes = 4'450'000 / 8 / 4;
+  Fixture F;
+  F.fill();
+  const wire::PullReply Reply = F.serve(F.ask(Start), Start);
+  CHECK(encode(Reply).size() <= LargestBytes);
+  F.Proxy.receive(Reply, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == F.Source.version());
+  CHECK(F.Proxy.hash() == F.Source.hash());
+}
+
+TEST_CASE("a large delta is too large for a slow link") {
+  // As above, for the delta that adds 1,268 routes to a proxy with 1,632.
+  constexpr std::size_t LargestBytes = 4'450'000 / 8 / 4;
+  Fixture F;
+  F.add(platformServices(7));
+  F.add(platformRoutes(0, 1632, 8));
+  F.Proxy.receive(F.serve(F.ask(Start), Start), "source", Start, F.Out);
+  REQUIRE(F.Proxy.version() == F.Source.version());
+  F.add(platformRoutes(1632, 1268, 9));
+  const wire::PullReply Reply = F.serve(F.ask(Start), Start);
+  CHECK(!Reply.IsSnapshot);
+  CHECK(encode(Reply).size() <= LargestBytes);
+  F.Proxy.receive(Reply, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == F.Source.version());
+  CHECK(F.Proxy.hash() == F.Source.hash());
+}
+
+TEST_CASE("a daemon that does not read packed replies gets none") {
+  Fixture F;
+  F.fill();
+  wire::PullRequest Old = F.ask(Start);
+  F.serve(Old, Start);
+  Old.TakesPacked = false;
+  const wire::PullReply Reply = F.serve(Old, Start);
+  CHECK(Reply.Packed.empty());
+  CHECK(Reply.Settings.size() == F.Source.settings().size());
+  F.Proxy.receive(Reply, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == F.Source.version());
+}
+
+TEST_CASE("a damaged or oversized packed update changes nothing") {
+  Fixture F;
+  F.fill();
+  const wire::PullReply Whole = F.serve(F.ask(Start), Start);
+  REQUIRE(!Whole.Packed.empty());
+  std::vector<wire::PullReply> Damaged;
+  const auto AddDamaged = [&]() -> wire::PullReply & {
+    return Damaged.emplace_back(Whole);
+  };
+  for (std::size_t At = 0; At < Whole.Packed.size(); At += 4999)
+    AddDamaged().Packed[At] ^= 1;
+  AddDamaged().Packed.back() ^= 1;
+  AddDamaged().Packed.pop_back();
+  AddDamaged().Packed.resize(1);
+  AddDamaged().Packed += '\0';
+  AddDamaged().UnpackedBytes += 1;
+  AddDamaged().UnpackedBytes -= 1;
+  AddDamaged().UnpackedBytes = 0;
+  AddDamaged().UnpackedBytes = -1;
+  AddDamaged().UnpackedBytes = std::numeric_limits<std::int32_t>::max();
+  for (const wire::PullReply &Reply : Damaged) {
+    F.Out.clear();
+    F.Proxy.receive(Reply, "source", Start, F.Out);
+    REQUIRE(!F.Out.empty());
+    const auto *Warning = std::get_if<LogWarning>(&F.Out.front());
+    REQUIRE(Warning != nullptr);
+    CHECK(Warning->Line.find("403 UpdateRejected") != std::string::npos);
+    CHECK(F.Proxy.version() == 0);
+    CHECK(F.Proxy.table() == nullptr);
+    F.ask(Start);
+  }
+  F.Proxy.receive(Whole, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == F.Source.version());
+}
+
+TEST_CASE("a packed update without the announced hash changes nothing") {
+  Fixture F;
+  F.fill();
+  wire::PullReply Reply = F.serve(F.ask(Start), Start);
+  REQUIRE(!Reply.Packed.empty());
+  Reply.Hash += 1;
+  F.Proxy.receive(Reply, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == 0);
+  CHECK(F.Proxy.table() == nullptr);
+}
+
+TEST_CASE("a large content is packed for every peer that asks") {
+  PackedReplies Replies;
+  wire::PullReply Large;
+  Large.Settings = platformRoutes(0, 100, 1);
+  for (const std::int64_t Base : {1, 2, 3, 4, 0}) {
+    wire::PullReply Reply = Large;
+    Replies.pack(Base, Reply, Start);
+    // Deltas from a fourth version go as they are, the whole content never.
+    CHECK(Reply.Packed.empty() == (Base == 4));
+    CHECK(Reply.Settings.empty() == (Base != 4));
+  }
+  CHECK(Replies.size() == 4);
+  REQUIRE(Replies.find(0, Start) != nullptr);
+  CHECK(Replies.find(0, Start) == Replies.find(0, Start));
+  CHECK(Replies.find(4, Start) == nullptr);
+}
+
+TEST_CASE("packed content is kept after nobody asks for it") {
+  PackedReplies Replies;
+  wire::PullReply Reply;
+  Reply.Settings = platformRoutes(0, 100, 1);
+  Replies.pack(0, Reply, Start);
+  const Time Later = Start + std::chrono::seconds(9);
+  Replies.tick(Later);
+  REQUIRE(Replies.find(0, Later) != nullptr);
+  Replies.tick(Later + std::chrono::seconds(9));
+  CHECK(Replies.size() == 1);
+  Replies.tick(Later + std::chrono::seconds(10));
+  CHECK(Replies.size() == 0);
+}
+
+TEST_CASE("packed content of an older version is served") {
+  Fixture F;
+  F.fill();
+  F.serve(F.ask(Start), Start);
+  F.add({setting("mesh/services/late", "{}", 9)});
+  wire::PullRequest All;
+  All.TakesPacked = true;
+  F.Proxy.receive(F.serve(All, Start), "source", Start, F.Out);
+  CHECK(F.Proxy.version() == F.Source.version());
+  CHECK(F.Proxy.hash() == F.Source.hash());
+}
+
+TEST_CASE("a daemon packs again what it pulled") {
+  Fixture F;
+  F.fill();
+  wire::PullRequest Request = F.ask(Start);
+  wire::PullReply Pulled = F.serve(Request, Start);
+  REQUIRE((Pulled.Packed.substr(0, 2) == "\x78\x5e"));
+  // The same content, but said to be packed at another level.
+  Pulled.Packed[1] = '\x9c';
+  F.Proxy.receive(Pulled, "source", Start, F.Out);
+  REQUIRE(F.Proxy.version() == F.Source.version());
+  Effects Served;
+  F.Proxy.receive(Request, "other", Start, Served);
+  const auto Passed =
+      std::get<wire::PullReply>(std::get<SendMessage>(Served.at(0)).Body);
+  CHECK((Passed.Packed == Pulled.Packed));
+  CHECK(Passed.IsSnapshot);
+  CHECK(Passed.Hash == Pulled.Hash);
+}
--- a/tests/support/platformroutes.cpp
+++ b/tests/support/platformroutes.cpp
@@ -64,6 +64,7 @@
 
 std::vector<wire::Setting> platformServices(std::int64_t Version) {
   std::vector<wire::Setting> Out;
+  Out.reserve(Services);
   for (int I = 0; I < Services; ++I)
     Out.push_back(
         setting("mesh/services/" + serviceName(I),
@@ -79,6 +80,7 @@
                                           std::int64_t Version) {
   std::mt19937 Random(static_cast<unsigned>(First) + 1);
   std::vector<wire::Setting> Out;
+  Out.reserve(static_cast<std::size_t>(Count));
   for (int I = First; I < First + Count; ++I)
     Out.push_back(
         setting("mesh/routes/r-" + std::to_string(I) + "-" + hexDigits(Random),
