The hash of a configuration is carried along by changes

The sum over all settings stood in four places, and each change summed all again, though the hash was made a sum so that a change need not; adopt() summed what putInForce() summed once more. Now one function beside SettingsMap sums, and putting or removing a setting carries the hash along, in the store and in deltas.

No fault was visible before, so no test failed before the change. The new tests compare the carried hash with the sum by definition. Faults put in by hand make them fail: a replaced or removed entry not subtracted, the announced hash not compared, a check that changes the store's hash.

--- a/bench/contents/main.cpp
+++ b/bench/contents/main.cpp
@@ -32,13 +32,6 @@
           {"maxMs", Times.back()}};
 }
 
-std::uint64_t sumOf(const SettingsMap &Settings) {
-  std::uint64_t Sum = 0;
-  for (const auto &[Path, Entry] : Settings)
-    Sum += hashOf(Entry);
-  return Sum;
-}
-
 wire::Delta deltaOf(const Distribution &On, std::vector<wire::Setting> Puts) {
   SettingsMap Content = On.settings();
   for (const wire::Setting &Entry : Puts)
@@ -46,7 +39,7 @@
   wire::Delta Out;
   Out.From = On.version();
   Out.To = Out.From + 1;
-  Out.Hash = static_cast<std::int64_t>(sumOf(Content));
+  Out.Hash = static_cast<std::int64_t>(hashOf(Content));
   Out.Puts = std::move(Puts);
   return Out;
 }
@@ -132,7 +125,8 @@
   json Line = PullMeasure(Source, Distribution(2)).run();
   Line["phase"] = "snapshot";
   Line["routes"] = Routes;
-  Line["hashOfAll"] = measure([&] { sumOf(Source.settings()); });
+  std::uint64_t Sum = 0;
+  Line["hashOfAll"] = measure([&] { Sum += hashOf(Source.settings()); });
   const wire::Setting One = Source.settings().begin()->second;
   Line["oneChange"] = measure([&] {
     wire::Delta Change;
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -21,13 +21,12 @@
   if (Change.To <= this->Version)
     return;
   SettingsMap Content = this->Settings;
-  for (const wire::Setting &Entry : Change.Puts)
-    Content[Entry.Path] = Entry;
-  for (const std::string &Path : Change.Removed)
-    Content.erase(Path);
+  std::uint64_t Sum = this->Hash;
+  carryOut(Change, Content, Sum);
   const Failure Error = settle(
       [&] {
-        return this->putInForce(std::move(Content), Change.To, Change.Hash);
+        return this->putInForce(std::move(Content), Sum, Change.To,
+                                Change.Hash);
       },
       [] {});
   if (Error.failed()) {
@@ -42,12 +41,10 @@
                          Effects &Out) {
   if (NewVersion <= this->Version)
     return;
-  std::uint64_t Sum = 0;
-  for (const auto &[Path, Entry] : Content)
-    Sum += hashOf(Entry);
+  const std::uint64_t Sum = hashOf(Content);
   const Failure Error = settle(
       [&] {
-        return this->putInForce(Content, NewVersion,
+        return this->putInForce(Content, Sum, NewVersion,
                                 static_cast<std::int64_t>(Sum));
       },
       [] {});
@@ -61,11 +58,9 @@
 }
 
 leaf::result<void> Distribution::putInForce(SettingsMap Content,
+                                            std::uint64_t Sum,
                                             std::int64_t NewVersion,
                                             std::int64_t ExpectedHash) {
-  std::uint64_t Sum = 0;
-  for (const auto &[Path, Entry] : Content)
-    Sum += hashOf(Entry);
   if (static_cast<std::int64_t>(Sum) != ExpectedHash)
     return fail(ResultCode::UpdateRejected, std::to_string(NewVersion),
                 "the content does not have the announced hash");
@@ -260,8 +255,9 @@
   SettingsMap Content;
   for (const wire::Setting &Entry : Reply.Settings)
     Content[Entry.Path] = Entry;
+  const std::uint64_t Sum = hashOf(Content);
   BOOST_LEAF_CHECK(
-      this->putInForce(std::move(Content), Reply.Version, Reply.Hash));
+      this->putInForce(std::move(Content), Sum, Reply.Version, Reply.Hash));
   this->History.clear();
   this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
   return {};
@@ -269,22 +265,20 @@
 
 leaf::result<void> Distribution::applyDeltas(const wire::PullReply &Reply) {
   SettingsMap Content = this->Settings;
+  std::uint64_t Sum = this->Hash;
   std::int64_t Reached = this->Version;
   for (const wire::Delta &Change : Reply.Deltas) {
     if (Change.From != Reached || Change.To <= Reached)
       return fail(ResultCode::UpdateRejected, std::to_string(Change.To),
                   "the deltas do not follow each other");
-    for (const wire::Setting &Entry : Change.Puts)
-      Content[Entry.Path] = Entry;
-    for (const std::string &Path : Change.Removed)
-      Content.erase(Path);
+    carryOut(Change, Content, Sum);
     Reached = Change.To;
   }
   if (Reached != Reply.Version)
     return fail(ResultCode::UpdateRejected, std::to_string(Reply.Version),
                 "the deltas end at another version");
   BOOST_LEAF_CHECK(
-      this->putInForce(std::move(Content), Reply.Version, Reply.Hash));
+      this->putInForce(std::move(Content), Sum, Reply.Version, Reply.Hash));
   for (const wire::Delta &Change : Reply.Deltas)
     this->remember(Change);
   return {};
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -66,7 +66,9 @@
   leaf::result<void> applyContent(const wire::PullReply &Reply);
   leaf::result<void> applyDeltas(const wire::PullReply &Reply);
   leaf::result<void> applySnapshot(const wire::PullReply &Reply);
-  leaf::result<void> putInForce(SettingsMap Content, std::int64_t NewVersion,
+  /// \p Sum is the hash of \p Content.
+  leaf::result<void> putInForce(SettingsMap Content, std::uint64_t Sum,
+                                std::int64_t NewVersion,
                                 std::int64_t ExpectedHash);
   void remember(const wire::Delta &Change);
   std::deque<wire::Delta>::const_iterator deltasFrom(std::int64_t Have) const;
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -2,6 +2,7 @@
 
 #include "libwire/libwire.h"
 
+#include "settingsmap.h"
 #include "time.h"
 
 #include <map>
@@ -12,9 +13,6 @@
 
 namespace persimmon {
 
-/// All settings of a configuration by path.
-using SettingsMap = std::map<std::string, wire::Setting, std::less<>>;
-
 /// Limits of a service.
 struct ServiceSpec {
   std::string Name;
--- a/src/libpersimmon/settingsstore.cpp
+++ b/src/libpersimmon/settingsstore.cpp
@@ -14,13 +14,15 @@
 constexpr std::size_t MaxChangeIdBytes = 100;
 
 /// Carries out \p Edits, whose versions have been checked, as \p Version.
+/// \p Hash is the hash of \p Settings and stays it.
 wire::Delta carryOut(const std::vector<wire::PathEdit> &Edits,
-                     std::int64_t Version, SettingsMap &Settings) {
+                     std::int64_t Version, SettingsMap &Settings,
+                     std::uint64_t &Hash) {
   wire::Delta Out;
   Out.To = Version;
   for (const wire::PathEdit &Edit : Edits) {
     if (Edit.Remove) {
-      Settings.erase(Edit.Path);
+      removeSetting(Edit.Path, Settings, Hash);
       Out.Removed.push_back(Edit.Path);
       continue;
     }
@@ -28,19 +30,12 @@
     Entry.Path = Edit.Path;
     Entry.Value = Edit.Value;
     Entry.Version = Version;
-    Settings[Edit.Path] = Entry;
+    putSetting(Entry, Settings, Hash);
     Out.Puts.push_back(std::move(Entry));
   }
   return Out;
 }
 
-std::uint64_t hashOfAll(const SettingsMap &Settings) {
-  std::uint64_t Sum = 0;
-  for (const auto &[Path, Entry] : Settings)
-    Sum += hashOf(Entry);
-  return Sum;
-}
-
 } // namespace
 
 leaf::result<void> SettingsStore::checkEdits(const wire::Change &Candidate,
@@ -83,7 +78,8 @@
       settle([&] { return this->checkEdits(Candidate, After); }, [] {});
   if (Refusal.failed())
     return Refusal;
-  carryOut(Candidate.Edits, this->Version + 1, After);
+  std::uint64_t HashAfter = this->Hash;
+  carryOut(Candidate.Edits, this->Version + 1, After, HashAfter);
   if (After.size() > MaxSettings)
     return {ResultCode::LimitExceeded, Candidate.ChangeId, "too many settings"};
   return settle(
@@ -119,10 +115,10 @@
     return std::nullopt;
   AppliedChange Out;
   Out.ChangeId = TheChange.ChangeId;
-  Out.Change = carryOut(TheChange.Edits, NewVersion, this->Settings);
+  Out.Change =
+      carryOut(TheChange.Edits, NewVersion, this->Settings, this->Hash);
   Out.Change.From = this->Version;
   this->Version = NewVersion;
-  this->Hash = hashOfAll(this->Settings);
   Out.Change.Hash = static_cast<std::int64_t>(this->Hash);
   this->remember(TheChange.ChangeId, NewVersion);
   // What was compiled for the check is not compiled again.
@@ -216,7 +212,7 @@
   Fresh.Claims.restore(Snapshot.Claims);
   Fresh.Version = Snapshot.ConfigurationVersion;
   Fresh.VersionBase = Snapshot.VersionBase;
-  Fresh.Hash = hashOfAll(Fresh.Settings);
+  Fresh.Hash = hashOf(Fresh.Settings);
   BOOST_LEAF_AUTO(Built, RouteTable::build(Fresh.Settings, this->Table.get(),
                                            Values::Committed));
   Fresh.Table = std::move(Built);
--- a/tests/distribution/test_distribution.cpp
+++ b/tests/distribution/test_distribution.cpp
@@ -21,6 +21,14 @@
   return Out;
 }
 
+/// The hash by its definition, not carried along.
+std::uint64_t sumOf(const SettingsMap &Content) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Path, Entry] : Content)
+    Sum += hashOf(Entry);
+  return Sum;
+}
+
 wire::Delta delta(const Distribution &On, std::int64_t To,
                   std::vector<wire::Setting> Puts,
                   std::vector<std::string> Removed = {}) {
@@ -32,10 +40,7 @@
     Content[Entry.Path] = Entry;
   for (const std::string &Path : Removed)
     Content.erase(Path);
-  std::uint64_t Sum = 0;
-  for (const auto &[Path, Entry] : Content)
-    Sum += hashOf(Entry);
-  Out.Hash = static_cast<std::int64_t>(Sum);
+  Out.Hash = static_cast<std::int64_t>(sumOf(Content));
   Out.Puts = std::move(Puts);
   Out.Removed = std::move(Removed);
   return Out;
@@ -364,3 +369,41 @@
   CHECK(Passed.IsSnapshot);
   CHECK(Passed.Hash == Pulled.Hash);
 }
+
+TEST_CASE("the hash that changes carry along is not that of the content") {
+  Random Rng(7);
+  SettingsMap Content;
+  std::uint64_t Hash = 0;
+  for (int Version = 1; Version <= 500; ++Version) {
+    wire::Delta Change;
+    for (int I = 0; I < 3; ++I) {
+      // New, replaced, the same again, twice in one change.
+      const std::string Path = "team/routes/r-" + std::to_string(Rng.below(40));
+      Change.Puts.push_back(
+          setting(Path, std::to_string(Rng.below(3)),
+                  static_cast<std::int64_t>(1 + Rng.below(3))));
+      // Removed, or not there.
+      Change.Removed.push_back("team/routes/r-" +
+                               std::to_string(Rng.below(40)));
+    }
+    carryOut(Change, Content, Hash);
+    REQUIRE(Hash == sumOf(Content));
+  }
+  CHECK(!Content.empty());
+}
+
+TEST_CASE("a delta is taken without the announced hash") {
+  Fixture F;
+  F.Proxy.receive(F.serve(F.ask(Start), Start), "source", Start, F.Out);
+  F.Source.applyCommitted(
+      delta(F.Source, 9, {setting("team/services/work", "{}", 9)}), F.Out);
+  wire::PullReply Damaged = F.serve(F.ask(Start), Start);
+  REQUIRE(Damaged.Deltas.size() == 1);
+  Damaged.Deltas[0].Puts[0].Value = R"({"queue":3})";
+  F.Proxy.receive(Damaged, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == 6);
+  wire::Delta Committed = delta(F.Source, 12, {});
+  Committed.Hash += 1;
+  F.Source.applyCommitted(Committed, F.Out);
+  CHECK(F.Source.version() == 9);
+}
--- a/tests/store/test_store.cpp
+++ b/tests/store/test_store.cpp
@@ -245,3 +245,24 @@
     CHECK(!Error.failed());
   }
 }
+
+TEST_CASE("the hash of the store is not that of its content") {
+  Fixture F;
+  const auto Sum = [&] {
+    std::uint64_t Out = 0;
+    for (const auto &[Path, Entry] : F.Store.settings())
+      Out += hashOf(Entry);
+    return Out;
+  };
+  const std::string Path = "team/services/work";
+  const std::string Other = "team/services/other";
+  REQUIRE(!F.submit({F.put(Path, "{}", 0), F.put(Other, "{}", 0)}).failed());
+  CHECK(F.Store.hash() == Sum());
+  REQUIRE(!F.submit({F.put(Path, R"({"queue":2})", 1)}).failed());
+  CHECK(F.Store.hash() == Sum());
+  REQUIRE(!F.Store.check(F.change({F.remove(Other, 1)})).failed());
+  CHECK(F.Store.hash() == Sum());
+  REQUIRE(!F.submit({F.remove(Other, 1), F.put(Path, "{}", 2)}).failed());
+  CHECK(F.Store.settings().size() == 1);
+  CHECK(F.Store.hash() == Sum());
+}
