Bound a head that comes line by line

Cause: the parser's limit on a head counts only what it has not taken yet. A target whose reads end with the first letter of the next line has each line taken by itself, so its head grew without end until the deadline.

Ruled out: one long line, a reason without end, bytes that form no head, a head of one byte a time, and a body without end are ended by the parser's own limits and the deadline; their tests pass before and after.

Change: AnswerReader, taken out of TargetConnection, counts the bytes of a head itself and refuses more than 64 KiB. The parser is asked for one part at a time, so that head and body are told apart.

Test: build/tests/targetclient/test_targetclient "a head that comes line*" before: FAILED: CHECK( std::chrono::steady_clock::now() < Request.Deadline ), it ran 1.502 s to its deadline; after: passed. The whole of test_targetclient passes.

--- /dev/null
+++ b/src/libhost/answerreader.cpp
@@ -0,0 +1,92 @@
+#include "answerreader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmon {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t MaxBodyBytes = 32u << 20;
+constexpr std::uint32_t MaxHeadBytes = 64u << 10;
+constexpr int FirstFinalStatus = 200;
+
+} // namespace
+
+void AnswerReader::begin(std::string_view Method) {
+  this->NoBody = Method == "HEAD";
+  this->startParser();
+}
+
+void AnswerReader::startParser() {
+  this->HeadBytes = 0;
+  this->Incoming.emplace();
+  this->Incoming->body_limit(MaxBodyBytes);
+  this->Incoming->header_limit(MaxHeadBytes);
+  this->Incoming->skip(this->NoBody);
+}
+
+void AnswerReader::add(std::string_view Bytes) {
+  const auto Space = this->Unparsed.prepare(Bytes.size());
+  std::copy(Bytes.begin(), Bytes.end(), static_cast<char *>(Space.data()));
+  this->Unparsed.commit(Bytes.size());
+}
+
+AnswerReader::State AnswerReader::read() {
+  while (this->hasMore()) {
+    const bool InHead = !this->Incoming->is_header_done();
+    boost::beast::error_code Error;
+    const std::size_t Used = this->Incoming->put(this->Unparsed.data(), Error);
+    this->Unparsed.consume(Used);
+    const bool NeedsMore = Error == http::error::need_more;
+    if (Error && !NeedsMore)
+      return State::Refused;
+    if (InHead)
+      this->HeadBytes += Used;
+    if (!this->withinBounds())
+      return State::Refused;
+    if (NeedsMore)
+      return State::NeedsMore;
+    if (!this->Incoming->is_done())
+      continue;
+    if (static_cast<int>(this->Incoming->get().result_int()) >=
+        FirstFinalStatus)
+      return State::Whole;
+    this->startParser();
+  }
+  return State::NeedsMore;
+}
+
+bool AnswerReader::withinBounds() const {
+  const bool InHead = !this->Incoming->is_header_done();
+  return this->HeadBytes + (InHead ? this->Unparsed.size() : 0) <= MaxHeadBytes;
+}
+
+AnswerReader::State AnswerReader::end() {
+  if (!this->Incoming->is_header_done())
+    return State::Refused;
+  boost::beast::error_code Error;
+  this->Incoming->put_eof(Error);
+  return !Error && this->Incoming->is_done() ? State::Whole : State::Refused;
+}
+
+TargetAnswer AnswerReader::take() {
+  auto Message = this->Incoming->release();
+  TargetAnswer Out;
+  Out.End = RunEnd::Answered;
+  Out.Status = static_cast<int>(Message.result_int());
+  for (const auto &Field : Message) {
+    wire::Header Item;
+    Item.Name = std::string(Field.name_string());
+    Item.Value = std::string(Field.value());
+    Out.Headers.push_back(std::move(Item));
+  }
+  Out.Body = std::move(Message.body());
+  return Out;
+}
+
+void AnswerReader::passOver() { this->startParser(); }
+
+} // namespace persimmon
--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-namespace http = boost::beast::http;
-
-constexpr std::size_t MaxAnswerBytes = 32u << 20;
-constexpr std::uint32_t MaxAnswerHeaderBytes = 64u << 10;
 /// The target is on the same instance: a connection opens at once or not.
 constexpr milliseconds ConnectTimeout{250};
 /// Targets close idle connections after some seconds, if they name no timeout.
@@ -74,26 +70,17 @@
                            TargetClient::Done Then) {
   this->Address = Request.Address;
   this->Outgoing = serialize(Request);
-  this->Method = Request.Method;
   this->Deadline = Request.Deadline;
   this->Belongs = Request.Belongs;
   this->WhenDone = std::move(Then);
   this->Sent = false;
   this->Written = false;
-  this->startParser();
+  this->Reader.begin(Request.Method);
   if (this->Connected)
     return this->send();
   this->connect();
 }
 
-void TargetConnection::startParser() {
-  this->Incoming.emplace();
-  this->Incoming->body_limit(MaxAnswerBytes);
-  this->Incoming->header_limit(MaxAnswerHeaderBytes);
-  this->Incoming->eager(true);
-  this->Incoming->skip(this->Method == "HEAD");
-}
-
 void TargetConnection::startTimer(Time Until) {
   this->CloseAt = Until;
   if (Until == NoDeadline) {
@@ -166,66 +153,38 @@
     // An answer without a length ends with its connection, but one that was
     // reset is not whole.
     if (Error == asio::error::eof && this->busy() &&
-        this->Incoming->is_header_done()) {
-      boost::beast::error_code Bad;
-      this->Incoming->put_eof(Bad);
-      if (!Bad && this->Incoming->is_done()) {
-        this->Reusable = false;
-        return this->answerComplete();
-      }
+        this->Reader.end() == AnswerReader::State::Whole) {
+      this->Reusable = false;
+      return this->answerComplete();
     }
     return this->close();
   }
   if (!this->busy())
     return this->close(); // Nobody waits for these bytes.
-  const auto Space = this->Unparsed.prepare(Size);
-  std::copy_n(this->Buffer.data(), Size, static_cast<char *>(Space.data()));
-  this->Unparsed.commit(Size);
+  this->Reader.add({this->Buffer.data(), Size});
   if (this->parse())
     this->read();
 }
 
 bool TargetConnection::parse() {
-  while (this->busy() && this->Unparsed.size() > 0) {
-    boost::beast::error_code Error;
-    this->Unparsed.consume(this->Incoming->put(this->Unparsed.data(), Error));
-    if (Error == http::error::need_more)
+  while (this->busy() && this->Reader.hasMore()) {
+    const AnswerReader::State Reached = this->Reader.read();
+    if (Reached == AnswerReader::State::NeedsMore)
       return true;
-    if (Error) {
+    if (Reached == AnswerReader::State::Refused) {
       this->close();
       return false;
     }
-    if (this->Incoming->is_done())
-      this->answerComplete();
+    this->answerComplete();
   }
-  if (!this->Closed && this->Unparsed.size() > 0)
+  if (!this->Closed && this->Reader.hasMore())
     this->close(); // More than the answer came.
   return !this->Closed;
 }
 
-TargetAnswer TargetConnection::takeAnswer() {
-  auto Message = this->Incoming->release();
-  TargetAnswer Out;
-  Out.End = RunEnd::Answered;
-  Out.Status = static_cast<int>(Message.result_int());
-  for (const auto &Field : Message) {
-    wire::Header Item;
-    Item.Name = std::string(Field.name_string());
-    Item.Value = std::string(Field.value());
-    Out.Headers.push_back(std::move(Item));
-  }
-  Out.Body = std::move(Message.body());
-  return Out;
-}
-
 void TargetConnection::answerComplete() {
-  constexpr int FirstFinalStatus = 200;
-  const bool KeepAlive = this->Incoming->keep_alive();
-  TargetAnswer Answer = this->takeAnswer();
-  if (Answer.Status < FirstFinalStatus) {
-    this->startParser();
-    return;
-  }
+  const bool KeepAlive = this->Reader.keepAlive();
+  TargetAnswer Answer = this->Reader.take();
   this->Reusable = this->Reusable && KeepAlive;
   if (this->Belongs && !this->Belongs(Answer)) {
     // An answer to an earlier request. Ours may follow, but what else this
@@ -233,7 +192,7 @@
     this->Reusable = false;
     if (!KeepAlive)
       return this->close();
-    this->startParser();
+    this->Reader.passOver();
     return;
   }
   const milliseconds IdleTimeout = idleTimeoutOf(Answer.header("Keep-Alive"));
@@ -241,8 +200,7 @@
       std::chrono::steady_clock::now() + IdleTimeout * IdlePartOfTen / 10;
   // The target may still wait for the rest of a request that it has answered
   // already; another request must not arrive there.
-  const bool Keep =
-      this->Reusable && this->Written && this->Unparsed.size() == 0;
+  const bool Keep = this->Reusable && this->Written && !this->Reader.hasMore();
   this->Timer.cancel();
   TargetClient::Done Then = std::move(this->WhenDone);
   this->WhenDone = nullptr;
--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "answerreader.h"
 #include "targetclient.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <array>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace persimmon {
@@ -53,9 +49,6 @@
   const std::string &address() const { return this->Address; }
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void connect();
   void send();
   void read();
@@ -63,10 +56,8 @@
   /// Returns whether the connection can go on reading.
   bool parse();
   void answerComplete();
-  void startParser();
   void closeAs(RunEnd End);
   void startTimer(Time Deadline);
-  TargetAnswer takeAnswer();
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
@@ -75,13 +66,11 @@
   std::string Outgoing;
   TargetClient::Done WhenDone;
   std::function<bool(const TargetAnswer &)> Belongs;
-  std::string Method;
   Time Deadline = NoDeadline;
   Time CloseAt = NoDeadline;
   Time IdleUntil = NoDeadline;
   std::array<char, 16384> Buffer{};
-  boost::beast::flat_buffer Unparsed;
-  std::optional<Parser> Incoming;
+  AnswerReader Reader;
   bool Connected = false;
   bool Sent = false;
   bool Written = false;
--- /dev/null
+++ b/tests/targetclient/test_endlessanswers.cpp
@@ -0,0 +1,204 @@
+#include "libhost/targetclient.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace persimmon;
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t MiB = 1u << 20;
+/// Sockets may hold some MiB that nobody read; a run without a bound passes
+/// hundreds until its deadline.
+constexpr std::size_t SocketBytes = 32 * MiB;
+
+/// What a target sends when a request's head has arrived.
+struct Flow {
+  std::string Beginning;
+  /// Sent again and again until the connection is closed, if not empty.
+  std::string Again;
+  milliseconds Pause{0};
+};
+
+/// A target that answers a request with a flow and then waits for the end of
+/// the connection. A path "/whole" gets a small whole answer.
+class EndlessTarget {
+public:
+  EndlessTarget(asio::io_context &Context, Flow TheFlow)
+      : Acceptor(Context,
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        Endless(std::move(TheFlow)) {
+    this->accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->Acceptor.local_endpoint().port());
+  }
+
+  /// Bytes that connections took.
+  std::size_t Sent = 0;
+
+private:
+  struct Peer {
+    explicit Peer(tcp::socket TheSocket)
+        : Socket(std::move(TheSocket)), Timer(this->Socket.get_executor()) {}
+    tcp::socket Socket;
+    asio::steady_timer Timer;
+    std::string Buffer;
+    std::string Outgoing;
+  };
+
+  void accept() {
+    this->Acceptor.async_accept(
+        [this](std::error_code Error, tcp::socket Socket) {
+          if (Error)
+            return;
+          Socket.set_option(tcp::no_delay(true));
+          this->serve(std::make_shared<Peer>(std::move(Socket)));
+          this->accept();
+        });
+  }
+
+  void serve(const std::shared_ptr<Peer> &From) {
+    asio::async_read_until(
+        From->Socket, asio::dynamic_buffer(From->Buffer), "\r\n\r\n",
+        [this, From](std::error_code Error, std::size_t Size) {
+          if (Error)
+            return;
+          const bool Whole = From->Buffer.find(" /whole ") < Size;
+          From->Buffer.erase(0, Size);
+          From->Outgoing = Whole
+                               ? "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+                                 "all"
+                               : this->Endless.Beginning;
+          this->send(From, !Whole);
+        });
+  }
+
+  void send(const std::shared_ptr<Peer> &To, bool More) {
+    asio::async_write(
+        To->Socket, asio::buffer(To->Outgoing),
+        [this, To, More](std::error_code Error, std::size_t Size) {
+          this->Sent += Size;
+          if (Error)
+            return;
+          if (!More || this->Endless.Again.empty())
+            return this->serve(To);
+          this->sendAgain(To);
+        });
+  }
+
+  void sendAgain(const std::shared_ptr<Peer> &To) {
+    To->Outgoing = this->Endless.Again;
+    if (this->Endless.Pause.count() == 0)
+      return this->send(To, true);
+    To->Timer.expires_after(this->Endless.Pause);
+    To->Timer.async_wait([this, To](std::error_code Error) {
+      if (!Error)
+        this->send(To, true);
+    });
+  }
+
+  tcp::acceptor Acceptor;
+  Flow Endless;
+};
+
+std::string repeat(std::string_view Text, std::size_t Count) {
+  std::string Out;
+  Out.reserve(Text.size() * Count);
+  for (std::size_t I = 0; I < Count; ++I)
+    Out += Text;
+  return Out;
+}
+
+struct EndlessFixture {
+  static constexpr milliseconds Span{1500};
+
+  asio::io_context Io;
+  EndlessTarget Target;
+  TargetClient Client{Io};
+
+  explicit EndlessFixture(Flow TheFlow) : Target(Io, std::move(TheFlow)) {}
+
+  TargetRequest request(const std::string &Url = "/x") const {
+    TargetRequest Out;
+    Out.Address = this->Target.address();
+    Out.Method = "GET";
+    Out.Url = Url;
+    Out.Deadline = std::chrono::steady_clock::now() + Span;
+    return Out;
+  }
+
+  TargetAnswer run(const TargetRequest &Request) {
+    std::optional<TargetAnswer> Got;
+    this->Client.start(Request,
+                       [&](TargetAnswer Answer) { Got = std::move(Answer); });
+    this->Io.restart();
+    while (!Got && this->Io.run_one() > 0)
+      ;
+    REQUIRE(Got);
+    return *Got;
+  }
+
+  /// Runs a request whose answer must be ended for its bytes, not its time.
+  void endsByBytes(const TargetRequest &Request) {
+    CHECK(this->run(Request).End == RunEnd::Broken);
+    CHECK(std::chrono::steady_clock::now() < Request.Deadline);
+    CHECK(this->Target.Sent < SocketBytes);
+    CHECK(this->run(this->request("/whole")).Body == "all");
+  }
+};
+
+} // namespace
+
+TEST_CASE("a head without end ends its connection") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nX-A: ", repeat("a", 4096)});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("a reason without end ends its connection") {
+  EndlessFixture F({"HTTP/1.1 200 ", repeat("a", 4096)});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("bytes that never form a head end their connection") {
+  EndlessFixture F({"", std::string(4096, '\0')});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("a head that comes line by line without end ends its connection") {
+  // Each read ends with the first letter of the next line, so a parser that
+  // bounds only what it has not taken yet sees one short line each time.
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nX", ": " + repeat("a", 8000) + "\r\nX",
+                    milliseconds(1)});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("a body without end ends its connection") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\n\r\n", repeat("a", 65536)});
+  CHECK(F.run(F.request()).End == RunEnd::Broken);
+  CHECK(F.Target.Sent < 32 * MiB + SocketBytes);
+}
+
+TEST_CASE("an answer of one byte a time ends at the request's deadline") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nX-A: ", "a", milliseconds(100)});
+  TargetRequest Request = F.request();
+  Request.Deadline = std::chrono::steady_clock::now() + milliseconds(500);
+  CHECK(F.run(Request).End == RunEnd::Broken);
+  CHECK(std::chrono::steady_clock::now() >= Request.Deadline);
+  CHECK(std::chrono::steady_clock::now() <
+        Request.Deadline + milliseconds(500));
+}
