Bound the informational heads before an answer

Cause: a head with a status below 200 was passed over and the next one read, as often as the target sent one, until the request's deadline.

Change: 100 such heads and 64 KiB of them for one request; beyond that the connection is ended and the call may have run.

Test: build/tests/targetclient/test_targetclient "informational heads*" before: FAILED: CHECK( std::chrono::steady_clock::now() < Request.Deadline ) in both, after 1.50 s; the first also FAILED: CHECK( this->Target.Sent < SocketBytes ) with bytes taken. After: passed. "some informational heads may come before an answer" passes before and after.

--- a/src/libhost/answerreader.cpp
+++ b/src/libhost/answerreader.cpp
@@ -12,11 +12,16 @@
 constexpr std::size_t MaxBodyBytes = 32u << 20;
 constexpr std::uint32_t MaxHeadBytes = 64u << 10;
 constexpr int FirstFinalStatus = 200;
+/// Informational heads before one answer. A target that works for the ten
+/// minutes that a caller is waited for may say so every six seconds.
+constexpr int MaxInformationalHeads = 100;
 
 } // namespace
 
 void AnswerReader::begin(std::string_view Method) {
   this->NoBody = Method == "HEAD";
+  this->InformationalHeads = 0;
+  this->InformationalBytes = 0;
   this->startParser();
 }
 
@@ -54,7 +59,8 @@
     if (static_cast<int>(this->Incoming->get().result_int()) >=
         FirstFinalStatus)
       return State::Whole;
-    this->startParser();
+    if (!this->passInformational())
+      return State::Refused;
   }
   return State::NeedsMore;
 }
@@ -64,6 +70,14 @@
   return this->HeadBytes + (InHead ? this->Unparsed.size() : 0) <= MaxHeadBytes;
 }
 
+bool AnswerReader::passInformational() {
+  this->InformationalHeads += 1;
+  this->InformationalBytes += this->HeadBytes;
+  this->startParser();
+  return this->InformationalHeads <= MaxInformationalHeads &&
+         this->InformationalBytes <= MaxHeadBytes;
+}
+
 AnswerReader::State AnswerReader::end() {
   if (!this->Incoming->is_header_done())
     return State::Refused;
--- a/src/libhost/answerreader.h
+++ b/src/libhost/answerreader.h
@@ -48,12 +48,16 @@
 
   void startParser();
   bool withinBounds() const;
+  /// Returns whether another head may follow.
+  bool passInformational();
 
   boost::beast::flat_buffer Unparsed;
   std::optional<Parser> Incoming;
   /// Of a request that gets a head only.
   bool NoBody = false;
   std::size_t HeadBytes = 0;
+  int InformationalHeads = 0;
+  std::size_t InformationalBytes = 0;
 };
 
 } // namespace persimmon
--- a/tests/targetclient/test_endlessanswers.cpp
+++ b/tests/targetclient/test_endlessanswers.cpp
@@ -187,6 +187,26 @@
   F.endsByBytes(F.request());
 }
 
+TEST_CASE("informational heads without end end their connection") {
+  EndlessFixture F({"", repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("informational heads that trickle without end end their connection") {
+  EndlessFixture F({"", "HTTP/1.1 102 Processing\r\n\r\n", milliseconds(1)});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("some informational heads may come before an answer") {
+  EndlessFixture F(
+      {repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 20) +
+           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+       ""});
+  const TargetAnswer Got = F.run(F.request());
+  CHECK(Got.End == RunEnd::Answered);
+  CHECK(Got.Body == "ok");
+}
+
 TEST_CASE("a body without end ends its connection") {
   EndlessFixture F({"HTTP/1.1 200 OK\r\n\r\n", repeat("a", 65536)});
   CHECK(F.run(F.request()).End == RunEnd::Broken);
