Bound what chunks may take beside a body

Cause: the parser waits for the end of a chunk's head or of the trailers without any limit and keeps all of it; and a body of chunks with long extensions takes any number of bytes up to its 32 MiB.

Change: the unread part of a chunk's head or of trailers is bounded as a head is, 64 KiB; all that is not body is bounded to 64 KiB and 16 bytes for each byte of the body, so that chunks of one byte still pass.

"a body in chunks of one byte is whole" passes before and after.

--- a/src/libhost/answerreader.cpp
+++ b/src/libhost/answerreader.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t MaxBodyBytes = 32u << 20;
 constexpr std::uint32_t MaxHeadBytes = 64u << 10;
 constexpr int FirstFinalStatus = 200;
+/// What chunks may take beside each byte of a body: a chunk of one byte with a
+/// size of eight digits and its line ends takes 13 bytes.
+constexpr std::size_t FramingForBodyByte = 16;
 /// Informational heads before one answer. A target that works for the ten
 /// minutes that a caller is waited for may say so every six seconds.
 constexpr int MaxInformationalHeads = 100;
@@ -27,6 +30,7 @@
 
 void AnswerReader::startParser() {
   this->HeadBytes = 0;
+  this->FramingBytes = 0;
   this->Incoming.emplace();
   this->Incoming->body_limit(MaxBodyBytes);
   this->Incoming->header_limit(MaxHeadBytes);
@@ -42,6 +46,7 @@
 AnswerReader::State AnswerReader::read() {
   while (this->hasMore()) {
     const bool InHead = !this->Incoming->is_header_done();
+    const std::size_t BodyBefore = this->bodyBytes();
     boost::beast::error_code Error;
     const std::size_t Used = this->Incoming->put(this->Unparsed.data(), Error);
     this->Unparsed.consume(Used);
@@ -50,10 +55,14 @@
       return State::Refused;
     if (InHead)
       this->HeadBytes += Used;
+    else
+      this->FramingBytes += Used - (this->bodyBytes() - BodyBefore);
     if (!this->withinBounds())
       return State::Refused;
+    // What is left belongs to a head, to the head of a chunk or to trailers.
     if (NeedsMore)
-      return State::NeedsMore;
+      return this->Unparsed.size() <= MaxHeadBytes ? State::NeedsMore
+                                                   : State::Refused;
     if (!this->Incoming->is_done())
       continue;
     if (static_cast<int>(this->Incoming->get().result_int()) >=
@@ -67,7 +76,11 @@
 
 bool AnswerReader::withinBounds() const {
   const bool InHead = !this->Incoming->is_header_done();
-  return this->HeadBytes + (InHead ? this->Unparsed.size() : 0) <= MaxHeadBytes;
+  if (InHead)
+    return this->HeadBytes + this->Unparsed.size() <= MaxHeadBytes;
+  return this->HeadBytes <= MaxHeadBytes &&
+         this->FramingBytes <=
+             MaxHeadBytes + FramingForBodyByte * this->bodyBytes();
 }
 
 bool AnswerReader::passInformational() {
--- a/src/libhost/answerreader.h
+++ b/src/libhost/answerreader.h
@@ -47,6 +47,7 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void startParser();
+  std::size_t bodyBytes() const { return this->Incoming->get().body().size(); }
   bool withinBounds() const;
   /// Returns whether another head may follow.
   bool passInformational();
@@ -56,6 +57,8 @@
   /// Of a request that gets a head only.
   bool NoBody = false;
   std::size_t HeadBytes = 0;
+  /// Of chunks: their heads, line ends and trailers.
+  std::size_t FramingBytes = 0;
   int InformationalHeads = 0;
   std::size_t InformationalBytes = 0;
 };
--- a/tests/targetclient/test_endlessanswers.cpp
+++ b/tests/targetclient/test_endlessanswers.cpp
@@ -207,6 +207,36 @@
   CHECK(Got.Body == "ok");
 }
 
+TEST_CASE("a chunk extension without end ends its connection") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "1;a=",
+                    repeat("a", 4096)});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("chunks that are mostly extension end their connection") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "1;a=" + repeat("a", 4096) + "\r\nx\r\n"});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("trailers without end end their connection") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n",
+                    "X-A: " + repeat("a", 4096) + "\r\n"});
+  F.endsByBytes(F.request());
+}
+
+TEST_CASE("a body in chunks of one byte is whole") {
+  constexpr std::size_t Count = 100'000;
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                        repeat("1\r\nx\r\n", Count) + "0\r\nX-T: t\r\n\r\n",
+                    ""});
+  const TargetAnswer Got = F.run(F.request());
+  CHECK(Got.End == RunEnd::Answered);
+  CHECK(Got.Body.size() == Count);
+}
+
 TEST_CASE("a body without end ends its connection") {
   EndlessFixture F({"HTTP/1.1 200 OK\r\n\r\n", repeat("a", 65536)});
   CHECK(F.run(F.request()).End == RunEnd::Broken);
