Bound the answers to others before the own one

Cause: an answer that is to another request is passed over, rightly, but any number of them was, until the request's deadline.

Change: eight for one request; beyond that the connection is ended and the call may have run.

Test: build/tests/targetclient/test_targetclient "answers to nobody*" before: FAILED: CHECK( std::chrono::steady_clock::now() < Request.Deadline ) after 1.501 s and FAILED: CHECK( this->Target.Sent < SocketBytes ) with bytes taken. After: passed.

--- a/src/libhost/answerreader.cpp
+++ b/src/libhost/answerreader.cpp
@@ -18,11 +18,15 @@
 /// Informational heads before one answer. A target that works for the ten
 /// minutes that a caller is waited for may say so every six seconds.
 constexpr int MaxInformationalHeads = 100;
+/// Answers to earlier requests that may come first. Each request that went over
+/// the connection may have left one that comes late; one is usual.
+constexpr int MaxAnswersToOthers = 8;
 
 } // namespace
 
 void AnswerReader::begin(std::string_view Method) {
   this->NoBody = Method == "HEAD";
+  this->AnswersToOthers = 0;
   this->InformationalHeads = 0;
   this->InformationalBytes = 0;
   this->startParser();
@@ -114,6 +118,10 @@
   return Out;
 }
 
-void AnswerReader::passOver() { this->startParser(); }
+bool AnswerReader::passOver() {
+  this->AnswersToOthers += 1;
+  this->startParser();
+  return this->AnswersToOthers <= MaxAnswersToOthers;
+}
 
 } // namespace persimmon
--- a/src/libhost/answerreader.h
+++ b/src/libhost/answerreader.h
@@ -36,8 +36,9 @@
   /// Takes the whole answer.
   TargetAnswer take();
 
-  /// Waits for another answer, as the last one is to another request.
-  void passOver();
+  /// Waits for another answer, as the last one is to another request. Returns
+  /// whether another may follow.
+  bool passOver();
 
   /// Whether bytes are left that were not read.
   bool hasMore() const { return this->Unparsed.size() > 0; }
@@ -59,6 +60,7 @@
   std::size_t HeadBytes = 0;
   /// Of chunks: their heads, line ends and trailers.
   std::size_t FramingBytes = 0;
+  int AnswersToOthers = 0;
   int InformationalHeads = 0;
   std::size_t InformationalBytes = 0;
 };
--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -190,9 +190,8 @@
     // An answer to an earlier request. Ours may follow, but what else this
     // connection brings is not to be trusted.
     this->Reusable = false;
-    if (!KeepAlive)
-      return this->close();
-    this->Reader.passOver();
+    if (!KeepAlive || !this->Reader.passOver())
+      this->close();
     return;
   }
   const milliseconds IdleTimeout = idleTimeoutOf(Answer.header("Keep-Alive"));
--- a/tests/targetclient/test_endlessanswers.cpp
+++ b/tests/targetclient/test_endlessanswers.cpp
@@ -237,6 +237,16 @@
   CHECK(Got.Body.size() == Count);
 }
 
+TEST_CASE("answers to nobody without end end their connection") {
+  EndlessFixture F(
+      {"", repeat("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", 100)});
+  TargetRequest Request = F.request();
+  Request.Belongs = [](const TargetAnswer &Answer) {
+    return Answer.Body == "all";
+  };
+  F.endsByBytes(Request);
+}
+
 TEST_CASE("a body without end ends its connection") {
   EndlessFixture F({"HTTP/1.1 200 OK\r\n\r\n", repeat("a", 65536)});
   CHECK(F.run(F.request()).End == RunEnd::Broken);
