Bound what all answers hold together while they are read

Cause: each body was bounded to 32 MiB but not their sum, so that bodies without end on 14 connections took several times the memory of the process; and a head of 64 KiB counted as that although its fields may take 30 times as much.

Ruled out: counting what is announced; a target that announces much and sends little would end others. Counted is what came, heads at 32 bytes for each.

Change: TargetClient adds up what its connections hold with each read. Beyond the bound it ends the connection of the largest answer, which may have run (Broken, 309, 502), writes event=answer-ended and keeps the others. The bound is a quarter of the memory that the process may use: of the new setting memoryMb, or of the machine's as /proc/meminfo tells, 256 MB at most (docs/CAPACITY.md).

Test: build/tests/targetclient/test_targetclient "answers without*,the largest*,what is held*,heads count*" before, with the sum kept but not enforced: "answers without end that come at once" FAILED: CHECK( MostHeld <= Bound ) <= and FAILED: CHECK( Peak - Before < Left ) < (resident bytes); "the largest answer is ended" FAILED: CHECK( MostHeld <= Bound ) <= 8388608; "heads count" FAILED: CHECK( std::chrono::steady_clock::now() < Request.Deadline ). "what is held" guards the sum and passed. After: all passed. The setting's tests in test_settings are of new code and were not seen failing.

--- a/src/libhost/answerreader.cpp
+++ b/src/libhost/answerreader.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::size_t MaxBodyBytes = 32u << 20;
 constexpr std::uint32_t MaxHeadBytes = 64u << 10;
+/// Memory for each byte of a head: the shortest field takes 4 bytes and a node
+/// of some 100.
+constexpr std::size_t MemoryForHeadByte = 32;
 constexpr int FirstFinalStatus = 200;
 /// What chunks may take beside each byte of a body: a chunk of one byte with a
 /// size of eight digits and its line ends takes 13 bytes.
@@ -95,6 +98,11 @@
          this->InformationalBytes <= MaxHeadBytes;
 }
 
+std::size_t AnswerReader::heldBytes() const {
+  return MemoryForHeadByte * this->HeadBytes + this->Unparsed.size() +
+         this->bodyBytes();
+}
+
 AnswerReader::State AnswerReader::end() {
   if (!this->Incoming->is_header_done())
     return State::Refused;
--- a/src/libhost/answerreader.h
+++ b/src/libhost/answerreader.h
@@ -43,6 +43,9 @@
   /// Whether bytes are left that were not read.
   bool hasMore() const { return this->Unparsed.size() > 0; }
 
+  /// What is held of the answer that is being read, in bytes of memory.
+  std::size_t heldBytes() const;
+
 private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -90,6 +90,7 @@
     BOOST_LEAF_AUTO(Readiness, requiredEndpoint(Document, "readiness", Where));
     Out.Readiness = Readiness;
   }
+  Out.MemoryMb = Document.value("memoryMb", Out.MemoryMb);
   Out.RetryBurst = Document.value("retryBurst", Out.RetryBurst);
   return readTarget(Document.value("target", json::object()), Where,
                     Out.Target);
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -72,6 +72,8 @@
   TargetSettings Target;
   StopPolicy Stop;
   int RetryBurst = 0;
+  /// Memory that the process may use, in MB; 0 if the settings don't tell.
+  std::int64_t MemoryMb = 0;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- /dev/null
+++ b/src/libhost/memoryshares.cpp
@@ -0,0 +1,40 @@
+#include "memoryshares.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+
+namespace persimmon {
+
+namespace {
+
+constexpr std::size_t BytesInMb = 1'000'000;
+constexpr std::size_t BytesInKib = 1024;
+/// A proxy daemon is built for 256 MB (docs/CAPACITY.md). A machine may have
+/// more, for others.
+constexpr std::size_t MostWithoutSetting = 256 * BytesInMb;
+
+/// Returns the memory of the machine in bytes, or 0 if \p In does not tell.
+std::size_t totalOf(std::istream &In) {
+  std::string Name;
+  while (In >> Name) {
+    std::size_t Kib = 0;
+    if (Name == "MemTotal:")
+      return In >> Kib ? Kib * BytesInKib : 0;
+    In.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+  }
+  return 0;
+}
+
+} // namespace
+
+MemoryShares MemoryShares::of(std::int64_t SettingMb,
+                              std::istream &MachineMemory) {
+  if (SettingMb > 0)
+    return MemoryShares(static_cast<std::size_t>(SettingMb) * BytesInMb);
+  const std::size_t Total = totalOf(MachineMemory);
+  return MemoryShares(Total == 0 ? MostWithoutSetting
+                                 : std::min(Total, MostWithoutSetting));
+}
+
+} // namespace persimmon
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -1,11 +1,13 @@
 #include "proxyapi.h"
 
 #include "logging.h"
+#include "memoryshares.h"
 #include "operatorapi.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <fstream>
 
 namespace persimmon {
 
@@ -112,6 +114,10 @@
                const Parts &Used) {
   std::unique_ptr<ProxyApi> Out(new ProxyApi(Io, Settings, Used));
   Out->Client.setMaxConnections(DefaultConnections);
+  std::ifstream MachineMemory("/proc/meminfo");
+  const MemoryShares Shares =
+      MemoryShares::of(Settings.MemoryMb, MachineMemory);
+  Out->Client.setMaxHeldBytes(Shares.readAnswers());
   BOOST_LEAF_ASSIGN(Out->CallerPort,
                     HttpPort::open(Io, *Settings.Callers, *Out->Callers));
   BOOST_LEAF_ASSIGN(Out->LocalPort,
--- a/src/libhost/targetclient.cpp
+++ b/src/libhost/targetclient.cpp
@@ -1,14 +1,23 @@
 #include "targetclient.h"
 
+#include "logging.h"
 #include "targetconnection.h"
 
 #include <asio/post.hpp>
 
 #include <algorithm>
 #include <map>
+#include <string>
 
 namespace persimmon {
 
+namespace {
+
+/// A quarter of the 256 MB that a daemon is built for.
+constexpr std::size_t DefaultMaxHeldBytes = 64'000'000;
+
+} // namespace
+
 class TargetClient::Impl : public TargetConnectionOwner {
 public:
   explicit Impl(asio::io_context &Context) : Io(Context) {}
@@ -22,6 +31,10 @@
     this->MaxConnections = static_cast<std::size_t>(std::max(1, Count));
   }
 
+  void setMaxHeldBytes(std::size_t Bytes) { this->MaxHeldBytes = Bytes; }
+
+  std::size_t heldBytes() const { return this->HeldBytes; }
+
   void forgetIdle() {
     while (!this->Idle.empty())
       this->Idle.back()->close();
@@ -77,6 +90,29 @@
     this->Idle.push_back(Free.shared_from_this());
   }
 
+  void onHeldChanged(TargetConnection &Reading, std::size_t Before) override {
+    this->HeldBytes += Reading.heldBytes();
+    this->HeldBytes -= Before;
+    if (Reading.heldBytes() <= Before)
+      return;
+    while (this->HeldBytes > this->MaxHeldBytes)
+      this->endLargest();
+  }
+
+  /// Ends the answer that takes most. It may have run, and the others go on.
+  void endLargest() {
+    const std::shared_ptr<TargetConnection> Largest =
+        *std::max_element(this->Connections.begin(), this->Connections.end(),
+                          [](const auto &A, const auto &B) {
+                            return A->heldBytes() < B->heldBytes();
+                          });
+    logWarning("event=answer-ended reason=held-bytes held=" +
+               std::to_string(this->HeldBytes) +
+               " limit=" + std::to_string(this->MaxHeldBytes) +
+               " largest=" + std::to_string(Largest->heldBytes()));
+    Largest->close();
+  }
+
   void onClosed(TargetConnection &Closed) override {
     const auto Same = [&](const auto &Item) { return Item.get() == &Closed; };
     std::erase_if(this->Idle, Same);
@@ -85,6 +121,8 @@
 
   asio::io_context &Io;
   std::size_t MaxConnections = 100;
+  std::size_t MaxHeldBytes = DefaultMaxHeldBytes;
+  std::size_t HeldBytes = 0;
   std::vector<std::shared_ptr<TargetConnection>> Connections;
   std::vector<std::shared_ptr<TargetConnection>> Idle;
   std::map<std::int64_t, std::shared_ptr<TargetConnection>> Requests;
@@ -100,6 +138,14 @@
   this->Implementation->setMaxConnections(Count);
 }
 
+void TargetClient::setMaxHeldBytes(std::size_t Bytes) {
+  this->Implementation->setMaxHeldBytes(Bytes);
+}
+
+std::size_t TargetClient::heldBytes() const {
+  return this->Implementation->heldBytes();
+}
+
 void TargetClient::forgetIdle() { this->Implementation->forgetIdle(); }
 
 std::int64_t TargetClient::start(const TargetRequest &Request, Done WhenDone) {
--- a/src/libhost/targetclient.h
+++ b/src/libhost/targetclient.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -52,6 +53,13 @@
   /// Bounds the open connections to the target.
   void setMaxConnections(int Count);
 
+  /// Bounds what all answers that are being read take in memory. The largest
+  /// is ended, as Broken, where they would take more.
+  void setMaxHeldBytes(std::size_t Bytes);
+
+  /// Returns what the answers that are being read take in memory, in bytes.
+  std::size_t heldBytes() const;
+
   /// Closes the connections that no request uses, as the target is another one
   /// from now on.
   void forgetIdle();
--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -162,7 +162,11 @@
   if (!this->busy())
     return this->close(); // Nobody waits for these bytes.
   this->Reader.add({this->Buffer.data(), Size});
-  if (this->parse())
+  if (!this->parse())
+    return;
+  if (this->busy())
+    this->setHeld(this->Reader.heldBytes());
+  if (!this->Closed)
     this->read();
 }
 
@@ -182,9 +186,16 @@
   return !this->Closed;
 }
 
+void TargetConnection::setHeld(std::size_t Bytes) {
+  const std::size_t Before = std::exchange(this->HeldBytes, Bytes);
+  if (this->Owner != nullptr)
+    this->Owner->onHeldChanged(*this, Before);
+}
+
 void TargetConnection::answerComplete() {
   const bool KeepAlive = this->Reader.keepAlive();
   TargetAnswer Answer = this->Reader.take();
+  this->setHeld(0);
   this->Reusable = this->Reusable && KeepAlive;
   if (this->Belongs && !this->Belongs(Answer)) {
     // An answer to an earlier request. Ours may follow, but what else this
@@ -222,6 +233,7 @@
   this->Timer.cancel();
   std::error_code Ignored;
   this->Socket.close(Ignored);
+  this->setHeld(0);
   if (this->Owner != nullptr)
     this->Owner->onClosed(*this);
   if (!this->busy())
--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -22,6 +22,10 @@
   /// The connection has no request any more and can take another one.
   virtual void onIdle(TargetConnection &Free) = 0;
 
+  /// What \p Reading holds of an answer that is being read changed from
+  /// \p Before bytes. The owner may close connections.
+  virtual void onHeldChanged(TargetConnection &Reading, std::size_t Before) = 0;
+
   /// The connection was closed and must not be used again.
   virtual void onClosed(TargetConnection &Closed) = 0;
 };
@@ -46,6 +50,8 @@
   bool usable(Time Now) const;
 
   bool busy() const { return this->WhenDone != nullptr; }
+  /// Bytes that an answer that is being read takes.
+  std::size_t heldBytes() const { return this->HeldBytes; }
   const std::string &address() const { return this->Address; }
 
 private:
@@ -56,6 +62,7 @@
   /// Returns whether the connection can go on reading.
   bool parse();
   void answerComplete();
+  void setHeld(std::size_t Bytes);
   void closeAs(RunEnd End);
   void startTimer(Time Deadline);
 
@@ -71,6 +78,7 @@
   Time IdleUntil = NoDeadline;
   std::array<char, 16384> Buffer{};
   AnswerReader Reader;
+  std::size_t HeldBytes = 0;
   bool Connected = false;
   bool Sent = false;
   bool Written = false;
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -1,4 +1,5 @@
 #include "libhost/daemonsettings.h"
+#include "libhost/memoryshares.h"
 #include "support/process.h"
 
 #define CATCH_CONFIG_MAIN
@@ -6,6 +7,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 using namespace persimmon;
 namespace fs = std::filesystem;
@@ -135,3 +137,32 @@
         "settings[lossesBorne]");
   CHECK(parse(Named + R"("found":true})").Code == ResultCode::SettingsInvalid);
 }
+
+TEST_CASE("memory is what the settings allow, or the machine's up to a bound") {
+  const auto Read = [](std::int64_t Mb, const std::string &Machine) {
+    std::istringstream In(Machine);
+    return MemoryShares::of(Mb, In).readAnswers();
+  };
+  const std::string Small = "MemFree: 1 kB\nMemTotal:   85938 kB\nX: 1 kB\n";
+  const std::string Large = "MemTotal:       65536000 kB\n";
+  CHECK(Read(100, Small) == 25'000'000);
+  CHECK(Read(100, Large) == 25'000'000);
+  CHECK(Read(0, Small) == 85938 * 1024 / 4);
+  CHECK(Read(0, Large) == 64'000'000);
+  CHECK(Read(0, "") == 64'000'000);
+  CHECK(Read(0, "MemTotal: many kB\n") == 64'000'000);
+}
+
+TEST_CASE("the memory that a proxy may use is a setting") {
+  DaemonSettings Settings;
+  const Failure Error = settle(
+      [&] {
+        return DaemonSettings::parse(
+            with(Proxy, "\"name\"", "\"memoryMb\":88,\"name\""), "settings");
+      },
+      [&](DaemonSettings Read) { Settings = std::move(Read); });
+  CHECK(!Error.failed());
+  CHECK(Settings.MemoryMb == 88);
+  CHECK(parse(with(Proxy, "\"name\"", "\"memoryMb\":0,\"name\"")).Code ==
+        ResultCode::SettingsInvalid);
+}
--- a/tests/targetclient/test_endlessanswers.cpp
+++ b/tests/targetclient/test_endlessanswers.cpp
@@ -9,9 +9,12 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unistd.h>
+#include <vector>
 
 using namespace persimmon;
 
@@ -116,6 +119,15 @@
   Flow Endless;
 };
 
+/// Returns the bytes of this process that are in memory.
+std::int64_t residentBytes() {
+  std::ifstream In("/proc/self/statm");
+  std::int64_t Size = 0;
+  std::int64_t Resident = 0;
+  In >> Size >> Resident;
+  return Resident * ::sysconf(_SC_PAGESIZE);
+}
+
 std::string repeat(std::string_view Text, std::size_t Count) {
   std::string Out;
   Out.reserve(Text.size() * Count);
@@ -262,3 +274,87 @@
   CHECK(std::chrono::steady_clock::now() <
         Request.Deadline + milliseconds(500));
 }
+
+TEST_CASE("answers without end that come at once are bounded together") {
+  // A process of 88 MB, of which a quarter goes to answers that are read and
+  // 20 MB to the daemon itself.
+  constexpr std::size_t Bound = 22'000'000;
+  constexpr std::int64_t Left = 68'000'000;
+  constexpr int Runs = 14;
+  EndlessFixture F({"HTTP/1.1 200 OK\r\n\r\n", repeat("a", 16384)});
+  F.Client.setMaxHeldBytes(Bound);
+  const std::int64_t Before = residentBytes();
+  std::int64_t Peak = 0;
+  std::size_t MostHeld = 0;
+  std::vector<RunEnd> Ends;
+  for (int I = 0; I < Runs; ++I)
+    F.Client.start(F.request(),
+                   [&](const TargetAnswer &A) { Ends.push_back(A.End); });
+  for (int Events = 0; Ends.size() < Runs && F.Io.run_one() > 0; ++Events) {
+    MostHeld = std::max(MostHeld, F.Client.heldBytes());
+    if (Events % 64 == 0)
+      Peak = std::max(Peak, residentBytes());
+  }
+  CHECK(Ends == std::vector<RunEnd>(Runs, RunEnd::Broken));
+  CHECK(MostHeld <= Bound);
+  CHECK(MostHeld > Bound / 2);
+  CHECK(Peak - Before < Left);
+  CHECK(F.Client.heldBytes() == 0);
+  CHECK(F.run(F.request("/whole")).Body == "all");
+}
+
+TEST_CASE("the largest answer is ended and the others go on") {
+  constexpr std::size_t Bound = 8 * MiB;
+  constexpr std::size_t Begun = 1'000'000;
+  constexpr std::size_t Part = 100'000;
+  constexpr std::size_t Whole = Begun + 10 * Part;
+  EndlessFixture F({"HTTP/1.1 200 OK\r\n\r\n", repeat("a", 65536)});
+  EndlessTarget Slow(
+      F.Io, {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Whole) +
+                 "\r\n\r\n" + repeat("a", Begun),
+             repeat("a", Part), milliseconds(50)});
+  F.Client.setMaxHeldBytes(Bound);
+  TargetRequest Request = F.request();
+  Request.Address = Slow.address();
+  std::size_t MostHeld = 0;
+  std::vector<TargetAnswer> Got;
+  std::optional<RunEnd> End;
+  for (int I = 0; I < 3; ++I)
+    F.Client.start(Request, [&](const TargetAnswer &A) { Got.push_back(A); });
+  while (F.Client.heldBytes() < 3 * Begun && F.Io.run_one() > 0)
+    ;
+  F.Client.start(F.request(), [&](const TargetAnswer &A) { End = A.End; });
+  while ((!End || Got.size() < 3) && F.Io.run_one() > 0)
+    MostHeld = std::max(MostHeld, F.Client.heldBytes());
+  CHECK(End == RunEnd::Broken);
+  CHECK(MostHeld <= Bound);
+  REQUIRE(Got.size() == 3);
+  for (const TargetAnswer &Answer : Got) {
+    CHECK(Answer.End == RunEnd::Answered);
+    CHECK(Answer.Body.size() == Whole);
+  }
+  CHECK(F.Client.heldBytes() == 0);
+}
+
+TEST_CASE("what is held of an answer is given back with its connection") {
+  EndlessFixture F({"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", ""});
+  std::optional<RunEnd> End;
+  const std::int64_t Number =
+      F.Client.start(F.request(), [&](const TargetAnswer &A) { End = A.End; });
+  while (F.Client.heldBytes() == 0 && F.Io.run_one() > 0)
+    ;
+  F.Client.cancel(Number);
+  CHECK(F.Client.heldBytes() == 0);
+  while (!End && F.Io.run_one() > 0)
+    ;
+  CHECK(End == RunEnd::Broken);
+}
+
+TEST_CASE("heads count for the memory that their fields take") {
+  constexpr std::size_t Bound = 1 * MiB;
+  EndlessFixture F({"HTTP/1.1 200 OK\r\n" + repeat("a:\r\n", 15'000) +
+                        "Content-Length: 9\r\n\r\npart",
+                    ""});
+  F.Client.setMaxHeldBytes(Bound);
+  F.endsByBytes(F.request());
+}
