Bound the bodies that callers' calls hold together

Cause: a body of a caller is bounded to 34 MiB by the port, and held until its call has an answer; their sum was not bounded.

Ruled out: a bound while they are read. RESTinio collects a body by itself, bounds each message alone and calls nothing of ours before it is whole; a socket type of our own could count the bytes, but leans on its internals and could only cut the connection or write an answer that knows nothing of the request. A plain bound of the sum was left too: one large body would have shut out every small one for its time.

Change: BodyStore holds all callers' bodies but the largest to an eighth of the memory that the process may use; a call whose body has no room is refused with 323 (503, not run, Retry-After 0.2 s).

Test: build/tests/bodies/test_bodies before, with the sum kept but not enforced: "bodies of callers are bounded together but for the largest" FAILED: CHECK( !Store.keepCallerBody(3, largeBody('c')) ), "one large body of a caller leaves room for small ones" FAILED: the same; 6 of 41 assertions. After: all passed. The guard taken out by hand makes the first fail. The refusal by ProxyApi has no test of its own.

--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -1,10 +1,27 @@
 #include "bodystore.h"
 
+#include <algorithm>
+
 namespace persimmon {
 
-void BodyStore::keepCallerBody(std::int64_t CallNumber, std::string Body) {
-  if (!Body.empty())
-    this->CallerBodies[CallNumber] = std::move(Body);
+bool BodyStore::keepCallerBody(std::int64_t CallNumber, std::string Body) {
+  if (Body.empty())
+    return true;
+  if (!this->hasRoomFor(Body.size()))
+    return false;
+  this->CallerBytes += Body.size();
+  this->CallerBodies.emplace(CallNumber, std::move(Body));
+  return true;
+}
+
+bool BodyStore::hasRoomFor(std::size_t Size) const {
+  const std::size_t All = this->CallerBytes + Size;
+  if (All <= this->MaxCallerBytes)
+    return true;
+  std::size_t Largest = Size;
+  for (const auto &[Number, Body] : this->CallerBodies)
+    Largest = std::max(Largest, Body.size());
+  return All - Largest <= this->MaxCallerBytes;
 }
 
 std::string_view BodyStore::callerBody(std::int64_t CallNumber) const {
@@ -14,7 +31,11 @@
 }
 
 void BodyStore::dropCaller(std::int64_t CallNumber) {
-  this->CallerBodies.erase(CallNumber);
+  const auto Found = this->CallerBodies.find(CallNumber);
+  if (Found == this->CallerBodies.end())
+    return;
+  this->CallerBytes -= Found->second.size();
+  this->CallerBodies.erase(Found);
 }
 
 std::optional<wire::CallRequest> BodyStore::begin(wire::CallRequest Header,
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -2,6 +2,7 @@
 
 #include "libpersimmon/libpersimmon.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,10 @@
 
 namespace persimmon {
 
+/// Bytes of callers' bodies, if no other bound is set: an eighth of the 256 MB
+/// that a daemon is built for.
+constexpr std::size_t DefaultMaxCallerBytes = 32'000'000;
+
 /// The bodies of calls, which the reducer does not see: requests of callers,
 /// requests for the own target, answers held for their senders, and answers
 /// that arrive in parts.
@@ -30,8 +35,13 @@
     std::string Body;
   };
 
-  /// Holds a caller's body until dropCaller().
-  void keepCallerBody(std::int64_t CallNumber, std::string Body);
+  /// Bounds what the bodies of callers but the largest one take together, in
+  /// bytes: one large body leaves room for small ones.
+  void setMaxCallerBytes(std::size_t Bytes) { this->MaxCallerBytes = Bytes; }
+
+  /// Holds a caller's body until dropCaller(). Returns false and holds nothing
+  /// if there is no room for it.
+  bool keepCallerBody(std::int64_t CallNumber, std::string Body);
   std::string_view callerBody(std::int64_t CallNumber) const;
   void dropCaller(std::int64_t CallNumber);
 
@@ -74,7 +84,11 @@
     std::string Body;
   };
 
+  bool hasRoomFor(std::size_t Size) const;
+
   std::map<std::int64_t, std::string> CallerBodies;
+  std::size_t CallerBytes = 0;
+  std::size_t MaxCallerBytes = DefaultMaxCallerBytes;
   std::map<wire::AttemptId, Request> Requests;
   std::map<wire::AttemptId, Answer> Held;
   std::map<wire::AttemptId, Arriving> Arrivals;
--- a/src/libhost/memoryshares.h
+++ b/src/libhost/memoryshares.h
@@ -16,9 +16,14 @@
 
   /// For all answers that are read from the target. An answer is there twice
   /// while its text grows and while it is cut into messages, so that a quarter
-  /// takes half at the worst; the other half is for the daemon and its callers.
+  /// takes half at the worst.
   std::size_t readAnswers() const { return this->Allowed / 4; }
 
+  /// For the bodies of callers whose calls have no answer yet, but for the
+  /// largest. Each is there twice, as it was read and for its call, so that an
+  /// eighth takes a quarter.
+  std::size_t callerBodies() const { return this->Allowed / 8; }
+
 private:
   explicit MemoryShares(std::size_t Bytes) : Allowed(Bytes) {}
 
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -22,6 +22,8 @@
 /// A running target announces itself within this time of the daemon's start.
 /// Later its address may be another target's.
 constexpr milliseconds FindDuration{1500};
+/// Calls that hold bodies end all the time.
+constexpr milliseconds RoomRetryAfter{200};
 constexpr std::size_t CallIdDigits = 8;
 constexpr int DefaultConnections = 100;
 constexpr int StatusOk = 200;
@@ -118,6 +120,7 @@
   const MemoryShares Shares =
       MemoryShares::of(Settings.MemoryMb, MachineMemory);
   Out->Client.setMaxHeldBytes(Shares.readAnswers());
+  Used.Bodies.setMaxCallerBytes(Shares.callerBodies());
   BOOST_LEAF_ASSIGN(Out->CallerPort,
                     HttpPort::open(Io, *Settings.Callers, *Out->Callers));
   BOOST_LEAF_ASSIGN(Out->LocalPort,
@@ -177,7 +180,10 @@
   Call.BodySize = static_cast<std::int64_t>(Request.Body.size());
   Call.Deadline = Terms.Deadline;
   Call.IdempotencyKey = std::move(Terms.IdempotencyKey);
-  this->Bodies.keepCallerBody(Request.Id, std::move(Request.Body));
+  if (!this->Bodies.keepCallerBody(Request.Id, std::move(Request.Body)))
+    return this->refuse({Request.Id,
+                         {ResultCode::TooManyCalls, "body", "no room for it"},
+                         RoomRetryAfter});
   this->Sink.submit(std::move(Call));
 }
 
--- a/tests/bodies/test_bodies.cpp
+++ b/tests/bodies/test_bodies.cpp
@@ -113,3 +113,33 @@
   Store.pathClosed("#1");
   CHECK(Store.request(attempt(1)) == nullptr);
 }
+
+TEST_CASE("bodies of callers are bounded together but for the largest") {
+  BodyStore Store;
+  Store.setMaxCallerBytes(300'000);
+  CHECK(Store.keepCallerBody(1, largeBody('a')));
+  CHECK(Store.keepCallerBody(2, largeBody('b')));
+  CHECK(!Store.keepCallerBody(3, largeBody('c')));
+  CHECK(Store.callerBody(3).empty());
+  CHECK(Store.callerBody(1) == largeBody('a'));
+  CHECK(Store.callerBody(2) == largeBody('b'));
+  CHECK(Store.keepCallerBody(4, std::string(100'000, 'd')));
+  CHECK(!Store.keepCallerBody(5, "x"));
+  CHECK(Store.keepCallerBody(6, {}));
+  Store.dropCaller(3);
+  CHECK(!Store.keepCallerBody(7, "x"));
+  Store.dropCaller(2);
+  CHECK(Store.keepCallerBody(8, largeBody('e')));
+}
+
+TEST_CASE("one large body of a caller leaves room for small ones") {
+  BodyStore Store;
+  Store.setMaxCallerBytes(100'000);
+  CHECK(Store.keepCallerBody(1, largeBody('a')));
+  CHECK(Store.keepCallerBody(2, std::string(60'000, 'b')));
+  CHECK(!Store.keepCallerBody(3, largeBody('c')));
+  CHECK(!Store.keepCallerBody(4, std::string(60'000, 'd')));
+  CHECK(Store.keepCallerBody(5, std::string(40'000, 'e')));
+  Store.dropCaller(1);
+  CHECK(Store.keepCallerBody(6, largeBody('f')));
+}
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -150,6 +150,8 @@
   CHECK(Read(0, Small) == 85938 * 1024 / 4);
   CHECK(Read(0, Large) == 64'000'000);
   CHECK(Read(0, "") == 64'000'000);
+  std::istringstream In(Large);
+  CHECK(MemoryShares::of(100, In).callerBodies() == 12'500'000);
   CHECK(Read(0, "MemTotal: many kB\n") == 64'000'000);
 }
 
