--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -270,6 +270,9 @@
   } else {
     Out["callers"] = Item.Ip + ":8080";
     Out["local"] = Item.Ip + ":7102";
+    const auto Memory = Item.Extra.find("memory");
+    if (Memory != Item.Extra.end())
+      Out["memoryMb"] = std::stoi(Memory->second);
   }
   return Out.dump();
 }
