--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "answerreader.h"
 #include "targetclient.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <array>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace persimmon {
@@ -26,6 +22,10 @@
   /// The connection has no request any more and can take another one.
   virtual void onIdle(TargetConnection &Free) = 0;
 
+  /// What \p Reading holds of an answer that is being read changed from
+  /// \p Before bytes. The owner may close connections.
+  virtual void onHeldChanged(TargetConnection &Reading, std::size_t Before) = 0;
+
   /// The connection was closed and must not be used again.
   virtual void onClosed(TargetConnection &Closed) = 0;
 };
@@ -50,12 +50,11 @@
   bool usable(Time Now) const;
 
   bool busy() const { return this->WhenDone != nullptr; }
+  /// Bytes that an answer that is being read takes.
+  std::size_t heldBytes() const { return this->HeldBytes; }
   const std::string &address() const { return this->Address; }
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void connect();
   void send();
   void read();
@@ -63,10 +62,9 @@
   /// Returns whether the connection can go on reading.
   bool parse();
   void answerComplete();
-  void startParser();
+  void setHeld(std::size_t Bytes);
   void closeAs(RunEnd End);
   void startTimer(Time Deadline);
-  TargetAnswer takeAnswer();
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
@@ -75,13 +73,12 @@
   std::string Outgoing;
   TargetClient::Done WhenDone;
   std::function<bool(const TargetAnswer &)> Belongs;
-  std::string Method;
   Time Deadline = NoDeadline;
   Time CloseAt = NoDeadline;
   Time IdleUntil = NoDeadline;
   std::array<char, 16384> Buffer{};
-  boost::beast::flat_buffer Unparsed;
-  std::optional<Parser> Incoming;
+  AnswerReader Reader;
+  std::size_t HeldBytes = 0;
   bool Connected = false;
   bool Sent = false;
   bool Written = false;
