--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -30,7 +30,7 @@
   if (!Whole && Size != 0)
     return std::nullopt;
   const auto [Slot, Fresh] = this->Requests.emplace(Id, std::move(Item));
-  if (!Fresh || !Whole)
+  if (!Fresh || (!Whole && !Slot->second.Header.BodyFollows))
     return std::nullopt;
   return Slot->second.Header;
 }
@@ -53,32 +53,74 @@
   return Slot.Header;
 }
 
-BodyStore::Completed BodyStore::addPart(const wire::BodyPart &Part) {
-  const auto Append = [&](auto &Map) -> Completed {
-    const auto Found = Map.find(Part.Id);
-    if (Found == Map.end())
-      return {};
-    auto &Item = Found->second;
-    const auto Size = static_cast<std::int64_t>(Item.Body.size());
-    const auto Added = static_cast<std::int64_t>(Part.Data.size());
-    if (Part.Offset != Size || Size + Added > Item.Header.BodySize) {
-      Map.erase(Found);
-      return {};
-    }
-    Item.Body += Part.Data;
-    if (Size + Added < Item.Header.BodySize)
-      return {};
-    return Item.Header;
-  };
-  return Part.OfAnswer ? Append(this->Arrivals) : Append(this->Requests);
-}
-
-void BodyStore::pathClosed(std::string_view Path) {
+namespace {
+
+/// Appends a part; returns false if it does not follow what is there.
+bool append(std::string &Body, const wire::BodyPart &Part,
+            std::int64_t WholeSize) {
+  const auto Size = static_cast<std::int64_t>(Body.size());
+  const auto Added = static_cast<std::int64_t>(Part.Data.size());
+  if (Part.Offset != Size || Size + Added > WholeSize)
+    return false;
+  Body += Part.Data;
+  return true;
+}
+
+} // namespace
+
+BodyStore::Completed BodyStore::addPart(const wire::BodyPart &Part, Time Now) {
+  return Part.OfAnswer ? this->addToAnswer(Part)
+                       : this->addToRequest(Part, Now);
+}
+
+BodyStore::Completed BodyStore::addToAnswer(const wire::BodyPart &Part) {
+  const auto Found = this->Arrivals.find(Part.Id);
+  if (Found == this->Arrivals.end())
+    return {};
+  Arriving &Item = Found->second;
+  if (!append(Item.Body, Part, Item.Header.BodySize)) {
+    this->Arrivals.erase(Found);
+    return {};
+  }
+  if (static_cast<std::int64_t>(Item.Body.size()) < Item.Header.BodySize)
+    return {};
+  return Item.Header;
+}
+
+BodyStore::Completed BodyStore::addToRequest(const wire::BodyPart &Part,
+                                             Time Now) {
+  const auto Found = this->Requests.find(Part.Id);
+  if (Found == this->Requests.end())
+    return {};
+  Request &Item = Found->second;
+  const wire::CallRequest &Header = Item.Header;
+  // What follows a whole body is not a part of it and does it no harm.
+  if (static_cast<std::int64_t>(Item.Body.size()) == Header.BodySize)
+    return {};
+  if (!append(Item.Body, Part, Header.BodySize)) {
+    this->Requests.erase(Found);
+    return BodyLost{Part.Id};
+  }
+  if (Part.RemainingMs > 0)
+    Item.Deadline = Now + milliseconds(Part.RemainingMs);
+  if (static_cast<std::int64_t>(Item.Body.size()) < Header.BodySize)
+    return {};
+  if (!Header.BodyFollows)
+    return Header;
+  return BodyArrived{Part.Id, Header.CallId, Item.Deadline};
+}
+
+std::vector<BodyLost> BodyStore::pathClosed(std::string_view Path) {
+  std::vector<BodyLost> Out;
   std::erase_if(this->Requests, [&](const auto &Item) {
     const Request &R = Item.second;
-    return R.Path == Path &&
-           static_cast<std::int64_t>(R.Body.size()) < R.Header.BodySize;
+    const bool Lost = R.Path == Path && static_cast<std::int64_t>(
+                                            R.Body.size()) < R.Header.BodySize;
+    if (Lost)
+      Out.push_back({Item.first});
+    return Lost;
   });
+  return Out;
 }
 
 const BodyStore::Request *BodyStore::request(const wire::AttemptId &Id) const {
@@ -114,6 +156,21 @@
   this->Held.erase(Id);
 }
 
+wire::CallRequest firstMessage(const SendCall &Call, std::string_view Body) {
+  wire::CallRequest Out = Call.Header;
+  if (!Out.BodyFollows)
+    Out.Body = std::string(Body);
+  return Out;
+}
+
+std::vector<wire::BodyPart> partsOf(const SendBody &Sent,
+                                    std::string_view Body) {
+  std::vector<wire::BodyPart> Out = cutBody(Sent.Id, false, Body);
+  if (!Out.empty())
+    Out.front().RemainingMs = Sent.RemainingMs;
+  return Out;
+}
+
 std::vector<wire::BodyPart> cutBody(const wire::AttemptId &Id, bool OfAnswer,
                                     std::string_view Body) {
   std::vector<wire::BodyPart> Out;
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -21,6 +21,8 @@
     wire::CallRequest Header;
     std::string Body;
     std::string Path;
+    /// The caller's, as the first part of the body told it.
+    Time Deadline = NoDeadline;
   };
 
   /// An answer of the own target, held until its sender took it.
@@ -35,24 +37,24 @@
   std::string_view callerBody(std::int64_t CallNumber) const;
   void dropCaller(std::int64_t CallNumber);
 
-  /// Takes the first message of a request that came on \p Path. Returns it
-  /// once its body is whole.
+  /// Takes the first message of a request that came on \p Path. Returns it if
+  /// its body is whole or follows once the call is admitted.
   std::optional<wire::CallRequest> begin(wire::CallRequest Header,
                                          std::string Path);
 
   /// Takes the first message of an answer. Returns it once it is whole.
   std::optional<wire::CallReply> begin(wire::CallReply Header);
 
-  /// What a part completed, if anything.
-  using Completed =
-      std::variant<std::monostate, wire::CallRequest, wire::CallReply>;
+  /// What a part completed or discarded, if anything.
+  using Completed = std::variant<std::monostate, wire::CallRequest, BodyArrived,
+                                 BodyLost, wire::CallReply>;
 
   /// Takes a part. Parts that do not follow each other discard the body.
-  Completed addPart(const wire::BodyPart &Part);
+  Completed addPart(const wire::BodyPart &Part, Time Now);
 
   /// Forgets requests that came on a connection that ended before they were
-  /// whole.
-  void pathClosed(std::string_view Path);
+  /// whole, and returns them.
+  std::vector<BodyLost> pathClosed(std::string_view Path);
 
   const Request *request(const wire::AttemptId &Id) const;
   /// Holds the own target's answer until drop().
@@ -69,6 +71,9 @@
   void drop(const wire::AttemptId &Id);
 
 private:
+  Completed addToRequest(const wire::BodyPart &Part, Time Now);
+  Completed addToAnswer(const wire::BodyPart &Part);
+
   struct Arriving {
     wire::CallReply Header;
     std::string Body;
@@ -80,10 +85,12 @@
   std::map<wire::AttemptId, Arriving> Arrivals;
 };
 
-/// Largest body that travels inside its first message, and the size of the
-/// parts of larger ones, in bytes: 29 ms of a link of 4.45 Mbit/s, for which a
-/// small message waits behind a part.
-constexpr std::size_t InlineBodyBytes = 16u << 10;
+/// Returns the first message of \p Call, whose body is \p Body.
+wire::CallRequest firstMessage(const SendCall &Call, std::string_view Body);
+
+/// Returns the parts of an admitted call's body.
+std::vector<wire::BodyPart> partsOf(const SendBody &Sent,
+                                    std::string_view Body);
 
 /// Cuts \p Body into parts for \p Id.
 std::vector<wire::BodyPart> cutBody(const wire::AttemptId &Id, bool OfAnswer,
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -244,17 +244,23 @@
       this->submit(MessageReceived{std::move(From), std::move(*Whole)});
     return;
   }
-  if (const auto *Part = std::get_if<wire::BodyPart>(&Body)) {
-    auto Completed = this->Bodies.addPart(*Part);
-    if (auto *Request = std::get_if<wire::CallRequest>(&Completed))
-      this->submit(MessageReceived{std::move(From), std::move(*Request)});
-    else if (auto *Reply = std::get_if<wire::CallReply>(&Completed))
-      this->submit(MessageReceived{std::move(From), std::move(*Reply)});
-    return;
-  }
+  if (const auto *Part = std::get_if<wire::BodyPart>(&Body))
+    return this->onBodyPart(std::move(From), *Part);
   this->submit(MessageReceived{std::move(From), std::move(Body)});
 }
 
+void DaemonHost::onBodyPart(std::string From, const wire::BodyPart &Part) {
+  auto Completed = this->Bodies.addPart(Part, std::chrono::steady_clock::now());
+  if (auto *Request = std::get_if<wire::CallRequest>(&Completed))
+    this->submit(MessageReceived{std::move(From), std::move(*Request)});
+  else if (auto *Reply = std::get_if<wire::CallReply>(&Completed))
+    this->submit(MessageReceived{std::move(From), std::move(*Reply)});
+  else if (auto *Whole = std::get_if<BodyArrived>(&Completed))
+    this->submit(std::move(*Whole));
+  else if (auto *Lost = std::get_if<BodyLost>(&Completed))
+    this->submit(std::move(*Lost));
+}
+
 void DaemonHost::onStreamLost(std::string Address, bool WasOpen) {
   const std::string How = WasOpen ? "ended" : "not-opened";
   logDecision("event=connection-lost peer=" + Address + " how=" + How);
@@ -263,7 +269,8 @@
 }
 
 void DaemonHost::onPathClosed(std::string Path) {
-  this->Bodies.pathClosed(Path);
+  for (BodyLost &Lost : this->Bodies.pathClosed(Path))
+    this->submit(std::move(Lost));
 }
 
 template <typename RecordT> void DaemonHost::persist(const RecordT &Record) {
@@ -295,15 +302,15 @@
 void DaemonHost::carryOut(const LogWarning &Item) { logWarning(Item.Line); }
 
 void DaemonHost::carryOut(const SendCall &Item) {
+  this->Network->send(
+      Item.Address,
+      firstMessage(Item, this->Bodies.callerBody(Item.CallNumber)),
+      Channel::Stream);
+}
+
+void DaemonHost::carryOut(const SendBody &Item) {
   const std::string_view Body = this->Bodies.callerBody(Item.CallNumber);
-  wire::CallRequest Request = Item.Header;
-  if (Body.size() <= InlineBodyBytes) {
-    Request.Body = std::string(Body);
-    this->Network->send(Item.Address, Request, Channel::Stream);
-    return;
-  }
-  this->Network->send(Item.Address, Request, Channel::Stream);
-  for (wire::BodyPart &Part : cutBody(Item.Header.Id, false, Body))
+  for (wire::BodyPart &Part : partsOf(Item, Body))
     this->Network->send(Item.Address, std::move(Part), Channel::Stream);
 }
 
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -60,6 +60,7 @@
   void onMessage(std::string From, Message Body) override;
   void onStreamLost(std::string Address, bool WasOpen) override;
   void onPathClosed(std::string Path) override;
+  void onBodyPart(std::string From, const wire::BodyPart &Part);
 
   void perform(const Effects &All);
   template <typename RecordT> void persist(const RecordT &Record);
@@ -72,6 +73,7 @@
   void carryOut(const LogDecision &Item);
   void carryOut(const LogWarning &Item);
   void carryOut(const SendCall &Item);
+  void carryOut(const SendBody &Item);
   void carryOut(const RefuseCaller &Item);
   void carryOut(const AnswerCaller &Item);
   void carryOut(const RunOnTarget &Item);
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -216,10 +216,23 @@
   Request.Route = TheCall.RoutePath;
   Request.CallId = TheCall.CallId;
   Request.MayRepeat = TheCall.Repeat;
+  Request.BodyFollows =
+      TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
+  TheCall.HoldsBody = Request.BodyFollows;
   Out.emplace_back(
       SendCall{TheCall.Number, TheCall.Address, std::move(Request)});
 }
 
+void CallRouter::sendBody(Call &TheCall, Time Now, Effects &Out) {
+  // An attempt that is asked after is fenced, so its body would be of no use.
+  if (TheCall.State != Phase::Sent || !TheCall.HoldsBody)
+    return;
+  TheCall.HoldsBody = false;
+  Out.emplace_back(SendBody{
+      TheCall.Number, TheCall.Address, this->attemptId(TheCall),
+      static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now))});
+}
+
 CallRouter::Call *CallRouter::find(std::int64_t Number) {
   const auto Found = this->Calls.find(Number);
   return Found == this->Calls.end() ? nullptr : &Found->second;
@@ -287,6 +300,9 @@
   case wire::CallOutcome::NotRun:
     this->attemptNotRun(TheCall, Code, Now, Out);
     return;
+  case wire::CallOutcome::Admitted:
+    this->sendBody(TheCall, Now, Out);
+    return;
   case wire::CallOutcome::Running:
     TheCall.State = Phase::Asking;
     TheCall.NextAsk = Now + AskInterval;
@@ -384,7 +400,13 @@
 }
 
 void CallRouter::connectionFailed(Call &TheCall, Time Now, Effects &Out) {
-  if (TheCall.State != Phase::Sent || this->retryElsewhere(TheCall, Now, Out))
+  if (TheCall.State != Phase::Sent)
+    return;
+  // Nothing runs without its body, and this attempt's will never be sent.
+  if (TheCall.HoldsBody)
+    return this->attemptNotRun(TheCall, ResultCode::TargetUnreachable, Now,
+                               Out);
+  if (this->retryElsewhere(TheCall, Now, Out))
     return;
   TheCall.State = Phase::Asking;
   TheCall.AskUntil = Now + AskTimeout;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -107,6 +107,8 @@
     Time NextAsk;
     Time AskUntil;
     ResultCode LastRefusal = ResultCode::NoTarget;
+    /// The body of the attempt was not sent yet.
+    bool HoldsBody = false;
     /// An attempt ended without proof that it did not run.
     bool MayHaveRun = false;
     /// The last target's daemon takes it for a call of a running call.
@@ -129,6 +131,7 @@
   };
 
   void dispatch(Call &TheCall, Time Now, Effects &Out);
+  void sendBody(Call &TheCall, Time Now, Effects &Out);
   void ask(Call &TheCall, Time Now, Effects &Out);
   void connectionFailed(Call &TheCall, Time Now, Effects &Out);
   void attemptNotRun(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -63,14 +63,28 @@
   std::string Line;
 };
 
-/// Sends a call's header and body to the daemon beside the chosen target.
-/// The host holds the body under CallNumber.
+/// Largest body that travels with the header of its call, in bytes, and the
+/// size of the parts of larger ones: 29 ms of a link of 4.45 Mbit/s. To wait
+/// for the word of the target's daemon costs 0.9 ms between zones, so for
+/// larger bodies it pays once one of thirty is refused.
+constexpr std::size_t InlineBodyBytes = 16u << 10;
+
+/// Sends a call's header to the daemon beside the chosen target, with its body
+/// unless that follows. The host holds the body under CallNumber.
 struct SendCall {
   std::int64_t CallNumber = 0;
   std::string Address;
   wire::CallRequest Header;
 };
 
+/// Sends the body of an admitted call.
+struct SendBody {
+  std::int64_t CallNumber = 0;
+  std::string Address;
+  wire::AttemptId Id;
+  std::int32_t RemainingMs = 0;
+};
+
 /// Answers a caller with a failure of our own. RetryAfter says when the caller
 /// may come back; 0 for no advice.
 struct RefuseCaller {
@@ -130,7 +144,7 @@
                  AnswerOperator, VersionInForce, LogDecision, LogWarning,
                  SendCall, RefuseCaller, AnswerCaller, RunOnTarget,
                  CancelOnTarget, SendAnswer, DropAttempt, DropArrival,
-                 RenewConnection, ReadyToExit>;
+                 RenewConnection, ReadyToExit, SendBody>;
 
 /// Effects in the order in which they must be carried out.
 using Effects = std::vector<Effect>;
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -28,6 +28,19 @@
   bool WasOpen = true;
 };
 
+/// The body of an admitted call for the own target is whole.
+struct BodyArrived {
+  wire::AttemptId Id;
+  std::string CallId;
+  /// What was left of the caller's time when the body left its sender.
+  Time Deadline = NoDeadline;
+};
+
+/// The body of a call for the own target will never be whole here.
+struct BodyLost {
+  wire::AttemptId Id;
+};
+
 /// A caller's whole request has arrived; the host holds its body.
 struct CallArrived {
   std::int64_t CallNumber = 0;
@@ -154,7 +167,8 @@
                  TargetAnnounced, TargetFound, TargetProbed, RunFinished,
                  ChangeRequested, TeamRequested, ReadRequested, FormRequested,
                  RecoverRequested, StopRequested, ReplaceRequested,
-                 FoundRequested, TargetLeaves, SettingsChanged>;
+                 FoundRequested, TargetLeaves, SettingsChanged, BodyArrived,
+                 BodyLost>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -293,6 +293,14 @@
     this->Router->streamLost(Body.Address, Body.WasOpen, What.At, Out);
 }
 
+void Node::on(const BodyArrived &Body, const Event &What, Effects &Out) {
+  this->Ledger.bodyArrived(Body, What.At, Out);
+}
+
+void Node::on(const BodyLost &Body, const Event &What, Effects &Out) {
+  this->Ledger.bodyLost(Body, What.At, Out);
+}
+
 void Node::on(const CallArrived &Body, const Event &What, Effects &Out) {
   if (this->Router)
     this->Router->arrive(Body, this->Gate.open(), What.At, Out);
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -92,6 +92,8 @@
   void on(const Tick &, const Event &What, Effects &Out);
   void on(const MessageReceived &Body, const Event &What, Effects &Out);
   void on(const StreamLost &Body, const Event &What, Effects &Out);
+  void on(const BodyArrived &Body, const Event &What, Effects &Out);
+  void on(const BodyLost &Body, const Event &What, Effects &Out);
   void on(const CallArrived &Body, const Event &What, Effects &Out);
   void on(const CallerGone &Body, const Event &What, Effects &Out);
   void on(const TargetAnnounced &Body, const Event &What, Effects &Out);
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -39,7 +39,8 @@
   return std::none_of(
       this->Attempts.begin(), this->Attempts.end(), [](const auto &Item) {
         const Attempt &A = Item.second;
-        return A.State == Stage::Queued || A.State == Stage::Running ||
+        return A.State == Stage::Reserved || A.State == Stage::Queued ||
+               A.State == Stage::Running ||
                (A.State == Stage::Finished && !A.Taken);
       });
 }
@@ -59,8 +60,8 @@
 }
 
 void TargetLedger::handBackQueued(ResultCode Code, Time Now, Effects &Out) {
-  while (!this->Line.empty())
-    this->refuse(this->Attempts.at(this->Line.takeNext().Id), Code, Now, Out);
+  for (const WaitingCall &Call : this->Line.takeAll())
+    this->refuse(this->Attempts.at(Call.Id), Code, Now, Out);
 }
 
 void TargetLedger::reply(const wire::AttemptId &Id, std::string_view To,
@@ -119,6 +120,7 @@
 SlotState TargetLedger::slotState(Time Now) const {
   SlotState Out;
   Out.Slots = this->SlotsInUse;
+  Out.Free = this->freeSlots();
   for (const wire::AttemptId &Id : this->RunningIds) {
     const Attempt &Item = this->Attempts.at(Id);
     const double MeanMs = this->Times.expectedMs(Item.Route);
@@ -129,8 +131,12 @@
   return Out;
 }
 
-ResultCode TargetLedger::enqueue(const Attempt &Item, const ServiceSpec *Limits,
-                                 Time Now, Effects &Out) {
+int TargetLedger::freeSlots() const {
+  return std::max(0,
+                  this->SlotsInUse - static_cast<int>(this->RunningIds.size()));
+}
+
+WaitingCall TargetLedger::waitingCall(const Attempt &Item) const {
   WaitingCall Call;
   Call.Id = Item.Id;
   Call.Route = Item.Route;
@@ -139,6 +145,24 @@
   Call.Deadline = Item.Deadline;
   Call.Nested = Item.Nested;
   Call.Late = Item.Late;
+  Call.Ready = Item.State != Stage::Reserved;
+  return Call;
+}
+
+ResultCode TargetLedger::reserve(Attempt &Item, const ServiceSpec *Limits,
+                                 Time Now, Effects &Out) {
+  Item.State = Stage::Reserved;
+  Item.Outcome = wire::CallOutcome::Admitted;
+  // Whoever finds a slot free is not asked whether waiting pays.
+  if (static_cast<int>(this->Line.size()) >= this->freeSlots())
+    return this->enqueue(Item, Limits, Now, Out);
+  this->Line.add(this->waitingCall(Item));
+  return ResultCode::Ok;
+}
+
+ResultCode TargetLedger::enqueue(const Attempt &Item, const ServiceSpec *Limits,
+                                 Time Now, Effects &Out) {
+  WaitingCall Call = this->waitingCall(Item);
   if (!this->Line.canServe(Call, this->slotState(Now), Now))
     return ResultCode::DeadlineCannotBeMet;
   if (!this->makeRoom(Item.Priority, Limits, Now, Out))
@@ -189,8 +213,10 @@
 
 bool TargetLedger::makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
                             Effects &Out) {
+  // Free slots are there for calls whose bodies are on the way.
   const std::size_t Bound =
-      Limits == nullptr ? 0 : static_cast<std::size_t>(Limits->Queue);
+      static_cast<std::size_t>(this->freeSlots()) +
+      (Limits == nullptr ? 0 : static_cast<std::size_t>(Limits->Queue));
   const int Floor = Limits == nullptr ? 0 : Limits->ShedBelowPriority;
   if (this->Line.size() * 2 >= Bound && Priority < Floor)
     return false;
@@ -229,30 +255,73 @@
   this->SlotsInUse = this->slots(Limits);
   ResultCode Code =
       Context.Addressed ? this->admissionOf(Request, Now) : ResultCode::Fenced;
-  const bool SlotFree =
-      static_cast<int>(this->RunningIds.size()) < this->SlotsInUse;
-  if (Code == ResultCode::Ok && !SlotFree)
+  const bool SlotFree = this->freeSlots() > 0;
+  if (Code == ResultCode::Ok && Request.BodyFollows)
+    Code = this->reserve(Item, Limits, Now, Out);
+  else if (Code == ResultCode::Ok && !SlotFree)
     Code = this->enqueue(Item, Limits, Now, Out);
   this->noteShed(Item, Code, Now);
-  Out.emplace_back(
-      LogDecision{"event=admit call=" + Request.CallId +
-                  " service=" + Request.Service + " route=" + Request.Route +
-                  " running=" + std::to_string(this->RunningIds.size()) +
-                  " queued=" + std::to_string(this->Line.size()) +
-                  " slots=" + std::to_string(this->SlotsInUse) +
-                  " usefulMs=" + std::to_string(Request.UsefulMs) +
-                  " nested=" + (Context.Nested ? "yes" : "no") + " choice=" +
-                  (Code != ResultCode::Ok ? "refuse"
-                   : SlotFree             ? "run"
-                                          : "queue") +
-                  " code=" + std::to_string(static_cast<int>(Code))});
+  this->logAdmission(Request, Context.Nested,
+                     Code != ResultCode::Ok ? "refuse"
+                     : Request.BodyFollows  ? "reserve"
+                     : SlotFree             ? "run"
+                                            : "queue",
+                     Code, Out);
   if (Code != ResultCode::Ok)
     return this->refuse(Item, Code, Now, Out);
-  if (SlotFree)
+  if (Request.BodyFollows)
+    this->tell(Item, Now, Out);
+  else if (SlotFree)
     return this->run(Item, Now, Out);
   this->giveUpHopeless(Now, Out);
 }
 
+void TargetLedger::logAdmission(const wire::CallRequest &Request, bool Nested,
+                                std::string_view Choice, ResultCode Code,
+                                Effects &Out) const {
+  Out.emplace_back(LogDecision{
+      "event=admit call=" + Request.CallId + " service=" + Request.Service +
+      " route=" + Request.Route +
+      " running=" + std::to_string(this->RunningIds.size()) +
+      " queued=" + std::to_string(this->Line.size()) +
+      " slots=" + std::to_string(this->SlotsInUse) +
+      " usefulMs=" + std::to_string(Request.UsefulMs) +
+      " nested=" + (Nested ? "yes" : "no") + " choice=" + std::string(Choice) +
+      " code=" + std::to_string(static_cast<int>(Code))});
+}
+
+void TargetLedger::bodyArrived(const BodyArrived &Body, Time Now,
+                               Effects &Out) {
+  const auto Found = this->Attempts.find(Body.Id);
+  if (Found == this->Attempts.end() || Found->second.State != Stage::Reserved)
+    return;
+  Attempt &Item = Found->second;
+  Item.State = Stage::Queued;
+  Item.Outcome = wire::CallOutcome::Running;
+  Item.Deadline = std::min(Item.Deadline, Body.Deadline);
+  Item.UsefulUntil = std::min(Item.UsefulUntil, Item.Deadline);
+  const bool SlotFree = this->freeSlots() > 0;
+  Out.emplace_back(LogDecision{
+      "event=body-arrived call=" + Body.CallId +
+      " running=" + std::to_string(this->RunningIds.size()) +
+      " queued=" + std::to_string(this->Line.size()) +
+      " leftMs=" + std::to_string(millisecondsUntil(Item.Deadline, Now)) +
+      " choice=" + (SlotFree ? "run" : "queue")});
+  this->Line.setReady(Item.Id, Item.Deadline);
+  if (!SlotFree || Now >= Item.Deadline)
+    return this->giveUpHopeless(Now, Out);
+  this->Line.remove(Item.Id);
+  this->run(Item, Now, Out);
+}
+
+void TargetLedger::bodyLost(const BodyLost &Body, Time Now, Effects &Out) {
+  const auto Found = this->Attempts.find(Body.Id);
+  if (Found == this->Attempts.end() || Found->second.State != Stage::Reserved)
+    return;
+  this->Line.remove(Body.Id);
+  this->refuse(Found->second, ResultCode::Fenced, Now, Out);
+}
+
 void TargetLedger::run(Attempt &Item, Time Now, Effects &Out) {
   Item.State = Stage::Running;
   Item.StartedAt = Now;
@@ -273,8 +342,7 @@
 
 void TargetLedger::startQueued(Time Now, Effects &Out) {
   this->giveUpHopeless(Now, Out);
-  while (!this->Line.empty() &&
-         static_cast<int>(this->RunningIds.size()) < this->SlotsInUse)
+  while (this->Line.hasReady() && this->freeSlots() > 0)
     this->run(this->Attempts.at(this->Line.takeNext().Id), Now, Out);
 }
 
@@ -351,6 +419,12 @@
                 ResultCode::WrongIncarnation, Out);
     return;
   }
+  const auto Known = this->Attempts.find(Query.Id);
+  if (Known != this->Attempts.end() && Known->second.State == Stage::Reserved) {
+    // Whoever asks may have given the body up; it must not come to run later.
+    Known->second.From = std::string(From);
+    return this->bodyLost({Query.Id}, Now, Out);
+  }
   if (this->tellIfKnown(Query.Id, From, Now, Out))
     return;
   Attempt Fence;
@@ -375,9 +449,11 @@
     Out.emplace_back(CancelOnTarget{Item.Id});
     return;
   }
-  if (Item.State == Stage::Queued)
+  const bool Waits =
+      Item.State == Stage::Reserved || Item.State == Stage::Queued;
+  if (Waits)
     this->Line.remove(Found->first);
-  if (Item.State == Stage::Queued || Item.State == Stage::Finished)
+  if (Waits || Item.State == Stage::Finished)
     this->forget(Found, Now, Out);
 }
 
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -16,8 +16,8 @@
 namespace persimmon {
 
 /// The target's side of calls: admits, queues or refuses them, and is the
-/// authority on what ran. An attempt that was asked after before it arrived is
-/// fenced: it is refused if it arrives late.
+/// authority on what ran. An attempt that was asked after before it arrived, or
+/// before its body was whole, is fenced: it is refused if it arrives late.
 class TargetLedger {
 public:
   explicit TargetLedger(std::uint64_t Seed) : Guard(Seed) {}
@@ -34,9 +34,15 @@
     const ServiceSpec *Limits = nullptr;
   };
 
-  /// Handles a call whose whole body has arrived.
+  /// Handles a call that has arrived whole, or the header of one whose body
+  /// follows: an admitted one gets a place in the line, which is free again
+  /// when the body cannot come in time, is lost, or the attempt is asked after.
   void receive(const wire::CallRequest &Request, std::string_view From,
                const CallContext &Context, Time Now, Effects &Out);
+  /// Lets an admitted call run now that its body is whole.
+  void bodyArrived(const BodyArrived &Body, Time Now, Effects &Out);
+  /// Fences a call whose body will not be whole.
+  void bodyLost(const BodyLost &Body, Time Now, Effects &Out);
   /// Tells what became of an attempt; fences one that has not arrived.
   void receive(const wire::CallQuery &Query, std::string_view From,
                bool Addressed, Time Now, Effects &Out);
@@ -66,7 +72,7 @@
   bool idle() const;
 
 private:
-  enum class Stage { Queued, Running, Finished, Refused, Fenced };
+  enum class Stage { Reserved, Queued, Running, Finished, Refused, Fenced };
   struct Attempt {
     wire::AttemptId Id;
     Stage State = Stage::Queued;
@@ -98,6 +104,15 @@
   /// Lets the attempt wait for a slot, or returns why it cannot.
   ResultCode enqueue(const Attempt &Item, const ServiceSpec *Limits, Time Now,
                      Effects &Out);
+  WaitingCall waitingCall(const Attempt &Item) const;
+  /// Gives the attempt, whose body follows, a place in the line, or returns why
+  /// it cannot.
+  ResultCode reserve(Attempt &Item, const ServiceSpec *Limits, Time Now,
+                     Effects &Out);
+  void logAdmission(const wire::CallRequest &Request, bool Nested,
+                    std::string_view Choice, ResultCode Code,
+                    Effects &Out) const;
+  int freeSlots() const;
   bool makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
                 Effects &Out);
   SlotState slotState(Time Now) const;
--- a/src/libpersimmon/waitingline.cpp
+++ b/src/libpersimmon/waitingline.cpp
@@ -65,9 +65,40 @@
                 [&](const WaitingCall &Call) { return Call.Id == Id; });
 }
 
+void WaitingLine::setReady(const wire::AttemptId &Id, Time Deadline) {
+  const auto Found =
+      std::find_if(this->Calls.begin(), this->Calls.end(),
+                   [&](const WaitingCall &Call) { return Call.Id == Id; });
+  if (Found == this->Calls.end())
+    return;
+  WaitingCall Call = *Found;
+  this->Calls.erase(Found);
+  Call.Ready = true;
+  Call.Deadline = std::min(Call.Deadline, Deadline);
+  Call.UsefulUntil = std::min(Call.UsefulUntil, Call.Deadline);
+  this->add(std::move(Call));
+}
+
+std::set<WaitingCall, WaitingLine::Before>::const_iterator
+WaitingLine::nextReady() const {
+  return std::find_if(this->Calls.begin(), this->Calls.end(),
+                      [](const WaitingCall &Call) { return Call.Ready; });
+}
+
+bool WaitingLine::hasReady() const {
+  return this->nextReady() != this->Calls.end();
+}
+
 WaitingCall WaitingLine::takeNext() {
-  WaitingCall Out = *this->Calls.begin();
-  this->Calls.erase(this->Calls.begin());
+  const auto Next = this->nextReady();
+  WaitingCall Out = *Next;
+  this->Calls.erase(Next);
+  return Out;
+}
+
+std::vector<WaitingCall> WaitingLine::takeAll() {
+  std::vector<WaitingCall> Out(this->Calls.begin(), this->Calls.end());
+  this->Calls.clear();
   return Out;
 }
 
@@ -82,12 +113,17 @@
                                                    Time Now) {
   std::vector<WaitingCall> Out;
   double AheadMs = State.RunningMs;
+  auto FreeForBodies =
+      State.Free -
+      std::count_if(this->Calls.begin(), this->Calls.end(),
+                    [](const WaitingCall &Call) { return Call.Ready; });
   for (auto Item = this->Calls.begin(); Item != this->Calls.end();) {
     const double RunMs = this->Known.expectedMs(Item->Route);
     const double NeededMs = AheadMs / State.Slots + RunMs;
     const double LeftMs = millisecondsOf(Item->UsefulUntil - Now);
-    const bool Hopeless =
-        Now >= Item->Deadline || NeededMs > LeftMs * (1 + PredictionSlack);
+    const bool FindsSlot = !Item->Ready && FreeForBodies-- > 0;
+    const bool Late = !FindsSlot && NeededMs > LeftMs * (1 + PredictionSlack);
+    const bool Hopeless = Now >= Item->Deadline || Late;
     if (!Hopeless) {
       AheadMs += RunMs;
       ++Item;
--- a/src/libpersimmon/waitingline.h
+++ b/src/libpersimmon/waitingline.h
@@ -36,11 +36,15 @@
   bool Nested = false;
   /// The time of full value was over when it came.
   bool Late = false;
+  /// It can run; false while its body is on the way.
+  bool Ready = true;
 };
 
 /// The work ahead of a call that would join the line.
 struct SlotState {
   int Slots = 1;
+  /// Slots without a running call.
+  int Free = 0;
   /// Expected time left of all running calls together, in milliseconds.
   double RunningMs = 0;
 };
@@ -53,7 +57,8 @@
 /// target's capacity. A line that admits all who can meet their deadline
 /// answers everyone late; this one admits who can be answered in useful time
 /// and refuses the rest at once. Late calls are admitted to room that others
-/// leave.
+/// leave. A call whose body is on the way keeps its place, but whoever stands
+/// behind it and is ready goes first: no slot waits for a body.
 class WaitingLine {
 public:
   explicit WaitingLine(const RunTimes &Known) : Known(Known) {}
@@ -67,14 +72,25 @@
   /// Removes a call; does nothing if it does not wait.
   void remove(const wire::AttemptId &Id);
 
-  /// Removes and returns the next call. The line must not be empty.
+  /// Lets a call run that waited for its body.
+  void setReady(const wire::AttemptId &Id, Time Deadline);
+
+  /// Returns whether a call waits that can run.
+  bool hasReady() const;
+
+  /// Removes and returns the next call that can run. There must be one.
   WaitingCall takeNext();
 
+  /// Removes and returns all calls in their order.
+  std::vector<WaitingCall> takeAll();
+
   /// Removes and returns the last call. The line must not be empty.
   WaitingCall takeLast();
 
   /// Removes and returns calls that cannot be served any more, because their
-  /// time is over or because more important calls went ahead of them.
+  /// time is over or because more important calls went ahead of them. A call
+  /// for whose body a free slot waits has until its deadline, as any that finds
+  /// one.
   std::vector<WaitingCall> takeHopeless(const SlotState &State, Time Now);
 
   std::size_t size() const { return this->Calls.size(); }
@@ -86,6 +102,8 @@
     bool operator()(const WaitingCall &Left, const WaitingCall &Right) const;
   };
 
+  std::set<WaitingCall, Before>::const_iterator nextReady() const;
+
   const RunTimes &Known;
   std::set<WaitingCall, Before> Calls;
 };
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -120,15 +120,17 @@
   CallOutcome::NotRun,
   CallOutcome::Running,
   CallOutcome::Finished,
-  CallOutcome::Unknown
+  CallOutcome::Unknown,
+  CallOutcome::Admitted
 };
 const char* _kCallOutcomeNames[] = {
   "NotRun",
   "Running",
   "Finished",
-  "Unknown"
+  "Unknown",
+  "Admitted"
 };
-const std::map<int, const char*> _CallOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kCallOutcomeValues, _kCallOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CallOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kCallOutcomeValues, _kCallOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CallOutcome::type& val) {
   std::map<int, const char*>::const_iterator it = _CallOutcome_VALUES_TO_NAMES.find(val);
@@ -6323,6 +6325,10 @@
 void CallRequest::__set_Late(const bool val) {
   this->Late = val;
 }
+
+void CallRequest::__set_BodyFollows(const bool val) {
+  this->BodyFollows = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -6483,6 +6489,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->BodyFollows);
+          this->__isset.BodyFollows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6568,6 +6582,10 @@
   xfer += oprot->writeBool(this->Late);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("BodyFollows", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->BodyFollows);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6590,6 +6608,7 @@
   swap(a.UsefulMs, b.UsefulMs);
   swap(a.Route, b.Route);
   swap(a.Late, b.Late);
+  swap(a.BodyFollows, b.BodyFollows);
   swap(a.__isset, b.__isset);
 }
 
@@ -6609,6 +6628,7 @@
   UsefulMs = other253.UsefulMs;
   Route = other253.Route;
   Late = other253.Late;
+  BodyFollows = other253.BodyFollows;
   __isset = other253.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other254) noexcept {
@@ -6627,6 +6647,7 @@
   UsefulMs = other254.UsefulMs;
   Route = std::move(other254.Route);
   Late = other254.Late;
+  BodyFollows = other254.BodyFollows;
   __isset = other254.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other255) {
@@ -6645,6 +6666,7 @@
   UsefulMs = other255.UsefulMs;
   Route = other255.Route;
   Late = other255.Late;
+  BodyFollows = other255.BodyFollows;
   __isset = other255.__isset;
   return *this;
 }
@@ -6664,6 +6686,7 @@
   UsefulMs = other256.UsefulMs;
   Route = std::move(other256.Route);
   Late = other256.Late;
+  BodyFollows = other256.BodyFollows;
   __isset = other256.__isset;
   return *this;
 }
@@ -6685,6 +6708,7 @@
   out << ", " << "UsefulMs=" << to_string(UsefulMs);
   out << ", " << "Route=" << to_string(Route);
   out << ", " << "Late=" << to_string(Late);
+  out << ", " << "BodyFollows=" << to_string(BodyFollows);
   out << ")";
 }
 
@@ -6708,6 +6732,10 @@
 void BodyPart::__set_Data(const std::string& val) {
   this->Data = val;
 }
+
+void BodyPart::__set_RemainingMs(const int32_t val) {
+  this->RemainingMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const BodyPart& obj)
 {
   obj.printTo(out);
@@ -6768,6 +6796,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->RemainingMs);
+          this->__isset.RemainingMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6801,6 +6837,10 @@
   xfer += oprot->writeBinary(this->Data);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("RemainingMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->RemainingMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6812,6 +6852,7 @@
   swap(a.OfAnswer, b.OfAnswer);
   swap(a.Offset, b.Offset);
   swap(a.Data, b.Data);
+  swap(a.RemainingMs, b.RemainingMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -6820,6 +6861,7 @@
   OfAnswer = other257.OfAnswer;
   Offset = other257.Offset;
   Data = other257.Data;
+  RemainingMs = other257.RemainingMs;
   __isset = other257.__isset;
 }
 BodyPart::BodyPart(BodyPart&& other258) noexcept {
@@ -6827,6 +6869,7 @@
   OfAnswer = other258.OfAnswer;
   Offset = other258.Offset;
   Data = std::move(other258.Data);
+  RemainingMs = other258.RemainingMs;
   __isset = other258.__isset;
 }
 BodyPart& BodyPart::operator=(const BodyPart& other259) {
@@ -6834,6 +6877,7 @@
   OfAnswer = other259.OfAnswer;
   Offset = other259.Offset;
   Data = other259.Data;
+  RemainingMs = other259.RemainingMs;
   __isset = other259.__isset;
   return *this;
 }
@@ -6842,6 +6886,7 @@
   OfAnswer = other260.OfAnswer;
   Offset = other260.Offset;
   Data = std::move(other260.Data);
+  RemainingMs = other260.RemainingMs;
   __isset = other260.__isset;
   return *this;
 }
@@ -6852,6 +6897,7 @@
   out << ", " << "OfAnswer=" << to_string(OfAnswer);
   out << ", " << "Offset=" << to_string(Offset);
   out << ", " << "Data=" << to_string(Data);
+  out << ", " << "RemainingMs=" << to_string(RemainingMs);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -68,12 +68,16 @@
 
 std::string to_string(const TargetState::type& val);
 
+/**
+ * Admitted: a place is kept for the call, which runs once its body is whole.
+ */
 struct CallOutcome {
   enum type {
     NotRun = 0,
     Running = 1,
     Finished = 2,
-    Unknown = 3
+    Unknown = 3,
+    Admitted = 4
   };
 };
 
@@ -2470,7 +2474,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : Id(false), ReceiverIncarnation(false), Service(false), Method(false), Url(false), Headers(false), BodySize(false), Body(false), RemainingMs(false), Priority(false), CallId(false), MayRepeat(false), UsefulMs(true), Route(false), Late(true) {}
+  _CallRequest__isset() : Id(false), ReceiverIncarnation(false), Service(false), Method(false), Url(false), Headers(false), BodySize(false), Body(false), RemainingMs(false), Priority(false), CallId(false), MayRepeat(false), UsefulMs(true), Route(false), Late(true), BodyFollows(true) {}
   bool Id :1;
   bool ReceiverIncarnation :1;
   bool Service :1;
@@ -2486,12 +2490,14 @@
   bool UsefulMs :1;
   bool Route :1;
   bool Late :1;
+  bool BodyFollows :1;
 } _CallRequest__isset;
 
 /**
  * RemainingMs is the time until the caller's deadline, UsefulMs the time until
  * an answer is worth less to the caller; 0 if that is the deadline. Late says
- * that the time of full value is over already.
+ * that the time of full value is over already. BodyFollows says that the body is
+ * sent in parts once the receiver has answered Admitted.
  */
 class CallRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -2513,7 +2519,8 @@
                 MayRepeat(0),
                 UsefulMs(0),
                 Route(),
-                Late(false) {
+                Late(false),
+                BodyFollows(false) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -2532,6 +2539,7 @@
   int32_t UsefulMs;
   std::string Route;
   bool Late;
+  bool BodyFollows;
 
   _CallRequest__isset __isset;
 
@@ -2565,6 +2573,8 @@
 
   void __set_Late(const bool val);
 
+  void __set_BodyFollows(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2597,6 +2607,8 @@
       return false;
     if (!(Late == rhs.Late))
       return false;
+    if (!(BodyFollows == rhs.BodyFollows))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -2616,15 +2628,18 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _BodyPart__isset {
-  _BodyPart__isset() : Id(false), OfAnswer(false), Offset(false), Data(false) {}
+  _BodyPart__isset() : Id(false), OfAnswer(false), Offset(false), Data(false), RemainingMs(true) {}
   bool Id :1;
   bool OfAnswer :1;
   bool Offset :1;
   bool Data :1;
+  bool RemainingMs :1;
 } _BodyPart__isset;
 
 /**
- * A part of a body that is too large for its first message.
+ * A part of a body that is too large for its first message. RemainingMs is the
+ * time until the caller's deadline when the part was sent; the first part of a
+ * request tells it.
  */
 class BodyPart : public virtual ::apache::thrift::TBase {
  public:
@@ -2636,7 +2651,8 @@
   BodyPart() noexcept
            : OfAnswer(0),
              Offset(0),
-             Data() {
+             Data(),
+             RemainingMs(0) {
   }
 
   virtual ~BodyPart() noexcept;
@@ -2644,6 +2660,7 @@
   bool OfAnswer;
   int64_t Offset;
   std::string Data;
+  int32_t RemainingMs;
 
   _BodyPart__isset __isset;
 
@@ -2655,6 +2672,8 @@
 
   void __set_Data(const std::string& val);
 
+  void __set_RemainingMs(const int32_t val);
+
   bool operator == (const BodyPart & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2665,6 +2684,8 @@
       return false;
     if (!(Data == rhs.Data))
       return false;
+    if (!(RemainingMs == rhs.RemainingMs))
+      return false;
     return true;
   }
   bool operator != (const BodyPart &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -305,7 +305,8 @@
 /**
  * RemainingMs is the time until the caller's deadline, UsefulMs the time until
  * an answer is worth less to the caller; 0 if that is the deadline. Late says
- * that the time of full value is over already.
+ * that the time of full value is over already. BodyFollows says that the body is
+ * sent in parts once the receiver has answered Admitted.
  */
 struct CallRequest {
   1: AttemptId Id
@@ -323,21 +324,29 @@
   13: i32 UsefulMs = 0
   14: string Route
   15: bool Late = false
+  16: bool BodyFollows = false
 }
 
-/** A part of a body that is too large for its first message. */
+/**
+ * A part of a body that is too large for its first message. RemainingMs is the
+ * time until the caller's deadline when the part was sent; the first part of a
+ * request tells it.
+ */
 struct BodyPart {
   1: AttemptId Id
   2: bool OfAnswer
   3: i64 Offset
   4: binary Data
+  5: i32 RemainingMs = 0
 }
 
+/** Admitted: a place is kept for the call, which runs once its body is whole. */
 enum CallOutcome {
   NotRun = 0,
   Running = 1,
   Finished = 2,
-  Unknown = 3
+  Unknown = 3,
+  Admitted = 4
 }
 
 struct Load {
--- a/tests/bodies/test_bodies.cpp
+++ b/tests/bodies/test_bodies.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+const Time Start = Time() + std::chrono::hours(1);
+
 wire::AttemptId attempt(std::int64_t Number) {
   wire::AttemptId Out;
   Out.Sender = "p1";
@@ -39,8 +41,8 @@
   const auto Parts = cutBody(attempt(1), true, Body);
   REQUIRE(Parts.size() == 13);
   for (std::size_t I = 0; I + 1 < Parts.size(); ++I)
-    CHECK(!isAnswer(Store.addPart(Parts[I])));
-  REQUIRE(isAnswer(Store.addPart(Parts.back())));
+    CHECK(!isAnswer(Store.addPart(Parts[I], Start)));
+  REQUIRE(isAnswer(Store.addPart(Parts.back(), Start)));
   const auto Got = Store.takeArrived(attempt(1));
   REQUIRE(Got);
   CHECK(Got->Body == Body);
@@ -61,8 +63,8 @@
   const auto First = cutBody(attempt(1), true, largeBody('a'));
   const auto Second = cutBody(attempt(2), true, largeBody('b'));
   for (std::size_t I = 0; I < First.size(); ++I) {
-    Store.addPart(Second[I]);
-    Store.addPart(First[I]);
+    Store.addPart(Second[I], Start);
+    Store.addPart(First[I], Start);
   }
   CHECK(Store.takeArrived(attempt(1))->Body == largeBody('a'));
   CHECK(Store.takeArrived(attempt(2))->Body == largeBody('b'));
@@ -73,22 +75,22 @@
   {
     BodyStore Store;
     Store.begin(answer(1, 200'000));
-    Store.addPart(Parts[0]);
+    Store.addPart(Parts[0], Start);
     for (std::size_t I = 2; I < Parts.size(); ++I)
-      CHECK(!isAnswer(Store.addPart(Parts[I])));
+      CHECK(!isAnswer(Store.addPart(Parts[I], Start)));
   }
   {
     BodyStore Store;
     Store.begin(answer(1, 200'000));
-    Store.addPart(Parts[0]);
+    Store.addPart(Parts[0], Start);
     for (const wire::BodyPart &Part : Parts)
-      CHECK(!isAnswer(Store.addPart(Part)));
+      CHECK(!isAnswer(Store.addPart(Part, Start)));
   }
   {
     BodyStore Store;
     Store.begin(answer(1, 199'999));
     for (const wire::BodyPart &Part : Parts)
-      CHECK(!isAnswer(Store.addPart(Part)));
+      CHECK(!isAnswer(Store.addPart(Part, Start)));
     CHECK(!Store.takeArrived(attempt(1)));
   }
 }
@@ -112,9 +114,82 @@
   Request.Id = attempt(1);
   Request.BodySize = 200'000;
   CHECK(!Store.begin(Request, "#1"));
-  Store.addPart(cutBody(attempt(1), false, largeBody('a'))[0]);
+  Store.addPart(cutBody(attempt(1), false, largeBody('a'))[0], Start);
   Store.pathClosed("#2");
   CHECK(Store.request(attempt(1)) != nullptr);
   Store.pathClosed("#1");
   CHECK(Store.request(attempt(1)) == nullptr);
 }
+
+namespace {
+
+/// The header of a call whose body of 200,000 bytes follows.
+wire::CallRequest headerAhead(std::int64_t Number) {
+  wire::CallRequest Out;
+  Out.Id = attempt(Number);
+  Out.CallId = "call";
+  Out.BodySize = 200'000;
+  Out.BodyFollows = true;
+  return Out;
+}
+
+std::vector<wire::BodyPart> partsAfterYes(std::int64_t Number) {
+  SendBody Sent;
+  Sent.Id = attempt(Number);
+  Sent.RemainingMs = 700;
+  return partsOf(Sent, largeBody('a'));
+}
+
+} // namespace
+
+TEST_CASE("a call whose body follows is told at its header and at its end") {
+  BodyStore Store;
+  REQUIRE(Store.begin(headerAhead(1), "#1"));
+  CHECK(!Store.begin(headerAhead(1), "#1"));
+  const auto Parts = partsAfterYes(1);
+  Store.addPart(Parts.front(), Start);
+  for (std::size_t I = 1; I + 1 < Parts.size(); ++I)
+    CHECK(Store.addPart(Parts[I], Start + milliseconds(300)).index() == 0);
+  const auto Whole = Store.addPart(Parts.back(), Start + milliseconds(300));
+  REQUIRE(std::holds_alternative<BodyArrived>(Whole));
+  // The time that the parts took is not given to the target again.
+  CHECK(std::get<BodyArrived>(Whole).Deadline == Start + milliseconds(700));
+  CHECK(Store.request(attempt(1))->Body == largeBody('a'));
+}
+
+TEST_CASE("a body that follows and is damaged or cut off is told as lost") {
+  BodyStore Store;
+  Store.begin(headerAhead(1), "#1");
+  Store.begin(headerAhead(2), "#1");
+  Store.begin(headerAhead(3), "#2");
+  const auto Lost = Store.addPart(partsAfterYes(1)[1], Start);
+  REQUIRE(std::holds_alternative<BodyLost>(Lost));
+  CHECK(Store.request(attempt(1)) == nullptr);
+  const std::vector<BodyLost> Closed = Store.pathClosed("#1");
+  REQUIRE(Closed.size() == 1);
+  CHECK(Closed.front().Id == attempt(2));
+  CHECK(Store.request(attempt(3)) != nullptr);
+}
+
+TEST_CASE("the parts of a body that was dropped are ignored") {
+  BodyStore Store;
+  Store.begin(headerAhead(1), "#1");
+  Store.drop(attempt(1));
+  for (const wire::BodyPart &Part : partsAfterYes(1))
+    CHECK(Store.addPart(Part, Start).index() == 0);
+  CHECK(Store.request(attempt(1)) == nullptr);
+}
+
+TEST_CASE("an upload whose parts come unasked is told when it is whole") {
+  // As daemons send it that do not wait for the word of the target's daemon.
+  BodyStore Store;
+  wire::CallRequest Header = headerAhead(1);
+  Header.BodyFollows = false;
+  CHECK(!Store.begin(Header, "#1"));
+  const auto Parts = cutBody(attempt(1), false, largeBody('a'));
+  for (std::size_t I = 0; I + 1 < Parts.size(); ++I)
+    CHECK(Store.addPart(Parts[I], Start).index() == 0);
+  const auto Whole = Store.addPart(Parts.back(), Start);
+  CHECK(std::holds_alternative<wire::CallRequest>(Whole));
+  CHECK(Store.request(attempt(1))->Body == largeBody('a'));
+}
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -1,3 +1,4 @@
+#include "libhost/bodystore.h"
 #include "libpersimmon/node.h"
 
 #define CATCH_CONFIG_MAIN
@@ -430,16 +431,19 @@
     this->Config.adopt(Settings, 1, Ignored);
   }
 
-  void call(std::int64_t Number, milliseconds Patience) {
+  Effects call(std::int64_t Number, milliseconds Patience,
+               std::size_t BodyBytes = 0) {
     CallArrived Call;
     Call.CallNumber = Number;
     Call.CallId = std::to_string(Number);
     Call.Job = "job";
     Call.Method = "POST";
     Call.Url = "/";
+    Call.BodySize = static_cast<std::int64_t>(BodyBytes);
     Call.Deadline = this->Now + Patience;
-    Effects Ignored;
-    this->Router.arrive(Call, true, this->Now, Ignored);
+    Effects Out;
+    this->Router.arrive(Call, true, this->Now, Out);
+    return Out;
   }
 
   /// Returns how long the peer may be silent until the connection is renewed.
@@ -487,3 +491,409 @@
   CHECK(Renewed);
   CHECK(P.Now - Start <= milliseconds(400));
 }
+
+namespace {
+
+/// An entry's daemon, a target's daemon, and the link between them, whose bytes
+/// are counted.
+struct Uploads {
+  CallingProxy Entry;
+  Ledger Target;
+  BodyStore AtTarget;
+  std::string Body = std::string(200'000, 'a');
+  std::size_t LinkBytes = 0;
+
+  void upload(std::int64_t Number) {
+    this->carry(
+        this->Entry.call(Number, milliseconds(4000), this->Body.size()));
+  }
+
+  /// Carries what the entry sends, and then what the target answered.
+  void carry(const Effects &Out) {
+    for (const Effect &Item : Out) {
+      if (const auto *Call = std::get_if<SendCall>(&Item))
+        this->reach(firstMessage(*Call, this->Body));
+      if (const auto *Sent = std::get_if<SendBody>(&Item)) {
+        for (const wire::BodyPart &Part : partsOf(*Sent, this->Body))
+          this->reach(Part);
+      }
+    }
+  }
+
+  /// Carries the target's answers to the entry.
+  void answer() {
+    Effects Out;
+    for (const auto &[Number, Reply] : replies(this->Target.Out))
+      this->Entry.Router.receive(Reply, Start, Out);
+    this->Target.Out.clear();
+    this->carry(Out);
+  }
+
+  void reach(const Message &Item) {
+    this->LinkBytes += encode(Item).size();
+    if (const auto *Header = std::get_if<wire::CallRequest>(&Item)) {
+      const auto Told = this->AtTarget.begin(*Header, "#1");
+      if (Told)
+        this->Target.arrive(*Told);
+      return;
+    }
+    const auto Done =
+        this->AtTarget.addPart(std::get<wire::BodyPart>(Item), Start);
+    if (const auto *Whole = std::get_if<wire::CallRequest>(&Done))
+      this->Target.arrive(*Whole);
+    if (const auto *Arrived = std::get_if<BodyArrived>(&Done))
+      this->Target.Under.bodyArrived(*Arrived, Start, this->Target.Out);
+  }
+};
+
+wire::CallRequest headerAhead(std::int64_t Number, int RemainingMs = 5000) {
+  wire::CallRequest Out = request(Number, RemainingMs);
+  Out.BodySize = 200'000;
+  Out.BodyFollows = true;
+  return Out;
+}
+
+/// A ledger with the bodies of uploads on their way to it.
+struct Reserving : Ledger {
+  void body(std::int64_t Number, Time Now = Start, Time Deadline = NoDeadline) {
+    this->Under.bodyArrived({request(Number).Id, "call", Deadline}, Now,
+                            this->Out);
+  }
+
+  /// Lets two calls run and gives the places of the line to two uploads.
+  void fill() {
+    this->arrive(request(1));
+    this->arrive(request(2));
+    this->arrive(headerAhead(3, 1000));
+    this->arrive(headerAhead(4, 1000));
+    this->arrive(headerAhead(5));
+    this->arrive(request(6));
+    auto Told = replies(this->Out);
+    CHECK(Told[3].Outcome == wire::CallOutcome::Admitted);
+    CHECK(Told[4].Outcome == wire::CallOutcome::Admitted);
+    CHECK(Told[5].Code == static_cast<int>(ResultCode::Overloaded));
+    CHECK(Told[6].Code == static_cast<int>(ResultCode::Overloaded));
+    CHECK(this->Under.load().Queued == 2);
+    this->Out.clear();
+  }
+
+  /// Checks that both places of the line can be had.
+  void checkLineFree(Time Now) {
+    CHECK(this->Under.load().Queued == 0);
+    this->Out.clear();
+    this->arrive(request(7), Now);
+    this->arrive(headerAhead(8), Now);
+    CHECK(replies(this->Out).count(7) == 0);
+    CHECK(replies(this->Out)[8].Outcome == wire::CallOutcome::Admitted);
+  }
+};
+
+/// Returns the deadlines that runs got, by attempt number.
+std::map<std::int64_t, Time> runDeadlines(const Effects &Out) {
+  std::map<std::int64_t, Time> Found;
+  for (const Effect &Item : Out) {
+    if (const auto *Run = std::get_if<RunOnTarget>(&Item))
+      Found[Run->Id.Number] = Run->Deadline;
+  }
+  return Found;
+}
+
+template <typename EffectT> int countOf(const Effects &Out) {
+  int Count = 0;
+  for (const Effect &Item : Out)
+    Count += std::holds_alternative<EffectT>(Item) ? 1 : 0;
+  return Count;
+}
+
+} // namespace
+
+TEST_CASE("a refused upload does not cross the link") {
+  Uploads U;
+  U.Target.target(wire::TargetState::Draining);
+  U.upload(1);
+  CHECK(replies(U.Target.Out)[1].Outcome == wire::CallOutcome::NotRun);
+  U.answer();
+  CHECK(U.LinkBytes < 1000);
+}
+
+TEST_CASE(
+    "an admitted upload crosses the link once and runs when it is whole") {
+  Uploads U;
+  U.upload(1);
+  CHECK(runs(U.Target.Out).empty());
+  CHECK(replies(U.Target.Out)[1].Outcome == wire::CallOutcome::Admitted);
+  U.answer();
+  CHECK(runs(U.Target.Out) == std::set<std::int64_t>{1});
+  CHECK(U.LinkBytes > U.Body.size());
+  CHECK(U.LinkBytes < U.Body.size() + 2000);
+  wire::AttemptId Id;
+  Id.Sender = "p0";
+  Id.SenderIncarnation = 1;
+  Id.Number = 1;
+  CHECK(U.AtTarget.request(Id)->Body == U.Body);
+}
+
+TEST_CASE("a body of 16 KB travels with its header") {
+  Uploads U;
+  U.Body.resize(InlineBodyBytes);
+  U.upload(1);
+  CHECK(runs(U.Target.Out) == std::set<std::int64_t>{1});
+}
+
+TEST_CASE("an admitted upload whose body never comes gives its place back") {
+  Reserving L;
+  L.fill();
+  SECTION("at its deadline") {
+    L.Under.tick(Start + milliseconds(999), L.Out);
+    CHECK(replies(L.Out).empty());
+    L.Under.tick(Start + milliseconds(1000), L.Out);
+    CHECK(replies(L.Out)[3].Outcome == wire::CallOutcome::NotRun);
+    CHECK(replies(L.Out)[4].Outcome == wire::CallOutcome::NotRun);
+  }
+  SECTION("with its connection") {
+    L.Under.bodyLost({request(3).Id}, Start, L.Out);
+    L.Under.bodyLost({request(4).Id}, Start, L.Out);
+  }
+  SECTION("when it is cancelled") {
+    for (const std::int64_t Number : {3, 4}) {
+      wire::CallCancel Cancel;
+      Cancel.Id = request(Number).Id;
+      L.Under.receive(Cancel, Start, L.Out);
+    }
+  }
+  SECTION("when it is asked after") {
+    L.query(3);
+    L.query(4);
+  }
+  L.checkLineFree(Start + milliseconds(1000));
+  L.Out.clear();
+  L.body(3, Start + milliseconds(1001));
+  L.body(4, Start + milliseconds(1001));
+  L.finish(1, Start + milliseconds(1001));
+  L.finish(2, Start + milliseconds(1001));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{7});
+  L.Under.tick(Start + std::chrono::minutes(1), L.Out);
+  L.finish(7, Start + std::chrono::minutes(1));
+  CHECK(L.Under.load().Running == 0);
+  CHECK(L.Under.load().Queued == 0);
+}
+
+TEST_CASE("a place that a free slot promises is given back at the deadline") {
+  Reserving L;
+  L.arrive(headerAhead(1, 1000));
+  L.Under.tick(Start + milliseconds(1000), L.Out);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+  CHECK(L.Under.load().Queued == 0);
+  L.Out.clear();
+  L.body(1, Start + milliseconds(1001));
+  CHECK(runs(L.Out).empty());
+}
+
+TEST_CASE("an upload that is asked after before it is whole never runs") {
+  Reserving L;
+  L.arrive(headerAhead(1));
+  L.Out.clear();
+  L.query(1);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+  CHECK(countOf<DropAttempt>(L.Out) == 1);
+  L.Out.clear();
+  L.body(1);
+  L.query(1);
+  L.finish(1, Start);
+  CHECK(runs(L.Out).empty());
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::NotRun);
+}
+
+TEST_CASE("an upload that is asked after when it is whole is told to run") {
+  Reserving L;
+  L.arrive(headerAhead(1));
+  L.body(1);
+  CHECK(runs(L.Out) == std::set<std::int64_t>{1});
+  L.query(1);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::Running);
+}
+
+TEST_CASE("no slot waits for a body, and bodies do not exceed the slots") {
+  Reserving L;
+  L.arrive(headerAhead(1));
+  L.arrive(headerAhead(2));
+  L.arrive(request(3));
+  L.arrive(request(4));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{3, 4});
+  L.Out.clear();
+  L.body(1);
+  L.body(2);
+  CHECK(runs(L.Out).empty());
+  L.finish(3, Start + milliseconds(10));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{1});
+  L.finish(4, Start + milliseconds(10));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{1, 2});
+}
+
+TEST_CASE("who is ready goes ahead of a body that is on its way") {
+  Reserving L;
+  L.arrive(request(1));
+  L.arrive(request(2));
+  L.arrive(headerAhead(3, 3000));
+  L.arrive(request(4, 4000));
+  L.Out.clear();
+  L.finish(1, Start + milliseconds(10));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{4});
+  L.body(3, Start + milliseconds(20));
+  L.finish(2, Start + milliseconds(30));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{3, 4});
+}
+
+TEST_CASE("an upload on the way counts in whether another deadline is met") {
+  Reserving L;
+  for (std::int64_t Number = 1; Number <= 20; ++Number) {
+    L.arrive(request(Number), Start);
+    L.finish(Number, Start + milliseconds(1000));
+  }
+  L.arrive(request(21));
+  L.arrive(request(22));
+  L.arrive(headerAhead(23, 2100));
+  L.Out.clear();
+  L.arrive(headerAhead(24, 2200));
+  CHECK(replies(L.Out)[24].Code ==
+        static_cast<int>(ResultCode::DeadlineCannotBeMet));
+  // A header whose deadline is over is refused as any call is.
+  L.arrive(headerAhead(25, 0));
+  CHECK(replies(L.Out)[25].Code ==
+        static_cast<int>(ResultCode::DeadlineCannotBeMet));
+}
+
+TEST_CASE("an upload that finds a slot free is not given up for its length") {
+  Reserving L;
+  for (std::int64_t Number = 1; Number <= 20; ++Number) {
+    L.arrive(request(Number), Start);
+    L.finish(Number, Start + milliseconds(1000));
+  }
+  L.Out.clear();
+  L.arrive(headerAhead(21, 600));
+  L.Under.tick(Start + milliseconds(20), L.Out);
+  CHECK(replies(L.Out)[21].Outcome == wire::CallOutcome::Admitted);
+  L.body(21, Start + milliseconds(30));
+  CHECK(runs(L.Out) == std::set<std::int64_t>{21});
+}
+
+TEST_CASE("a run has what was left of its caller's time when the body left") {
+  Reserving L;
+  L.arrive(headerAhead(1, 5000));
+  L.arrive(headerAhead(2, 5000));
+  L.body(1, Start + milliseconds(2000), Start + milliseconds(4500));
+  L.body(2, Start + milliseconds(2000), Start + milliseconds(6000));
+  CHECK(runDeadlines(L.Out)[1] == Start + milliseconds(4500));
+  CHECK(runDeadlines(L.Out)[2] == Start + milliseconds(5000));
+}
+
+TEST_CASE("a leaving target hands back the uploads on their way") {
+  Reserving L;
+  L.arrive(headerAhead(1));
+  CHECK(!L.Under.idle());
+  L.Out.clear();
+  L.Under.drain(Start, L.Out);
+  CHECK(replies(L.Out)[1].Code == static_cast<int>(ResultCode::Draining));
+  CHECK(L.Under.idle());
+  L.Out.clear();
+  L.body(1);
+  CHECK(runs(L.Out).empty());
+}
+
+namespace {
+
+/// An entry whose upload waits for the word of the target's daemon.
+struct Uploading : CallingProxy {
+  wire::CallReply Yes;
+
+  Uploading() {
+    for (const Effect &Item : this->call(1, milliseconds(4000), 200'000)) {
+      if (const auto *Call = std::get_if<SendCall>(&Item))
+        this->Yes.Id = Call->Header.Id;
+    }
+    this->Yes.Outcome = wire::CallOutcome::Admitted;
+  }
+
+  Effects reply(const wire::CallReply &Reply) {
+    Effects Out;
+    this->Router.receive(Reply, this->Now, Out);
+    return Out;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a body is sent once, and not after the attempt has ended") {
+  Uploading P;
+  SECTION("admitted twice") {
+    CHECK(countOf<SendBody>(P.reply(P.Yes)) == 1);
+    CHECK(countOf<SendBody>(P.reply(P.Yes)) == 0);
+  }
+  SECTION("asked after") {
+    wire::CallReply Running = P.Yes;
+    Running.Outcome = wire::CallOutcome::Running;
+    P.reply(Running);
+    CHECK(countOf<SendBody>(P.reply(P.Yes)) == 0);
+  }
+  SECTION("refused") {
+    wire::CallReply No = P.Yes;
+    No.Outcome = wire::CallOutcome::NotRun;
+    No.Code = static_cast<int>(ResultCode::Overloaded);
+    P.reply(No);
+    CHECK(countOf<SendBody>(P.reply(P.Yes)) == 0);
+  }
+  SECTION("the caller is gone") {
+    Effects Out;
+    P.Router.callerGone(1, P.Now, Out);
+    CHECK(countOf<SendBody>(P.reply(P.Yes)) == 0);
+  }
+}
+
+TEST_CASE("the remaining time is told anew with the body") {
+  Uploading P;
+  P.Now += milliseconds(300);
+  std::int32_t RemainingMs = 0;
+  for (const Effect &Item : P.reply(P.Yes)) {
+    if (const auto *Sent = std::get_if<SendBody>(&Item))
+      RemainingMs = Sent->RemainingMs;
+  }
+  CHECK(RemainingMs == 3700);
+}
+
+TEST_CASE("an upload whose body was not sent did not run") {
+  // The only target falls silent: the caller is told at once, as not run.
+  Uploading P;
+  ResultCode Told = ResultCode::Ok;
+  for (int I = 0; I < 100 && Told == ResultCode::Ok; ++I) {
+    P.Now += milliseconds(20);
+    Effects Out;
+    P.Router.tick(P.Now, Out);
+    for (const Effect &Item : Out) {
+      if (const auto *Refusal = std::get_if<RefuseCaller>(&Item))
+        Told = Refusal->Error.Code;
+    }
+  }
+  CHECK(Told == ResultCode::TargetUnreachable);
+  CHECK(countOf<SendBody>(P.reply(P.Yes)) == 0);
+}
+
+TEST_CASE("an upload whose body was sent is asked after") {
+  Uploading P;
+  P.reply(P.Yes);
+  int Queries = 0;
+  int Refusals = 0;
+  for (int I = 0; I < 100 && Queries == 0; ++I) {
+    P.Now += milliseconds(20);
+    Effects Out;
+    P.Router.tick(P.Now, Out);
+    Refusals += countOf<RefuseCaller>(Out);
+    for (const Effect &Item : Out) {
+      const auto *Sent = std::get_if<SendMessage>(&Item);
+      if (Sent != nullptr &&
+          std::holds_alternative<wire::CallQuery>(Sent->Body))
+        ++Queries;
+    }
+  }
+  CHECK(Queries == 1);
+  CHECK(Refusals == 0);
+}
--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -146,6 +146,15 @@
     Cluster.call(I % 2 == 0 ? "p1" : "p2", I % 3 == 0);
 }
 
+/// More uploads than the targets admit, whose headers go ahead of their bodies.
+void actUploads(FakeCluster &Cluster) {
+  constexpr std::int64_t BodyBytes = 100'000;
+  for (int I = 0; I < 8; ++I) {
+    Cluster.call(I % 4 == 3 ? "p2" : "p1", I % 3 != 2, {}, BodyBytes);
+    Cluster.run(milliseconds(1));
+  }
+}
+
 void actPlannedStop(FakeCluster &Cluster) {
   // Longer than the notice that a leaving daemon gives its peers.
   Cluster.setRunTime(milliseconds(700));
@@ -305,6 +314,7 @@
       {"once-only calls", prepareAll, actOnceOnlyCalls},
       {"repeatable calls", prepareAll, actRepeatableCalls},
       {"overload", prepareAll, actOverload},
+      {"uploads", prepareAll, actUploads},
       {"planned stop", prepareAll, actPlannedStop},
       {"keyed calls", prepareAll, actKeyedCalls}};
   return All;
@@ -395,6 +405,8 @@
   runSingles(flow("overload"));
 }
 
+TEST_CASE("every fault at every step: uploads") { runSingles(flow("uploads")); }
+
 TEST_CASE("every fault at every step: planned stop") {
   runSingles(flow("planned stop"));
 }
--- a/tests/support/fakeclients.cpp
+++ b/tests/support/fakeclients.cpp
@@ -54,7 +54,7 @@
 }
 
 std::string FakeCluster::call(const std::string &Entry, bool OnceOnly,
-                              const std::string &Key) {
+                              const std::string &Key, std::int64_t BodyBytes) {
   Instance &Item = this->Instances.at(Entry);
   CallArrived Call;
   Call.CallNumber = ++this->LastCall;
@@ -62,6 +62,7 @@
   Call.Job = OnceOnly ? "job-once" : "job";
   Call.Method = OnceOnly ? "POST" : "GET";
   Call.Url = "/work";
+  Call.BodySize = BodyBytes;
   Call.Deadline = this->Now + milliseconds(8000);
   Call.IdempotencyKey = Key;
   CallRecord &Record = this->Calls[Call.CallId];
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -24,6 +24,7 @@
 bool fits(FaultKind Kind, const Effect &What) {
   const auto *Sent = std::get_if<SendMessage>(&What);
   const bool IsCall = std::holds_alternative<SendCall>(What) ||
+                      std::holds_alternative<SendBody>(What) ||
                       std::holds_alternative<SendAnswer>(What);
   const bool Datagram = Sent != nullptr && Sent->Via == Channel::Datagram;
   switch (Kind) {
@@ -174,6 +175,7 @@
   Item.Held.clear();
   Item.Arrived.clear();
   Item.Requests.clear();
+  Item.Bodiless.clear();
   Item.CallIds.clear();
   Item.Running = 0;
   Item.Leaving = false;
@@ -412,6 +414,8 @@
     const auto &Call = std::get<SendCall>(What);
     By.CallIds[Call.CallNumber] = Call.Header.CallId;
     this->sendMessage(By, {Call.Address, Call.Header, Channel::Stream}, Fault);
+  } else if (const auto *Body = std::get_if<SendBody>(&What)) {
+    this->sendBody(By, *Body, Fault);
   } else {
     std::visit([&](const auto &Item) { this->perform(By, Item); }, What);
   }
@@ -431,13 +435,22 @@
   if (To.Daemon == nullptr)
     return;
   if (const auto *Message = std::get_if<MessageReceived>(&Body)) {
-    if (const auto *Call = std::get_if<wire::CallRequest>(&Message->Body))
+    if (const auto *Part = std::get_if<wire::BodyPart>(&Message->Body))
+      return this->submit(
+          To, BodyArrived{Part->Id, To.Requests[Part->Id],
+                          this->Now + milliseconds(Part->RemainingMs)});
+    if (const auto *Call = std::get_if<wire::CallRequest>(&Message->Body)) {
       To.Requests[Call->Id] = Call->CallId;
+      if (Call->BodyFollows)
+        To.Bodiless.insert(Call->Id);
+    }
     if (const auto *Reply = std::get_if<wire::CallReply>(&Message->Body)) {
       if (Reply->Outcome == wire::CallOutcome::Finished)
         To.Arrived[Reply->Id] = Reply->Body;
     }
   }
+  if (const auto *Whole = std::get_if<BodyArrived>(&Body))
+    To.Bodiless.erase(Whole->Id);
   if (const auto *Done = std::get_if<RunFinished>(&Body)) {
     To.Running -= 1;
     To.Held[Done->Id] = To.Requests[Done->Id];
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -94,7 +94,7 @@
 
   /// A caller's request to a proxy; returns its id.
   std::string call(const std::string &Entry, bool OnceOnly,
-                   const std::string &Key = {});
+                   const std::string &Key = {}, std::int64_t BodyBytes = 0);
 
   /// Faults strike between arm() and disarm().
   void arm(std::vector<FaultPlan> Plan);
@@ -144,6 +144,8 @@
     std::map<wire::AttemptId, std::string> Held;
     std::map<wire::AttemptId, std::string> Arrived;
     std::map<wire::AttemptId, std::string> Requests;
+    /// Requests whose bodies have not arrived.
+    std::set<wire::AttemptId> Bodiless;
     std::map<std::int64_t, std::string> CallIds;
     int Running = 0;
     bool Leaving = false;
@@ -187,6 +189,8 @@
   template <typename EffectT> void perform(Instance &, const EffectT &) {}
   void sendMessage(Instance &By, const SendMessage &What,
                    std::optional<FaultKind> Fault);
+  void sendBody(Instance &By, const SendBody &What,
+                std::optional<FaultKind> Fault);
   void openLink(Instance &By, const std::string &Address);
   void deliver(Time At, Delivery What);
   void closeLinksOf(const std::string &Name);
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -48,6 +48,14 @@
   this->sendMessage(By, {What.Address, What.Header, Channel::Stream}, {});
 }
 
+void FakeCluster::sendBody(Instance &By, const SendBody &What,
+                           std::optional<FaultKind> Fault) {
+  wire::BodyPart Whole;
+  Whole.Id = What.Id;
+  Whole.RemainingMs = What.RemainingMs;
+  this->sendMessage(By, {What.Address, Whole, Channel::Stream}, Fault);
+}
+
 void FakeCluster::perform(Instance &By, const RunOnTarget &What) {
   CallRecord &Record = this->Calls[By.Requests[What.Id]];
   Record.Runs += 1;
@@ -55,6 +63,8 @@
   this->note(By.Identity.Name + " runs " + By.Requests[What.Id]);
   if (By.Leaving)
     this->violation(By.Identity.Name + " got new work while leaving");
+  if (By.Bodiless.count(What.Id) != 0)
+    this->violation(By.Requests[What.Id] + " ran without its body");
   if (By.Running > By.Slots)
     this->violation("slots exceeded at " + By.Identity.Name);
   RunFinished Done;
