--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -61,6 +61,7 @@
   void onStreamLost(StreamLost Lost) override;
   void onStreamAlive(std::string Address) override;
   void onPathClosed(std::string Path) override;
+  void onBodyPart(std::string From, const wire::BodyPart &Part);
 
   void perform(const Effects &All);
   template <typename RecordT> void persist(const RecordT &Record);
@@ -73,6 +74,7 @@
   void carryOut(const LogDecision &Item);
   void carryOut(const LogWarning &Item);
   void carryOut(const SendCall &Item);
+  void carryOut(const SendBody &Item);
   void carryOut(const RefuseCaller &Item);
   void carryOut(const AnswerCaller &Item);
   void carryOut(const RunOnTarget &Item);
