An answer under way is not sent again on its connection

What callers saw: calls that had run and been answered ended unknown on thin links.

Cause, found by review: a call whose connection was lost is asked after every 100 ms, and each question was answered with the whole answer. The repeated header overtook the parts of the first copy, which were then discarded as out of order, so that an answer that takes over 100 ms on its link never became whole, and up to thirty copies filled the link.

Change: asked again on the connection on which the answer was sent last, the ledger says that the call is still under way; on another connection it sends the answer.

Test: "an answer under way is not sent again on its connection", written with the change; before it, the ledger answered with SendAnswer each time (read).

--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -75,11 +75,16 @@
   send(Out, To, std::move(Reply));
 }
 
-void TargetLedger::tell(const Attempt &Item, Time Now, Effects &Out) const {
+void TargetLedger::tell(Attempt &Item, Time Now, Effects &Out) const {
   const wire::ShedLoad Turned =
       Item.Nested ? this->Shed.report(Now) : wire::ShedLoad();
   if (Item.State == Stage::Finished &&
       Item.Outcome == wire::CallOutcome::Finished) {
+    // A large answer takes longer than the pause between two questions.
+    if (Item.AnsweredOn == Item.From)
+      return this->reply(Item.Id, Item.From, wire::CallOutcome::Running,
+                         ResultCode::Ok, Out);
+    Item.AnsweredOn = Item.From;
     Out.emplace_back(
         SendAnswer{Item.Id, Item.From, this->load(), Item.Nested, Turned});
     return;
@@ -430,9 +435,8 @@
   this->tell(this->fence(Query.Id, From, Now), Now, Out);
 }
 
-const TargetLedger::Attempt &TargetLedger::fence(const wire::AttemptId &Id,
-                                                 std::string_view From,
-                                                 Time Now) {
+TargetLedger::Attempt &TargetLedger::fence(const wire::AttemptId &Id,
+                                           std::string_view From, Time Now) {
   Attempt Fence;
   Fence.Id = Id;
   Fence.From = std::string(From);
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -92,6 +92,8 @@
     wire::CallOutcome::type Outcome = wire::CallOutcome::Running;
     ResultCode Code = ResultCode::Ok;
     std::int64_t AnswerBytes = 0;
+    /// The connection on which the answer was sent last.
+    std::string AnsweredOn;
   };
   /// Highest forgotten number of one sender. Kept longer than any call lives.
   struct Floor {
@@ -125,15 +127,15 @@
   void reply(const wire::AttemptId &Id, std::string_view To,
              wire::CallOutcome::type Outcome, ResultCode Code,
              Effects &Out) const;
-  void tell(const Attempt &Item, Time Now, Effects &Out) const;
+  /// Tells the sender what became of an attempt.
+  void tell(Attempt &Item, Time Now, Effects &Out) const;
   /// Answers with what is known of the attempt; returns false if nothing is.
   bool tellIfKnown(const wire::AttemptId &Id, std::string_view From, Time Now,
                    Effects &Out);
   bool forgotten(const wire::AttemptId &Id) const;
   void forget(AttemptMap::iterator Item, Time Now, Effects &Out);
   /// Notes that an attempt that has not arrived must not run any more.
-  const Attempt &fence(const wire::AttemptId &Id, std::string_view From,
-                       Time Now);
+  Attempt &fence(const wire::AttemptId &Id, std::string_view From, Time Now);
   void dropHeldAnswers(Effects &Out);
   Attempt &add(const wire::CallRequest &Request, std::string_view From,
                bool Nested, Time Now);
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -249,6 +249,26 @@
   CHECK(replies(L.Out)[3].Outcome == wire::CallOutcome::NotRun);
 }
 
+TEST_CASE("an answer under way is not sent again on its connection") {
+  Ledger L;
+  L.arrive(request(1));
+  L.finish(1, Start);
+  REQUIRE(std::any_of(L.Out.begin(), L.Out.end(), [](const Effect &Item) {
+    return std::holds_alternative<SendAnswer>(Item);
+  }));
+  L.Out.clear();
+  wire::CallQuery Query;
+  Query.Id = request(1).Id;
+  L.Under.receive(Query, "#1", true, Start + milliseconds(100), L.Out);
+  CHECK(replies(L.Out)[1].Outcome == wire::CallOutcome::Running);
+  CHECK(L.Out.size() == 1);
+  // Another connection has brought nothing of it.
+  L.Out.clear();
+  L.query(1, Start + milliseconds(200));
+  REQUIRE(L.Out.size() == 1);
+  CHECK(std::holds_alternative<SendAnswer>(L.Out.front()));
+}
+
 TEST_CASE("an answer is held until it is taken, and told again when asked") {
   Ledger L;
   L.arrive(request(1));
