A sign of life counts from when it was given

Found by review: a check that found a connection alive gave the peer a whole new span from the check on, and the opening of a connection counted as a sign a moment after the call that it was opened for, so that a peer that never speaks was noticed after twice the time. StreamAlive now says when the sign was given. A write counts as a sign only if it waited for 100 ms instead of 5: a process that is held up sees its own delay, not the peer's.

Test: "a sign of life counts from when it was given", written with the change. Also mended: a copy that the linter objects to in PeerNetwork::onEnd.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -270,8 +270,8 @@
   this->submit(std::move(Lost));
 }
 
-void DaemonHost::onStreamAlive(std::string Address) {
-  this->submit(StreamAlive{std::move(Address)});
+void DaemonHost::onStreamAlive(StreamAlive Sign) {
+  this->submit(std::move(Sign));
 }
 
 void DaemonHost::onPathClosed(std::string Path) {
--- a/src/libhost/peerconnection.cpp
+++ b/src/libhost/peerconnection.cpp
@@ -17,8 +17,9 @@
 /// Many round trips between availability zones; an instance that is down or
 /// cut off does not answer at all, and nothing was sent to it.
 constexpr milliseconds ConnectTimeout{200};
-/// Far longer than a system call: the socket's buffer was full.
-constexpr milliseconds WriteHadToWait{5};
+/// Longer than this process may be held up, as one whose share of a core is
+/// used up for the rest of a tenth of a second: the socket's buffer was full.
+constexpr milliseconds WriteHadToWait{100};
 
 std::string frame(std::string_view Payload) {
   const auto Size = static_cast<std::uint32_t>(Payload.size());
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -123,8 +123,10 @@
       this->giveUp(Found);
       return true;
     }
-    asio::post(this->Io,
-               [this, Address] { this->Listener.onStreamAlive(Address); });
+    asio::post(this->Io, [this, Sign = StreamAlive{
+                                    Address, Found->second->signOfLifeAt()}] {
+      this->Listener.onStreamAlive(Sign);
+    });
     return false;
   }
 
@@ -223,11 +225,10 @@
   }
 
   void onEnd(PeerConnection &Ended, StreamEnd How) override {
-    const std::string Name = Ended.name();
     StreamLost Lost = Ended.lost(How);
-    this->Connections.erase(Name);
-    if (isPath(Name))
-      this->Listener.onPathClosed(Name);
+    this->Connections.erase(Lost.Address);
+    if (isPath(Lost.Address))
+      this->Listener.onPathClosed(std::move(Lost.Address));
     else
       this->Listener.onStreamLost(std::move(Lost));
   }
--- a/src/libhost/peernetwork.h
+++ b/src/libhost/peernetwork.h
@@ -25,7 +25,7 @@
   virtual void onStreamLost(StreamLost Lost) = 0;
 
   /// A connection that was to be renewed is not silent.
-  virtual void onStreamAlive(std::string Address) = 0;
+  virtual void onStreamAlive(StreamAlive Sign) = 0;
 
   /// The accepted connection \p Path ended.
   virtual void onPathClosed(std::string Path) = 0;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -47,9 +47,9 @@
   /// Takes the end of a connection to a daemon. What it never sent has not run;
   /// what it sent is asked after.
   void streamLost(const StreamLost &Lost, Time Now, Effects &Out);
-  /// Notes that the connection to \p Address is not silent.
-  void streamAlive(std::string_view Address, Time Now) {
-    this->heard(Address, Now);
+  /// Notes that the connection to \p Address was not silent at \p SignAt.
+  void streamAlive(std::string_view Address, Time SignAt) {
+    this->heard(Address, SignAt);
   }
   /// Passes deadlines, asks after attempts and watches connections.
   void tick(Time Now, Effects &Out);
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -56,6 +56,8 @@
 /// for silent.
 struct StreamAlive {
   std::string Address;
+  /// When it gave the last sign.
+  Time SignAt;
 };
 
 /// The body of an admitted call for the own target is whole.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -289,9 +289,9 @@
     this->targetChanged(What.At, Out);
 }
 
-void Node::on(const StreamAlive &Body, const Event &What, Effects &) {
+void Node::on(const StreamAlive &Body, const Event &, Effects &) {
   if (this->Router)
-    this->Router->streamAlive(Body.Address, What.At);
+    this->Router->streamAlive(Body.Address, Body.SignAt);
 }
 
 void Node::on(const StreamLost &Body, const Event &What, Effects &Out) {
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -515,6 +515,16 @@
   CHECK(Borne <= milliseconds(1520));
 }
 
+TEST_CASE("a sign of life counts from when it was given") {
+  CallingProxy P;
+  P.call(1, milliseconds(600));
+  const Time Sign = P.Now;
+  P.untilRenewed();
+  // The connection opened just after the call: no other sign came.
+  P.Router.streamAlive("p1:1", Sign + milliseconds(1));
+  CHECK(P.untilRenewed() <= milliseconds(40));
+}
+
 TEST_CASE("new calls do not hide that their peer is silent") {
   CallingProxy P;
   P.call(1, milliseconds(600));
--- a/tests/peernetwork/test_peernetwork.cpp
+++ b/tests/peernetwork/test_peernetwork.cpp
@@ -120,7 +120,7 @@
 public:
   void onMessage(std::string, Message) override {}
   void onPathClosed(std::string) override {}
-  void onStreamAlive(std::string) override { this->SignsOfLife += 1; }
+  void onStreamAlive(StreamAlive) override { this->SignsOfLife += 1; }
   void onStreamLost(StreamLost Lost) override {
     for (const wire::AttemptId &Id : Lost.NotSent)
       this->First.try_emplace(Id.Number, Word::Unsent);
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -117,7 +117,8 @@
     Delivery Alive;
     Alive.To = By.Identity.Name;
     Alive.Incarnation = By.LastIncarnation;
-    Alive.Body = StreamAlive{What.Address};
+    Alive.Body =
+        StreamAlive{What.Address, this->Links.at(Found->second).HeardAt};
     this->deliver(this->Now, std::move(Alive));
     return;
   }
