--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -90,6 +90,13 @@
                          Time Now, Effects &Out) {
   if (PeerVersion <= this->Version || Address.empty())
     return;
+  if (PeerVersion > this->NewestHeard) {
+    this->NewestHeard = PeerVersion;
+    Out.emplace_back(LogDecision{
+        "event=version-heard version=" + std::to_string(PeerVersion) +
+        " from=" + std::string(Address) +
+        " inForce=" + std::to_string(this->Version)});
+  }
   const auto Known =
       std::find_if(this->Sources.begin(), this->Sources.end(),
                    [&](const Source &S) { return S.Address == Address; });
@@ -110,7 +117,13 @@
     return;
   const Source &Chosen = this->Sources[this->Rng.below(this->Sources.size())];
   this->PullFrom = Chosen.Address;
+  this->PullStartedAt = Now;
   this->PullCheckAt = Now + PullCheckInterval;
+  Out.emplace_back(LogDecision{
+      "event=pull-start from=" + this->PullFrom +
+      " have=" + std::to_string(this->Version) +
+      " heard=" + std::to_string(this->newestHeard()) +
+      " sources=" + std::to_string(this->Sources.size())});
   wire::PullRequest Request;
   Request.HaveVersion = this->NeedsSnapshot ? 0 : this->Version;
   Request.HaveHash =
@@ -119,6 +132,16 @@
   send(Out, this->PullFrom, Request);
 }
 
+void Distribution::logPullEnd(std::string_view From, std::string_view Outcome,
+                              Time Now, Effects &Out) const {
+  Out.emplace_back(LogDecision{
+      "event=pull-end from=" + std::string(From) +
+      " outcome=" + std::string(Outcome) +
+      " inForce=" + std::to_string(this->Version) +
+      " heard=" + std::to_string(this->newestHeard()) + " tookMs=" +
+      std::to_string(millisecondsUntil(Now, this->PullStartedAt))});
+}
+
 void Distribution::dropSource(std::string_view Address) {
   std::erase_if(this->Sources,
                 [&](const Source &S) { return S.Address == Address; });
@@ -137,6 +160,7 @@
                               Effects &Out) {
   if (Address != this->PullFrom)
     return;
+  this->logPullEnd(Address, "connection-lost", Now, Out);
   this->dropSource(Address);
   this->PullFrom.clear();
   this->PullCheckAt = NoDeadline;
@@ -225,11 +249,13 @@
   this->PullFrom.clear();
   this->PullCheckAt = NoDeadline;
   if (Reply.Busy) {
+    this->logPullEnd(From, "busy", Now, Out);
     this->dropSource(From);
     this->NextPull = Now + milliseconds(Reply.RetryAfterMs);
     return;
   }
   if (Reply.Version <= this->Version) {
+    this->logPullEnd(From, "not-newer", Now, Out);
     this->dropSource(From);
     this->startPull(Now, Out);
     return;
@@ -247,6 +273,7 @@
     this->Packed.keep(Base, Reply, Now);
     Out.emplace_back(VersionInForce{this->Version});
   }
+  this->logPullEnd(From, Error.failed() ? "rejected" : "in-force", Now, Out);
   this->startPull(Now, Out);
 }
 
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -5,6 +5,7 @@
 #include "random.h"
 #include "routetable.h"
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <string>
@@ -51,6 +52,10 @@
   void dropUnasked(Time Now) { this->Packed.tick(Now); }
 
   std::int64_t version() const { return this->Version; }
+  /// Returns the newest version that any peer was heard to hold.
+  std::int64_t newestHeard() const {
+    return std::max(this->NewestHeard, this->Version);
+  }
   std::uint64_t hash() const { return this->Hash; }
   const SettingsMap &settings() const { return this->Settings; }
 
@@ -65,6 +70,8 @@
 
   void startPull(Time Now, Effects &Out);
   void dropSource(std::string_view Address);
+  void logPullEnd(std::string_view From, std::string_view Outcome, Time Now,
+                  Effects &Out) const;
   leaf::result<void> applyReply(const wire::PullReply &Reply);
   leaf::result<void> applyContent(const wire::PullReply &Reply);
   leaf::result<void> applyDeltas(const wire::PullReply &Reply);
@@ -89,7 +96,9 @@
   std::int64_t HistoryBaseHash = 0;
   PackedReplies Packed;
   std::vector<Source> Sources;
+  std::int64_t NewestHeard = 0;
   std::string PullFrom;
+  Time PullStartedAt;
   /// When the connection of the pull is checked next.
   Time PullCheckAt = NoDeadline;
   Time NextPull;
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -20,6 +20,24 @@
 
 } // namespace
 
+std::string_view TargetLedger::nameOf(Stage State) {
+  switch (State) {
+  case Stage::Reserved:
+    return "reserved";
+  case Stage::Queued:
+    return "queued";
+  case Stage::Running:
+    return "running";
+  case Stage::Finished:
+    return "finished";
+  case Stage::Refused:
+    return "refused";
+  case Stage::Fenced:
+    break;
+  }
+  return "fenced";
+}
+
 int TargetLedger::slots(const ServiceSpec *Limits) const {
   const int Announced = std::max(1, this->Target.Slots);
   if (Limits == nullptr || Limits->SlotsLimit == 0)
@@ -450,6 +468,11 @@
 void TargetLedger::receive(const wire::CallCancel &Cancel, Time Now,
                            Effects &Out) {
   const auto Found = this->Attempts.find(Cancel.Id);
+  Out.emplace_back(LogDecision{
+      "event=cancel sender=" + Cancel.Id.Sender +
+      " number=" + std::to_string(Cancel.Id.Number) + " state=" +
+      std::string(Found == this->Attempts.end() ? "unknown"
+                                                : nameOf(Found->second.State))});
   if (Found == this->Attempts.end()) {
     if (this->forgotten(Cancel.Id))
       return;
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -102,6 +102,7 @@
   };
   using AttemptMap = std::map<wire::AttemptId, Attempt>;
 
+  static std::string_view nameOf(Stage State);
   int slots(const ServiceSpec *Limits) const;
   ResultCode admissionOf(const wire::CallRequest &Request, Time Now);
   /// Lets the attempt wait for a slot, or returns why it cannot.
