--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -482,11 +482,11 @@
   }
 
   Effects call(std::int64_t Number, milliseconds Patience,
-               std::size_t BodyBytes = 0) {
+               std::size_t BodyBytes = 0, const std::string &Job = "job") {
     CallArrived Call;
     Call.CallNumber = Number;
     Call.CallId = std::to_string(Number);
-    Call.Job = "job";
+    Call.Job = Job;
     Call.Method = "POST";
     Call.Url = "/";
     Call.BodySize = static_cast<std::int64_t>(BodyBytes);
@@ -554,6 +554,41 @@
 
 namespace {
 
+/// Returns the code with which the caller was refused.
+ResultCode refusalOf(const Effects &Out) {
+  for (const Effect &Item : Out) {
+    if (const auto *Refused = std::get_if<RefuseCaller>(&Item))
+      return Refused->Error.Code;
+  }
+  return ResultCode::Ok;
+}
+
+} // namespace
+
+TEST_CASE("a proxy that knows of a newer version denies a route") {
+  CallingProxy P;
+  CHECK(refusalOf(P.call(1, milliseconds(600), 0, "other")) ==
+        ResultCode::NoRoute);
+  Effects Ignored;
+  P.Config.heard("p1:1", 2, P.Now, Ignored);
+  CHECK(refusalOf(P.call(2, milliseconds(600), 0, "other")) ==
+        ResultCode::NotCurrent);
+}
+
+TEST_CASE("a version is served long after a newer one was heard of") {
+  CallingProxy P;
+  Effects Ignored;
+  P.Config.heard("p1:1", 2, P.Now, Ignored);
+  CHECK(refusalOf(P.call(1, milliseconds(600))) == ResultCode::Ok);
+  // Versions that follow do not extend the time of the first.
+  P.Now += milliseconds(1000);
+  P.Config.heard("p1:1", 3, P.Now, Ignored);
+  P.Now += milliseconds(900);
+  CHECK(refusalOf(P.call(2, milliseconds(600))) == ResultCode::NotCurrent);
+}
+
+namespace {
+
 /// An entry's daemon, a target's daemon, and the link between them, whose bytes
 /// are counted.
 struct Uploads {
--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -412,6 +412,27 @@
   CHECK(LatePulls > 0);
 }
 
+TEST_CASE("a proxy whose link bodies fill answers by a superseded version") {
+  constexpr milliseconds InForceLimit{2000};
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    FakeCluster Cluster(Seed);
+    prepareAll(Cluster);
+    Cluster.slowDown("p1", milliseconds(3500));
+    const std::string Moved =
+        Cluster.change("team/routes/any",
+                       R"({"job":"job-moved","service":"team/work"})",
+                       versionOf(Cluster, "team/routes/any"));
+    REQUIRE(Cluster.run(SettleTime,
+                        [&] { return Cluster.accepted(Moved).has_value(); }));
+    Cluster.run(InForceLimit);
+    const std::string Late = Cluster.call("p1", false);
+    Cluster.run(CallTime);
+    INFO("seed " << Seed);
+    CHECK(Cluster.calls().at(Late).Runs == 0);
+    CHECK(Cluster.calls().at(Late).Answers == 1);
+  }
+}
+
 TEST_CASE("pairs of faults, sampled") {
   for (const Flow &Item : flows())
     runPairs(Item);
