A superseded configuration is not answered from past its time

Cause: the gate of a proxy opens once and never closes. Class: an answer from data whose age nobody asks.

- A version that has been known to be superseded for 1.5 s is not answered from: the call is refused as not run (303), and the proxy says that it is not ready.
What follows does not extend the time of the first version.
- "No route" is not said while a newer version is known of: that one may have it.
- Versions are also heard of by the leader's stamp, not only by who holds them.
- Small deltas are asked for and sent as datagrams, one source after the other each 150 ms, as a connection to or from a crowded proxy does not open.
After two of them one source is asked over a connection as well.
Deltas that come twice or overlap are taken as far as they are new.

A proxy that hears nothing at all goes on serving: it cannot tell its own cut from an outage of the control instances, which calls must survive.

The test of late pulls uses changes that no datagram carries, so that it tries what it tried before. The fixture of the distribution tests follows an answer "too large" to the connection, as a proxy does.

--- /dev/null
+++ b/src/libpersimmon/bodyintake.cpp
@@ -0,0 +1,105 @@
+#include "bodyintake.h"
+
+#include "effects.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+namespace {
+
+constexpr double BytesPerMsOfMegabit = 1'000'000.0 / 8 / 1000;
+/// The rest of the link is for answers, configuration and new connections.
+constexpr double BodyShare = 0.9;
+/// What may be under way: longer than a round trip between availability zones
+/// and the pause of a sender whose share of a core is used up in between.
+constexpr double WindowMs = 50;
+/// Two senders at least, so that the link does not idle between two parts.
+constexpr std::int64_t LeastWindow = 2 * InlineBodyBytes;
+/// Longer than the parts of a window take.
+constexpr milliseconds StallTimeout{400};
+
+} // namespace
+
+void BodyIntake::setLink(double MegabitsPerSecond) {
+  this->Rate = MegabitsPerSecond * BytesPerMsOfMegabit * BodyShare;
+}
+
+std::int64_t BodyIntake::window() const {
+  return std::max(LeastWindow,
+                  static_cast<std::int64_t>(this->Rate * WindowMs));
+}
+
+Time BodyIntake::wholeAt(std::int64_t Size, Time Now) const {
+  if (this->Rate <= 0)
+    return Now;
+  std::int64_t Ahead = Size;
+  for (const Body &Item : this->Bodies)
+    Ahead += Item.UsesLink ? Item.Size - Item.Received : 0;
+  return Now + milliseconds(static_cast<std::int64_t>(
+                   static_cast<double>(Ahead) / this->Rate));
+}
+
+void BodyIntake::add(const wire::AttemptId &Id, std::int64_t Size,
+                     bool UsesLink) {
+  Body Item;
+  Item.Id = Id;
+  Item.Size = Size;
+  Item.UsesLink = UsesLink && this->Rate > 0;
+  this->Bodies.push_back(std::move(Item));
+}
+
+void BodyIntake::received(const wire::AttemptId &Id, std::int64_t Bytes,
+                          Time Now) {
+  for (Body &Item : this->Bodies) {
+    if (Item.Id != Id)
+      continue;
+    Item.Received = std::max(Item.Received, Bytes);
+    Item.StalledAt = Now + StallTimeout;
+    return;
+  }
+}
+
+void BodyIntake::remove(const wire::AttemptId &Id) {
+  std::erase_if(this->Bodies, [&](const Body &Item) { return Item.Id == Id; });
+}
+
+std::int64_t BodyIntake::underWay(Time Now) const {
+  std::int64_t Sum = 0;
+  for (const Body &Item : this->Bodies) {
+    if (Item.UsesLink && !Item.stalled(Now))
+      Sum += std::max<std::int64_t>(0, Item.Granted - Item.Received);
+  }
+  return Sum;
+}
+
+std::vector<BodyIntake::Grant> BodyIntake::grant(Time Now) {
+  std::vector<Grant> Out;
+  std::int64_t Room = this->window() - this->underWay(Now);
+  for (Body &Item : this->Bodies) {
+    const std::int64_t Rest = Item.Size - Item.Granted;
+    if (Rest == 0 || Item.stalled(Now) || (Item.UsesLink && Room <= 0))
+      continue;
+    // Whole parts, as a sender cuts bodies.
+    constexpr auto PartBytes = static_cast<std::int64_t>(InlineBodyBytes);
+    const std::int64_t Parts = std::max(Room, PartBytes) / PartBytes;
+    const std::int64_t More =
+        Item.UsesLink ? std::min(Rest, Parts * PartBytes) : Rest;
+    Item.Granted += More;
+    Item.StalledAt = Now + StallTimeout;
+    if (Item.UsesLink)
+      Room -= More;
+    Out.push_back({Item.Id, Item.Granted});
+  }
+  return Out;
+}
+
+std::int64_t BodyIntake::grantedTo(const wire::AttemptId &Id) const {
+  for (const Body &Item : this->Bodies) {
+    if (Item.Id == Id)
+      return Item.Granted;
+  }
+  return 0;
+}
+
+} // namespace persimmon
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -73,7 +73,7 @@
   if (this->Stopping)
     return this->refuse(Number, {ResultCode::Stopping, {}, {}}, Out);
   // Before the first configuration nothing is known of any job.
-  if (!Serving || this->Config.version() == 0)
+  if (!Serving || this->Config.version() == 0 || this->Config.outdated(Now))
     return this->refuse(Number, {ResultCode::NotCurrent, {}, {}}, Out);
   if (this->Calls.size() >= MaxCalls)
     return this->refuse(Number, {ResultCode::TooManyCalls, {}, {}}, Out);
@@ -83,7 +83,11 @@
   if (Route == nullptr) {
     Out.emplace_back(LogDecision{
         "event=route call=" + Arrived.CallId + " job=" + Arrived.Job +
-        " route=none version=" + std::to_string(this->Config.version())});
+        " route=none version=" + std::to_string(this->Config.version()) +
+        " heard=" + std::to_string(this->Config.newestHeard())});
+    // The newer version may have the route.
+    if (this->Config.superseded())
+      return this->refuse(Number, {ResultCode::NotCurrent, {}, {}}, Out);
     return this->refuse(Number, {ResultCode::NoRoute, Arrived.Job, {}}, Out);
   }
   Call Fresh = this->makeCall(Arrived, *Route, Now);
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -14,6 +14,22 @@
 /// A source that is asked answers within this time or its answer is large; the
 /// pull goes on as long as the connection gives signs of life.
 constexpr milliseconds PullCheckInterval{800};
+/// Pause between datagrams to different sources: many round trips between
+/// availability zones, so that one is lost or its source has nothing.
+constexpr milliseconds DatagramAskInterval{150};
+/// Datagrams without an answer after which a connection is used as well.
+constexpr int DatagramAsksAlone = 2;
+/// What one datagram carries over an Ethernet without being cut up, less the
+/// headers of IP and UDP and the fields of the reply beside its content.
+constexpr std::size_t DatagramContentBytes = 1350;
+/// Deltas of routes are packed to a fourth of their size or less.
+constexpr std::size_t LikelyPacking = 4;
+/// A change is in force everywhere within 2 s of its acknowledgement. News of
+/// it takes a few tenths of a second to arrive, so the version that it
+/// supersedes is not answered from for longer than the rest.
+constexpr milliseconds SupersededUse{1500};
+/// More are not told apart: the first one decides.
+constexpr std::size_t MaxAwaited = 64;
 constexpr milliseconds BusyRetryMin{50};
 constexpr milliseconds BusyRetryMax{400};
 
@@ -75,6 +91,10 @@
   this->Version = NewVersion;
   this->Hash = Sum;
   this->Packed.clear();
+  while (!this->Awaited.empty() &&
+         this->Awaited.front().Version <= this->Version)
+    this->Awaited.pop_front();
+  this->DatagramAsks = 0;
   return {};
 }
 
@@ -86,10 +106,21 @@
   }
 }
 
+void Distribution::expect(std::int64_t NewerVersion, Time Now) {
+  const std::int64_t Last =
+      this->Awaited.empty() ? this->Version : this->Awaited.back().Version;
+  // Who holds no version serves nothing.
+  if (this->Version == 0 || NewerVersion <= Last ||
+      this->Awaited.size() == MaxAwaited)
+    return;
+  this->Awaited.push_back({NewerVersion, Now + SupersededUse});
+}
+
 void Distribution::heard(std::string_view Address, std::int64_t PeerVersion,
                          Time Now, Effects &Out) {
   if (PeerVersion <= this->Version || Address.empty())
     return;
+  this->expect(PeerVersion, Now);
   if (PeerVersion > this->NewestHeard) {
     this->NewestHeard = PeerVersion;
     Out.emplace_back(LogDecision{
@@ -107,37 +138,69 @@
       this->Sources.erase(this->Sources.begin());
     this->Sources.push_back({std::string(Address), PeerVersion});
   }
+  this->askByDatagram(Now, Out);
   this->startPull(Now, Out);
 }
 
-void Distribution::startPull(Time Now, Effects &Out) {
+const Distribution::Source *Distribution::pickSource() {
   std::erase_if(this->Sources,
                 [&](const Source &S) { return S.Version <= this->Version; });
-  if (!this->PullFrom.empty() || Now < this->NextPull || this->Sources.empty())
+  if (this->Sources.empty())
+    return nullptr;
+  return &this->Sources[this->Rng.below(this->Sources.size())];
+}
+
+wire::PullRequest Distribution::request() const {
+  wire::PullRequest Out;
+  Out.HaveVersion = this->NeedsSnapshot ? 0 : this->Version;
+  Out.HaveHash =
+      this->NeedsSnapshot ? 0 : static_cast<std::int64_t>(this->Hash);
+  Out.TakesPacked = true;
+  return Out;
+}
+
+void Distribution::askByDatagram(Time Now, Effects &Out) {
+  // A whole configuration rarely fits.
+  if (Now < this->NextDatagramAsk || this->Version == 0 || this->NeedsSnapshot)
     return;
-  const Source &Chosen = this->Sources[this->Rng.below(this->Sources.size())];
-  this->PullFrom = Chosen.Address;
+  const Source *Chosen = this->pickSource();
+  if (Chosen == nullptr)
+    return;
+  this->NextDatagramAsk = Now + DatagramAskInterval;
+  this->DatagramAsks += 1;
+  Out.emplace_back(LogDecision{"event=pull-ask to=" + Chosen->Address +
+                               " have=" + std::to_string(this->Version) +
+                               " heard=" + std::to_string(this->newestHeard()) +
+                               " try=" + std::to_string(this->DatagramAsks)});
+  wire::PullRequest Request = this->request();
+  Request.AsDatagram = true;
+  send(Out, Chosen->Address, Request, Channel::Datagram);
+}
+
+void Distribution::startPull(Time Now, Effects &Out) {
+  const bool TryDatagrams = this->Version > 0 && !this->NeedsSnapshot &&
+                            this->DatagramAsks <= DatagramAsksAlone;
+  if (!this->PullFrom.empty() || TryDatagrams || Now < this->NextPull)
+    return;
+  const Source *Chosen = this->pickSource();
+  if (Chosen == nullptr)
+    return;
+  this->PullFrom = Chosen->Address;
   this->PullStartedAt = Now;
   this->PullCheckAt = Now + PullCheckInterval;
-  Out.emplace_back(LogDecision{
-      "event=pull-start from=" + this->PullFrom +
-      " have=" + std::to_string(this->Version) +
-      " heard=" + std::to_string(this->newestHeard()) +
-      " sources=" + std::to_string(this->Sources.size())});
-  wire::PullRequest Request;
-  Request.HaveVersion = this->NeedsSnapshot ? 0 : this->Version;
-  Request.HaveHash =
-      this->NeedsSnapshot ? 0 : static_cast<std::int64_t>(this->Hash);
-  Request.TakesPacked = true;
-  send(Out, this->PullFrom, Request);
+  Out.emplace_back(
+      LogDecision{"event=pull-start from=" + this->PullFrom +
+                  " have=" + std::to_string(this->Version) +
+                  " heard=" + std::to_string(this->newestHeard()) +
+                  " sources=" + std::to_string(this->Sources.size())});
+  send(Out, this->PullFrom, this->request());
 }
 
 void Distribution::logPullEnd(std::string_view From, std::string_view Outcome,
                               Time Now, Effects &Out) const {
   Out.emplace_back(LogDecision{
-      "event=pull-end from=" + std::string(From) +
-      " outcome=" + std::string(Outcome) +
-      " inForce=" + std::to_string(this->Version) +
+      "event=pull-end from=" + std::string(From) + " outcome=" +
+      std::string(Outcome) + " inForce=" + std::to_string(this->Version) +
       " heard=" + std::to_string(this->newestHeard()) + " tookMs=" +
       std::to_string(millisecondsUntil(Now, this->PullStartedAt))});
 }
@@ -153,6 +216,7 @@
                                      this->PullCheckAt - PullCheckInterval});
     this->PullCheckAt = Now + PullCheckInterval;
   }
+  this->askByDatagram(Now, Out);
   this->startPull(Now, Out);
 }
 
@@ -211,6 +275,8 @@
 
 void Distribution::receive(const wire::PullRequest &Request,
                            std::string_view From, Time Now, Effects &Out) {
+  if (Request.AsDatagram)
+    return this->serveDatagram(Request, From, Out);
   wire::PullReply Reply;
   Reply.Version = this->Version;
   Reply.Hash = static_cast<std::int64_t>(this->Hash);
@@ -242,12 +308,42 @@
   send(Out, From, std::move(Reply));
 }
 
+void Distribution::serveDatagram(const wire::PullRequest &Request,
+                                 std::string_view From, Effects &Out) const {
+  wire::PullReply Reply;
+  Reply.Version = this->Version;
+  Reply.Hash = static_cast<std::int64_t>(this->Hash);
+  const bool Newer = Request.HaveVersion < this->Version;
+  if (Newer && this->hasDeltasFrom(Request.HaveVersion, Request.HaveHash))
+    this->fillContent(Request.HaveVersion, Reply);
+  std::size_t Bytes = bytesOf(Reply);
+  if (Bytes > DatagramContentBytes &&
+      Bytes <= DatagramContentBytes * LikelyPacking) {
+    pack(Reply);
+    Bytes = bytesOf(Reply) + Reply.Packed.size();
+  }
+  if (Newer && (Bytes == 0 || Bytes > DatagramContentBytes)) {
+    Reply.Deltas.clear();
+    Reply.Packed.clear();
+    Reply.UnpackedBytes = 0;
+    Reply.TooLarge = true;
+  }
+  send(Out, From, std::move(Reply), Channel::Datagram);
+}
+
 void Distribution::receive(const wire::PullReply &Reply, std::string_view From,
                            Time Now, Effects &Out) {
-  if (From != this->PullFrom)
+  const bool EndsPull = From == this->PullFrom;
+  const bool IsDelta = !Reply.Busy && !Reply.IsSnapshot && !Reply.TooLarge;
+  // A reply to an earlier question may still bring what is missing.
+  if (!EndsPull && !IsDelta && !Reply.TooLarge)
     return;
-  this->PullFrom.clear();
-  this->PullCheckAt = NoDeadline;
+  if (Reply.TooLarge)
+    return this->contentTooLarge(Reply, From, Now, Out);
+  if (EndsPull) {
+    this->PullFrom.clear();
+    this->PullCheckAt = NoDeadline;
+  }
   if (Reply.Busy) {
     this->logPullEnd(From, "busy", Now, Out);
     this->dropSource(From);
@@ -255,11 +351,29 @@
     return;
   }
   if (Reply.Version <= this->Version) {
-    this->logPullEnd(From, "not-newer", Now, Out);
+    if (EndsPull)
+      this->logPullEnd(From, "not-newer", Now, Out);
     this->dropSource(From);
     this->startPull(Now, Out);
     return;
   }
+  this->take(Reply, From, Now, Out);
+}
+
+void Distribution::contentTooLarge(const wire::PullReply &Reply,
+                                   std::string_view From, Time Now,
+                                   Effects &Out) {
+  if (Reply.Version <= this->Version)
+    return;
+  this->DatagramAsks = DatagramAsksAlone + 1;
+  this->startPull(Now, Out);
+  Out.emplace_back(
+      LogDecision{"event=pull-too-large from=" + std::string(From) +
+                  " version=" + std::to_string(Reply.Version)});
+}
+
+void Distribution::take(const wire::PullReply &Reply, std::string_view From,
+                        Time Now, Effects &Out) {
   const std::int64_t Base = Reply.IsSnapshot ? 0 : this->Version;
   const Failure Error = settle([&] { return this->applyReply(Reply); }, [] {});
   if (Error.failed()) {
@@ -269,11 +383,13 @@
     this->dropSource(From);
   } else {
     this->NeedsSnapshot = false;
+    this->NextDatagramAsk = Now;
     // Peers with the same base get what was pulled, without another packing.
     this->Packed.keep(Base, Reply, Now);
     Out.emplace_back(VersionInForce{this->Version});
   }
   this->logPullEnd(From, Error.failed() ? "rejected" : "in-force", Now, Out);
+  this->askByDatagram(Now, Out);
   this->startPull(Now, Out);
 }
 
@@ -305,20 +421,25 @@
   SettingsMap Content = this->Settings;
   std::uint64_t Sum = this->Hash;
   std::int64_t Reached = this->Version;
+  std::vector<const wire::Delta *> Taken;
   for (const wire::Delta &Change : Reply.Deltas) {
+    // Another reply has brought these already.
+    if (Change.To <= this->Version)
+      continue;
     if (Change.From != Reached || Change.To <= Reached)
       return fail(ResultCode::UpdateRejected, std::to_string(Change.To),
                   "the deltas do not follow each other");
     carryOut(Change, Content, Sum);
     Reached = Change.To;
+    Taken.push_back(&Change);
   }
   if (Reached != Reply.Version)
     return fail(ResultCode::UpdateRejected, std::to_string(Reply.Version),
                 "the deltas end at another version");
   BOOST_LEAF_CHECK(
       this->putInForce(std::move(Content), Sum, Reply.Version, Reply.Hash));
-  for (const wire::Delta &Change : Reply.Deltas)
-    this->remember(Change);
+  for (const wire::Delta *Change : Taken)
+    this->remember(*Change);
   return {};
 }
 
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -17,6 +17,9 @@
 /// The configuration that one daemon holds, and its exchange with peers: a
 /// newer version is pulled from whoever has it, as deltas or as a snapshot,
 /// checked, compiled and put in force whole. Never goes to an older version.
+/// Small deltas are asked for and sent as datagrams, one source after the
+/// other, so that they need no connection to open; one source is asked over a
+/// connection when that does not help, or when the content is large.
 class Distribution {
 public:
   explicit Distribution(std::uint64_t Seed) : Rng(Seed) {}
@@ -37,14 +40,25 @@
   void heard(std::string_view Address, std::int64_t PeerVersion, Time Now,
              Effects &Out);
 
+  /// Notes that \p NewerVersion was committed, whoever holds it.
+  void expect(std::int64_t NewerVersion, Time Now);
+
+  /// Returns whether a newer version was heard of so long ago that calls must
+  /// not be answered by the one in force any more.
+  bool outdated(Time Now) const {
+    return !this->Awaited.empty() && Now >= this->Awaited.front().ServeUntil;
+  }
+  /// Returns whether a newer version than the one in force was heard of.
+  bool superseded() const { return !this->Awaited.empty(); }
+
   /// Serves a pull, or says when to come back.
   void receive(const wire::PullRequest &Request, std::string_view From,
                Time Now, Effects &Out);
   /// Puts a pulled version in force whole, or changes nothing.
   void receive(const wire::PullReply &Reply, std::string_view From, Time Now,
                Effects &Out);
-  /// Has the connection to a source that does not answer checked, and pulls
-  /// again when due.
+  /// Asks further sources, and has the connection to one that does not answer
+  /// checked.
   void tick(Time Now, Effects &Out);
   /// Gives up on a source whose connection ended.
   void streamLost(std::string_view Address, Time Now, Effects &Out);
@@ -67,8 +81,24 @@
     std::string Address;
     std::int64_t Version = 0;
   };
+  /// A version that is committed and not in force here.
+  struct AwaitedVersion {
+    std::int64_t Version = 0;
+    /// When the version in force must be left.
+    Time ServeUntil;
+  };
 
+  const Source *pickSource();
+  wire::PullRequest request() const;
+  void askByDatagram(Time Now, Effects &Out);
   void startPull(Time Now, Effects &Out);
+  /// Answers a question that came as a datagram, if that carries the answer.
+  void serveDatagram(const wire::PullRequest &Request, std::string_view From,
+                     Effects &Out) const;
+  void contentTooLarge(const wire::PullReply &Reply, std::string_view From,
+                       Time Now, Effects &Out);
+  void take(const wire::PullReply &Reply, std::string_view From, Time Now,
+            Effects &Out);
   void dropSource(std::string_view Address);
   void logPullEnd(std::string_view From, std::string_view Outcome, Time Now,
                   Effects &Out) const;
@@ -97,6 +127,11 @@
   PackedReplies Packed;
   std::vector<Source> Sources;
   std::int64_t NewestHeard = 0;
+  /// In the order of versions, which is that of their deadlines.
+  std::deque<AwaitedVersion> Awaited;
+  /// Datagrams that asked for the versions that are missing.
+  int DatagramAsks = 0;
+  Time NextDatagramAsk;
   std::string PullFrom;
   Time PullStartedAt;
   /// When the connection of the pull is checked next.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -131,10 +131,21 @@
         "event=source-stale version=" + std::to_string(this->Config.version()) +
         " stamp=" + std::to_string(this->Members.stamp().Counter)});
   }
+  this->checkCurrency(Now, Out);
   if (this->Stopping)
     this->tickStop(Now, Out);
 }
 
+void Node::checkCurrency(Time Now, Effects &Out) {
+  if (this->Outdated == this->Config.outdated(Now))
+    return;
+  this->Outdated = !this->Outdated;
+  Out.emplace_back(LogWarning{
+      std::string(this->Outdated ? "event=outdated" : "event=current-again") +
+      " version=" + std::to_string(this->Config.version()) +
+      " heard=" + std::to_string(this->Config.newestHeard())});
+}
+
 void Node::lookForControl(Time Now) {
   if (Now < this->NextControlLookup)
     return;
@@ -338,6 +349,8 @@
   using T = MessageT;
   if constexpr (IsGossipHeaded<T>) {
     // A control instance takes versions from its own replica only.
+    if (!this->Control)
+      this->Config.expect(Body.Head.Newest.Version, Now);
     if (!this->Control && this->Spread.mayPull(this->Members, Body.Head.From))
       this->Config.heard(Body.Head.Address, Body.Head.Version, Now, Out);
   }
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -80,7 +80,9 @@
   const CallRouter *router() const {
     return this->Router ? &*this->Router : nullptr;
   }
-  bool serving() const { return this->Gate.open(); }
+  /// Returns whether calls are served: the configuration in force was current
+  /// when the daemon started, and is not known to be outdated.
+  bool serving() const { return this->Gate.open() && !this->Outdated; }
   bool stopping() const { return this->Stopping; }
   /// Returns what the target beside this daemon last said of itself.
   const TargetAnnounced &target() const { return this->Target.current(); }
@@ -112,6 +114,7 @@
                Effects &Out);
   void afterEvent(Time Now, Effects &Out);
   void targetChanged(Time Now, Effects &Out);
+  void checkCurrency(Time Now, Effects &Out);
   void lookForControl(Time Now);
   void startDraining(Time Now, Effects &Out);
   void tickStop(Time Now, Effects &Out);
@@ -136,6 +139,7 @@
   StopPolicy Stop;
   int MissedProbes = 0;
   std::int64_t AnnouncedVersion = 0;
+  bool Outdated = false;
   bool Stopping = false;
   bool Draining = false;
   bool ExitSent = false;
--- a/src/libpersimmon/packedreplies.cpp
+++ b/src/libpersimmon/packedreplies.cpp
@@ -20,6 +20,8 @@
   return Sum;
 }
 
+} // namespace
+
 std::size_t bytesOf(const wire::PullReply &Reply) {
   std::size_t Sum = bytesOf(Reply.Settings);
   for (const wire::Delta &Change : Reply.Deltas) {
@@ -30,8 +32,6 @@
   return Sum;
 }
 
-} // namespace
-
 const wire::PullReply *PackedReplies::find(std::int64_t Base, Time Now) {
   const auto Found = this->Kept.find(Base);
   if (Found == this->Kept.end())
--- a/src/libpersimmon/packedreplies.h
+++ b/src/libpersimmon/packedreplies.h
@@ -4,10 +4,14 @@
 
 #include "time.h"
 
+#include <cstddef>
 #include <map>
 
 namespace persimmon {
 
+/// Returns the bytes of the paths and values in \p Reply, 0 if it is packed.
+std::size_t bytesOf(const wire::PullReply &Reply);
+
 /// Large pull replies with the version in force, each packed once for all peers
 /// that ask for the same: the whole content, and the deltas from a few
 /// versions.
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -468,11 +468,12 @@
 void TargetLedger::receive(const wire::CallCancel &Cancel, Time Now,
                            Effects &Out) {
   const auto Found = this->Attempts.find(Cancel.Id);
-  Out.emplace_back(LogDecision{
-      "event=cancel sender=" + Cancel.Id.Sender +
-      " number=" + std::to_string(Cancel.Id.Number) + " state=" +
-      std::string(Found == this->Attempts.end() ? "unknown"
-                                                : nameOf(Found->second.State))});
+  Out.emplace_back(LogDecision{"event=cancel sender=" + Cancel.Id.Sender +
+                               " number=" + std::to_string(Cancel.Id.Number) +
+                               " state=" +
+                               std::string(Found == this->Attempts.end()
+                                               ? "unknown"
+                                               : nameOf(Found->second.State))});
   if (Found == this->Attempts.end()) {
     if (this->forgotten(Cancel.Id))
       return;
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -5035,6 +5035,10 @@
 void PullRequest::__set_TakesPacked(const bool val) {
   this->TakesPacked = val;
 }
+
+void PullRequest::__set_AsDatagram(const bool val) {
+  this->AsDatagram = val;
+}
 std::ostream& operator<<(std::ostream& out, const PullRequest& obj)
 {
   obj.printTo(out);
@@ -5087,6 +5091,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->AsDatagram);
+          this->__isset.AsDatagram = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5116,6 +5128,10 @@
   xfer += oprot->writeBool(this->TakesPacked);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("AsDatagram", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->AsDatagram);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5126,6 +5142,7 @@
   swap(a.HaveVersion, b.HaveVersion);
   swap(a.HaveHash, b.HaveHash);
   swap(a.TakesPacked, b.TakesPacked);
+  swap(a.AsDatagram, b.AsDatagram);
   swap(a.__isset, b.__isset);
 }
 
@@ -5133,18 +5150,21 @@
   HaveVersion = other197.HaveVersion;
   HaveHash = other197.HaveHash;
   TakesPacked = other197.TakesPacked;
+  AsDatagram = other197.AsDatagram;
   __isset = other197.__isset;
 }
 PullRequest::PullRequest(PullRequest&& other198) noexcept {
   HaveVersion = other198.HaveVersion;
   HaveHash = other198.HaveHash;
   TakesPacked = other198.TakesPacked;
+  AsDatagram = other198.AsDatagram;
   __isset = other198.__isset;
 }
 PullRequest& PullRequest::operator=(const PullRequest& other199) noexcept {
   HaveVersion = other199.HaveVersion;
   HaveHash = other199.HaveHash;
   TakesPacked = other199.TakesPacked;
+  AsDatagram = other199.AsDatagram;
   __isset = other199.__isset;
   return *this;
 }
@@ -5152,6 +5172,7 @@
   HaveVersion = other200.HaveVersion;
   HaveHash = other200.HaveHash;
   TakesPacked = other200.TakesPacked;
+  AsDatagram = other200.AsDatagram;
   __isset = other200.__isset;
   return *this;
 }
@@ -5161,6 +5182,7 @@
   out << "HaveVersion=" << to_string(HaveVersion);
   out << ", " << "HaveHash=" << to_string(HaveHash);
   out << ", " << "TakesPacked=" << to_string(TakesPacked);
+  out << ", " << "AsDatagram=" << to_string(AsDatagram);
   out << ")";
 }
 
@@ -5204,6 +5226,10 @@
 void PullReply::__set_UnpackedBytes(const int32_t val) {
   this->UnpackedBytes = val;
 }
+
+void PullReply::__set_TooLarge(const bool val) {
+  this->TooLarge = val;
+}
 std::ostream& operator<<(std::ostream& out, const PullReply& obj)
 {
   obj.printTo(out);
@@ -5328,6 +5354,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->TooLarge);
+          this->__isset.TooLarge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5397,6 +5431,10 @@
   xfer += oprot->writeI32(this->UnpackedBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TooLarge", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->TooLarge);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5413,6 +5451,7 @@
   swap(a.Hash, b.Hash);
   swap(a.Packed, b.Packed);
   swap(a.UnpackedBytes, b.UnpackedBytes);
+  swap(a.TooLarge, b.TooLarge);
   swap(a.__isset, b.__isset);
 }
 
@@ -5426,6 +5465,7 @@
   Hash = other213.Hash;
   Packed = other213.Packed;
   UnpackedBytes = other213.UnpackedBytes;
+  TooLarge = other213.TooLarge;
   __isset = other213.__isset;
 }
 PullReply::PullReply(PullReply&& other214) noexcept {
@@ -5438,6 +5478,7 @@
   Hash = other214.Hash;
   Packed = std::move(other214.Packed);
   UnpackedBytes = other214.UnpackedBytes;
+  TooLarge = other214.TooLarge;
   __isset = other214.__isset;
 }
 PullReply& PullReply::operator=(const PullReply& other215) {
@@ -5450,6 +5491,7 @@
   Hash = other215.Hash;
   Packed = other215.Packed;
   UnpackedBytes = other215.UnpackedBytes;
+  TooLarge = other215.TooLarge;
   __isset = other215.__isset;
   return *this;
 }
@@ -5463,6 +5505,7 @@
   Hash = other216.Hash;
   Packed = std::move(other216.Packed);
   UnpackedBytes = other216.UnpackedBytes;
+  TooLarge = other216.TooLarge;
   __isset = other216.__isset;
   return *this;
 }
@@ -5478,6 +5521,7 @@
   out << ", " << "Hash=" << to_string(Hash);
   out << ", " << "Packed=" << to_string(Packed);
   out << ", " << "UnpackedBytes=" << to_string(UnpackedBytes);
+  out << ", " << "TooLarge=" << to_string(TooLarge);
   out << ")";
 }
 
@@ -7279,6 +7323,10 @@
 void CallReply::__set_Shed(const ShedLoad& val) {
   this->Shed = val;
 }
+
+void CallReply::__set_BodyGranted(const int64_t val) {
+  this->BodyGranted = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -7401,6 +7449,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->BodyGranted);
+          this->__isset.BodyGranted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7466,6 +7522,10 @@
   xfer += this->Shed.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("BodyGranted", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->BodyGranted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7483,6 +7543,7 @@
   swap(a.TargetLoad, b.TargetLoad);
   swap(a.Nested, b.Nested);
   swap(a.Shed, b.Shed);
+  swap(a.BodyGranted, b.BodyGranted);
   swap(a.__isset, b.__isset);
 }
 
@@ -7497,6 +7558,7 @@
   TargetLoad = other276.TargetLoad;
   Nested = other276.Nested;
   Shed = other276.Shed;
+  BodyGranted = other276.BodyGranted;
   __isset = other276.__isset;
 }
 CallReply::CallReply(CallReply&& other277) noexcept {
@@ -7510,6 +7572,7 @@
   TargetLoad = std::move(other277.TargetLoad);
   Nested = other277.Nested;
   Shed = std::move(other277.Shed);
+  BodyGranted = other277.BodyGranted;
   __isset = other277.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other278) {
@@ -7523,6 +7586,7 @@
   TargetLoad = other278.TargetLoad;
   Nested = other278.Nested;
   Shed = other278.Shed;
+  BodyGranted = other278.BodyGranted;
   __isset = other278.__isset;
   return *this;
 }
@@ -7537,6 +7601,7 @@
   TargetLoad = std::move(other279.TargetLoad);
   Nested = other279.Nested;
   Shed = std::move(other279.Shed);
+  BodyGranted = other279.BodyGranted;
   __isset = other279.__isset;
   return *this;
 }
@@ -7553,6 +7618,7 @@
   out << ", " << "TargetLoad=" << to_string(TargetLoad);
   out << ", " << "Nested=" << to_string(Nested);
   out << ", " << "Shed=" << to_string(Shed);
+  out << ", " << "BodyGranted=" << to_string(BodyGranted);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -1994,14 +1994,16 @@
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj);
 
 typedef struct _PullRequest__isset {
-  _PullRequest__isset() : HaveVersion(false), HaveHash(false), TakesPacked(true) {}
+  _PullRequest__isset() : HaveVersion(false), HaveHash(false), TakesPacked(true), AsDatagram(true) {}
   bool HaveVersion :1;
   bool HaveHash :1;
   bool TakesPacked :1;
+  bool AsDatagram :1;
 } _PullRequest__isset;
 
 /**
- * TakesPacked says that the sender reads packed replies.
+ * TakesPacked says that the sender reads packed replies, AsDatagram that the
+ * request came as a datagram and the reply is wanted as one.
  */
 class PullRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -2013,13 +2015,15 @@
   PullRequest() noexcept
               : HaveVersion(0),
                 HaveHash(0),
-                TakesPacked(false) {
+                TakesPacked(false),
+                AsDatagram(false) {
   }
 
   virtual ~PullRequest() noexcept;
   int64_t HaveVersion;
   int64_t HaveHash;
   bool TakesPacked;
+  bool AsDatagram;
 
   _PullRequest__isset __isset;
 
@@ -2029,6 +2033,8 @@
 
   void __set_TakesPacked(const bool val);
 
+  void __set_AsDatagram(const bool val);
+
   bool operator == (const PullRequest & rhs) const
   {
     if (!(HaveVersion == rhs.HaveVersion))
@@ -2037,6 +2043,8 @@
       return false;
     if (!(TakesPacked == rhs.TakesPacked))
       return false;
+    if (!(AsDatagram == rhs.AsDatagram))
+      return false;
     return true;
   }
   bool operator != (const PullRequest &rhs) const {
@@ -2056,7 +2064,7 @@
 std::ostream& operator<<(std::ostream& out, const PullRequest& obj);
 
 typedef struct _PullReply__isset {
-  _PullReply__isset() : Busy(true), RetryAfterMs(true), Deltas(false), IsSnapshot(true), Settings(false), Version(false), Hash(false), Packed(false), UnpackedBytes(true) {}
+  _PullReply__isset() : Busy(true), RetryAfterMs(true), Deltas(false), IsSnapshot(true), Settings(false), Version(false), Hash(false), Packed(false), UnpackedBytes(true), TooLarge(true) {}
   bool Busy :1;
   bool RetryAfterMs :1;
   bool Deltas :1;
@@ -2066,11 +2074,13 @@
   bool Hash :1;
   bool Packed :1;
   bool UnpackedBytes :1;
+  bool TooLarge :1;
 } _PullReply__isset;
 
 /**
  * In a packed reply, Packed is a PullContent of UnpackedBytes bytes in compact
- * encoding, packed by zlib; Deltas and Settings are empty.
+ * encoding, packed by zlib; Deltas and Settings are empty. TooLarge says that
+ * there is a newer version whose content does not fit into a datagram.
  */
 class PullReply : public virtual ::apache::thrift::TBase {
  public:
@@ -2086,7 +2096,8 @@
               Version(0),
               Hash(0),
               Packed(),
-              UnpackedBytes(0) {
+              UnpackedBytes(0),
+              TooLarge(false) {
   }
 
   virtual ~PullReply() noexcept;
@@ -2099,6 +2110,7 @@
   int64_t Hash;
   std::string Packed;
   int32_t UnpackedBytes;
+  bool TooLarge;
 
   _PullReply__isset __isset;
 
@@ -2120,6 +2132,8 @@
 
   void __set_UnpackedBytes(const int32_t val);
 
+  void __set_TooLarge(const bool val);
+
   bool operator == (const PullReply & rhs) const
   {
     if (!(Busy == rhs.Busy))
@@ -2140,6 +2154,8 @@
       return false;
     if (!(UnpackedBytes == rhs.UnpackedBytes))
       return false;
+    if (!(TooLarge == rhs.TooLarge))
+      return false;
     return true;
   }
   bool operator != (const PullReply &rhs) const {
@@ -2668,8 +2684,8 @@
 
 /**
  * A part of a body that is too large for its first message. RemainingMs is the
- * time until the caller's deadline when the part was sent; the first part of a
- * request tells it.
+ * time until the caller's deadline when the part was sent; the first part of
+ * each run of parts of a request tells it.
  */
 class BodyPart : public virtual ::apache::thrift::TBase {
  public:
@@ -2850,7 +2866,7 @@
 std::ostream& operator<<(std::ostream& out, const ShedLoad& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), Nested(true), Shed(false) {}
+  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), Nested(true), Shed(false), BodyGranted(true) {}
   bool Id :1;
   bool Outcome :1;
   bool Code :1;
@@ -2861,11 +2877,13 @@
   bool TargetLoad :1;
   bool Nested :1;
   bool Shed :1;
+  bool BodyGranted :1;
 } _CallReply__isset;
 
 /**
  * Nested says that the call is taken for one that a running call made; Shed is
- * sent with answers to such calls.
+ * sent with answers to such calls. BodyGranted, of an admitted call, is the
+ * number of bytes of its body that may be sent so far; -1 for all of them.
  */
 class CallReply : public virtual ::apache::thrift::TBase {
  public:
@@ -2880,7 +2898,8 @@
               Status(0),
               BodySize(0),
               Body(),
-              Nested(false) {
+              Nested(false),
+              BodyGranted(-1LL) {
   }
 
   virtual ~CallReply() noexcept;
@@ -2898,6 +2917,7 @@
   Load TargetLoad;
   bool Nested;
   ShedLoad Shed;
+  int64_t BodyGranted;
 
   _CallReply__isset __isset;
 
@@ -2921,6 +2941,8 @@
 
   void __set_Shed(const ShedLoad& val);
 
+  void __set_BodyGranted(const int64_t val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2943,6 +2965,8 @@
       return false;
     if (!(Shed == rhs.Shed))
       return false;
+    if (!(BodyGranted == rhs.BodyGranted))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -245,16 +245,21 @@
   3: bool WantsRecords
 }
 
-/** TakesPacked says that the sender reads packed replies. */
+/**
+ * TakesPacked says that the sender reads packed replies, AsDatagram that the
+ * request came as a datagram and the reply is wanted as one.
+ */
 struct PullRequest {
   1: i64 HaveVersion
   2: i64 HaveHash
   3: bool TakesPacked = false
+  4: bool AsDatagram = false
 }
 
 /**
  * In a packed reply, Packed is a PullContent of UnpackedBytes bytes in compact
- * encoding, packed by zlib; Deltas and Settings are empty.
+ * encoding, packed by zlib; Deltas and Settings are empty. TooLarge says that
+ * there is a newer version whose content does not fit into a datagram.
  */
 struct PullReply {
   1: bool Busy = false
@@ -266,6 +271,7 @@
   7: i64 Hash
   8: binary Packed
   9: i32 UnpackedBytes = 0
+  10: bool TooLarge = false
 }
 
 struct Laggard {
@@ -337,8 +343,8 @@
 
 /**
  * A part of a body that is too large for its first message. RemainingMs is the
- * time until the caller's deadline when the part was sent; the first part of a
- * request tells it.
+ * time until the caller's deadline when the part was sent; the first part of
+ * each run of parts of a request tells it.
  */
 struct BodyPart {
   1: AttemptId Id
@@ -374,7 +380,8 @@
 
 /**
  * Nested says that the call is taken for one that a running call made; Shed is
- * sent with answers to such calls.
+ * sent with answers to such calls. BodyGranted, of an admitted call, is the
+ * number of bytes of its body that may be sent so far; -1 for all of them.
  */
 struct CallReply {
   1: AttemptId Id
@@ -387,6 +394,7 @@
   8: Load TargetLoad
   10: bool Nested = false
   11: ShedLoad Shed
+  12: i64 BodyGranted = -1
 }
 
 struct CallQuery {
--- a/tests/distribution/test_distribution.cpp
+++ b/tests/distribution/test_distribution.cpp
@@ -4,6 +4,7 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <limits>
 
 using namespace persimmon;
@@ -97,6 +98,21 @@
   }
 
   wire::PullReply serve(const wire::PullRequest &Request, Time Now) {
+    const wire::PullReply Reply = this->answer(Request, Now);
+    if (!Reply.TooLarge)
+      return Reply;
+    // The proxy asks over a connection then.
+    Effects Asked;
+    this->Proxy.receive(Reply, "source", Now, Asked);
+    const auto &Sent = std::get<SendMessage>(
+        *std::find_if(Asked.begin(), Asked.end(), [](const Effect &Item) {
+          const auto *Message = std::get_if<SendMessage>(&Item);
+          return Message != nullptr && Message->Via == Channel::Stream;
+        }));
+    return this->answer(std::get<wire::PullRequest>(Sent.Body), Now);
+  }
+
+  wire::PullReply answer(const wire::PullRequest &Request, Time Now) {
     Effects Served;
     this->Source.receive(Request, "proxy", Now, Served);
     return std::get<wire::PullReply>(std::get<SendMessage>(Served.at(0)).Body);
@@ -242,6 +258,73 @@
   CHECK(F.Proxy.version() == 6);
 }
 
+namespace {
+
+/// Returns the addresses that \p Out asks for a version by datagram.
+std::vector<std::string> askedByDatagram(const Effects &Out) {
+  std::vector<std::string> Found;
+  for (const Effect &Item : Out) {
+    const auto *Sent = std::get_if<SendMessage>(&Item);
+    if (Sent != nullptr && Sent->Via == Channel::Datagram &&
+        std::holds_alternative<wire::PullRequest>(Sent->Body))
+      Found.push_back(Sent->Address);
+  }
+  return Found;
+}
+
+} // namespace
+
+TEST_CASE("a small change waits for a connection to open") {
+  Fixture F;
+  F.Proxy.receive(F.serve(F.ask(Start), Start), "source", Start, F.Out);
+  F.add({setting("team/services/late", "{}", 7)});
+  const wire::PullRequest Request = F.ask(Start);
+  CHECK(Request.AsDatagram);
+  REQUIRE(askedByDatagram(F.Out) == std::vector<std::string>{"source"});
+  Effects Served;
+  F.Source.receive(Request, "proxy", Start, Served);
+  const auto &Sent = std::get<SendMessage>(Served.at(0));
+  CHECK(Sent.Via == Channel::Datagram);
+  F.Proxy.receive(std::get<wire::PullReply>(Sent.Body), "source", Start, F.Out);
+  CHECK(F.Proxy.version() == 7);
+}
+
+TEST_CASE("a lost answer keeps a proxy from asking others") {
+  Fixture F;
+  F.Proxy.receive(F.serve(F.ask(Start), Start), "source", Start, F.Out);
+  F.Out.clear();
+  F.Proxy.heard("source", 7, Start, F.Out);
+  F.Proxy.heard("other", 7, Start, F.Out);
+  bool Connected = false;
+  for (Time Now = Start; Now < Start + milliseconds(1000);
+       Now += milliseconds(20))
+    F.Proxy.tick(Now, F.Out);
+  for (const Effect &Item : F.Out) {
+    const auto *Sent = std::get_if<SendMessage>(&Item);
+    Connected =
+        Connected || (Sent != nullptr && Sent->Via == Channel::Stream &&
+                      std::holds_alternative<wire::PullRequest>(Sent->Body));
+  }
+  CHECK(Connected);
+  CHECK(askedByDatagram(F.Out).size() >= 6);
+}
+
+TEST_CASE("two answers to the same question contradict each other") {
+  Fixture F;
+  F.Proxy.receive(F.serve(F.ask(Start), Start), "source", Start, F.Out);
+  F.add({setting("team/services/b", "{}", 7)});
+  const wire::PullRequest Request = F.ask(Start);
+  const wire::PullReply First = F.serve(Request, Start);
+  F.add({setting("team/services/c", "{}", 8)});
+  const wire::PullReply Second = F.serve(Request, Start);
+  REQUIRE(Second.Deltas.size() == 2);
+  F.Proxy.receive(First, "source", Start, F.Out);
+  REQUIRE(F.Proxy.version() == 7);
+  F.Proxy.receive(Second, "source", Start, F.Out);
+  CHECK(F.Proxy.version() == 8);
+  CHECK(F.Proxy.hash() == F.Source.hash());
+}
+
 TEST_CASE("a whole configuration is too large for a slow link") {
   // A version must be in force within two seconds. On the slowest link seen,
   // 4.45 Mbit/s, 139 kB take a quarter of a second.
--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -172,6 +172,21 @@
   Cluster.call("p3", true, "key");
 }
 
+/// Changes the annotations of a route by more than a datagram carries, packed
+/// or not.
+void changeMuch(FakeCluster &Cluster, std::uint64_t Seed) {
+  constexpr int Digits = 8000;
+  Random Rng(Seed);
+  std::string Note;
+  for (int I = 0; I < Digits; ++I)
+    Note += static_cast<char>('0' + Rng.below(10));
+  Cluster.change(
+      "team/routes/large",
+      R"({"job":"job-large","service":"team/work","annotations":{"note":")" +
+          Note + "\"}}",
+      versionOf(Cluster, "team/routes/large"));
+}
+
 /// Calls of p1 run on p2 and p3 while each pull of p1 takes longer than it
 /// waits for one, and what it renews does not open.
 void actLatePulls(FakeCluster &Cluster) {
@@ -187,8 +202,8 @@
   Cluster.slowDown("p1", milliseconds(900));
   Cluster.shut("p2", true);
   Cluster.shut("p3", true);
-  for (int I = 0; I < 12; ++I) {
-    changeService(Cluster, 10 + I);
+  for (std::uint64_t I = 0; I < 12; ++I) {
+    changeMuch(Cluster, I + 1);
     Cluster.run(milliseconds(300));
   }
   Cluster.slowDown("p1", milliseconds(0));
@@ -418,10 +433,9 @@
     FakeCluster Cluster(Seed);
     prepareAll(Cluster);
     Cluster.slowDown("p1", milliseconds(3500));
-    const std::string Moved =
-        Cluster.change("team/routes/any",
-                       R"({"job":"job-moved","service":"team/work"})",
-                       versionOf(Cluster, "team/routes/any"));
+    const std::string Moved = Cluster.change(
+        "team/routes/any", R"({"job":"job-moved","service":"team/work"})",
+        versionOf(Cluster, "team/routes/any"));
     REQUIRE(Cluster.run(SettleTime,
                         [&] { return Cluster.accepted(Moved).has_value(); }));
     Cluster.run(InForceLimit);
