Bodies of uploads come as fast as the link of the target's daemon carries them

Callers waited, and cancellations, configuration and new connections with them, behind bodies on the links of the documents service. Cause: a target's daemon admits calls by slots and tells every sender to send its whole body at once; a link of 4.45 Mbit/s then holds whatever many senders send, and what cannot arrive in time moves all the same. Class: a shared resource that nobody owns.

- BodyIntake knows the rate of the link (new key linkMbps of a proxy) and lets bodies come in the order of admission, 50 ms of the link at a time.
A reply "admitted" tells how far the body may be sent; older senders send all of it.
- An upload whose body the link cannot bring while its answer has its value is refused by its header (DeadlineCannotBeMet), so that what is admitted arrives.
- An upload that arrives at a daemon of the service goes to the own target while that has room, and needs no link.

--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -123,7 +123,8 @@
     return BodyLost{Part.Id};
   }
   if (Part.RemainingMs > 0)
-    Item.Deadline = Now + milliseconds(Part.RemainingMs);
+    Item.Deadline =
+        std::min(Item.Deadline, Now + milliseconds(Part.RemainingMs));
   if (static_cast<std::int64_t>(Item.Body.size()) < Header.BodySize)
     return {};
   if (!Header.BodyFollows)
@@ -186,16 +187,23 @@
 
 std::vector<wire::BodyPart> partsOf(const SendBody &Sent,
                                     std::string_view Body) {
-  std::vector<wire::BodyPart> Out = cutBody(Sent.Id, false, Body);
+  const auto Size = static_cast<std::int64_t>(Body.size());
+  const std::int64_t Begin = std::min(Sent.Begin, Size);
+  const std::int64_t End = std::clamp(Sent.End, Begin, Size);
+  std::vector<wire::BodyPart> Out =
+      cutBody(Sent.Id, false,
+              Body.substr(static_cast<std::size_t>(Begin),
+                          static_cast<std::size_t>(End - Begin)),
+              Begin);
   if (!Out.empty())
     Out.front().RemainingMs = Sent.RemainingMs;
   return Out;
 }
 
 std::vector<wire::BodyPart> cutBody(const wire::AttemptId &Id, bool OfAnswer,
-                                    std::string_view Body) {
+                                    std::string_view Body,
+                                    std::int64_t Offset) {
   std::vector<wire::BodyPart> Out;
-  std::int64_t Offset = 0;
   while (!Body.empty()) {
     wire::BodyPart Part;
     Part.Id = Id;
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -102,12 +102,14 @@
 /// Returns the first message of \p Call, whose body is \p Body.
 wire::CallRequest firstMessage(const SendCall &Call, std::string_view Body);
 
-/// Returns the parts of an admitted call's body.
+/// Returns the parts of an admitted call's body that \p Sent names.
 std::vector<wire::BodyPart> partsOf(const SendBody &Sent,
                                     std::string_view Body);
 
-/// Cuts \p Body into parts for \p Id.
+/// Cuts \p Body, which begins at the byte \p Offset of the whole, into parts
+/// for \p Id.
 std::vector<wire::BodyPart> cutBody(const wire::AttemptId &Id, bool OfAnswer,
-                                    std::string_view Body);
+                                    std::string_view Body,
+                                    std::int64_t Offset = 0);
 
 } // namespace persimmon
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -76,6 +76,7 @@
   Identity.Voters = this->Settings.Voters;
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
+  Identity.LinkMbps = this->Settings.LinkMbps;
   this->Choice = makeChoice(this->Settings.Baselines.Choice);
   this->Spread = makeSpread(this->Settings.Baselines.Distribution);
   if (this->Settings.Role == DaemonRole::Proxy) {
@@ -259,6 +260,9 @@
     this->submit(std::move(*Whole));
   else if (auto *Lost = std::get_if<BodyLost>(&Completed))
     this->submit(std::move(*Lost));
+  else if (!Part.OfAnswer)
+    this->submit(BodyProgress{
+        Part.Id, Part.Offset + static_cast<std::int64_t>(Part.Data.size())});
 }
 
 void DaemonHost::onStreamLost(StreamLost Lost) {
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -91,6 +91,7 @@
     Out.Readiness = Readiness;
   }
   Out.MemoryMb = Document.value("memoryMb", Out.MemoryMb);
+  Out.LinkMbps = Document.value("linkMbps", Out.LinkMbps);
   Out.RetryBurst = Document.value("retryBurst", Out.RetryBurst);
   return readTarget(Document.value("target", json::object()), Where,
                     Out.Target);
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -74,6 +74,8 @@
   int RetryBurst = 0;
   /// Memory that the process may use, in MB; 0 if the settings don't tell.
   std::int64_t MemoryMb = 0;
+  /// Rate of the instance's link in Mbit/s; 0 if the settings don't tell.
+  double LinkMbps = 0;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -171,7 +171,8 @@
 
 void CallRouter::dispatch(Call &TheCall, Time Now, Effects &Out) {
   const TargetChoice Choice = this->Chooser.choose(
-      this->Members, TheCall.Service, TheCall.Excluded, Now);
+      this->Members, TheCall.Service, TheCall.Excluded, Now,
+      TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes));
   std::string Line = "event=place call=" + TheCall.CallId +
                      " route=" + TheCall.RoutePath +
                      " service=" + TheCall.Service +
@@ -223,18 +224,26 @@
   Request.BodyFollows =
       TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
   TheCall.HoldsBody = Request.BodyFollows;
+  TheCall.BodySent = 0;
   Out.emplace_back(
       SendCall{TheCall.Number, TheCall.Address, std::move(Request)});
 }
 
-void CallRouter::sendBody(Call &TheCall, Time Now, Effects &Out) {
+void CallRouter::sendBody(Call &TheCall, std::int64_t Granted, Time Now,
+                          Effects &Out) {
   // An attempt that is asked after is fenced, so its body would be of no use.
   if (TheCall.State != Phase::Sent || !TheCall.HoldsBody)
     return;
-  TheCall.HoldsBody = false;
+  const std::int64_t End =
+      Granted < 0 ? TheCall.BodySize : std::min(Granted, TheCall.BodySize);
+  if (End <= TheCall.BodySent)
+    return;
   Out.emplace_back(SendBody{
       TheCall.Number, TheCall.Address, this->attemptId(TheCall),
-      static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now))});
+      static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now)),
+      TheCall.BodySent, End});
+  TheCall.BodySent = End;
+  TheCall.HoldsBody = End < TheCall.BodySize;
 }
 
 CallRouter::Call *CallRouter::find(std::int64_t Number) {
@@ -305,7 +314,7 @@
     this->attemptNotRun(TheCall, Code, Now, Out);
     return;
   case wire::CallOutcome::Admitted:
-    this->sendBody(TheCall, Now, Out);
+    this->sendBody(TheCall, Reply.BodyGranted, Now, Out);
     return;
   case wire::CallOutcome::Running:
     TheCall.State = Phase::Asking;
@@ -406,7 +415,8 @@
 void CallRouter::connectionFailed(Call &TheCall, Time Now, Effects &Out) {
   if (TheCall.State != Phase::Sent)
     return;
-  // Nothing runs without its body, and this attempt's will never be sent.
+  // Nothing runs without its whole body, and the rest of this attempt's will
+  // never be sent.
   if (TheCall.HoldsBody)
     return this->attemptNotRun(TheCall, ResultCode::TargetUnreachable, Now,
                                Out);
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -110,8 +110,10 @@
     Time NextAsk;
     Time AskUntil;
     ResultCode LastRefusal = ResultCode::NoTarget;
-    /// The body of the attempt was not sent yet.
+    /// At least a part of the attempt's body was not sent yet.
     bool HoldsBody = false;
+    /// Bytes of the attempt's body that were sent.
+    std::int64_t BodySent = 0;
     /// An attempt ended without proof that it did not run.
     bool MayHaveRun = false;
     /// The last target's daemon takes it for a call of a running call.
@@ -134,7 +136,8 @@
   };
 
   void dispatch(Call &TheCall, Time Now, Effects &Out);
-  void sendBody(Call &TheCall, Time Now, Effects &Out);
+  /// Sends the body as far as \p Granted bytes; -1 for all of it.
+  void sendBody(Call &TheCall, std::int64_t Granted, Time Now, Effects &Out);
   void ask(Call &TheCall, Time Now, Effects &Out);
   void connectionFailed(Call &TheCall, Time Now, Effects &Out);
   void attemptNotRun(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -5,6 +5,7 @@
 #include "time.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -77,12 +78,15 @@
   wire::CallRequest Header;
 };
 
-/// Sends the body of an admitted call.
+/// Sends the body of an admitted call, or the part of it from the byte Begin up
+/// to the byte End.
 struct SendBody {
   std::int64_t CallNumber = 0;
   std::string Address;
   wire::AttemptId Id;
   std::int32_t RemainingMs = 0;
+  std::int64_t Begin = 0;
+  std::int64_t End = std::numeric_limits<std::int64_t>::max();
 };
 
 /// Answers a caller with a failure of our own. RetryAfter says when the caller
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -60,6 +60,13 @@
   Time SignAt;
 };
 
+/// A part of the body of an admitted call for the own target is here.
+struct BodyProgress {
+  wire::AttemptId Id;
+  /// Bytes of the body that are here.
+  std::int64_t Received = 0;
+};
+
 /// The body of an admitted call for the own target is whole.
 struct BodyArrived {
   wire::AttemptId Id;
@@ -200,7 +207,7 @@
                  ChangeRequested, TeamRequested, ReadRequested, FormRequested,
                  RecoverRequested, StopRequested, ReplaceRequested,
                  FoundRequested, TargetLeaves, SettingsChanged, StreamAlive,
-                 BodyArrived, BodyLost>;
+                 BodyArrived, BodyLost, BodyProgress>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -54,6 +54,7 @@
   Out->Router.emplace(Out->Members, Out->Config, std::move(Claims),
                       Identity.Seed + 4, Policies.Choice);
   Out->Router->setRetryBurst(Identity.RetryBurst);
+  Out->Ledger.setLink(Identity.LinkMbps);
   return Out;
 }
 
@@ -311,6 +312,10 @@
     this->Router->streamLost(Body, What.At, Out);
 }
 
+void Node::on(const BodyProgress &Body, const Event &What, Effects &Out) {
+  this->Ledger.bodyProgress(Body, What.At, Out);
+}
+
 void Node::on(const BodyArrived &Body, const Event &What, Effects &Out) {
   this->Ledger.bodyArrived(Body, What.At, Out);
 }
@@ -384,7 +389,8 @@
     this->Ledger.receive(
         Body, From,
         {this->Members.hadIncarnation(Body.ReceiverIncarnation),
-         this->nested(Body), Table ? Table->service(Body.Service) : nullptr},
+         this->nested(Body), Table ? Table->service(Body.Service) : nullptr,
+         Body.Id.Sender == this->Members.self().Name},
         Now, Out);
   } else if constexpr (std::is_same_v<T, wire::CallQuery>)
     this->Ledger.receive(Body, From,
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -43,6 +43,8 @@
   StopPolicy Stop;
   /// Retries beyond the percentages of the services, for all daemons together.
   int RetryBurst = 0;
+  /// Rate of the own link in Mbit/s; 0 if it is not known.
+  double LinkMbps = 0;
 };
 
 /// Policies of a daemon; all must outlive its node.
@@ -95,6 +97,7 @@
   void on(const MessageReceived &Body, const Event &What, Effects &Out);
   void on(const StreamLost &Body, const Event &What, Effects &Out);
   void on(const StreamAlive &Body, const Event &What, Effects &Out);
+  void on(const BodyProgress &Body, const Event &What, Effects &Out);
   void on(const BodyArrived &Body, const Event &What, Effects &Out);
   void on(const BodyLost &Body, const Event &What, Effects &Out);
   void on(const CallArrived &Body, const Event &What, Effects &Out);
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -69,7 +69,7 @@
 TargetChoice TargetChooser::choose(const Membership &Members,
                                    std::string_view Service,
                                    const std::set<std::string> &Excluded,
-                                   Time Now) {
+                                   Time Now, bool LargeBody) {
   std::vector<const wire::MemberRecord *> All;
   std::size_t Unwell = 0;
   std::size_t Ejected = 0;
@@ -97,6 +97,18 @@
   Out.Candidates = All.size();
   if (All.empty())
     return Out;
+  if (LargeBody) {
+    const auto Own =
+        std::find_if(All.begin(), All.end(), [&](const auto *Item) {
+          return Item->Name == Members.self().Name;
+        });
+    if (Own != All.end() && this->score(**Own, this->statsOf(**Own, Now),
+                                        UseHints, Now) < SaturatedScore) {
+      Out.Record = *Own;
+      Out.Reason = "own-target";
+      return Out;
+    }
+  }
   std::vector<const wire::MemberRecord *> Near;
   for (const wire::MemberRecord *Record : All) {
     if (Record->Zone == this->Zone)
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -48,9 +48,11 @@
   TargetChooser(std::string Zone, std::uint64_t Seed,
                 const ChoicePolicy &Policy);
 
-  /// Chooses a target of \p Service that is not in \p Excluded.
+  /// Chooses a target of \p Service that is not in \p Excluded. A large body
+  /// goes to the own target while that has room, as it needs no link then.
   TargetChoice choose(const Membership &Members, std::string_view Service,
-                      const std::set<std::string> &Excluded, Time Now);
+                      const std::set<std::string> &Excluded, Time Now,
+                      bool LargeBody = false);
 
   /// Notes that an attempt was sent.
   void started(std::string_view Name);
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -114,6 +114,8 @@
   Reply.TargetLoad = this->load();
   Reply.Nested = Item.Nested;
   Reply.Shed = Turned;
+  if (Item.State == Stage::Reserved)
+    Reply.BodyGranted = this->Intake.grantedTo(Item.Id);
   send(Out, Item.From, std::move(Reply));
 }
 
@@ -172,17 +174,40 @@
   return Call;
 }
 
-ResultCode TargetLedger::reserve(Attempt &Item, const ServiceSpec *Limits,
-                                 Time Now, Effects &Out) {
+bool TargetLedger::linkCarries(const Attempt &Item, std::int64_t BodySize,
+                               Time Now) const {
+  const Time Whole = this->Intake.wholeAt(BodySize, Now);
+  if (Whole == Now)
+    return true;
+  const milliseconds Run(
+      static_cast<std::int64_t>(this->Times.expectedMs(Item.Route)));
+  return Whole + Run <= Item.UsefulUntil;
+}
+
+ResultCode TargetLedger::reserve(Attempt &Item, std::int64_t BodySize,
+                                 const CallContext &Context, Time Now,
+                                 Effects &Out) {
+  if (!Context.FromHere && !this->linkCarries(Item, BodySize, Now))
+    return ResultCode::DeadlineCannotBeMet;
   Item.State = Stage::Reserved;
   Item.Outcome = wire::CallOutcome::Admitted;
   // Whoever finds a slot free is not asked whether waiting pays.
-  if (static_cast<int>(this->Line.size()) >= this->freeSlots())
-    return this->enqueue(Item, Limits, Now, Out);
-  this->Line.add(this->waitingCall(Item));
+  if (static_cast<int>(this->Line.size()) >= this->freeSlots()) {
+    const ResultCode Code = this->enqueue(Item, Context.Limits, Now, Out);
+    if (Code != ResultCode::Ok)
+      return Code;
+  } else {
+    this->Line.add(this->waitingCall(Item));
+  }
+  this->Intake.add(Item.Id, BodySize, !Context.FromHere);
   return ResultCode::Ok;
 }
 
+void TargetLedger::grantBodies(Time Now, Effects &Out) {
+  for (const BodyIntake::Grant &Granted : this->Intake.grant(Now))
+    this->tell(this->Attempts.at(Granted.Id), Now, Out);
+}
+
 ResultCode TargetLedger::enqueue(const Attempt &Item, const ServiceSpec *Limits,
                                  Time Now, Effects &Out) {
   WaitingCall Call = this->waitingCall(Item);
@@ -280,7 +305,7 @@
       Context.Addressed ? this->admissionOf(Request, Now) : ResultCode::Fenced;
   const bool SlotFree = this->freeSlots() > 0;
   if (Code == ResultCode::Ok && Request.BodyFollows)
-    Code = this->reserve(Item, Limits, Now, Out);
+    Code = this->reserve(Item, Request.BodySize, Context, Now, Out);
   else if (Code == ResultCode::Ok && !SlotFree)
     Code = this->enqueue(Item, Limits, Now, Out);
   this->noteShed(Item, Code, Now);
@@ -293,7 +318,7 @@
   if (Code != ResultCode::Ok)
     return this->refuse(Item, Code, Now, Out);
   if (Request.BodyFollows)
-    this->tell(Item, Now, Out);
+    this->grantBodies(Now, Out);
   else if (SlotFree)
     return this->run(Item, Now, Out);
   this->giveUpHopeless(Now, Out);
@@ -313,12 +338,20 @@
       " code=" + std::to_string(static_cast<int>(Code))});
 }
 
+void TargetLedger::bodyProgress(const BodyProgress &Body, Time Now,
+                                Effects &Out) {
+  this->Intake.received(Body.Id, Body.Received, Now);
+  this->grantBodies(Now, Out);
+}
+
 void TargetLedger::bodyArrived(const BodyArrived &Body, Time Now,
                                Effects &Out) {
   const auto Found = this->Attempts.find(Body.Id);
   if (Found == this->Attempts.end() || Found->second.State != Stage::Reserved)
     return;
   Attempt &Item = Found->second;
+  this->Intake.remove(Body.Id);
+  this->grantBodies(Now, Out);
   Item.State = Stage::Queued;
   Item.Outcome = wire::CallOutcome::Running;
   Item.Deadline = std::min(Item.Deadline, Body.Deadline);
@@ -355,6 +388,7 @@
 
 void TargetLedger::refuse(Attempt &Item, ResultCode Code, Time Now,
                           Effects &Out) {
+  this->Intake.remove(Item.Id);
   Item.State = Stage::Refused;
   Item.Outcome = wire::CallOutcome::NotRun;
   Item.Code = Code;
@@ -516,12 +550,14 @@
   Reached.UpTo = std::max(Reached.UpTo, Item->first.Number);
   Reached.KeepUntil = Now + KeepFloor;
   this->HeldBytes -= Item->second.AnswerBytes;
+  this->Intake.remove(Item->second.Id);
   Out.emplace_back(DropAttempt{Item->second.Id});
   this->Attempts.erase(Item);
 }
 
 void TargetLedger::tick(Time Now, Effects &Out) {
   this->giveUpHopeless(Now, Out);
+  this->grantBodies(Now, Out);
   if (Now < this->NextSweep)
     return;
   this->NextSweep = Now + SweepInterval;
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bodyintake.h"
 #include "effects.h"
 #include "events.h"
 #include "nestedloadguard.h"
@@ -32,6 +33,8 @@
     /// A running call made it.
     bool Nested = false;
     const ServiceSpec *Limits = nullptr;
+    /// Its sender is this daemon.
+    bool FromHere = false;
   };
 
   /// Handles a call that has arrived whole, or the header of one whose body
@@ -39,6 +42,8 @@
   /// when the body cannot come in time, is lost, or the attempt is asked after.
   void receive(const wire::CallRequest &Request, std::string_view From,
                const CallContext &Context, Time Now, Effects &Out);
+  /// Notes a part of the body of an admitted call, and lets more come.
+  void bodyProgress(const BodyProgress &Body, Time Now, Effects &Out);
   /// Lets an admitted call run now that its body is whole.
   void bodyArrived(const BodyArrived &Body, Time Now, Effects &Out);
   /// Fences a call whose body will not be whole.
@@ -60,6 +65,11 @@
   /// Refuses what waited past its deadline and forgets old attempts.
   void tick(Time Now, Effects &Out);
 
+  /// Gives the rate of the own link in Mbit/s; 0 if it is not known.
+  void setLink(double MegabitsPerSecond) {
+    this->Intake.setLink(MegabitsPerSecond);
+  }
+
   /// Takes what the target announced of itself.
   void setTarget(const TargetAnnounced &Target, Time Now, Effects &Out);
 
@@ -111,8 +121,12 @@
   WaitingCall waitingCall(const Attempt &Item) const;
   /// Gives the attempt, whose body follows, a place in the line, or returns why
   /// it cannot.
-  ResultCode reserve(Attempt &Item, const ServiceSpec *Limits, Time Now,
-                     Effects &Out);
+  ResultCode reserve(Attempt &Item, std::int64_t BodySize,
+                     const CallContext &Context, Time Now, Effects &Out);
+  /// Returns whether the link brings the body while its call has its value.
+  bool linkCarries(const Attempt &Item, std::int64_t BodySize, Time Now) const;
+  /// Tells senders how far they may send their bodies.
+  void grantBodies(Time Now, Effects &Out);
   void logAdmission(const wire::CallRequest &Request, bool Nested,
                     std::string_view Choice, ResultCode Code,
                     Effects &Out) const;
@@ -150,6 +164,7 @@
   ShedMeter Shed;
   RunTimes Times;
   WaitingLine Line{Times};
+  BodyIntake Intake;
   std::set<wire::AttemptId> RunningIds;
   std::map<std::pair<std::string, std::int64_t>, Floor> ForgottenUpTo;
   std::int64_t HeldBytes = 0;
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -1003,3 +1003,161 @@
   CHECK(Queries == 1);
   CHECK(Refusals == 0);
 }
+
+namespace {
+
+/// Ten senders that upload 100 kB each to a daemon behind a link of 4 Mbit/s,
+/// 450 kB/s of which are for bodies.
+struct ThinLink : Ledger {
+  static constexpr std::int64_t BodyBytes = 100'000;
+  static constexpr int RemainingMs = 1500;
+
+  std::map<std::int64_t, std::int64_t> Granted;
+  std::map<std::int64_t, std::int64_t> Received;
+  std::set<std::int64_t> Refused;
+
+  ThinLink() {
+    this->Limits.Queue = 100;
+    this->Under.setLink(4);
+  }
+
+  void begin(std::int64_t Number, bool FromHere = false) {
+    wire::CallRequest Header = request(Number, RemainingMs);
+    Header.BodySize = BodyBytes;
+    Header.BodyFollows = true;
+    this->Under.receive(Header, "#1", {true, false, &this->Limits, FromHere},
+                        Start, this->Out);
+    this->note();
+  }
+
+  /// Notes what the daemon told the senders.
+  void note() {
+    for (const Effect &Item : this->Out) {
+      const auto *Sent = std::get_if<SendMessage>(&Item);
+      if (Sent == nullptr)
+        continue;
+      const auto &Reply = std::get<wire::CallReply>(Sent->Body);
+      if (Reply.Outcome == wire::CallOutcome::Admitted)
+        this->Granted[Reply.Id.Number] = Reply.BodyGranted;
+      else
+        this->Refused.insert(Reply.Id.Number);
+    }
+    this->Out.clear();
+  }
+
+  std::int64_t underWay() const {
+    std::int64_t Sum = 0;
+    for (const auto &[Number, Bytes] : this->Granted) {
+      const auto Here = this->Received.find(Number);
+      Sum += Bytes - (Here == this->Received.end() ? 0 : Here->second);
+    }
+    return Sum;
+  }
+
+  /// A part of a body arrives.
+  void part(std::int64_t Number, Time Now) {
+    std::int64_t &Here = this->Received[Number];
+    Here += std::min(static_cast<std::int64_t>(InlineBodyBytes),
+                     this->Granted[Number] - Here);
+    if (Here == BodyBytes)
+      this->Under.bodyArrived({request(Number).Id, "call", NoDeadline}, Now,
+                              this->Out);
+    else
+      this->Under.bodyProgress({request(Number).Id, Here}, Now, this->Out);
+    this->note();
+  }
+};
+
+} // namespace
+
+TEST_CASE("uploads from many senders fill a thin link") {
+  // What is behind a body, such as a configuration, waits 100 ms at most.
+  constexpr std::int64_t MostBytes = 4'000'000 / 8 / 10;
+  ThinLink L;
+  for (std::int64_t Number = 1; Number <= 10; ++Number)
+    L.begin(Number);
+  CHECK(L.underWay() > 0);
+  CHECK(L.underWay() <= MostBytes);
+  for (int I = 0; I < 100; ++I) {
+    for (const auto &[Number, Bytes] : L.Granted) {
+      if (L.Received[Number] == Bytes)
+        continue;
+      L.part(Number, Start + milliseconds(I * 36));
+      break;
+    }
+    CHECK(L.underWay() <= MostBytes);
+  }
+  for (const auto &[Number, Bytes] : L.Received)
+    CHECK(Bytes == ThinLink::BodyBytes);
+}
+
+TEST_CASE("an upload that a thin link cannot bring in time moves its body") {
+  ThinLink L;
+  for (std::int64_t Number = 1; Number <= 10; ++Number)
+    L.begin(Number);
+  // 1.5 s of 450 kB/s are 6.75 bodies.
+  CHECK(L.Refused == std::set<std::int64_t>{7, 8, 9, 10});
+  for (const std::int64_t Number : L.Refused)
+    CHECK(L.Granted.count(Number) == 0);
+  // The own instance's callers need no link.
+  L.begin(11, true);
+  CHECK(L.Granted[11] == ThinLink::BodyBytes);
+}
+
+TEST_CASE("a sender that stopped holds up the uploads of others") {
+  ThinLink L;
+  L.begin(1);
+  L.begin(2);
+  CHECK(L.Granted.count(2) == 0);
+  L.Under.tick(Start + milliseconds(500), L.Out);
+  L.note();
+  CHECK(L.Granted.count(2) == 1);
+}
+
+TEST_CASE("an upload leaves for another daemon of its own service") {
+  CallingProxy P;
+  P.Members.updateSelf([](wire::MemberRecord &Record) {
+    Record.Service = "team/work";
+    Record.Target = wire::TargetState::Serving;
+    Record.Slots = 4;
+  });
+  for (std::int64_t Number = 1; Number <= 3; ++Number) {
+    for (const Effect &Item : P.call(Number, milliseconds(4000), 100'000)) {
+      if (const auto *Call = std::get_if<SendCall>(&Item))
+        CHECK(Call->Address == P.Members.self().Address);
+    }
+  }
+}
+
+TEST_CASE("a body is sent as far as it was let in, and its rest is missing") {
+  Uploading P;
+  std::vector<std::pair<std::int64_t, std::int64_t>> Sent;
+  for (const std::int64_t Granted : {0, 32'768, 32'768, 131'072, 200'000}) {
+    P.Yes.BodyGranted = Granted;
+    for (const Effect &Item : P.reply(P.Yes)) {
+      if (const auto *Body = std::get_if<SendBody>(&Item))
+        Sent.emplace_back(Body->Begin, Body->End);
+    }
+  }
+  CHECK(Sent == std::vector<std::pair<std::int64_t, std::int64_t>>{
+                    {0, 32'768}, {32'768, 131'072}, {131'072, 200'000}});
+  SendBody Middle;
+  Middle.Id = P.Yes.Id;
+  Middle.Begin = 32'768;
+  Middle.End = 40'000;
+  const auto Parts = partsOf(Middle, std::string(200'000, 'a'));
+  REQUIRE(Parts.size() == 1);
+  CHECK(Parts[0].Offset == 32'768);
+  CHECK(Parts[0].Data.size() == 7'232);
+}
+
+TEST_CASE("an upload of which a part was sent did not run when its connection "
+          "ends") {
+  Uploading P;
+  P.Yes.BodyGranted = 32'768;
+  P.reply(P.Yes);
+  ResultCode Told = ResultCode::Ok;
+  for (int I = 0; I < 100 && Told == ResultCode::Ok; ++I)
+    Told = refusalOf(P.tickInSilence());
+  CHECK(Told == ResultCode::TargetUnreachable);
+}
