A connection that opens slowly is not given up with the calls that cannot wait

Cause: one time-out served two decisions, to hand a call on and to give the connection up. Calls that wait are given back each 200 ms as not sent, by a word of its own (StreamSlow) that ends no pull; the connection opens on for 1.5 s, which an opening packet that was lost needs, and is not renewed meanwhile.

The test "what waits for a slow connection is lost with a call that cannot wait" needs the new word of the network; with the connection given up after 200 ms its pull request never arrives. The listener of these tests takes the new word for "unsent", as the router does; their checks stand.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -274,6 +274,13 @@
   this->submit(std::move(Lost));
 }
 
+void DaemonHost::onStreamSlow(StreamSlow Slow) {
+  logDecision("event=connection-slow peer=" + Slow.Address +
+              " notSent=" + std::to_string(Slow.NotSent.size()));
+  this->Numbers.add("persimmon_connections_slow_total");
+  this->submit(std::move(Slow));
+}
+
 void DaemonHost::onStreamAlive(StreamAlive Sign) {
   this->submit(std::move(Sign));
 }
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -59,6 +59,7 @@
 
   void onMessage(std::string From, Message Body) override;
   void onStreamLost(StreamLost Lost) override;
+  void onStreamSlow(StreamSlow Slow) override;
   void onStreamAlive(StreamAlive Sign) override;
   void onPathClosed(std::string Path) override;
   void onBodyPart(std::string From, const wire::BodyPart &Part);
--- a/src/libhost/peerconnection.cpp
+++ b/src/libhost/peerconnection.cpp
@@ -14,9 +14,11 @@
 
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t MaxQueuedBytes = 256u << 20;
-/// Many round trips between availability zones; an instance that is down or
-/// cut off does not answer at all, and nothing was sent to it.
-constexpr milliseconds ConnectTimeout{200};
+/// Many round trips between availability zones. Calls do not wait longer for a
+/// connection: nothing was sent, so they can go elsewhere.
+constexpr milliseconds SlowOpenInterval{200};
+/// An opening packet that was lost is sent again after a second.
+constexpr milliseconds OpenTimeout{1500};
 /// Longer than this process may be held up, as one whose share of a core is
 /// used up for the rest of a tenth of a second: the socket's buffer was full.
 constexpr milliseconds WriteHadToWait{100};
@@ -40,12 +42,8 @@
       LastUse(std::chrono::steady_clock::now()), SignOfLifeAt(this->LastUse) {}
 
 void PeerConnection::connect(const tcp::endpoint &Peer) {
-  this->ConnectTimer.expires_after(ConnectTimeout);
-  this->ConnectTimer.async_wait(
-      [Self = this->shared_from_this()](std::error_code Error) {
-        if (!Error && !Self->Ready)
-          Self->end();
-      });
+  this->OpenUntil = std::chrono::steady_clock::now() + OpenTimeout;
+  this->awaitOpen();
   this->Socket.async_connect(
       Peer, [Self = this->shared_from_this()](std::error_code Error) {
         Self->ConnectTimer.cancel();
@@ -55,6 +53,21 @@
       });
 }
 
+void PeerConnection::awaitOpen() {
+  this->ConnectTimer.expires_after(SlowOpenInterval);
+  this->ConnectTimer.async_wait(
+      [Self = this->shared_from_this()](std::error_code Error) {
+        if (Error || Self->Ready || Self->Owner == nullptr)
+          return;
+        if (std::chrono::steady_clock::now() >= Self->OpenUntil)
+          return Self->end();
+        Self->awaitOpen();
+        auto NotSent = Self->Outbox.takeWaiting();
+        if (!NotSent.empty())
+          Self->Owner->onSlow(*Self, std::move(NotSent));
+      });
+}
+
 void PeerConnection::start() {
   this->Ready = true;
   std::error_code Ignored;
--- a/src/libhost/peerconnection.h
+++ b/src/libhost/peerconnection.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace persimmon {
 
@@ -19,6 +20,9 @@
 public:
   virtual ~PeerConnectionOwner() = default;
   virtual void onFrame(PeerConnection &From, std::string_view Payload) = 0;
+  /// The connection takes long to open; \p NotSent waited and were given up.
+  virtual void onSlow(PeerConnection &Opening,
+                      std::vector<wire::AttemptId> NotSent) = 0;
   virtual void onEnd(PeerConnection &Ended, StreamEnd How) = 0;
 };
 
@@ -53,6 +57,9 @@
 
   bool idleSince(Time Limit) const;
 
+  /// Returns whether the connection has not opened yet.
+  bool opening() const { return !this->Ready; }
+
   /// Returns when the peer last showed that it lives: by bytes that arrived, or
   /// by taking bytes that had to wait.
   Time signOfLifeAt() const { return this->SignOfLifeAt; }
@@ -60,6 +67,7 @@
 private:
   static constexpr std::size_t ChunkBytes = 8u << 10;
 
+  void awaitOpen();
   void close();
   void end();
   void read();
@@ -71,6 +79,7 @@
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer ConnectTimer;
+  Time OpenUntil;
   std::string Name;
   PeerConnectionOwner *Owner;
   Time LastUse;
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -119,6 +119,9 @@
       });
       return false;
     }
+    // Its own time-out ends one that does not open.
+    if (Found->second->opening())
+      return false;
     if (Found->second->signOfLifeAt() <= SilentSince) {
       this->giveUp(Found);
       return true;
@@ -224,6 +227,11 @@
     this->onEnd(From, StreamEnd::Closed);
   }
 
+  void onSlow(PeerConnection &Opening,
+              std::vector<wire::AttemptId> NotSent) override {
+    this->Listener.onStreamSlow({Opening.name(), std::move(NotSent)});
+  }
+
   void onEnd(PeerConnection &Ended, StreamEnd How) override {
     StreamLost Lost = Ended.lost(How);
     this->Connections.erase(Lost.Address);
--- a/src/libhost/peernetwork.h
+++ b/src/libhost/peernetwork.h
@@ -24,6 +24,9 @@
   /// A connection that this daemon opened ended, or could not be opened.
   virtual void onStreamLost(StreamLost Lost) = 0;
 
+  /// A connection that this daemon opens takes long.
+  virtual void onStreamSlow(StreamSlow Slow) = 0;
+
   /// A connection that was to be renewed is not silent.
   virtual void onStreamAlive(StreamAlive Sign) = 0;
 
@@ -57,8 +60,9 @@
   /// path of an accepted connection. Never calls the listener.
   void send(const std::string &To, const Message &Body, Channel Via);
 
-  /// Abandons the connection to \p Address unless the peer has given a sign of
-  /// life on it since \p SilentSince. Returns whether it did. The listener is
+  /// Abandons the connection to \p Address unless it is opening still, or the
+  /// peer has given a sign of life on it since \p SilentSince. Returns whether
+  /// it did. The listener is
   /// told of either later, not within this call.
   bool renew(const std::string &Address, Time SilentSince);
 
--- a/src/libhost/peeroutbox.cpp
+++ b/src/libhost/peeroutbox.cpp
@@ -67,6 +67,17 @@
   this->Waiting.erase(Found);
 }
 
+std::vector<wire::AttemptId> PeerOutbox::takeWaiting() {
+  std::vector<wire::AttemptId> Out;
+  for (const auto &[Id, Frames] : this->Waiting) {
+    if (Frames > 0)
+      Out.push_back(Id);
+  }
+  for (const wire::AttemptId &Id : Out)
+    this->endAttempt(Id);
+  return Out;
+}
+
 void PeerOutbox::addTo(StreamLost &Lost) const {
   for (const auto &[Id, Frames] : this->Waiting)
     (Frames > 0 ? Lost.NotSent : Lost.Sent).push_back(Id);
--- a/src/libhost/peeroutbox.h
+++ b/src/libhost/peeroutbox.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmon {
 
@@ -25,6 +26,9 @@
   /// Notes that \p Id is decided or given up: what waits of it is dropped.
   void endAttempt(const wire::AttemptId &Id);
 
+  /// Gives up the attempts of which a part waits, and returns them.
+  std::vector<wire::AttemptId> takeWaiting();
+
   /// Returns the bytes that wait.
   std::size_t bytes() const { return this->Bytes; }
   bool empty() const { return this->Small.empty() && this->Bulk.empty(); }
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -435,12 +435,17 @@
   return Out;
 }
 
-void CallRouter::streamLost(const StreamLost &Lost, Time Now, Effects &Out) {
-  for (const wire::AttemptId &Id : Lost.NotSent) {
+void CallRouter::notSent(std::span<const wire::AttemptId> Ids, Time Now,
+                         Effects &Out) {
+  for (const wire::AttemptId &Id : Ids) {
     Call *TheCall = this->findAttempt(Id);
     if (TheCall != nullptr)
       this->attemptNotRun(*TheCall, ResultCode::TargetUnreachable, Now, Out);
   }
+}
+
+void CallRouter::streamLost(const StreamLost &Lost, Time Now, Effects &Out) {
+  this->notSent(Lost.NotSent, Now, Out);
   for (const wire::AttemptId &Id : Lost.Sent) {
     Call *TheCall = this->findAttempt(Id);
     if (TheCall == nullptr)
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -47,6 +48,10 @@
   /// Takes the end of a connection to a daemon. What it never sent has not run;
   /// what it sent is asked after.
   void streamLost(const StreamLost &Lost, Time Now, Effects &Out);
+  /// Sends the calls that waited for a connection elsewhere: they have not run.
+  void streamSlow(const StreamSlow &Slow, Time Now, Effects &Out) {
+    this->notSent(Slow.NotSent, Now, Out);
+  }
   /// Notes that the connection to \p Address was not silent at \p SignAt.
   void streamAlive(std::string_view Address, Time SignAt) {
     this->heard(Address, SignAt);
@@ -139,6 +144,7 @@
   /// Sends the body as far as \p Granted bytes; -1 for all of it.
   void sendBody(Call &TheCall, std::int64_t Granted, Time Now, Effects &Out);
   void ask(Call &TheCall, Time Now, Effects &Out);
+  void notSent(std::span<const wire::AttemptId> Ids, Time Now, Effects &Out);
   void connectionFailed(Call &TheCall, Time Now, Effects &Out);
   void attemptNotRun(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
   bool retryElsewhere(Call &TheCall, Time Now, Effects &Out);
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -52,6 +52,13 @@
   std::vector<wire::AttemptId> Sent;
 };
 
+/// A connection to a peer's address has not opened yet and goes on opening. The
+/// calls that waited for it are given back and will not be sent on it.
+struct StreamSlow {
+  std::string Address;
+  std::vector<wire::AttemptId> NotSent;
+};
+
 /// The peer at this address gave a sign of life on a connection that was taken
 /// for silent.
 struct StreamAlive {
@@ -207,7 +214,7 @@
                  ChangeRequested, TeamRequested, ReadRequested, FormRequested,
                  RecoverRequested, StopRequested, ReplaceRequested,
                  FoundRequested, TargetLeaves, SettingsChanged, StreamAlive,
-                 BodyArrived, BodyLost, BodyProgress>;
+                 BodyArrived, BodyLost, BodyProgress, StreamSlow>;
 
 /// Something that happened at a time. WallMs is the wall clock in milliseconds
 /// since 1970, for retention only.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -306,6 +306,11 @@
     this->Router->streamAlive(Body.Address, Body.SignAt);
 }
 
+void Node::on(const StreamSlow &Body, const Event &What, Effects &Out) {
+  if (this->Router)
+    this->Router->streamSlow(Body, What.At, Out);
+}
+
 void Node::on(const StreamLost &Body, const Event &What, Effects &Out) {
   this->Config.streamLost(Body.Address, What.At, Out);
   if (this->Router)
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -96,6 +96,7 @@
   void on(const Tick &, const Event &What, Effects &Out);
   void on(const MessageReceived &Body, const Event &What, Effects &Out);
   void on(const StreamLost &Body, const Event &What, Effects &Out);
+  void on(const StreamSlow &Body, const Event &What, Effects &Out);
   void on(const StreamAlive &Body, const Event &What, Effects &Out);
   void on(const BodyProgress &Body, const Event &What, Effects &Out);
   void on(const BodyArrived &Body, const Event &What, Effects &Out);
--- a/tests/peernetwork/test_peernetwork.cpp
+++ b/tests/peernetwork/test_peernetwork.cpp
@@ -64,6 +64,13 @@
     }
   }
 
+  /// Connections open again, those that are tried anew included.
+  void emptyBacklog() {
+    this->Waiting.clear();
+    for (int I = 0; I < 8; ++I)
+      this->acceptOne();
+  }
+
   /// Sends bytes of a message that does not become whole.
   void sendPartOfMessage(std::size_t Size) {
     constexpr std::array<unsigned char, LengthBytes> LargeLength = {0, 8, 0, 0};
@@ -120,6 +127,11 @@
 public:
   void onMessage(std::string, Message) override {}
   void onPathClosed(std::string) override {}
+  void onStreamSlow(StreamSlow Slow) override {
+    for (const wire::AttemptId &Id : Slow.NotSent)
+      this->First.try_emplace(Id.Number, Word::Unsent);
+    this->Words += 1;
+  }
   void onStreamAlive(StreamAlive) override { this->SignsOfLife += 1; }
   void onStreamLost(StreamLost Lost) override {
     for (const wire::AttemptId &Id : Lost.NotSent)
@@ -290,3 +302,18 @@
     CHECK(F.Listener.saidOfCall(1) == Word::Unsent);
   }
 }
+
+TEST_CASE("what waits for a slow connection is lost with a call that cannot "
+          "wait") {
+  Fixture F(0);
+  F.Peer.fillBacklog();
+  F.pass(milliseconds(100));
+  F.sendCall(1);
+  F.Network->send(F.Peer.address(), wire::PullRequest(), Channel::Stream);
+  F.pass(milliseconds(300));
+  CHECK(F.Listener.saidOfCall(1) == Word::Unsent);
+  F.Peer.emptyBacklog();
+  F.runUntil([&] { return !F.Peer.Read.empty(); });
+  REQUIRE(F.Peer.Read.size() == 1);
+  CHECK(std::holds_alternative<wire::PullRequest>(F.Peer.Read.front()));
+}
