An attempt that nobody waits for is cancelled until its target has heard of it

Two causes, by reading, and shown by a test: an attempt that was given up for one at another target was never cancelled, and when its caller left, only the last attempt was; and a cancellation was sent once, on the connection of its call, where it waits behind what the link holds or is lost when the connection ends. Class: work whose owner forgets it before its end is known.

CancelKeeper owns each attempt that is given up: it cancels it, and says so again as a datagram each 200 ms until the target's daemon has answered, for two seconds at most. The daemon answers a cancellation with an outcome that proves nothing.

"work goes on for a caller that has left" leaves at six moments of a call. The test of an overtaking cancellation demands both effects of a cancellation now, the answer and the drop.

--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -298,6 +298,7 @@
 
 void CallRouter::receive(const wire::CallReply &Reply, Time Now, Effects &Out) {
   Call *Found = this->findAttempt(Reply.Id);
+  this->Cancels.answered(Reply.Id);
   if (Found == nullptr) {
     // The answer of an attempt that no one waits for any more.
     Out.emplace_back(DropArrival{Reply.Id, {}});
@@ -322,7 +323,7 @@
     TheCall.AskUntil = Now + AskTimeout;
     return;
   case wire::CallOutcome::Unknown:
-    this->attemptUnknown(TheCall, Code, Now, Out);
+    this->attemptUnknown(TheCall, Code, false, Now, Out);
     return;
   case wire::CallOutcome::Finished:
     break;
@@ -374,13 +375,16 @@
   return true;
 }
 
-bool CallRouter::retryElsewhere(Call &TheCall, Time Now, Effects &Out) {
+bool CallRouter::retryElsewhere(Call &TheCall, bool MayRun, Time Now,
+                                Effects &Out) {
   const bool Allowed = TheCall.Repeat && TheCall.Sends + 1 < TheCall.MaxSends &&
                        TheCall.Attempts < MaxTries && Now < TheCall.Deadline &&
                        this->Budget.spend(TheCall.Service);
   if (!Allowed)
     return false;
   TheCall.Sends += 1;
+  if (MayRun)
+    this->cancelAttempt(TheCall, Channel::Datagram, Now, Out);
   this->endAttempt(TheCall, true, Now, Out);
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.MayHaveRun = true;
@@ -389,13 +393,13 @@
   return true;
 }
 
-void CallRouter::attemptUnknown(Call &TheCall, ResultCode Code, Time Now,
-                                Effects &Out) {
+void CallRouter::attemptUnknown(Call &TheCall, ResultCode Code, bool MayRun,
+                                Time Now, Effects &Out) {
   Out.emplace_back(LogDecision{
       "event=outcome-unknown call=" + TheCall.CallId + " choice=" +
       TheCall.Target + " repeatable=" + (TheCall.Repeat ? "yes" : "no") +
       " code=" + std::to_string(static_cast<int>(Code))});
-  if (this->retryElsewhere(TheCall, Now, Out))
+  if (this->retryElsewhere(TheCall, MayRun, Now, Out))
     return;
   this->endAttempt(TheCall, true, Now, Out);
   const ResultCode Told = Code == ResultCode::TargetBroke
@@ -420,7 +424,7 @@
   if (TheCall.HoldsBody)
     return this->attemptNotRun(TheCall, ResultCode::TargetUnreachable, Now,
                                Out);
-  if (this->retryElsewhere(TheCall, Now, Out))
+  if (this->retryElsewhere(TheCall, true, Now, Out))
     return;
   TheCall.State = Phase::Asking;
   TheCall.AskUntil = Now + AskTimeout;
@@ -512,9 +516,7 @@
                  Now, Out);
     return;
   }
-  wire::CallCancel Cancel;
-  Cancel.Id = this->attemptId(TheCall);
-  send(Out, TheCall.Address, std::move(Cancel));
+  this->cancelAttempt(TheCall, Channel::Stream, Now, Out);
   this->endAttempt(TheCall, true, Now, Out);
   this->finish(TheCall.Number,
                {ResultCode::DeadlinePassed, TheCall.Service, {}}, true, Now,
@@ -526,6 +528,7 @@
   for (const std::int64_t Number : this->Claims.tick(Now, Out))
     this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
                  Out);
+  this->Cancels.tick(Now, Out);
   this->watchLinks(Now, Out);
   for (const std::int64_t Number : this->callNumbers()) {
     Call *TheCall = this->find(Number);
@@ -549,7 +552,8 @@
     const bool Dead = Record == nullptr || !isAlive(*Record) ||
                       Record->Incarnation != TheCall->TargetIncarnation;
     if (Now >= TheCall->AskUntil || Dead)
-      this->attemptUnknown(*TheCall, ResultCode::OutcomeUnknown, Now, Out);
+      this->attemptUnknown(*TheCall, ResultCode::OutcomeUnknown, true, Now,
+                           Out);
     else if (Now >= TheCall->NextAsk)
       this->ask(*TheCall, Now, Out);
   }
@@ -561,9 +565,7 @@
     return;
   bool MayHaveRun = false;
   if (TheCall->dispatched()) {
-    wire::CallCancel Cancel;
-    Cancel.Id = this->attemptId(*TheCall);
-    send(Out, TheCall->Address, std::move(Cancel));
+    this->cancelAttempt(*TheCall, Channel::Stream, Now, Out);
     this->endAttempt(*TheCall, false, Now, Out);
     MayHaveRun = true;
   }
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cancelkeeper.h"
 #include "claimkeeper.h"
 #include "distribution.h"
 #include "events.h"
@@ -147,8 +148,16 @@
   void notSent(std::span<const wire::AttemptId> Ids, Time Now, Effects &Out);
   void connectionFailed(Call &TheCall, Time Now, Effects &Out);
   void attemptNotRun(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
-  bool retryElsewhere(Call &TheCall, Time Now, Effects &Out);
-  void attemptUnknown(Call &TheCall, ResultCode Code, Time Now, Effects &Out);
+  /// Sends a call again if that is allowed. \p MayRun says that the attempt so
+  /// far may run still.
+  bool retryElsewhere(Call &TheCall, bool MayRun, Time Now, Effects &Out);
+  void attemptUnknown(Call &TheCall, ResultCode Code, bool MayRun, Time Now,
+                      Effects &Out);
+  /// Ends the attempt at its target: nobody waits for it any more.
+  void cancelAttempt(const Call &TheCall, Channel Via, Time Now, Effects &Out) {
+    this->Cancels.cancel(this->attemptId(TheCall), TheCall.Address, Via, Now,
+                         Out);
+  }
   void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
   Call makeCall(const CallArrived &Arrived, const RouteSpec &Route, Time Now);
@@ -169,6 +178,7 @@
   const Membership &Members;
   const Distribution &Config;
   ClaimKeeper Claims;
+  CancelKeeper Cancels;
   TargetChooser Chooser;
   TrafficSplit Split;
   ReturnDetector Returns;
--- /dev/null
+++ b/src/libpersimmon/cancelkeeper.cpp
@@ -0,0 +1,45 @@
+#include "cancelkeeper.h"
+
+namespace persimmon {
+
+namespace {
+
+/// Many round trips between availability zones; twice within the half second
+/// after which work for a caller that left is wasted.
+constexpr milliseconds RepeatInterval{200};
+/// Most runs have ended by then.
+constexpr milliseconds GiveUpTimeout{2000};
+
+Message cancellationOf(const wire::AttemptId &Id) {
+  wire::CallCancel Out;
+  Out.Id = Id;
+  return Out;
+}
+
+} // namespace
+
+void CancelKeeper::cancel(const wire::AttemptId &Id, std::string_view Address,
+                          Channel Via, Time Now, Effects &Out) {
+  this->Open[Id] = {std::string(Address), Now + RepeatInterval,
+                    Now + GiveUpTimeout};
+  send(Out, Address, cancellationOf(Id), Via);
+}
+
+void CancelKeeper::tick(Time Now, Effects &Out) {
+  for (auto Next = this->Open.begin(); Next != this->Open.end();) {
+    Item &Cancelled = Next->second;
+    if (Now >= Cancelled.GiveUpAt) {
+      Next = this->Open.erase(Next);
+      continue;
+    }
+    if (Now >= Cancelled.RepeatAt) {
+      Cancelled.RepeatAt = Now + RepeatInterval;
+      // The connection may be the reason why no answer came.
+      send(Out, Cancelled.Address, cancellationOf(Next->first),
+           Channel::Datagram);
+    }
+    ++Next;
+  }
+}
+
+} // namespace persimmon
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -402,7 +402,7 @@
                          this->Members.hadIncarnation(Body.ReceiverIncarnation),
                          Now, Out);
   else if constexpr (std::is_same_v<T, wire::CallCancel>)
-    this->Ledger.receive(Body, Now, Out);
+    this->Ledger.receive(Body, From, Now, Out);
   else if constexpr (std::is_same_v<T, wire::AnswerAck>)
     this->Ledger.receive(Body, Now, Out);
   else if constexpr (std::is_same_v<T, wire::BodyPart>)
--- a/src/libpersimmon/targetledger.cpp
+++ b/src/libpersimmon/targetledger.cpp
@@ -84,13 +84,13 @@
 
 void TargetLedger::reply(const wire::AttemptId &Id, std::string_view To,
                          wire::CallOutcome::type Outcome, ResultCode Code,
-                         Effects &Out) const {
+                         Effects &Out, Channel Via) const {
   wire::CallReply Reply;
   Reply.Id = Id;
   Reply.Outcome = Outcome;
   Reply.Code = static_cast<std::int32_t>(Code);
   Reply.TargetLoad = this->load();
-  send(Out, To, std::move(Reply));
+  send(Out, To, std::move(Reply), Via);
 }
 
 void TargetLedger::tell(Attempt &Item, Time Now, Effects &Out) const {
@@ -499,8 +499,8 @@
   return this->Attempts.emplace(Id, std::move(Fence)).first->second;
 }
 
-void TargetLedger::receive(const wire::CallCancel &Cancel, Time Now,
-                           Effects &Out) {
+void TargetLedger::receive(const wire::CallCancel &Cancel,
+                           std::string_view From, Time Now, Effects &Out) {
   const auto Found = this->Attempts.find(Cancel.Id);
   Out.emplace_back(LogDecision{"event=cancel sender=" + Cancel.Id.Sender +
                                " number=" + std::to_string(Cancel.Id.Number) +
@@ -508,6 +508,9 @@
                                std::string(Found == this->Attempts.end()
                                                ? "unknown"
                                                : nameOf(Found->second.State))});
+  // Whoever gave an attempt up does not ask what became of it.
+  this->reply(Cancel.Id, From, wire::CallOutcome::Unknown,
+              ResultCode::Cancelled, Out, Channel::Datagram);
   if (Found == this->Attempts.end()) {
     if (this->forgotten(Cancel.Id))
       return;
--- a/src/libpersimmon/targetledger.h
+++ b/src/libpersimmon/targetledger.h
@@ -53,7 +53,9 @@
                bool Addressed, Time Now, Effects &Out);
   /// Ends a running attempt, forgets one that waits, and fences one that has
   /// not arrived: a cancellation may overtake its call on another connection.
-  void receive(const wire::CallCancel &Cancel, Time Now, Effects &Out);
+  /// Tells \p From that it was received.
+  void receive(const wire::CallCancel &Cancel, std::string_view From, Time Now,
+               Effects &Out);
   /// Lets go of an answer that its sender has taken.
   void receive(const wire::AnswerAck &Ack, Time Now, Effects &Out);
   /// Takes the end of a run on the target and starts what waits.
@@ -140,8 +142,8 @@
   void startQueued(Time Now, Effects &Out);
   void handBackQueued(ResultCode Code, Time Now, Effects &Out);
   void reply(const wire::AttemptId &Id, std::string_view To,
-             wire::CallOutcome::type Outcome, ResultCode Code,
-             Effects &Out) const;
+             wire::CallOutcome::type Outcome, ResultCode Code, Effects &Out,
+             Channel Via = Channel::Stream) const;
   /// Tells the sender what became of an attempt.
   void tell(Attempt &Item, Time Now, Effects &Out) const;
   /// Answers with what is known of the attempt; returns false if nothing is.
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -92,7 +92,7 @@
   void cancel(std::int64_t Number, Time Now = Start) {
     wire::CallCancel Cancel;
     Cancel.Id = request(Number).Id;
-    this->Under.receive(Cancel, Now, this->Out);
+    this->Under.receive(Cancel, "#1", Now, this->Out);
   }
 
   void finish(std::int64_t Number, Time Now, RunEnd End = RunEnd::Answered) {
@@ -121,8 +121,10 @@
   L.cancel(1);
   // What has arrived of its body is dropped.
   const Effects Done = withoutLog(L.Out);
-  REQUIRE(Done.size() == 1);
-  CHECK(std::holds_alternative<DropAttempt>(Done.front()));
+  REQUIRE(Done.size() == 2);
+  // Whoever cancels learns that it was received, and nothing of the outcome.
+  CHECK(replies(Done)[1].Outcome == wire::CallOutcome::Unknown);
+  CHECK(std::holds_alternative<DropAttempt>(Done.back()));
   L.Out.clear();
   L.arrive(request(1));
   CHECK(runs(L.Out).empty());
@@ -753,7 +755,7 @@
     for (const std::int64_t Number : {3, 4}) {
       wire::CallCancel Cancel;
       Cancel.Id = request(Number).Id;
-      L.Under.receive(Cancel, Start, L.Out);
+      L.Under.receive(Cancel, "#1", Start, L.Out);
     }
   }
   SECTION("when it is asked after") {
@@ -1161,3 +1163,136 @@
     Told = refusalOf(P.tickInSilence());
   CHECK(Told == ResultCode::TargetUnreachable);
 }
+
+namespace {
+
+/// An entry with two targets and a call that may be repeated.
+struct Repeating : CallingProxy {
+  /// Attempts that were sent, with the addresses, by number.
+  std::map<std::int64_t, std::string> Sent;
+  /// Cancellations that were sent, by number of the attempt.
+  std::map<std::int64_t, int> Cancelled;
+
+  Repeating() {
+    wire::MemberRecord Other = *this->Members.find("p1");
+    Other.Name = "p2";
+    Other.Address = "p2:1";
+    wire::Gossip Head;
+    Head.Updates.push_back(Other);
+    this->Members.absorb(Head, Start);
+    SettingsMap Settings = this->Config.settings();
+    Settings["team/routes/work"].Value =
+        R"({"job":"job","service":"team/work","repeatable":"always",)"
+        R"("maxAttempts":2})";
+    Settings["team/routes/work"].Version = 2;
+    Effects Ignored;
+    this->Config.adopt(Settings, 2, Ignored);
+    this->Router.setRetryBurst(100);
+    this->tick(milliseconds(0));
+  }
+
+  void note(const Effects &Out) {
+    for (const Effect &Item : Out) {
+      if (const auto *Call = std::get_if<SendCall>(&Item))
+        this->Sent[Call->Header.Id.Number] = Call->Address;
+      const auto *Message = std::get_if<SendMessage>(&Item);
+      if (Message == nullptr)
+        continue;
+      if (const auto *Told = std::get_if<wire::CallCancel>(&Message->Body)) {
+        CHECK(Message->Address == this->Sent[Told->Id.Number]);
+        this->Cancelled[Told->Id.Number] += 1;
+      }
+    }
+  }
+
+  wire::AttemptId attempt(std::int64_t Number) const {
+    wire::AttemptId Id;
+    Id.Sender = this->Members.self().Name;
+    Id.SenderIncarnation = this->Members.self().Incarnation;
+    Id.Number = Number;
+    return Id;
+  }
+
+  void loseConnectionOf(std::int64_t Number) {
+    StreamLost Lost;
+    Lost.Address = this->Sent.at(Number);
+    Lost.Sent = {this->attempt(Number)};
+    Effects Out;
+    this->Router.streamLost(Lost, this->Now, Out);
+    this->note(Out);
+  }
+
+  void reply(std::int64_t Number, wire::CallOutcome::type Outcome,
+             std::int64_t Granted = -1) {
+    wire::CallReply Reply;
+    Reply.Id = this->attempt(Number);
+    Reply.Outcome = Outcome;
+    Reply.BodyGranted = Granted;
+    Effects Out;
+    this->Router.receive(Reply, this->Now, Out);
+    this->note(Out);
+  }
+
+  void leave() {
+    Effects Out;
+    this->Router.callerGone(1, this->Now, Out);
+    this->note(Out);
+  }
+
+  void tick(milliseconds For) {
+    for (const Time Until = this->Now + For; this->Now <= Until;
+         this->Now += milliseconds(20)) {
+      Effects Out;
+      this->Router.tick(this->Now, Out);
+      this->note(Out);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("work goes on for a caller that has left") {
+  Repeating P;
+  SECTION("while the call runs") {
+    P.note(P.call(1, milliseconds(4000)));
+    P.leave();
+  }
+  SECTION("while the body waits to be let in") {
+    P.note(P.call(1, milliseconds(4000), 100'000));
+    P.leave();
+  }
+  SECTION("while a part of the body is on its way") {
+    P.note(P.call(1, milliseconds(4000), 100'000));
+    P.reply(1, wire::CallOutcome::Admitted, 32'768);
+    P.leave();
+  }
+  SECTION("while the attempt is asked after") {
+    P.note(P.call(1, milliseconds(4000)));
+    P.reply(1, wire::CallOutcome::Running);
+    P.leave();
+  }
+  SECTION("after the call was sent to another target") {
+    P.note(P.call(1, milliseconds(4000)));
+    P.loseConnectionOf(1);
+    REQUIRE(P.Sent.size() == 2);
+    // The first target need not go on when another one is at work.
+    CHECK(P.Cancelled[1] == 1);
+    P.leave();
+  }
+  SECTION("when its deadline passes") {
+    P.note(P.call(1, milliseconds(500)));
+    P.tick(milliseconds(520));
+  }
+  for (const auto &[Number, Address] : P.Sent)
+    CHECK(P.Cancelled[Number] >= 1);
+  // It is said again within the half second that work may go on, until it was
+  // received.
+  P.tick(milliseconds(500));
+  for (const auto &[Number, Address] : P.Sent) {
+    CHECK(P.Cancelled[Number] >= 3);
+    P.reply(Number, wire::CallOutcome::Unknown);
+  }
+  const auto Before = P.Cancelled;
+  P.tick(milliseconds(1000));
+  CHECK(P.Cancelled == Before);
+}
