Scenario: uploads on a thin link

The forwarder of the scenarios passes what is sent to an address through one queue of so many bytes a second (`limit`), datagrams included.

--- a/tests/scenario/forwarder.cpp
+++ b/tests/scenario/forwarder.cpp
@@ -27,10 +27,33 @@
 
 /// Chunks that one direction of a connection holds up at most.
 constexpr std::size_t MaxWaiting = 256;
+/// The same on a thin link: a window of 256 KB for each connection.
+constexpr std::size_t MaxWaitingOnThinLink = 4;
 constexpr std::size_t BufferBytes = 64u << 10;
 
-/// How long what is sent to an address is held up, by address.
-using Delays = std::map<std::string, std::chrono::milliseconds>;
+/// How what is sent to one address is held up.
+struct Link {
+  std::chrono::milliseconds Delay{0};
+  /// 0 for no bound.
+  std::int64_t BytesPerSecond = 0;
+  /// When what passes now will have passed.
+  Clock::time_point BusyUntil;
+
+  /// Returns when \p Size bytes that come now have passed.
+  Clock::time_point pass(std::size_t Size) {
+    const auto Now = Clock::now();
+    if (this->BytesPerSecond == 0)
+      return Now + this->Delay;
+    const std::chrono::duration<double> Takes(
+        static_cast<double>(Size) / static_cast<double>(this->BytesPerSecond));
+    this->BusyUntil = std::max(this->BusyUntil, Now) +
+                      std::chrono::duration_cast<Clock::duration>(Takes);
+    return this->BusyUntil + this->Delay;
+  }
+};
+
+/// The links by the address to which they lead.
+using LinkMap = std::map<std::string, Link>;
 
 /// One forwarded TCP connection. Silent ones stay open and pass nothing.
 struct Pair : std::enable_shared_from_this<Pair> {
@@ -54,8 +77,8 @@
     bool Ended = false;
   };
 
-  Pair(asio::io_context &Io, const Delays &TheHeldUp)
-      : Client(Io), Server(Io), HeldUp(TheHeldUp),
+  Pair(asio::io_context &Io, LinkMap &TheLinks)
+      : Client(Io), Server(Io), Links(TheLinks),
         Up(Io, this->Client, this->Server, this->ServerIp),
         Down(Io, this->Server, this->Client, this->ClientIp) {}
 
@@ -66,7 +89,9 @@
 
   /// Reads on while there is room; one slow reader does not fill the memory.
   void read(Stream &Way) {
-    if (Way.Reading || Way.Ended || Way.Waiting.size() >= MaxWaiting)
+    const bool Thin = this->Links[Way.Receiver].BytesPerSecond > 0;
+    if (Way.Reading || Way.Ended ||
+        Way.Waiting.size() >= (Thin ? MaxWaitingOnThinLink : MaxWaiting))
       return;
     Way.Reading = true;
     Way.From.async_read_some(
@@ -77,19 +102,13 @@
             return;
           Way.Ended = static_cast<bool>(Error);
           if (!Error)
-            Way.Waiting.push_back({Clock::now() + this->delayOf(Way),
+            Way.Waiting.push_back({this->Links[Way.Receiver].pass(Size),
                                    std::string(Way.Buffer.data(), Size)});
           this->pass(Way);
           this->read(Way);
         });
   }
 
-  std::chrono::milliseconds delayOf(const Stream &Way) const {
-    const auto Found = this->HeldUp.find(Way.Receiver);
-    return Found == this->HeldUp.end() ? std::chrono::milliseconds(0)
-                                       : Found->second;
-  }
-
   void pass(Stream &Way) {
     if (Way.Passing || this->Silent)
       return;
@@ -133,7 +152,7 @@
   std::string ClientIp;
   std::string ServerIp;
   bool Silent = false;
-  const Delays &HeldUp;
+  LinkMap &Links;
   Stream Up;
   Stream Down;
 };
@@ -180,7 +199,11 @@
   }
 
   void delay(const std::string &Ip, std::chrono::milliseconds Delay) {
-    this->HeldUp[Ip] = Delay;
+    this->Links[Ip].Delay = Delay;
+  }
+
+  void limit(const std::string &Ip, std::int64_t BytesPerSecond) {
+    this->Links[Ip].BytesPerSecond = BytesPerSecond;
   }
 
   void shut(const std::string &Ip) {
@@ -232,7 +255,7 @@
   }
 
   void accept(Entry &At) {
-    auto Fresh = std::make_shared<Pair>(this->Io, this->HeldUp);
+    auto Fresh = std::make_shared<Pair>(this->Io, this->Links);
     At.Acceptor.async_accept(
         Fresh->Client, [this, &At, Fresh](std::error_code Error) {
           if (Error)
@@ -282,9 +305,27 @@
       Slot->Client = At.Sender;
       this->receiveBack(At, *Slot);
     }
-    std::error_code Ignored;
-    Slot->Socket.send_to(asio::buffer(At.Buffer.data(), Size),
-                         udp::endpoint(At.Address, At.Real), 0, Ignored);
+    this->sendLater(Slot->Socket, udp::endpoint(At.Address, At.Real), At.Ip,
+                    std::string(At.Buffer.data(), Size));
+  }
+
+  /// Sends a datagram once the link to \p Ip has passed it.
+  void sendLater(udp::socket &From, const udp::endpoint &To,
+                 const std::string &Ip, std::string Bytes) {
+    Link &Over = this->Links[Ip];
+    if (Over.BytesPerSecond == 0) {
+      std::error_code Ignored;
+      From.send_to(asio::buffer(Bytes), To, 0, Ignored);
+      return;
+    }
+    auto Timer =
+        std::make_shared<asio::steady_timer>(this->Io, Over.pass(Bytes.size()));
+    Timer->async_wait(
+        [&From, To, Timer, Held = std::move(Bytes)](std::error_code Error) {
+          std::error_code Ignored;
+          if (!Error)
+            From.send_to(asio::buffer(Held), To, 0, Ignored);
+        });
   }
 
   void receiveBack(Entry &At, Relay &Item) {
@@ -293,10 +334,10 @@
         [this, &At, &Item](std::error_code Error, std::size_t Size) {
           if (Error == asio::error::operation_aborted)
             return;
-          std::error_code Ignored;
-          if (!Error && !this->isCut(Item.Client.address().to_string(), At.Ip))
-            At.Datagrams.send_to(asio::buffer(Item.Buffer.data(), Size),
-                                 Item.Client, 0, Ignored);
+          const std::string ClientIp = Item.Client.address().to_string();
+          if (!Error && !this->isCut(ClientIp, At.Ip))
+            this->sendLater(At.Datagrams, Item.Client, ClientIp,
+                            std::string(Item.Buffer.data(), Size));
           this->receiveBack(At, Item);
         });
   }
@@ -306,7 +347,7 @@
   std::list<std::weak_ptr<Pair>> Pairs;
   std::vector<std::shared_ptr<Pair>> Silenced;
   std::set<std::string> CutIps;
-  Delays HeldUp;
+  LinkMap Links;
 };
 
 Forwarder::Forwarder()
@@ -347,6 +388,12 @@
              [this, Ip, Delay] { this->Implementation->delay(Ip, Delay); });
 }
 
+void Forwarder::limit(const std::string &Ip, std::int64_t BytesPerSecond) {
+  asio::post(this->Io, [this, Ip, BytesPerSecond] {
+    this->Implementation->limit(Ip, BytesPerSecond);
+  });
+}
+
 void Forwarder::shut(const std::string &Ip) {
   asio::post(this->Io, [this, Ip] { this->Implementation->shut(Ip); });
 }
--- a/tests/scenario/forwarder.h
+++ b/tests/scenario/forwarder.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -36,6 +37,10 @@
   /// in its order. Zero ends it; datagrams are not delayed.
   void delay(const std::string &Ip, std::chrono::milliseconds Delay);
 
+  /// What is sent to \p Ip on connections and as datagrams passes one queue of
+  /// \p BytesPerSecond from now on, as over a thin link. Zero ends it.
+  void limit(const std::string &Ip, std::int64_t BytesPerSecond);
+
   /// New connections to \p Ip are refused from now on; open ones go on.
   void shut(const std::string &Ip);
 
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -193,6 +193,11 @@
     this->Network->delay(this->machine(Line.at(1)).Ip, durationOf(Line.at(2)));
     return true;
   };
+  S["limit"] = [this](const Words &Line, const std::string &) {
+    this->Network->limit(this->machine(Line.at(1)).Ip,
+                         std::stoll(Line.at(2)) * 1000);
+    return true;
+  };
   S["shut"] = [this](const Words &Line, const std::string &) {
     return this->forEach(Line, [this](Machine &Item) {
       this->Network->shut(Item.Ip);
@@ -289,6 +294,9 @@
     const auto Memory = Item.Extra.find("memory");
     if (Memory != Item.Extra.end())
       Out["memoryMb"] = std::stoi(Memory->second);
+    const auto Link = Item.Extra.find("link");
+    if (Link != Item.Extra.end())
+      Out["linkMbps"] = std::stod(Link->second);
   }
   return Out.dump();
 }
