Sizes are not denied by a superseded configuration either

The cause of the 404s, read again for where else it acts: 413 and 431 are drawn from limits of the configuration in force, although a newer version may allow the request. They are refused as not current (303) while a newer version is known of.

The test of `memoryMb` also reads `linkMbps` and refuses 0.

--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -139,11 +139,19 @@
 
 Failure ProxyApi::checkCall(const HttpRequest &Request,
                             const std::string &Job) const {
-  const auto &Table = this->Sink.node().distribution().table();
+  const Distribution &Config = this->Sink.node().distribution();
+  const auto &Table = Config.table();
   const CallerLimits Limits = Table ? Table->limits() : CallerLimits();
-  if (static_cast<std::int64_t>(headerBytes(Request)) > Limits.MaxHeaderBytes)
+  const bool HeadersTooLarge =
+      static_cast<std::int64_t>(headerBytes(Request)) > Limits.MaxHeaderBytes;
+  const bool BodyTooLarge =
+      static_cast<std::int64_t>(Request.Body.size()) > Limits.MaxBodyBytes;
+  // A newer version may allow it.
+  if ((HeadersTooLarge || BodyTooLarge) && Config.superseded())
+    return {ResultCode::NotCurrent, {}, {}};
+  if (HeadersTooLarge)
     return {ResultCode::HeadersTooLarge, {}, {}};
-  if (static_cast<std::int64_t>(Request.Body.size()) > Limits.MaxBodyBytes)
+  if (BodyTooLarge)
     return {ResultCode::BodyTooLarge, {}, {}};
   if (Job.empty())
     return {ResultCode::RequestMalformed, "Host", "the header is missing"};
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -67,6 +67,14 @@
                    NotReady ? NotReadyRetryAfter : milliseconds(0)});
 }
 
+void CallRouter::deny(std::int64_t CallNumber, Failure Error,
+                      Effects &Out) const {
+  // A newer version may allow it.
+  if (this->Config.superseded())
+    Error = {ResultCode::NotCurrent, {}, {}};
+  this->refuse(CallNumber, std::move(Error), Out);
+}
+
 void CallRouter::arrive(const CallArrived &Arrived, bool Serving, Time Now,
                         Effects &Out) {
   const std::int64_t Number = Arrived.CallNumber;
@@ -85,16 +93,13 @@
         "event=route call=" + Arrived.CallId + " job=" + Arrived.Job +
         " route=none version=" + std::to_string(this->Config.version()) +
         " heard=" + std::to_string(this->Config.newestHeard())});
-    // The newer version may have the route.
-    if (this->Config.superseded())
-      return this->refuse(Number, {ResultCode::NotCurrent, {}, {}}, Out);
-    return this->refuse(Number, {ResultCode::NoRoute, Arrived.Job, {}}, Out);
+    return this->deny(Number, {ResultCode::NoRoute, Arrived.Job, {}}, Out);
   }
   Call Fresh = this->makeCall(Arrived, *Route, Now);
   const ServiceSpec &Service = *Table->service(Fresh.Service);
   if (Arrived.BodySize > Service.MaxBodyBytes)
-    return this->refuse(Number, {ResultCode::BodyTooLarge, Service.Name, {}},
-                        Out);
+    return this->deny(Number, {ResultCode::BodyTooLarge, Service.Name, {}},
+                      Out);
   this->Budget.earn(Service.Name, Service.RetryBudgetPercent);
   Call &Stored = this->Calls.emplace(Number, std::move(Fresh)).first->second;
   if (!Stored.Repeat && !Arrived.IdempotencyKey.empty()) {
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -160,6 +160,8 @@
   }
   void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
+  /// Refuses what the configuration in force does not allow.
+  void deny(std::int64_t CallNumber, Failure Error, Effects &Out) const;
   Call makeCall(const CallArrived &Arrived, const RouteSpec &Route, Time Now);
   milliseconds retryAfter(const Call &TheCall, ResultCode Code, Time Now);
   bool mayRetry(const Call &TheCall, ResultCode Code, Time Now);
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -577,6 +577,17 @@
         ResultCode::NotCurrent);
 }
 
+TEST_CASE("a proxy that knows of a newer version denies a body's size") {
+  constexpr std::size_t TooLarge = 500'000'000;
+  CallingProxy P;
+  CHECK(refusalOf(P.call(1, milliseconds(600), TooLarge)) ==
+        ResultCode::BodyTooLarge);
+  Effects Ignored;
+  P.Config.heard("p1:1", 2, P.Now, Ignored);
+  CHECK(refusalOf(P.call(2, milliseconds(600), TooLarge)) ==
+        ResultCode::NotCurrent);
+}
+
 TEST_CASE("a version is served long after a newer one was heard of") {
   CallingProxy P;
   Effects Ignored;
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -155,16 +155,21 @@
   CHECK(Read(0, "MemTotal: many kB\n") == 64'000'000);
 }
 
-TEST_CASE("the memory that a proxy may use is a setting") {
+TEST_CASE("the memory and the link that a proxy may use are settings") {
   DaemonSettings Settings;
   const Failure Error = settle(
       [&] {
         return DaemonSettings::parse(
-            with(Proxy, "\"name\"", "\"memoryMb\":88,\"name\""), "settings");
+            with(Proxy, "\"name\"",
+                 "\"memoryMb\":88,\"linkMbps\":4.45,\"name\""),
+            "settings");
       },
       [&](DaemonSettings Read) { Settings = std::move(Read); });
   CHECK(!Error.failed());
   CHECK(Settings.MemoryMb == 88);
+  CHECK(Settings.LinkMbps == 4.45);
+  CHECK(parse(with(Proxy, "\"name\"", "\"linkMbps\":0,\"name\"")).Code ==
+        ResultCode::SettingsInvalid);
   CHECK(parse(with(Proxy, "\"name\"", "\"memoryMb\":0,\"name\"")).Code ==
         ResultCode::SettingsInvalid);
 }
