--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -166,6 +166,8 @@
   const Source *Chosen = this->pickSource();
   if (Chosen == nullptr)
     return;
+  if (this->DatagramAsks == 0 && this->PullFrom.empty())
+    this->PullStartedAt = Now;
   this->NextDatagramAsk = Now + DatagramAskInterval;
   this->DatagramAsks += 1;
   Out.emplace_back(LogDecision{"event=pull-ask to=" + Chosen->Address +
@@ -185,8 +187,9 @@
   const Source *Chosen = this->pickSource();
   if (Chosen == nullptr)
     return;
+  if (this->DatagramAsks == 0)
+    this->PullStartedAt = Now;
   this->PullFrom = Chosen->Address;
-  this->PullStartedAt = Now;
   this->PullCheckAt = Now + PullCheckInterval;
   Out.emplace_back(
       LogDecision{"event=pull-start from=" + this->PullFrom +
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -133,6 +133,7 @@
   int DatagramAsks = 0;
   Time NextDatagramAsk;
   std::string PullFrom;
+  /// When the first source was asked for what is missing, for the log.
   Time PullStartedAt;
   /// When the connection of the pull is checked next.
   Time PullCheckAt = NoDeadline;
