--- a/tests/distribution/test_distribution.cpp
+++ b/tests/distribution/test_distribution.cpp
@@ -98,7 +98,7 @@
   }
 
   wire::PullReply serve(const wire::PullRequest &Request, Time Now) {
-    const wire::PullReply Reply = this->answer(Request, Now);
+    wire::PullReply Reply = this->answer(Request, Now);
     if (!Reply.TooLarge)
       return Reply;
     // The proxy asks over a connection then.
