--- a/src/persimmonctl/commands.cpp
+++ b/src/persimmonctl/commands.cpp
@@ -308,6 +308,9 @@
               << InForce.at("expected") << " proxies"
               << (InForce.at("complete").get<bool>() ? "" : " (incomplete)")
               << '\n';
+    if (Status.at("version").get<std::int64_t>() == 0)
+      std::cout << "no configuration has been applied yet, so no proxy is "
+                   "ready; apply one with: persimmonctl --wait apply FILE\n";
     for (const json &Item : InForce.at("laggards"))
       std::cout << "  behind: " << Item.at("name").get<std::string>() << " at "
                 << Item.at("version") << '\n';
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -104,6 +104,9 @@
   CHECK(RunWithToken("admin-token", {"init"}).Status == 0);
   CHECK(RunWithToken("admin-token", {"init"})
             .outputContains("212 AlreadyFormed"));
+  const ProgramRun NothingApplied = RunWithToken("", {"status"});
+  CHECK(NothingApplied.outputContains("no proxy is ready"));
+  CHECK(NothingApplied.outputContains("persimmonctl --wait apply FILE"));
   CHECK(RunWithToken("wrong-token", {"team", "labels", "labels-token"})
             .outputContains("207 Unauthorized"));
   CHECK(
@@ -150,7 +153,9 @@
             .outputContains("202 PathUnknown"));
   CHECK(RunWithToken("labels-token", {"apply", "/nonexistent.json"})
             .outputContains("102 FileUnreadable"));
-  CHECK(RunWithToken("", {"status"}).outputContains("instance c1 (leader)"));
+  const ProgramRun Status = RunWithToken("", {"status"});
+  CHECK(Status.outputContains("instance c1 (leader)"));
+  CHECK_FALSE(Status.outputContains("no proxy is ready"));
   CHECK(
       RunWithToken("labels-token", {"delete", "labels/services/work"}).Status ==
       0);
