--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -2,6 +2,8 @@
 
 #include "logging.h"
 
+#include <asio/post.hpp>
+
 #include <csignal>
 #include <random>
 
@@ -130,7 +132,7 @@
   this->TickTimer.async_wait([this](std::error_code Error) {
     if (Error)
       return;
-    this->submit(Tick());
+    this->submit(Tick{this->Network->takeLinkBytes()});
     this->logTraffic(std::chrono::steady_clock::now());
     flushLog();
     this->scheduleTick();
@@ -381,7 +383,18 @@
     return;
   }
   this->Network->send(Item.Address, Reply, Channel::Stream);
-  for (wire::BodyPart &Part : splitBody(Item.Id, true, StoredResponse->Body))
+}
+
+void DaemonHost::execute(const SendAnswerBody &Item) {
+  const BodyStore::Response *StoredResponse =
+      this->Bodies.storedResponse(Item.Id);
+  if (StoredResponse == nullptr)
+    return;
+  const std::string_view Body = StoredResponse->Body;
+  const auto Begin = static_cast<std::size_t>(Item.Begin);
+  const auto Length = static_cast<std::size_t>(Item.End - Item.Begin);
+  for (wire::BodyPart &Part :
+       splitBody(Item.Id, true, Body.substr(Begin, Length), Item.Begin))
     this->Network->send(Item.Address, std::move(Part), Channel::Stream);
 }
 
@@ -407,6 +420,10 @@
       "\",outcome=\"" + Outcome + "\"}");
 }
 
+void DaemonHost::execute(const ContinueWork &) {
+  asio::post(this->Io, [this] { this->submit(WorkContinued()); });
+}
+
 void DaemonHost::execute(const ReadyToExit &) {
   this->stopWhenResponsesWritten();
 }
@@ -434,6 +451,14 @@
           this->LocalNode->distribution().newestKnownVersion()));
   this->DaemonMetrics.setGauge("persimmon_serving",
                                this->LocalNode->serving() ? 1 : 0);
+  const OutgoingLink &Link = this->LocalNode->scheduler().link();
+  this->DaemonMetrics.setGauge("persimmon_link_backlog_ms",
+                               static_cast<double>(Link.backlog(Now).count()));
+  this->DaemonMetrics.setGauge("persimmon_answer_bytes_dropped",
+                               static_cast<double>(Link.droppedBytes()));
+  this->DaemonMetrics.setGauge(
+      "persimmon_calls_refused_by_link",
+      static_cast<double>(this->LocalNode->scheduler().refusedByLink()));
   if (const CallRouter *Router = this->LocalNode->router())
     this->DaemonMetrics.setGauge("persimmon_call_retries",
                                  static_cast<double>(Router->retryCount()));
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -83,9 +83,11 @@
   void execute(const RunOnTarget &Item);
   void execute(const CancelOnTarget &Item);
   void execute(const SendAnswer &Item);
+  void execute(const SendAnswerBody &Item);
   void execute(const DropAttempt &Item);
   void execute(const DropReceivedAnswer &Item);
   void execute(const RenewConnection &Item);
+  void execute(const ContinueWork &Item);
   void execute(const ReadyToExit &Item);
 
   DaemonSettings Settings;
--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -115,6 +115,32 @@
 /// A decoded operator request.
 using OperatorRequest = std::variant<SubtreeReplacement, SubtreeQuery>;
 
+/// Reads an operator's document in bounded steps, since the control instance
+/// has to send heartbeats meanwhile.
+class DocumentReader {
+public:
+  virtual ~DocumentReader() = default;
+
+  /// Reads some entries; returns whether the document is complete. Errors:
+  /// ValueInvalid.
+  virtual leaf::result<bool> step() = 0;
+
+  /// Returns the complete document.
+  virtual SubtreeDocument take() = 0;
+};
+
+/// Writes a team's subtree as a document in bounded steps.
+class DocumentWriter {
+public:
+  virtual ~DocumentWriter() = default;
+
+  /// Writes some entries; returns whether the document is complete.
+  virtual bool step() = 0;
+
+  /// Returns the response with the complete document.
+  virtual HttpResponse take() = 0;
+};
+
 /// Translates the operator requests of another system's API.
 class OperatorProtocol {
 public:
@@ -124,14 +150,16 @@
   virtual std::optional<OperatorRequest>
   decode(const HttpRequest &Request) const = 0;
 
-  /// Parses the document of a SubtreeReplacement. Separate from decode(),
-  /// because parsing a large document is slow on a small instance and only the
-  /// leader needs it. Errors: ValueInvalid.
-  virtual leaf::result<SubtreeDocument>
-  readDocument(const HttpRequest &Request) const = 0;
+  /// Starts to read the document of a SubtreeReplacement. Separate from
+  /// decode(), because only the leader needs the document. Errors:
+  /// ValueInvalid.
+  virtual leaf::result<std::unique_ptr<DocumentReader>>
+  openDocument(const HttpRequest &Request) const = 0;
 
-  virtual HttpResponse makeSubtreeResponse(const SettingsMap &Settings,
-                                           std::string_view Team) const = 0;
+  /// Starts to write the response to a SubtreeQuery from a copy of what is
+  /// needed of \p Settings.
+  virtual std::unique_ptr<DocumentWriter>
+  writeSubtree(const SettingsMap &Settings, std::string_view Team) const = 0;
   virtual HttpResponse makeAcceptedResponse() const = 0;
 
   /// Returns the response to a request that failed. \p LeaderUrl is the URL of
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -2,6 +2,7 @@
 
 #include "logging.h"
 
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
 
@@ -16,6 +17,8 @@
 
 constexpr std::size_t SaltDigits = 32;
 constexpr std::size_t MinTokenBytes = 8;
+/// Documents that are read at the same time; operators send few at once.
+constexpr std::size_t MaxReadings = 16;
 constexpr std::string_view BearerPrefix = "Bearer ";
 
 std::string_view bearerToken(const HttpRequest &Request) {
@@ -109,17 +112,18 @@
   return Out;
 }
 
-OperatorApi::OperatorApi(const DaemonSettings &Settings,
+OperatorApi::OperatorApi(asio::io_context &Context,
+                         const DaemonSettings &Settings,
                          const OperatorProtocol *TheExternalProtocol,
                          EventSink &TheSink)
-    : Sink(TheSink), ExternalProtocol(TheExternalProtocol),
+    : Io(Context), Sink(TheSink), ExternalProtocol(TheExternalProtocol),
       OperatorPort(Settings.Operators->Port), OpenTeams(Settings.OpenTeams) {}
 
 leaf::result<std::unique_ptr<OperatorApi>>
 OperatorApi::open(asio::io_context &Io, const DaemonSettings &Settings,
                   const OperatorProtocol *ExternalProtocol, EventSink &Sink) {
   std::unique_ptr<OperatorApi> Out(
-      new OperatorApi(Settings, ExternalProtocol, Sink));
+      new OperatorApi(Io, Settings, ExternalProtocol, Sink));
   BOOST_LEAF_ASSIGN(Out->Server,
                     HttpServer::open(Io, *Settings.Operators, *Out));
   return Out;
@@ -141,35 +145,84 @@
   auto Decoded = this->ExternalProtocol->decode(Request);
   if (!Decoded)
     return false;
-  ReplaceRequested Event;
-  Event.RequestId = Request.Id;
-  const bool IsReplacement =
-      std::holds_alternative<SubtreeReplacement>(*Decoded);
-  // An instance that is not the leader rejects the request without parsing the
-  // document.
-  if (IsReplacement && this->Sink.node().control()->consensus().ready()) {
-    const Failure Error = handleResult(
-        [&] { return this->ExternalProtocol->readDocument(Request); },
-        [&](SubtreeDocument Read) { Event.Document = std::move(Read); });
-    if (Error.failed()) {
-      logWarning("event=operator-refused " + describe(Error));
-      this->Server->respond(
-          Request.Id, this->ExternalProtocol->makeErrorResponse(Error, {}));
-      return true;
-    }
-  }
-  ExternalRequest &Pending = this->ExternalRequests[Request.Id];
-  Pending.Url = Request.Url;
   if (const auto *Query = std::get_if<SubtreeQuery>(&*Decoded)) {
+    ExternalRequest &Pending = this->ExternalRequests[Request.Id];
+    Pending.Url = Request.Url;
     Pending.QueriedTeam = Query->Team;
     this->Sink.submit(ReadRequested{Request.Id});
     return true;
   }
+  this->startReading(Request);
+  return true;
+}
+
+void OperatorApi::startReading(const HttpRequest &Request) {
+  ReplaceRequested Event;
+  Event.RequestId = Request.Id;
   Event.Token = std::string(bearerToken(Request));
+  // An instance that is not the leader rejects the request without reading the
+  // document.
+  if (!this->Sink.node().control()->consensus().ready())
+    return this->submitReplacement(std::move(Event), Request.Url);
+  if (this->Readings.size() >= MaxReadings)
+    return this->refuseExternal(Request.Id, {ResultCode::Busy, {}, {}});
+  const Failure Error = handleResult(
+      [&] { return this->ExternalProtocol->openDocument(Request); },
+      [&](std::unique_ptr<DocumentReader> Reader) {
+        this->Readings.emplace(
+            Request.Id,
+            Reading{std::move(Reader), std::move(Event), Request.Url});
+      });
+  if (Error.failed())
+    return this->refuseExternal(Request.Id, Error);
+  this->continueReading(Request.Id);
+}
+
+void OperatorApi::continueReading(std::int64_t Id) {
+  const auto Found = this->Readings.find(Id);
+  if (Found == this->Readings.end())
+    return;
+  bool Complete = false;
+  const Failure Error =
+      handleResult([&] { return Found->second.Reader->step(); },
+                   [&](bool Done) { Complete = Done; });
+  if (!Error.failed() && !Complete) {
+    asio::post(this->Io, [this, Id] { this->continueReading(Id); });
+    return;
+  }
+  Reading Done = std::move(Found->second);
+  this->Readings.erase(Found);
+  if (Error.failed())
+    return this->refuseExternal(Id, Error);
+  Done.Event.Document = Done.Reader->take();
+  this->submitReplacement(std::move(Done.Event), Done.Url);
+}
+
+void OperatorApi::submitReplacement(ReplaceRequested Event,
+                                    const std::string &Url) {
   Event.Trusted = std::find(this->OpenTeams.begin(), this->OpenTeams.end(),
                             Event.Document.Team) != this->OpenTeams.end();
+  this->ExternalRequests[Event.RequestId].Url = Url;
   this->Sink.submit(std::move(Event));
-  return true;
+}
+
+void OperatorApi::refuseExternal(std::int64_t Id, const Failure &Error) {
+  logWarning("event=operator-refused " + describe(Error));
+  this->Server->respond(Id,
+                        this->ExternalProtocol->makeErrorResponse(Error, {}));
+}
+
+void OperatorApi::continueWriting(std::int64_t Id) {
+  const auto Found = this->Writings.find(Id);
+  if (Found == this->Writings.end())
+    return;
+  if (!Found->second->step()) {
+    asio::post(this->Io, [this, Id] { this->continueWriting(Id); });
+    return;
+  }
+  HttpResponse Response = Found->second->take();
+  this->Writings.erase(Found);
+  this->Server->respond(Id, std::move(Response));
 }
 
 void OperatorApi::respondExternal(const ExternalRequest &Request,
@@ -184,9 +237,13 @@
         Answer.Error, this->leaderUrl(Answer.LeaderAddress, Request.Url));
   else if (Request.QueriedTeam.empty())
     Response = this->ExternalProtocol->makeAcceptedResponse();
-  else
-    Response = this->ExternalProtocol->makeSubtreeResponse(
-        this->Sink.node().control()->store().settings(), Request.QueriedTeam);
+  else {
+    this->Writings.emplace(Answer.RequestId,
+                           this->ExternalProtocol->writeSubtree(
+                               this->Sink.node().control()->store().settings(),
+                               Request.QueriedTeam));
+    return this->continueWriting(Answer.RequestId);
+  }
   this->Server->respond(Answer.RequestId, std::move(Response));
 }
 
@@ -247,6 +304,8 @@
 void OperatorApi::onRequestAborted(std::int64_t Id) {
   this->PendingReads.erase(Id);
   this->ExternalRequests.erase(Id);
+  this->Readings.erase(Id);
+  this->Writings.erase(Id);
 }
 
 void OperatorApi::handleChange(const HttpRequest &Request) {
--- a/src/libhost/operatorapi.h
+++ b/src/libhost/operatorapi.h
@@ -4,6 +4,7 @@
 #include "eventsink.h"
 #include "httpserver.h"
 
+#include <asio/io_context.hpp>
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
@@ -29,7 +30,7 @@
   void respond(const AnswerOperator &Answer);
 
 private:
-  OperatorApi(const DaemonSettings &Settings,
+  OperatorApi(asio::io_context &Context, const DaemonSettings &Settings,
               const OperatorProtocol *ExternalProtocol, EventSink &TheSink);
 
   /// A request of another system's API that has not been answered yet.
@@ -42,7 +43,19 @@
   void onRequest(HttpRequest Request) override;
   void onRequestAborted(std::int64_t Id) override;
 
+  /// A document that is read in steps, and the request that it belongs to.
+  struct Reading {
+    std::unique_ptr<DocumentReader> Reader;
+    ReplaceRequested Event;
+    std::string Url;
+  };
+
   bool handleExternalRequest(const HttpRequest &Request);
+  void startReading(const HttpRequest &Request);
+  void continueReading(std::int64_t Id);
+  void submitReplacement(ReplaceRequested Event, const std::string &Url);
+  void continueWriting(std::int64_t Id);
+  void refuseExternal(std::int64_t Id, const Failure &Error);
   void respondExternal(const ExternalRequest &Request,
                        const AnswerOperator &Answer);
   std::string leaderUrl(std::string_view LeaderAddress,
@@ -57,6 +70,7 @@
   nlohmann::json membersJson() const;
   nlohmann::json settingsJson() const;
 
+  asio::io_context &Io;
   EventSink &Sink;
   const OperatorProtocol *ExternalProtocol;
   std::uint16_t OperatorPort;
@@ -64,6 +78,9 @@
   std::unique_ptr<HttpServer> Server;
   std::set<std::int64_t> PendingReads;
   std::map<std::int64_t, ExternalRequest> ExternalRequests;
+  /// Documents that are being read or written, by request.
+  std::map<std::int64_t, Reading> Readings;
+  std::map<std::int64_t, std::unique_ptr<DocumentWriter>> Writings;
 };
 
 /// Returns a string of random hexadecimal digits from OpenSSL's random
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -9,6 +9,8 @@
 #include <asio/steady_timer.hpp>
 
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace persimmon {
@@ -19,6 +21,8 @@
 using asio::ip::udp;
 
 constexpr std::size_t MaxDatagramBytes = 65'000;
+/// Headers of Ethernet, IP and TCP of a message that fits into one packet.
+constexpr std::int64_t PacketHeaderBytes = 66;
 constexpr std::chrono::seconds IdleTimeout{60};
 constexpr std::chrono::seconds IdleCheckInterval{10};
 /// Maximum time that a deferred message waits to be sent with another one.
@@ -77,6 +81,7 @@
     if (Error)
       return fail(ResultCode::AddressInvalid, Listen.toString(),
                   Error.message());
+    this->OwnIp = Listen.Ip;
     this->accept();
     this->receiveDatagram();
     this->checkIdle();
@@ -88,6 +93,7 @@
     TrafficCounters &Counters = this->Traffic[Body.index()];
     Counters.SentMessages += 1;
     Counters.SentBytes += Bytes.size();
+    this->countLinkBytes(To, Body, Bytes.size());
     if (Via == Channel::Datagram && !isAcceptedConnection(To) &&
         Bytes.size() <= MaxDatagramBytes) {
       std::error_code Error;
@@ -143,9 +149,22 @@
 
   const auto &traffic() const { return this->Traffic; }
 
+  std::int64_t takeLinkBytes() { return std::exchange(this->LinkBytes, 0); }
+
 private:
   using ConnectionMap = std::map<std::string, std::shared_ptr<PeerConnection>>;
 
+  void countLinkBytes(const std::string &To, const Message &Body,
+                      std::size_t Size) {
+    const auto *Part = std::get_if<wire::BodyPart>(&Body);
+    const bool IsAnswerPart = Part != nullptr && Part->OfAnswer;
+    const bool IsLocal = isAcceptedConnection(To)
+                             ? this->LocalConnections.count(To) != 0
+                             : To.starts_with(this->OwnIp + ":");
+    if (!IsAnswerPart && !IsLocal)
+      this->LinkBytes += static_cast<std::int64_t>(Size) + PacketHeaderBytes;
+  }
+
   /// Abandons a connection and returns the next one. The listener is notified
   /// of its undecided attempts once the current effect has been executed.
   ConnectionMap::iterator abandonConnection(ConnectionMap::iterator Item) {
@@ -185,9 +204,15 @@
       if (!Error) {
         const std::string Path =
             "#" + std::to_string(++this->LastConnectionNumber);
+        std::error_code Ignored;
+        const bool IsLocal =
+            Socket.remote_endpoint(Ignored).address().to_string() ==
+            this->OwnIp;
         auto Connection =
             std::make_shared<PeerConnection>(std::move(Socket), Path, *this);
         this->Connections[Path] = Connection;
+        if (IsLocal)
+          this->LocalConnections.insert(Path);
         Connection->start();
       }
       this->accept();
@@ -238,6 +263,7 @@
   void onClosed(PeerConnection &Connection, StreamEnd Reason) override {
     StreamLost Lost = Connection.undecidedAttempts(Reason);
     this->Connections.erase(Lost.Address);
+    this->LocalConnections.erase(Lost.Address);
     if (isAcceptedConnection(Lost.Address))
       this->Listener.onPathClosed(std::move(Lost.Address));
     else
@@ -283,6 +309,10 @@
   PeerListener &Listener;
   ConnectionMap Connections;
   std::int64_t LastConnectionNumber = 0;
+  std::string OwnIp;
+  /// Accepted connections from this instance.
+  std::set<std::string> LocalConnections;
+  std::int64_t LinkBytes = 0;
   std::array<char, MaxDatagramBytes> DatagramBuffer{};
   udp::endpoint DatagramSender;
   std::array<TrafficCounters, std::variant_size_v<Message>> Traffic{};
@@ -321,4 +351,8 @@
   return this->Implementation->traffic();
 }
 
+std::int64_t PeerNetwork::takeLinkBytes() {
+  return this->Implementation->takeLinkBytes();
+}
+
 } // namespace persimmon
--- a/src/libhost/peernetwork.h
+++ b/src/libhost/peernetwork.h
@@ -75,6 +75,10 @@
   const std::array<TrafficCounters, std::variant_size_v<Message>> &
   traffic() const;
 
+  /// Returns the bytes that were sent to other instances since the previous
+  /// invocation, other than parts of answers, with packet headers.
+  std::int64_t takeLinkBytes();
+
 private:
   class Impl;
 
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -14,6 +14,9 @@
 constexpr std::int64_t MaxHeldAnswerBytes = 64 << 20;
 /// The schemas limit the deadline of a call to ten minutes.
 constexpr milliseconds KeepWatermark{3'600'000};
+/// Share of its useful time within which an answer must be predicted to have
+/// left; the rest covers the way to the caller and errors of the prediction.
+constexpr double PredictableShare = 0.8;
 /// Minimum expected remaining time of a run that exceeds its route's mean, as a
 /// share of the mean.
 constexpr double LongRunShare = 0.3;
@@ -53,6 +56,12 @@
   return Out;
 }
 
+wire::Load AttemptScheduler::reportedLoad(Time Now) const {
+  wire::Load Out = this->load();
+  Out.LinkMs = static_cast<std::int32_t>(this->Link.backlog(Now).count());
+  return Out;
+}
+
 bool AttemptScheduler::idle() const {
   return std::none_of(
       this->Attempts.begin(), this->Attempts.end(), [](const auto &Item) {
@@ -84,43 +93,99 @@
 
 void AttemptScheduler::reply(const wire::AttemptId &Id, std::string_view To,
                              wire::CallOutcome::type Outcome, ResultCode Code,
-                             Effects &Out, Channel Via) const {
+                             Time Now, Effects &Out, Channel Via) const {
   wire::CallReply Reply;
   Reply.Id = Id;
   Reply.Outcome = Outcome;
   Reply.Code = static_cast<std::int32_t>(Code);
-  Reply.TargetLoad = this->load();
+  Reply.TargetLoad = this->reportedLoad(Now);
   send(Out, To, std::move(Reply), Via);
 }
 
-void AttemptScheduler::reportState(Attempt &Item, Time Now,
-                                   Effects &Out) const {
-  const wire::ShedLoad ShedReport =
-      Item.Nested ? this->ShedLoadMeter.report(Now) : wire::ShedLoad();
+void AttemptScheduler::sendAnswer(Attempt &Item, Time Now, Effects &Out) {
+  Item.AnsweredOn = Item.From;
+  Out.emplace_back(SendAnswer{
+      Item.Id, Item.From, this->reportedLoad(Now), Item.Nested,
+      Item.Nested ? this->ShedLoadMeter.report(Now) : wire::ShedLoad()});
+  constexpr auto InlineBytes = static_cast<std::int64_t>(InlineBodyBytes);
+  if (Item.AnswerBytes <= InlineBytes)
+    return;
+  if (Item.ForLocalDaemon) {
+    Out.emplace_back(SendAnswerBody{Item.Id, Item.From, 0, Item.AnswerBytes});
+    return;
+  }
+  this->Link.add(Item.Id, Item.AnswerBytes, Item.UsefulUntil, Now);
+  this->sendAnswerParts(Now, Out);
+}
+
+void AttemptScheduler::sendAnswerParts(Time Now, Effects &Out) {
+  for (const OutgoingLink::Part &Part : this->Link.takeParts(Now)) {
+    const Attempt &Item = this->Attempts.at(Part.Id);
+    Out.emplace_back(
+        SendAnswerBody{Part.Id, Item.AnsweredOn, Part.Begin, Part.End});
+    if (Part.Last)
+      Out.emplace_back(LogDecision{
+          "event=answer-sent call=" + Item.CallId +
+          " bytes=" + std::to_string(Part.End) +
+          " waitedMs=" + std::to_string(millisecondsUntil(Now, Part.QueuedAt)) +
+          " linkMs=" + std::to_string(this->Link.backlog(Now).count())});
+  }
+}
+
+void AttemptScheduler::reportState(Attempt &Item, Time Now, Effects &Out) {
   if (Item.State == Stage::Finished &&
       Item.Outcome == wire::CallOutcome::Finished) {
     // The answer is already being sent on this connection; a large one takes
     // longer than the interval between two queries.
     if (Item.AnsweredOn == Item.From)
       return this->reply(Item.Id, Item.From, wire::CallOutcome::Running,
-                         ResultCode::Ok, Out);
-    Item.AnsweredOn = Item.From;
-    Out.emplace_back(
-        SendAnswer{Item.Id, Item.From, this->load(), Item.Nested, ShedReport});
-    return;
+                         ResultCode::Ok, Now, Out);
+    return this->sendAnswer(Item, Now, Out);
   }
   wire::CallReply Reply;
   Reply.Id = Item.Id;
   Reply.Outcome = Item.Outcome;
   Reply.Code = static_cast<std::int32_t>(Item.Code);
-  Reply.TargetLoad = this->load();
+  Reply.TargetLoad = this->reportedLoad(Now);
   Reply.Nested = Item.Nested;
-  Reply.Shed = ShedReport;
+  if (Item.Nested)
+    Reply.Shed = this->ShedLoadMeter.report(Now);
   if (Item.State == Stage::Reserved)
     Reply.BodyGranted = this->BodyFlow.grantedTo(Item.Id);
+  if (Item.RoomAt > Now)
+    Reply.RetryAfterMs =
+        static_cast<std::int32_t>(millisecondsUntil(Item.RoomAt, Now));
   send(Out, Item.From, std::move(Reply));
 }
 
+bool AttemptScheduler::reserveLink(Attempt &Item, std::int64_t BodySize,
+                                   Time Now) {
+  const std::int64_t Bytes = this->AnswerLengths.expectedBytes(Item.Route);
+  if (Item.ForLocalDaemon ||
+      Bytes <= static_cast<std::int64_t>(InlineBodyBytes))
+    return true;
+  const Time BodyAt =
+      BodySize > 0 ? this->BodyFlow.completionTime(BodySize, Now) : Now;
+  const Time ReadyAt = BodyAt + milliseconds(static_cast<std::int64_t>(
+                                    this->RunTimes.expectedMs(Item.Route)));
+  const Time CompleteAt = this->Link.completionTime(Bytes, ReadyAt, Now);
+  const Time Latest = Now + std::chrono::duration_cast<Time::duration>(
+                                (Item.UsefulUntil - Now) * PredictableShare);
+  if (CompleteAt > Latest) {
+    Item.RoomAt = Now + (CompleteAt - Latest);
+    this->RefusedByLink += 1;
+    return false;
+  }
+  Item.ReservedBytes = Bytes;
+  this->Link.reserve(Bytes);
+  return true;
+}
+
+void AttemptScheduler::releaseLink(Attempt &Item) {
+  this->Link.release(Item.ReservedBytes);
+  Item.ReservedBytes = 0;
+}
+
 bool AttemptScheduler::wasRemoved(const wire::AttemptId &Id) const {
   const auto Found = this->RemovedUpTo.find({Id.Sender, Id.SenderIncarnation});
   return Found != this->RemovedUpTo.end() && Id.Number <= Found->second.UpTo;
@@ -245,12 +310,15 @@
 
 AttemptScheduler::Attempt &
 AttemptScheduler::add(const wire::CallRequest &Request, std::string_view From,
-                      bool Nested, Time Now) {
+                      const CallContext &Context, Time Now) {
+  const bool Nested = Context.Nested;
   Attempt Item;
   Item.Id = Request.Id;
   Item.From = std::string(From);
   Item.Deadline = Now + milliseconds(Request.RemainingMs);
   Item.Route = Request.Route;
+  Item.CallId = Request.CallId;
+  Item.ForLocalDaemon = Context.FromLocalDaemon;
   Item.Nested = Nested;
   Item.Late = Request.Late;
   // Refusing a nested call would waste the work of the call that waits for it,
@@ -292,7 +360,7 @@
   if (!this->wasRemoved(Id))
     return false;
   this->reply(Id, From, wire::CallOutcome::Unknown, ResultCode::OutcomeUnknown,
-              Out);
+              Now, Out);
   Out.emplace_back(DropAttempt{Id});
   return true;
 }
@@ -303,24 +371,32 @@
                                Effects &Out) {
   if (this->reportIfKnown(Request.Id, From, Now, Out))
     return;
-  Attempt &Item = this->add(Request, From, Context.Nested, Now);
+  Attempt &Item = this->add(Request, From, Context, Now);
   const ServiceSpec *Limits = Context.Limits;
   this->SlotCount = this->slots(Limits);
   ResultCode Code = Context.ForThisIncarnation
                         ? this->checkAdmission(Request, Now)
                         : ResultCode::Fenced;
+  const bool LinkFull =
+      Code == ResultCode::Ok &&
+      !this->reserveLink(Item, Request.BodyFollows ? Request.BodySize : 0, Now);
+  if (LinkFull)
+    Code = ResultCode::DeadlineCannotBeMet;
   const bool SlotFree = this->freeSlots() > 0;
   if (Code == ResultCode::Ok && Request.BodyFollows)
     Code = this->reserve(Item, Request.BodySize, Context, Now, Out);
   else if (Code == ResultCode::Ok && !SlotFree)
     Code = this->enqueue(Item, Limits, Now, Out);
-  this->recordShedding(Item, Code, Now);
+  // A full link says nothing about the slots that nested calls need.
+  if (!LinkFull)
+    this->recordShedding(Item, Code, Now);
   this->logAdmission(Request, Context.Nested,
-                     Code != ResultCode::Ok ? "refuse"
-                     : Request.BodyFollows  ? "reserve"
-                     : SlotFree             ? "run"
-                                            : "queue",
-                     Code, Out);
+                     LinkFull                 ? "refuse-link"
+                     : Code != ResultCode::Ok ? "refuse"
+                     : Request.BodyFollows    ? "reserve"
+                     : SlotFree               ? "run"
+                                              : "queue",
+                     Code, Now, Out);
   if (Code != ResultCode::Ok)
     return this->refuse(Item, Code, Now, Out);
   if (Request.BodyFollows)
@@ -332,13 +408,15 @@
 
 void AttemptScheduler::logAdmission(const wire::CallRequest &Request,
                                     bool Nested, std::string_view Choice,
-                                    ResultCode Code, Effects &Out) const {
+                                    ResultCode Code, Time Now,
+                                    Effects &Out) const {
   Out.emplace_back(LogDecision{
       "event=admit call=" + Request.CallId + " service=" + Request.Service +
       " route=" + Request.Route +
       " running=" + std::to_string(this->RunningIds.size()) +
       " queued=" + std::to_string(this->Queue.size()) +
       " slots=" + std::to_string(this->SlotCount) +
+      " linkMs=" + std::to_string(this->Link.backlog(Now).count()) +
       " usefulMs=" + std::to_string(Request.UsefulMs) +
       " nested=" + (Nested ? "yes" : "no") + " choice=" + std::string(Choice) +
       " code=" + std::to_string(static_cast<int>(Code))});
@@ -395,6 +473,7 @@
 void AttemptScheduler::refuse(Attempt &Item, ResultCode Code, Time Now,
                               Effects &Out) {
   this->BodyFlow.remove(Item.Id);
+  this->releaseLink(Item);
   Item.State = Stage::Refused;
   Item.Outcome = wire::CallOutcome::NotRun;
   Item.Code = Code;
@@ -424,6 +503,7 @@
                                  Now);
   }
   this->RunningIds.erase(Run.Id);
+  this->releaseLink(Item);
   switch (Run.End) {
   case RunEnd::NotConnected:
   case RunEnd::NotSent:
@@ -442,18 +522,32 @@
     Out.emplace_back(DropAttempt{Item.Id});
     break;
   case RunEnd::Answered:
-    Item.State = Stage::Finished;
-    Item.Outcome = wire::CallOutcome::Finished;
-    Item.AnswerBytes = Run.AnswerBytes;
-    Item.KeepUntil = Now + KeepFinished;
-    this->HeldAnswerBytes += Run.AnswerBytes;
-    this->reportState(Item, Now, Out);
+    this->AnswerLengths.addSample(Item.Route, Run.AnswerBytes);
+    this->answered(Item, Run, Now, Out);
     break;
   }
   this->startQueued(Now, Out);
   this->dropOldestAnswer(Out);
 }
 
+void AttemptScheduler::answered(Attempt &Item, const RunFinished &Run, Time Now,
+                                Effects &Out) {
+  const bool Cancelled = Item.Acknowledged;
+  Item.State = Stage::Finished;
+  Item.KeepUntil = Now + KeepFinished;
+  if (Cancelled) {
+    // The target answered before its connection was closed; nobody waits.
+    Item.Outcome = wire::CallOutcome::Unknown;
+    Item.Code = ResultCode::Cancelled;
+    Out.emplace_back(DropAttempt{Item.Id});
+    return;
+  }
+  Item.Outcome = wire::CallOutcome::Finished;
+  Item.AnswerBytes = Run.AnswerBytes;
+  this->HeldAnswerBytes += Run.AnswerBytes;
+  this->sendAnswer(Item, Now, Out);
+}
+
 void AttemptScheduler::dropOldestAnswer(Effects &Out) {
   if (this->HeldAnswerBytes <= MaxHeldAnswerBytes)
     return;
@@ -469,6 +563,7 @@
   if (Oldest == this->Attempts.end())
     return;
   Attempt &Dropped = Oldest->second;
+  this->Link.remove(Dropped.Id);
   this->HeldAnswerBytes -= Dropped.AnswerBytes;
   Dropped.AnswerBytes = 0;
   Dropped.Acknowledged = true;
@@ -482,7 +577,7 @@
                                Time Now, Effects &Out) {
   if (!ForThisIncarnation) {
     this->reply(Query.Id, From, wire::CallOutcome::Unknown,
-                ResultCode::WrongIncarnation, Out);
+                ResultCode::WrongIncarnation, Now, Out);
     return;
   }
   const auto Known = this->Attempts.find(Query.Id);
@@ -521,7 +616,7 @@
                                                : nameOf(Found->second.State))});
   // The sender of a cancellation does not query the outcome of the attempt.
   this->reply(Cancel.Id, From, wire::CallOutcome::Unknown,
-              ResultCode::Cancelled, Out, Channel::Datagram);
+              ResultCode::Cancelled, Now, Out, Channel::Datagram);
   if (Found == this->Attempts.end()) {
     if (this->wasRemoved(Cancel.Id))
       return;
@@ -549,6 +644,7 @@
   if (Found == this->Attempts.end() || Found->second.State != Stage::Finished)
     return;
   Attempt &Item = Found->second;
+  this->Link.remove(Item.Id);
   this->HeldAnswerBytes -= Item.AnswerBytes;
   Item.AnswerBytes = 0;
   Item.Acknowledged = true;
@@ -567,6 +663,8 @@
   Mark.KeepUntil = Now + KeepWatermark;
   this->HeldAnswerBytes -= Item->second.AnswerBytes;
   this->BodyFlow.remove(Item->second.Id);
+  this->Link.remove(Item->second.Id);
+  this->releaseLink(Item->second);
   Out.emplace_back(DropAttempt{Item->second.Id});
   this->Attempts.erase(Item);
 }
@@ -574,6 +672,7 @@
 void AttemptScheduler::tick(Time Now, Effects &Out) {
   this->refuseUnservable(Now, Out);
   this->grantBodies(Now, Out);
+  this->sendAnswerParts(Now, Out);
   if (Now < this->NextSweep)
     return;
   this->NextSweep = Now + SweepInterval;
@@ -583,6 +682,7 @@
     // An answer that its sender never acknowledged must not delay a planned
     // stop.
     if (this->IsDraining && A.State == Stage::Finished &&
+        !this->Link.contains(A.Id) &&
         Now >= A.KeepUntil - KeepFinished + AnswerAckTimeout)
       A.Acknowledged = true;
     if (Now >= A.KeepUntil)
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "admissionqueue.h"
+#include "answersizes.h"
 #include "bodyflowcontrol.h"
 #include "effects.h"
 #include "events.h"
 #include "nestedloadlimiter.h"
+#include "outgoinglink.h"
 #include "routetable.h"
 #include "shedmeter.h"
 
@@ -71,6 +73,12 @@
   /// Sets the rate of the local link in Mbit/s; 0 if unknown.
   void setLinkRate(double MegabitsPerSecond) {
     this->BodyFlow.setLinkRate(MegabitsPerSecond);
+    this->Link.setRate(MegabitsPerSecond);
+  }
+
+  /// Counts bytes of this daemon's own calls that leave by the link.
+  void chargeLink(std::int64_t Bytes, Time Now) {
+    this->Link.charge(Bytes, Now);
   }
 
   /// Applies an announcement of the target.
@@ -79,9 +87,15 @@
   /// Refuses new calls and returns queued ones to their senders as not run.
   void drain(Time Now, Effects &Out);
 
-  /// Returns the load that is reported with answers.
+  /// Returns the calls that run and wait, without the state of the link.
   wire::Load load() const;
 
+  const OutgoingLink &link() const { return this->Link; }
+
+  /// Returns how many calls were refused because the link could not have
+  /// carried their answers in time.
+  std::uint64_t refusedByLink() const { return this->RefusedByLink; }
+
   /// Returns whether no call runs, waits or has an unacknowledged answer.
   bool idle() const;
 
@@ -95,6 +109,7 @@
     Time UsefulUntil;
     Time StartedAt;
     std::string Route;
+    std::string CallId;
     Time KeepUntil = NoDeadline;
     int Priority = 0;
     bool Acknowledged = false;
@@ -105,6 +120,12 @@
     wire::CallOutcome::type Outcome = wire::CallOutcome::Running;
     ResultCode Code = ResultCode::Ok;
     std::int64_t AnswerBytes = 0;
+    /// The answer stays on this instance.
+    bool ForLocalDaemon = false;
+    /// Bytes reserved on the link until the answer is known.
+    std::int64_t ReservedBytes = 0;
+    /// When there may be room for the refused call.
+    Time RoomAt;
     /// The connection over which the answer was last sent.
     std::string AnsweredOn;
   };
@@ -131,10 +152,19 @@
   /// finish in useful time.
   bool linkCanDeliver(const Attempt &Item, std::int64_t BodySize,
                       Time Now) const;
+  /// Returns whether the link can carry the answer within the useful time.
+  /// Reserves it if so; sets the time of the next room otherwise. Short answers
+  /// are always carried; a nested call is useful until its deadline.
+  bool reserveLink(Attempt &Item, std::int64_t BodySize, Time Now);
+  /// Withdraws the reservation of an attempt whose answer is known or will not
+  /// come.
+  void releaseLink(Attempt &Item);
+  /// Sends the parts of answers for which the link has room.
+  void sendAnswerParts(Time Now, Effects &Out);
   /// Tells senders up to which byte they may send their bodies.
   void grantBodies(Time Now, Effects &Out);
   void logAdmission(const wire::CallRequest &Request, bool Nested,
-                    std::string_view Choice, ResultCode Code,
+                    std::string_view Choice, ResultCode Code, Time Now,
                     Effects &Out) const;
   int freeSlots() const;
   bool makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
@@ -143,13 +173,18 @@
   void refuseUnservable(Time Now, Effects &Out);
   void run(Attempt &Item, Time Now, Effects &Out);
   void refuse(Attempt &Item, ResultCode Code, Time Now, Effects &Out);
+  void answered(Attempt &Item, const RunFinished &Run, Time Now, Effects &Out);
   void startQueued(Time Now, Effects &Out);
   void refuseQueued(ResultCode Code, Time Now, Effects &Out);
+  /// Returns the load that is reported with answers.
+  wire::Load reportedLoad(Time Now) const;
   void reply(const wire::AttemptId &Id, std::string_view To,
-             wire::CallOutcome::type Outcome, ResultCode Code, Effects &Out,
-             Channel Via = Channel::Stream) const;
+             wire::CallOutcome::type Outcome, ResultCode Code, Time Now,
+             Effects &Out, Channel Via = Channel::Stream) const;
   /// Sends the state or outcome of an attempt to its sender.
-  void reportState(Attempt &Item, Time Now, Effects &Out) const;
+  void reportState(Attempt &Item, Time Now, Effects &Out);
+  /// Sends the answer of an attempt to its sender.
+  void sendAnswer(Attempt &Item, Time Now, Effects &Out);
   /// Reports the state of a known or removed attempt; returns false if the
   /// attempt has never arrived.
   bool reportIfKnown(const wire::AttemptId &Id, std::string_view From, Time Now,
@@ -160,7 +195,7 @@
   Attempt &fence(const wire::AttemptId &Id, std::string_view From, Time Now);
   void dropOldestAnswer(Effects &Out);
   Attempt &add(const wire::CallRequest &Request, std::string_view From,
-               bool Nested, Time Now);
+               const CallContext &Context, Time Now);
   void recordShedding(const Attempt &Item, ResultCode Code, Time Now);
 
   TargetAnnounced Target;
@@ -172,6 +207,9 @@
   RunTimeEstimates RunTimes;
   AdmissionQueue Queue{RunTimes};
   BodyFlowControl BodyFlow;
+  AnswerSizes AnswerLengths;
+  OutgoingLink Link;
+  std::uint64_t RefusedByLink = 0;
   std::set<wire::AttemptId> RunningIds;
   std::map<std::pair<std::string, std::int64_t>, Watermark> RemovedUpTo;
   std::int64_t HeldAnswerBytes = 0;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr std::size_t MaxCalls = 4096;
+/// Calls without a route that wait for a confirmation of the version in force.
+constexpr std::size_t MaxUnrouted = 256;
+/// Time for a control instance to confirm the version: many round trips between
+/// availability zones.
+constexpr milliseconds ConfirmationTimeout{150};
 /// Maximum number of attempts for one call, including refused ones.
 constexpr int MaxAttemptsPerCall = 4;
 /// Maximum number of attempts if the daemons refuse a call for overload. Avoids
@@ -96,8 +101,7 @@
         "event=route call=" + Arrived.CallId + " job=" + Arrived.Job +
         " route=none version=" + std::to_string(this->Config.version()) +
         " heard=" + std::to_string(this->Config.newestKnownVersion())});
-    return this->refuseByConfiguration(
-        Number, {ResultCode::NoRoute, Arrived.Job, {}}, Out);
+    return this->denyRoute(Arrived, Now, Out);
   }
   Call NewCall = this->makeCall(Arrived, *Route, Now);
   const ServiceSpec &Service = *Table->service(NewCall.Service);
@@ -116,6 +120,31 @@
   this->dispatch(Stored, Now, Out);
 }
 
+void CallRouter::denyRoute(const CallArrived &Arrived, Time Now, Effects &Out) {
+  const Failure Denied{ResultCode::NoRoute, Arrived.Job, {}};
+  if (Now < this->ConfirmedUntil || this->Config.superseded())
+    return this->refuseByConfiguration(Arrived.CallNumber, Denied, Out);
+  if (this->Unrouted.size() >= MaxUnrouted)
+    return this->refuse(Arrived.CallNumber, {ResultCode::NotCurrent, {}, {}},
+                        Out);
+  this->Unrouted.emplace(Arrived.CallNumber,
+                         UnroutedCall{Arrived, Now + ConfirmationTimeout});
+}
+
+void CallRouter::routeAgain(bool Serving, Time Now, Effects &Out) {
+  for (const auto &[Number, Held] : std::exchange(this->Unrouted, {}))
+    this->handleCall(Held.Arrived, Serving, Now, Out);
+}
+
+void CallRouter::expireUnrouted(Time Now, Effects &Out) {
+  std::erase_if(this->Unrouted, [&](const auto &Item) {
+    if (Now < Item.second.RefuseAt)
+      return false;
+    this->refuse(Item.first, {ResultCode::NotCurrent, {}, {}}, Out);
+    return true;
+  });
+}
+
 CallRouter::Call CallRouter::makeCall(const CallArrived &Arrived,
                                       const RouteSpec &Route, Time Now) {
   Call Out;
@@ -160,6 +189,11 @@
       Code != ResultCode::NestedOverload && Code != ResultCode::TargetShed)
     return MinDelay;
   const milliseconds MaxDelay = Remaining / MaxRetryAfterDivisor;
+  // Nothing is gained by a retry before a link has room for the answer.
+  if (TheCall.RoomAt != NoDeadline)
+    return std::clamp(milliseconds(millisecondsUntil(TheCall.RoomAt, Now)) +
+                          this->Rng.between(milliseconds(0), MinRetryAfter),
+                      MinRetryAfter, std::max(MinRetryAfter, MaxDelay));
   // Callers that can still get an answer of full value are told to retry in
   // time for it. The delay is random so that callers refused together do not
   // retry together.
@@ -182,9 +216,12 @@
 }
 
 void CallRouter::dispatch(Call &TheCall, Time Now, Effects &Out) {
+  LinkUse Use;
+  Use.LargeBody = TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
+  Use.LargeAnswer = this->AnswerLengths.large(TheCall.RoutePath);
+  Use.UsefulUntil = TheCall.UsefulUntil;
   const TargetChoice Choice = this->Chooser.choose(
-      this->Members, TheCall.Service, TheCall.Excluded, Now,
-      TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes));
+      this->Members, TheCall.Service, TheCall.Excluded, Now, Use);
   std::string Line = "event=place call=" + TheCall.CallId +
                      " route=" + TheCall.RoutePath +
                      " service=" + TheCall.Service +
@@ -328,6 +365,9 @@
   TheCall.Shed = Reply.Shed;
   switch (Reply.Outcome) {
   case wire::CallOutcome::NotRun:
+    if (Reply.RetryAfterMs > 0)
+      TheCall.RoomAt =
+          std::min(TheCall.RoomAt, Now + milliseconds(Reply.RetryAfterMs));
     this->attemptNotRun(TheCall, Code, Now, Out);
     return;
   case wire::CallOutcome::Admitted:
@@ -344,6 +384,7 @@
   case wire::CallOutcome::Finished:
     break;
   }
+  this->AnswerLengths.addSample(TheCall.RoutePath, Reply.BodySize);
   constexpr int FirstServerError = 500;
   Out.emplace_back(AnswerCaller{TheCall.Number, Reply.Id});
   this->endAttempt(TheCall, Reply.Status >= FirstServerError, Now, Out);
@@ -551,6 +592,7 @@
     this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
                  Out);
   this->Cancellations.tick(Now, Out);
+  this->expireUnrouted(Now, Out);
   this->checkConnections(Now, Out);
   for (const std::int64_t Number : this->callNumbers()) {
     Call *TheCall = this->find(Number);
@@ -571,7 +613,9 @@
     if (TheCall->State != Phase::Querying)
       continue;
     const wire::MemberRecord *Record = this->Members.find(TheCall->Target);
-    const bool TargetLost = Record == nullptr || !isAlive(*Record) ||
+    // A daemon that only stopped responding may still run the call.
+    const bool TargetLost = Record == nullptr ||
+                            Record->State == wire::Liveness::Left ||
                             Record->Incarnation != TheCall->TargetIncarnation;
     if (Now >= TheCall->QueryUntil || TargetLost)
       this->attemptUnknown(*TheCall, ResultCode::OutcomeUnknown, true, Now,
@@ -583,6 +627,7 @@
 
 void CallRouter::callerDisconnected(std::int64_t CallNumber, Time Now,
                                     Effects &Out) {
+  this->Unrouted.erase(CallNumber);
   Call *TheCall = this->find(CallNumber);
   if (TheCall == nullptr)
     return;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admissionqueue.h"
+#include "answersizes.h"
 #include "cancellationsender.h"
 #include "claimclient.h"
 #include "distribution.h"
@@ -35,6 +36,13 @@
   /// NotCurrent.
   void handleCall(const CallArrived &Call, bool Serving, Time Now,
                   Effects &Out);
+  /// Sets until when the version in force counts as the newest one. Afterwards
+  /// a call without a route is held until a confirmation arrives.
+  void setConfirmedUntil(Time Until) { this->ConfirmedUntil = Until; }
+  /// Returns whether calls wait for a confirmation of the version in force.
+  bool hasUnrouted() const { return !this->Unrouted.empty(); }
+  /// Handles the calls that were held for want of a route once more.
+  void routeAgain(bool Serving, Time Now, Effects &Out);
   /// Cancels the call of a caller that disconnected.
   void callerDisconnected(std::int64_t CallNumber, Time Now, Effects &Out);
   /// Handles the reply of a target's daemon to an attempt.
@@ -86,7 +94,9 @@
   }
 
   /// Returns the number of calls that have not been answered.
-  std::size_t callCount() const { return this->Calls.size(); }
+  std::size_t callCount() const {
+    return this->Calls.size() + this->Unrouted.size();
+  }
   /// Returns the total number of attempts made beyond the first attempt of each
   /// call.
   std::uint64_t retryCount() const { return this->Retries; }
@@ -125,6 +135,8 @@
     Time NextQueryAt;
     Time QueryUntil;
     ResultCode LastRefusal = ResultCode::NoTarget;
+    /// Earliest time at which a target that refused the call expects room.
+    Time RoomAt = NoDeadline;
     /// Whether part of the attempt's body is still to be sent.
     bool BodyPending = false;
     /// Number of bytes of the attempt's body that were sent.
@@ -143,6 +155,13 @@
     }
   };
 
+  /// A call that no route of the version in force matches, while that version
+  /// is not confirmed as the newest one.
+  struct UnroutedCall {
+    CallArrived Arrived;
+    Time RefuseAt;
+  };
+
   /// Liveness of a connection with outstanding calls.
   struct ConnectionHealth {
     /// Time of the peer's last activity or of the last renewal of the
@@ -174,6 +193,10 @@
   }
   void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
+  /// Denies a call without a route, or holds it until the version in force is
+  /// confirmed.
+  void denyRoute(const CallArrived &Arrived, Time Now, Effects &Out);
+  void expireUnrouted(Time Now, Effects &Out);
   /// Refuses a call that the configuration in force does not allow.
   void refuseByConfiguration(std::int64_t CallNumber, Failure Error,
                              Effects &Out) const;
@@ -202,6 +225,8 @@
   Random Rng;
   RetryBudget Budget;
   std::map<std::int64_t, Call> Calls;
+  std::map<std::int64_t, UnroutedCall> Unrouted;
+  Time ConfirmedUntil = NoDeadline;
   std::map<std::int64_t, std::int64_t> CallByAttempt;
   std::map<std::string, ConnectionHealth, std::less<>> HealthByAddress;
   std::int64_t LastAttemptNumber = 0;
@@ -211,6 +236,7 @@
   std::vector<NestedOutcome> NestedOutcomes;
   /// Time from the arrival of a call to its answer, for each route.
   RunTimeEstimates AnswerTimes;
+  AnswerSizes AnswerLengths;
   bool Stopping = false;
 };
 
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds PauseThreshold{100};
 constexpr milliseconds JoinInterval{300};
 constexpr milliseconds LearnerTimeout{5000};
+/// A quarter of the learner timeout, so that lost datagrams are made up for.
+constexpr milliseconds JoinRenewalInterval{1250};
 /// Longer than a restart takes; a voter that returns later has to join again.
 constexpr milliseconds UnresponsiveVoterTimeout{3000};
 constexpr milliseconds SnapshotResendInterval{2000};
@@ -174,9 +176,16 @@
 void Consensus::sendJoinRequests(Time Now, Effects &Out) {
   if (Now < this->NextJoin)
     return;
-  this->NextJoin = Now + JoinInterval;
   wire::JoinRequest Request;
   Request.Joiner = this->Self;
+  if (this->CurrentLeader) {
+    // The leader already replicates to this learner, which only has to say that
+    // it still exists.
+    this->NextJoin = Now + JoinRenewalInterval;
+    send(Out, this->CurrentLeader->Address, Request, Channel::Datagram);
+    return;
+  }
+  this->NextJoin = Now + JoinInterval;
   std::set<std::string_view> Recipients = {this->Self.Address};
   for (const ControlPeer &Peer : this->Peers) {
     if (Recipients.insert(Peer.Address).second)
@@ -384,7 +393,6 @@
   this->CurrentRole = Role::Leader;
   this->CurrentLeader = this->Self;
   this->Followers.clear();
-  this->LeadershipUntil = Now + ElectionTimeoutMax;
   this->trackVoters(Now);
   wire::LogEntry Entry;
   Entry.Kind = wire::EntryKind::Noop;
@@ -431,6 +439,7 @@
                                      To.ReplyDeadline - ReplyTimeout});
     To.ReplyDeadline = Now + ReplyTimeout;
     To.NextSnapshotSend = Now;
+    To.Next = To.Match + 1;
   }
   const bool Behind = !this->Log.hasTermAt(To.Next - 1);
   if (Behind && Now >= To.NextSnapshotSend) {
@@ -455,6 +464,10 @@
   Request.Commit = this->CommitIndex;
   Request.Round = this->Round;
   Request.ToDisk = To.Replica.DiskId;
+  // Entries are sent once on a connection, not again with each heartbeat until
+  // the reply: a follower that lost them says so.
+  if (!Behind)
+    To.Next += static_cast<std::int64_t>(Request.Entries.size());
   send(Out, To.Replica.Address, std::move(Request));
 }
 
@@ -474,6 +487,9 @@
   From.ReplyDeadline = Now + ReplyTimeout;
   From.Round = std::max(From.Round, Reply.Round);
   if (!Reply.Success) {
+    if (Reply.Round < From.ResetRound)
+      return;
+    From.ResetRound = this->Round;
     From.Next = std::clamp<std::int64_t>(Reply.MatchIndex + 1, From.Match + 1,
                                          this->Log.lastIndex() + 1);
     if (this->Log.hasTermAt(From.Next - 1) || Now >= From.NextSnapshotSend)
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -133,6 +133,9 @@
     std::int64_t Next = 1;
     std::int64_t Match = 0;
     std::int64_t Round = 0;
+    /// Round of the request that was sent after Next was last set back. Replies
+    /// to earlier requests say nothing about later ones.
+    std::int64_t ResetRound = 0;
     Time ActiveUntil;
     Time NextSnapshotSend;
     Time ReplyDeadline;
@@ -187,7 +190,6 @@
   Time LeaderActiveUntil;
   Time NextHeartbeat;
   Time NextJoin;
-  Time LeadershipUntil;
   std::int64_t TermStart = 0;
   std::int64_t Round = 0;
 };
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t MaxQueuedWrites = 256;
 constexpr std::size_t MaxQueuedClaims = 4096;
 constexpr std::size_t MaxClaimsPerEntry = 256;
+/// Edits that are validated in one step. A small instance takes about ten
+/// milliseconds for them.
+constexpr std::size_t EditsPerStep = 64;
 
 } // namespace
 
@@ -301,11 +304,8 @@
   this->Writes.pop_front();
 }
 
-std::optional<Failure>
-ControlService::resolveWithoutCommit(PendingWrite &Write,
-                                     std::int64_t &Version) const {
-  if (Write.Entry.Kind != wire::EntryKind::Change)
-    return std::nullopt;
+std::optional<Failure> ControlService::prepareWrite(PendingWrite &Write,
+                                                    std::int64_t &Version) {
   wire::Change &Wanted = Write.Entry.TheChange;
   if (const auto First = this->Store.outcomeOf(Wanted.ChangeId)) {
     Version = *First;
@@ -319,11 +319,52 @@
           Wanted = std::move(NewChange);
           Wanted.BasedOn = this->Store.version();
         });
-  if (!Refusal.failed())
-    Refusal = this->Store.check(Wanted);
-  if (!Refusal.failed())
-    return std::nullopt;
-  return Refusal;
+  if (Refusal.failed())
+    return Refusal;
+  this->Store.startCheck(Wanted);
+  return std::nullopt;
+}
+
+void ControlService::continueWork(Time Now, Effects &Out) {
+  this->WorkRequested = false;
+  this->applyAndPropose(Now, Out);
+}
+
+bool ControlService::answerFirstWrite(Failure Result, std::int64_t Version,
+                                      Effects &Out) {
+  this->answer(this->Writes.front().RequestId, std::move(Result), Version, Out);
+  this->Writes.pop_front();
+  return true;
+}
+
+void ControlService::requestWork(Effects &Out) {
+  if (!this->WorkRequested)
+    Out.emplace_back(ContinueWork{});
+  this->WorkRequested = true;
+}
+
+bool ControlService::advanceFirstWrite(Time Now, Effects &Out) {
+  PendingWrite &Write = this->Writes.front();
+  if (Write.Entry.Kind == wire::EntryKind::Change) {
+    std::int64_t Version = 0;
+    if (!this->Store.checking()) {
+      if (auto Early = this->prepareWrite(Write, Version))
+        return this->answerFirstWrite(std::move(*Early), Version, Out);
+    }
+    auto Checked = this->Store.advanceCheck(EditsPerStep);
+    if (!Checked) {
+      this->requestWork(Out);
+      return false;
+    }
+    if (Checked->failed())
+      return this->answerFirstWrite(std::move(*Checked), 0, Out);
+  }
+  // The index is known before the effects are executed, because only the
+  // leader appends entries.
+  Write.Index = this->ConsensusModule.lastIndex() + 1;
+  this->InFlightWriteIndex = Write.Index;
+  this->ConsensusModule.propose(Write.Entry, Now, Out);
+  return false;
 }
 
 void ControlService::proposeQueued(Time Now, Effects &Out) {
@@ -333,20 +374,13 @@
       this->InFlightWriteIndex <= this->ConsensusModule.commitIndex();
   while (NoWriteInFlight && !this->Writes.empty() &&
          this->Writes.front().Index == 0) {
-    PendingWrite &Write = this->Writes.front();
-    std::int64_t Version = 0;
-    if (auto Result = this->resolveWithoutCommit(Write, Version)) {
-      this->answer(Write.RequestId, std::move(*Result), Version, Out);
-      this->Writes.pop_front();
-      continue;
-    }
-    // The index is known before the effects are executed, because only the
-    // leader appends entries.
-    Write.Index = this->ConsensusModule.lastIndex() + 1;
-    this->InFlightWriteIndex = Write.Index;
-    this->ConsensusModule.propose(Write.Entry, Now, Out);
-    return;
+    if (!this->advanceFirstWrite(Now, Out))
+      break;
   }
+  this->proposeClaims(Now, Out);
+}
+
+void ControlService::proposeClaims(Time Now, Effects &Out) {
   const bool ExpiryDue =
       Now >= this->NextClaimExpiry && this->Store.claims().size() > 0;
   if (this->InFlightClaimsIndex != 0 ||
@@ -422,6 +456,7 @@
 }
 
 void ControlService::expireRequests(Time Now, Effects &Out) {
+  const std::size_t Before = this->Writes.size();
   std::erase_if(this->Writes, [&](const PendingWrite &Item) {
     if (Now < Item.Deadline)
       return false;
@@ -433,6 +468,9 @@
         0, Out);
     return true;
   });
+  // The check in progress refers to a write that may have moved.
+  if (this->Writes.size() != Before)
+    this->Store.cancelCheck();
   std::erase_if(this->Reads, [&](const PendingRead &Item) {
     if (Now < Item.Deadline)
       return false;
@@ -451,6 +489,7 @@
         0, Out);
   for (const PendingRead &Item : this->Reads)
     this->answer(Item.RequestId, {ResultCode::NotLeader, {}, {}}, 0, Out);
+  this->Store.cancelCheck();
   this->Writes.clear();
   this->Reads.clear();
   this->QueuedClaims.clear();
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -43,6 +43,9 @@
   void handle(const RecoverRequested &Request, Time Now, Effects &Out);
   void handle(const BootstrapRequested &Request, Time Now, Effects &Out);
 
+  /// Continues the check of a large change.
+  void continueWork(Time Now, Effects &Out);
+
   /// Sets the addresses of further control instances that join requests are
   /// sent to.
   void setJoinAddresses(std::vector<std::string> Addresses) {
@@ -102,10 +105,17 @@
   void answer(std::int64_t RequestId, Failure Error, std::int64_t Version,
               Effects &Out) const;
   void enqueue(PendingWrite Write, Time Now, Effects &Out);
-  /// Returns the result of a write that needs no commit, because it repeats a
-  /// change or is rejected, or nothing if \p Write must be proposed.
-  std::optional<Failure> resolveWithoutCommit(PendingWrite &Write,
-                                              std::int64_t &Version) const;
+  /// Prepares the check of \p Write. Returns its result if it needs none,
+  /// because it repeats a change or is rejected.
+  std::optional<Failure> prepareWrite(PendingWrite &Write,
+                                      std::int64_t &Version);
+  /// Advances the check of the first write, and answers or proposes it at the
+  /// end. Returns whether the next write can be looked at.
+  bool advanceFirstWrite(Time Now, Effects &Out);
+  /// Answers the first write and removes it; returns true.
+  bool answerFirstWrite(Failure Result, std::int64_t Version, Effects &Out);
+  void requestWork(Effects &Out);
+  void proposeClaims(Time Now, Effects &Out);
   void applyAndPropose(Time Now, Effects &Out);
   void applyCommitted(Effects &Out);
   void answerWrite(const wire::LogEntry &Entry, Effects &Out);
@@ -126,6 +136,8 @@
   std::int64_t SnapshotIndex = 0;
   std::deque<PendingWrite> Writes;
   std::int64_t InFlightWriteIndex = 0;
+  /// A WorkContinued event is on its way.
+  bool WorkRequested = false;
   std::vector<PendingRead> Reads;
   std::vector<PendingStamp> StampRequests;
   std::deque<PendingClaim> QueuedClaims;
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -40,14 +40,9 @@
 void Distribution::applyCommitted(const wire::Delta &Change, Effects &Out) {
   if (Change.To <= this->Version)
     return;
-  SettingsMap Content = this->Settings;
-  std::uint64_t ContentHash = this->Hash;
-  applyDelta(Change, Content, ContentHash);
+  const wire::Delta *const Changes[] = {&Change};
   const Failure Error = handleResult(
-      [&] {
-        return this->putInForce(std::move(Content), ContentHash, Change.To,
-                                Change.Hash);
-      },
+      [&] { return this->putChangesInForce(Changes, Change.To, Change.Hash); },
       [] {});
   if (Error.failed()) {
     Out.emplace_back(LogWarning{"event=update-rejected " + describe(Error)});
@@ -61,11 +56,10 @@
                                   std::int64_t NewVersion, Effects &Out) {
   if (NewVersion <= this->Version)
     return;
-  const std::uint64_t ContentHash = hashOf(Content);
   const Failure Error = handleResult(
       [&] {
-        return this->putInForce(Content, ContentHash, NewVersion,
-                                static_cast<std::int64_t>(ContentHash));
+        return this->putInForce(Content, NewVersion,
+                                static_cast<std::int64_t>(hashOf(Content)));
       },
       [] {});
   if (Error.failed()) {
@@ -78,26 +72,81 @@
 }
 
 leaf::result<void> Distribution::putInForce(SettingsMap Content,
-                                            std::uint64_t ContentHash,
                                             std::int64_t NewVersion,
                                             std::int64_t ExpectedHash) {
+  const std::uint64_t ContentHash = hashOf(Content);
   if (static_cast<std::int64_t>(ContentHash) != ExpectedHash)
     return fail(ResultCode::UpdateRejected, std::to_string(NewVersion),
                 "the content does not match the announced hash");
-  const RouteTable *Previous =
-      this->ReplicaTable ? this->ReplicaTable.get() : this->Table.get();
-  BOOST_LEAF_AUTO(Built,
-                  RouteTable::build(Content, Previous, Validation::Skip));
-  this->Table = std::move(Built);
+  if (this->Use == TableUse::RoutesCalls) {
+    BOOST_LEAF_ASSIGN(this->Table, RouteTable::build(Content, this->Table.get(),
+                                                     Validation::Skip));
+  }
   this->Settings = std::move(Content);
-  this->Version = NewVersion;
   this->Hash = ContentHash;
+  this->versionReplaced(NewVersion);
+  return {};
+}
+
+std::uint64_t
+Distribution::hashAfter(std::span<const wire::Delta *const> Changes) const {
+  std::uint64_t Out = this->Hash;
+  // Hashes of the settings that an earlier change has already replaced.
+  std::map<std::string_view, std::uint64_t> Replaced;
+  const auto Replace = [&](const std::string &Path, std::uint64_t NewHash) {
+    const auto [Slot, First] = Replaced.emplace(Path, 0);
+    if (First) {
+      const auto Current = this->Settings.find(Path);
+      if (Current != this->Settings.end())
+        Slot->second = hashOf(Current->second);
+    }
+    Out += NewHash - Slot->second;
+    Slot->second = NewHash;
+  };
+  for (const wire::Delta *Change : Changes) {
+    for (const wire::Setting &Entry : Change->Puts)
+      Replace(Entry.Path, hashOf(Entry));
+    for (const std::string &Path : Change->Removed)
+      Replace(Path, 0);
+  }
+  return Out;
+}
+
+leaf::result<void>
+Distribution::compileChanges(std::span<const wire::Delta *const> Changes) {
+  RouteTableBuilder Builder(this->Table, this->Table.get(), Validation::Skip);
+  for (const wire::Delta *Change : Changes) {
+    for (const wire::Setting &Entry : Change->Puts)
+      BOOST_LEAF_CHECK(Builder.put(Entry.Path, Entry.Value));
+    for (const std::string &Path : Change->Removed)
+      BOOST_LEAF_CHECK(Builder.remove(Path));
+  }
+  BOOST_LEAF_ASSIGN(this->Table, Builder.finish());
+  return {};
+}
+
+leaf::result<void>
+Distribution::putChangesInForce(std::span<const wire::Delta *const> Changes,
+                                std::int64_t NewVersion,
+                                std::int64_t ExpectedHash) {
+  if (static_cast<std::int64_t>(this->hashAfter(Changes)) != ExpectedHash)
+    return fail(ResultCode::UpdateRejected, std::to_string(NewVersion),
+                "the content does not match the announced hash");
+  if (this->Use == TableUse::RoutesCalls)
+    BOOST_LEAF_CHECK(this->compileChanges(Changes));
+  for (const wire::Delta *Change : Changes)
+    applyDelta(*Change, this->Settings, this->Hash);
+  this->versionReplaced(NewVersion);
+  return {};
+}
+
+void Distribution::versionReplaced(std::int64_t NewVersion) {
+  this->Version = NewVersion;
   this->ReplyCache.clear();
   while (!this->Pending.empty() &&
          this->Pending.front().Version <= this->Version)
     this->Pending.pop_front();
   this->DatagramPulls = 0;
-  return {};
 }
 
 void Distribution::appendHistory(const wire::Delta &Change) {
@@ -420,17 +469,14 @@
   SettingsMap Content;
   for (const wire::Setting &Entry : Reply.Settings)
     Content[Entry.Path] = Entry;
-  const std::uint64_t ContentHash = hashOf(Content);
-  BOOST_LEAF_CHECK(this->putInForce(std::move(Content), ContentHash,
-                                    Reply.Version, Reply.Hash));
+  BOOST_LEAF_CHECK(
+      this->putInForce(std::move(Content), Reply.Version, Reply.Hash));
   this->History.clear();
   this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
   return {};
 }
 
 leaf::result<void> Distribution::applyDeltas(const wire::PullReply &Reply) {
-  SettingsMap Content = this->Settings;
-  std::uint64_t ContentHash = this->Hash;
   std::int64_t Reached = this->Version;
   std::vector<const wire::Delta *> Applied;
   for (const wire::Delta &Change : Reply.Deltas) {
@@ -440,15 +486,13 @@
     if (Change.From != Reached || Change.To <= Reached)
       return fail(ResultCode::UpdateRejected, std::to_string(Change.To),
                   "the deltas are not consecutive");
-    applyDelta(Change, Content, ContentHash);
     Reached = Change.To;
     Applied.push_back(&Change);
   }
   if (Reached != Reply.Version)
     return fail(ResultCode::UpdateRejected, std::to_string(Reply.Version),
                 "the deltas do not end at the announced version");
-  BOOST_LEAF_CHECK(this->putInForce(std::move(Content), ContentHash,
-                                    Reply.Version, Reply.Hash));
+  BOOST_LEAF_CHECK(this->putChangesInForce(Applied, Reply.Version, Reply.Hash));
   for (const wire::Delta *Change : Applied)
     this->appendHistory(*Change);
   return {};
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,13 +23,12 @@
 /// source is used when datagrams bring no answer or the content is large.
 class Distribution {
 public:
-  explicit Distribution(std::uint64_t Seed) : Rng(Seed) {}
+  /// Whether this daemon routes calls and so needs the compiled table.
+  enum class TableUse { RoutesCalls, None };
 
-  /// Sets the compiled table of the local replica; unchanged entries are reused
-  /// from it instead of being compiled again.
-  void setReplicaTable(std::shared_ptr<const RouteTable> ReplicaTable) {
-    this->ReplicaTable = std::move(ReplicaTable);
-  }
+  explicit Distribution(std::uint64_t Seed,
+                        TableUse Use = TableUse::RoutesCalls)
+      : Rng(Seed), Use(Use) {}
 
   /// Applies a change that the local replica committed.
   void applyCommitted(const wire::Delta &Change, Effects &Out);
@@ -108,10 +108,19 @@
   leaf::result<void> applyContent(const wire::PullReply &Reply);
   leaf::result<void> applyDeltas(const wire::PullReply &Reply);
   leaf::result<void> applySnapshot(const wire::PullReply &Reply);
-  /// \p ContentHash is the hash of \p Content.
-  leaf::result<void> putInForce(SettingsMap Content, std::uint64_t ContentHash,
-                                std::int64_t NewVersion,
+  /// Puts \p Content in force as a whole.
+  leaf::result<void> putInForce(SettingsMap Content, std::int64_t NewVersion,
                                 std::int64_t ExpectedHash);
+  /// Puts the result of \p Changes in force. The work is in proportion to the
+  /// changes.
+  leaf::result<void>
+  putChangesInForce(std::span<const wire::Delta *const> Changes,
+                    std::int64_t NewVersion, std::int64_t ExpectedHash);
+  leaf::result<void>
+  compileChanges(std::span<const wire::Delta *const> Changes);
+  /// Returns the hash of the configuration after \p Changes.
+  std::uint64_t hashAfter(std::span<const wire::Delta *const> Changes) const;
+  void versionReplaced(std::int64_t NewVersion);
   void appendHistory(const wire::Delta &Change);
   std::deque<wire::Delta>::const_iterator deltasFrom(std::int64_t Have) const;
   bool hasDeltasFrom(std::int64_t Have, std::int64_t HaveHash) const;
@@ -119,9 +128,9 @@
   bool admitPull(bool IsSnapshot, Time Now);
 
   Random Rng;
+  TableUse Use;
   SettingsMap Settings;
   std::shared_ptr<const RouteTable> Table;
-  std::shared_ptr<const RouteTable> ReplicaTable;
   std::int64_t Version = 0;
   std::uint64_t Hash = 0;
   std::deque<wire::Delta> History;
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -116,6 +116,7 @@
 };
 
 /// Sends the answer that the host holds for the attempt to the calling daemon.
+/// A body of more than InlineBodyBytes follows by SendAnswerBody.
 struct SendAnswer {
   wire::AttemptId Id;
   std::string Address;
@@ -124,6 +125,14 @@
   wire::ShedLoad Shed;
 };
 
+/// Sends the part of an answer's body from byte Begin up to byte End.
+struct SendAnswerBody {
+  wire::AttemptId Id;
+  std::string Address;
+  std::int64_t Begin = 0;
+  std::int64_t End = 0;
+};
+
 /// Discards the request and the answer that the host holds for the attempt.
 struct DropAttempt {
   wire::AttemptId Id;
@@ -149,6 +158,11 @@
   Time SilentSince;
 };
 
+/// Asks for a WorkContinued event once the events that already wait were
+/// handled: a large piece of work is done in steps, so that heartbeats and
+/// calls do not wait for all of it.
+struct ContinueWork {};
+
 /// The planned stop is complete; the process may exit.
 struct ReadyToExit {};
 
@@ -157,7 +171,8 @@
                  AnswerOperator, VersionInForce, LogDecision, LogWarning,
                  SendCall, RefuseCaller, AnswerCaller, RunOnTarget,
                  CancelOnTarget, SendAnswer, DropAttempt, DropReceivedAnswer,
-                 RenewConnection, ReadyToExit, SendBody>;
+                 RenewConnection, ReadyToExit, SendBody, SendAnswerBody,
+                 ContinueWork>;
 
 /// Effects in the order in which they must be executed.
 using Effects = std::vector<Effect>;
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -13,8 +13,11 @@
 
 namespace persimmon {
 
-/// Periodic timer event.
-struct Tick {};
+/// Periodic timer event. LinkBytes is what was sent to other instances since
+/// the previous one, other than parts of answers, with packet headers.
+struct Tick {
+  std::int64_t LinkBytes = 0;
+};
 
 /// A message was received. From is the address to which replies are sent.
 struct MessageReceived {
@@ -205,6 +208,9 @@
   int RetryBurst = 0;
 };
 
+/// Continues work that was cut into steps; answers ContinueWork.
+struct WorkContinued {};
+
 /// The process was asked to stop gracefully.
 struct StopRequested {};
 
@@ -215,7 +221,7 @@
                  InitRequested, RecoverRequested, StopRequested,
                  ReplaceRequested, BootstrapRequested, TargetLeaving,
                  SettingsChanged, StreamAlive, BodyArrived, BodyLost,
-                 BodyProgress, StreamSlow>;
+                 BodyProgress, StreamSlow, WorkContinued>;
 
 /// An input of the reducer with its time. WallMs is the wall clock in
 /// milliseconds since 1970, used for retention only.
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds IndirectTimeout{500};
 constexpr milliseconds SuspicionTimeout{1500};
 constexpr milliseconds ForgetTimeout{600'000};
+/// Targets that are only silent are tried this long if a service has no others.
+constexpr milliseconds SilentTryTime{10'000};
 constexpr milliseconds PushInterval{100};
 constexpr milliseconds SyncInterval{10'000};
 constexpr milliseconds ShortSyncInterval{1000};
@@ -98,6 +100,9 @@
   this->Revision += 1;
   this->SuspectUntil.erase(Record.Name);
   this->ForgetAt.erase(Record.Name);
+  this->TryUntil.erase(Record.Name);
+  if (Record.State == wire::Liveness::Dead)
+    this->TryUntil[Record.Name] = Now + SilentTryTime;
   if (Record.State == wire::Liveness::Suspect)
     this->SuspectUntil[Record.Name] = Now + SuspicionTimeout;
   if (!isAlive(Record))
@@ -134,6 +139,8 @@
     this->Revision += 1;
     return true;
   });
+  std::erase_if(this->TryUntil,
+                [&](const auto &Item) { return Now >= Item.second; });
   std::erase_if(this->RelayedProbes,
                 [&](const auto &Item) { return Now >= Item.second.Deadline; });
 }
@@ -463,4 +470,16 @@
   return Found == this->Targets.end() ? None : Found->second;
 }
 
+std::vector<std::string> Membership::silentTargetsOf(std::string_view Service,
+                                                     Time Now) const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Until] : this->TryUntil) {
+    const wire::MemberRecord *Record = this->find(Name);
+    if (Now < Until && Record != nullptr && Record->Service == Service &&
+        Record->Target == wire::TargetState::Serving)
+      Out.push_back(Name);
+  }
+  return Out;
+}
+
 } // namespace persimmon
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -78,6 +78,11 @@
   /// accepts calls.
   const std::vector<std::string> &targetsOf(std::string_view Service) const;
 
+  /// Returns the names of the daemons whose target offers \p Service, which
+  /// stopped responding a short time ago without leaving.
+  std::vector<std::string> silentTargetsOf(std::string_view Service,
+                                           Time Now) const;
+
   /// Replaces the addresses used to join.
   void setSeeds(std::vector<std::string> Addresses);
 
@@ -137,6 +142,9 @@
   std::map<std::string, wire::MemberRecord, std::less<>> Records;
   std::map<std::string, Time, std::less<>> SuspectUntil;
   std::map<std::string, Time, std::less<>> ForgetAt;
+  /// Until when members that stopped responding are tried if there are no
+  /// others.
+  std::map<std::string, Time, std::less<>> TryUntil;
   std::map<std::string, std::size_t, std::less<>> PendingUpdates;
   std::vector<std::string> ProbeOrder;
   ProbeState CurrentProbe;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -43,7 +43,10 @@
     : VersionTopology(Policies.VersionTopology),
       Members(recordOf(Identity, IsControl), seedsOf(Identity),
               Identity.Seed + 1),
-      Config(Identity.Seed + 2), Gate(Identity.Seed + 3),
+      Config(Identity.Seed + 2, IsControl
+                                    ? Distribution::TableUse::None
+                                    : Distribution::TableUse::RoutesCalls),
+      Gate(Identity.Seed + 3), Confirmation(Identity.Seed + 7),
       Scheduler(Identity.Seed + 6), Seeds(seedsOf(Identity)),
       ControlAddresses(Seeds), Stop(Identity.Stop) {}
 
@@ -99,7 +102,6 @@
       this->Scheduler.nestedEnded(Outcome, Now);
   }
   if (this->Control) {
-    this->Config.setReplicaTable(this->Control->store().table());
     if (this->Control->takeStateReplaced())
       this->Config.replaceContent(this->Control->store().settings(),
                                   this->Control->store().version(), Out);
@@ -114,8 +116,9 @@
   this->announce(Out);
 }
 
-void Node::on(const Tick &, const Event &TheEvent, Effects &Out) {
+void Node::on(const Tick &Body, const Event &TheEvent, Effects &Out) {
   const Time Now = TheEvent.At;
+  this->Scheduler.chargeLink(Body.LinkBytes, Now);
   this->refreshControlAddresses(Now);
   if (this->Control)
     this->Control->tick(Now, TheEvent.WallMs, Out);
@@ -127,6 +130,7 @@
     this->Gate.tick(Now, this->Config.version(), this->Members.self(),
                     this->ControlAddresses, Out);
     this->Router->tick(Now, Out);
+    this->updateConfirmation(Now, Out);
     this->Scheduler.tick(Now, Out);
   }
   if (this->Members.stale(Now) && Now >= this->NextStaleWarning) {
@@ -219,6 +223,11 @@
   this->advanceStop(TheEvent.At, Out);
 }
 
+void Node::on(const WorkContinued &, const Event &TheEvent, Effects &Out) {
+  if (this->Control)
+    this->Control->continueWork(TheEvent.At, Out);
+}
+
 void Node::startDraining(Time Now, Effects &Out) {
   this->Draining = true;
   // Further calls of connected callers are refused, so that they retry
@@ -336,8 +345,20 @@
 }
 
 void Node::on(const CallArrived &Body, const Event &TheEvent, Effects &Out) {
-  if (this->Router)
-    this->Router->handleCall(Body, this->Gate.open(), TheEvent.At, Out);
+  if (!this->Router)
+    return;
+  this->Router->setConfirmedUntil(
+      this->Confirmation.validUntil(this->Config.version()));
+  this->Router->handleCall(Body, this->Gate.open(), TheEvent.At, Out);
+  this->updateConfirmation(TheEvent.At, Out);
+}
+
+void Node::updateConfirmation(Time Now, Effects &Out) {
+  this->Router->setConfirmedUntil(
+      this->Confirmation.validUntil(this->Config.version()));
+  if (this->Router->hasUnrouted())
+    this->Confirmation.request(this->Members.self(), this->ControlAddresses,
+                               Now, Out);
 }
 
 void Node::on(const CallerDisconnected &Body, const Event &TheEvent,
@@ -361,6 +382,14 @@
       Body.Body);
 }
 
+void Node::receiveStamp(const wire::StampReply &Reply, Time Now, Effects &Out) {
+  this->Gate.receive(Reply, this->Config.version(), Out);
+  if (!this->Router || !this->Confirmation.receive(Reply))
+    return;
+  this->updateConfirmation(Now, Out);
+  this->Router->routeAgain(this->Gate.open(), Now, Out);
+}
+
 template <typename MessageT>
 void Node::receive(const MessageT &Body, const std::string &From, Time Now,
                    Effects &Out) {
@@ -398,7 +427,7 @@
   else if constexpr (std::is_same_v<T, wire::Report>)
     this->Reports.receive(Body, Now);
   else if constexpr (std::is_same_v<T, wire::StampReply>)
-    this->Gate.receive(Body, this->Config.version(), Out);
+    this->receiveStamp(Body, Now, Out);
   else if constexpr (std::is_same_v<T, wire::CallRequest>) {
     const auto &Table = this->Config.table();
     this->Scheduler.receive(
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -11,6 +11,7 @@
 #include "servinggate.h"
 #include "targetwatch.h"
 #include "topology.h"
+#include "versionconfirmation.h"
 
 #include <memory>
 #include <optional>
@@ -96,7 +97,7 @@
   Node(const NodeIdentity &Identity, bool IsControl,
        const NodePolicies &Policies);
 
-  void on(const Tick &, const Event &TheEvent, Effects &Out);
+  void on(const Tick &Body, const Event &TheEvent, Effects &Out);
   void on(const MessageReceived &Body, const Event &TheEvent, Effects &Out);
   void on(const StreamLost &Body, const Event &TheEvent, Effects &Out);
   void on(const StreamSlow &Body, const Event &TheEvent, Effects &Out);
@@ -113,12 +114,14 @@
   void on(const RunFinished &Body, const Event &TheEvent, Effects &Out);
   void on(const SettingsChanged &Body, const Event &TheEvent, Effects &Out);
   void on(const StopRequested &Body, const Event &TheEvent, Effects &Out);
+  void on(const WorkContinued &Body, const Event &TheEvent, Effects &Out);
   template <typename RequestT>
   void on(const RequestT &Body, const Event &TheEvent, Effects &Out);
 
   template <typename MessageT>
   void receive(const MessageT &Body, const std::string &From, Time Now,
                Effects &Out);
+  void receiveStamp(const wire::StampReply &Reply, Time Now, Effects &Out);
   void propagateChanges(Time Now, Effects &Out);
   void targetChanged(Time Now, Effects &Out);
   void updateOutdated(Time Now, Effects &Out);
@@ -127,6 +130,9 @@
   void advanceStop(Time Now, Effects &Out);
   bool drained() const;
   bool nested(const wire::CallRequest &Request);
+  /// Lets the router deny calls while the version in force is confirmed, and
+  /// asks for a confirmation if a call waits for one.
+  void updateConfirmation(Time Now, Effects &Out);
   void announce(Effects &Out);
 
   const Topology &VersionTopology;
@@ -135,6 +141,7 @@
   Distribution Config;
   ReportTree Reports;
   ServingGate Gate;
+  VersionConfirmation Confirmation;
   AttemptScheduler Scheduler;
   NestedRouteDetector NestedRoutes;
   std::optional<ControlService> Control;
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -31,14 +31,14 @@
   });
 }
 
-leaf::result<json> parseValue(const wire::Setting &Entry,
+leaf::result<json> parseValue(const std::string &Path, std::string_view Value,
                               std::string_view Schema, Validation Mode) {
-  json Document = json::parse(Entry.Value, nullptr, false);
+  json Document = json::parse(Value, nullptr, false);
   if (Document.is_discarded())
-    return fail(ResultCode::ValueInvalid, Entry.Path, "not valid JSON");
+    return fail(ResultCode::ValueInvalid, Path, "not valid JSON");
   if (Mode == Validation::Required)
-    BOOST_LEAF_CHECK(checkAgainstSchema(Document, Schema, Entry.Path,
-                                        ResultCode::ValueInvalid));
+    BOOST_LEAF_CHECK(
+        checkAgainstSchema(Document, Schema, Path, ResultCode::ValueInvalid));
   return Document;
 }
 
@@ -110,14 +110,9 @@
   return Spec;
 }
 
-/// Matches whole path segments: /a matches /a, /a/b and /a?b, not /ab.
-bool matchesPrefix(std::string_view Prefix, std::string_view Path) {
-  if (Prefix == "/")
-    return true;
-  if (!Path.starts_with(Prefix))
-    return false;
-  return Path.size() == Prefix.size() || Path[Prefix.size()] == '/' ||
-         Path[Prefix.size()] == '?';
+/// Returns the name TEAM/SERVICE of the service at a settings path.
+std::string serviceNameOf(const SettingPath &Parts) {
+  return std::string(Parts.Team) + "/" + std::string(Parts.Name);
 }
 
 } // namespace
@@ -147,126 +142,231 @@
 leaf::result<std::shared_ptr<const RouteTable>>
 RouteTable::build(const SettingsMap &Settings, const RouteTable *Previous,
                   Validation Mode) {
-  auto Table = std::make_shared<RouteTable>();
+  RouteTableBuilder Builder(nullptr, Previous, Mode);
   for (const auto &[Path, Entry] : Settings)
-    BOOST_LEAF_CHECK(Table->add(Entry, Previous, Mode));
-  BOOST_LEAF_CHECK(Table->indexRoutes());
-  return std::shared_ptr<const RouteTable>(std::move(Table));
+    BOOST_LEAF_CHECK(Builder.put(Path, Entry.Value));
+  return Builder.finish();
+}
+
+std::size_t RouteTable::shardOf(std::string_view Path) {
+  return hashOf(Path) % ShardCount;
+}
+
+const RouteTable::RouteEntry *
+RouteTable::findRoute(std::string_view Path) const {
+  const auto &Shard = this->Shards[shardOf(Path)];
+  if (!Shard)
+    return nullptr;
+  const auto Found = Shard->find(Path);
+  return Found == Shard->end() ? nullptr : &Found->second;
+}
+
+const RouteSpec *RouteTable::match(std::string_view Job,
+                                   std::string_view Path) const {
+  const auto Found = this->RoutesByJob.find(Job);
+  if (Found == this->RoutesByJob.end())
+    return nullptr;
+  const JobRoutes &Prefixes = *Found->second;
+  // A prefix matches whole path segments: /a matches /a, /a/b and /a?b, not
+  // /ab.
+  std::string_view Candidate = Path.substr(0, Path.find('?'));
+  while (!Candidate.empty()) {
+    const auto Match = Prefixes.find(Candidate);
+    if (Match != Prefixes.end())
+      return Match->second.get();
+    Candidate = Candidate.substr(0, Candidate.rfind('/'));
+  }
+  const auto Root = Prefixes.find("/");
+  return Root == Prefixes.end() ? nullptr : Root->second.get();
+}
+
+const ServiceSpec *RouteTable::service(std::string_view Name) const {
+  const auto Found = this->ServiceEntries.find(Name);
+  return Found == this->ServiceEntries.end() ? nullptr
+                                             : Found->second.Spec.get();
 }
 
-leaf::result<void> RouteTable::add(const wire::Setting &Entry,
-                                   const RouteTable *Previous,
-                                   Validation Mode) {
-  BOOST_LEAF_AUTO(Parts, parseSettingPath(Entry.Path));
+RouteTableBuilder::RouteTableBuilder(std::shared_ptr<const RouteTable> TheBase,
+                                     const RouteTable *ReusedTable,
+                                     Validation TheMode)
+    : Base(std::move(TheBase)), Reused(ReusedTable), Mode(TheMode),
+      Result(this->Base ? std::make_shared<RouteTable>(*this->Base)
+                        : std::make_shared<RouteTable>()) {}
+
+leaf::result<void> RouteTableBuilder::put(const std::string &Path,
+                                          std::string_view Value) {
+  BOOST_LEAF_AUTO(Parts, parseSettingPath(Path));
   try {
     if (Parts.Kind == "services")
-      return this->addService(Entry, Previous, Mode);
+      return this->putService(Path, Value);
     if (Parts.Kind == "routes")
-      return this->addRoute(Entry, Previous, Mode);
+      return this->putRoute(Path, Value);
     if (Parts.Kind == "limits")
-      return this->addLimits(Entry, Mode);
-    BOOST_LEAF_CHECK(parseValue(Entry, revisionSchema(), Mode));
+      return this->putLimits(Path, Value);
+    if (this->Mode == Validation::Required)
+      BOOST_LEAF_CHECK(parseValue(Path, Value, revisionSchema(), this->Mode));
     return {};
   } catch (const json::exception &Error) {
     // Only reached by a value that was not validated against its schema.
-    return fail(ResultCode::ValueInvalid, Entry.Path, Error.what());
+    return fail(ResultCode::ValueInvalid, Path, Error.what());
   }
 }
 
-leaf::result<void> RouteTable::addService(const wire::Setting &Entry,
-                                          const RouteTable *Previous,
-                                          Validation Mode) {
-  const std::uint64_t ValueHash = hashOf(std::string_view(Entry.Value));
-  BOOST_LEAF_AUTO(Parts, parseSettingPath(Entry.Path));
-  std::string Name = std::string(Parts.Team) + "/" + std::string(Parts.Name);
-  if (Previous != nullptr) {
-    const auto Old = Previous->ServiceEntries.find(Name);
-    if (Old != Previous->ServiceEntries.end() &&
+leaf::result<void> RouteTableBuilder::putService(const std::string &Path,
+                                                 std::string_view Value) {
+  const std::uint64_t ValueHash = hashOf(Value);
+  BOOST_LEAF_AUTO(Parts, parseSettingPath(Path));
+  const std::string Name = serviceNameOf(Parts);
+  if (this->Reused != nullptr) {
+    const auto Old = this->Reused->ServiceEntries.find(Name);
+    if (Old != this->Reused->ServiceEntries.end() &&
         Old->second.ValueHash == ValueHash) {
-      this->ServiceEntries.emplace(std::move(Name), Old->second);
+      this->Result->ServiceEntries[Name] = Old->second;
       return {};
     }
   }
-  BOOST_LEAF_AUTO(Value, parseValue(Entry, serviceSchema(), Mode));
-  auto Spec = std::make_shared<const ServiceSpec>(makeService(Name, Value));
-  this->ServiceEntries.emplace(std::move(Name),
-                               ServiceEntry{ValueHash, std::move(Spec)});
+  BOOST_LEAF_AUTO(Document,
+                  parseValue(Path, Value, serviceSchema(), this->Mode));
+  this->Result->ServiceEntries[Name] = {
+      ValueHash,
+      std::make_shared<const ServiceSpec>(makeService(Name, Document))};
   return {};
 }
 
-leaf::result<void> RouteTable::addRoute(const wire::Setting &Entry,
-                                        const RouteTable *Previous,
-                                        Validation Mode) {
-  const std::uint64_t ValueHash = hashOf(std::string_view(Entry.Value));
-  if (Previous != nullptr) {
-    const auto Old = Previous->RouteEntries.find(Entry.Path);
-    if (Old != Previous->RouteEntries.end() &&
-        Old->second.ValueHash == ValueHash) {
-      this->RouteEntries.emplace(Entry.Path, Old->second);
-      return {};
-    }
+leaf::result<void> RouteTableBuilder::putRoute(const std::string &Path,
+                                               std::string_view Value) {
+  RouteTable::RouteEntry Entry;
+  Entry.ValueHash = hashOf(Value);
+  const RouteTable::RouteEntry *Known =
+      this->Reused == nullptr ? nullptr : this->Reused->findRoute(Path);
+  if (Known != nullptr && Known->ValueHash == Entry.ValueHash) {
+    Entry = *Known;
+  } else {
+    BOOST_LEAF_AUTO(Document,
+                    parseValue(Path, Value, routeSchema(), this->Mode));
+    BOOST_LEAF_AUTO(Compiled, makeRoute(Path, Document));
+    Entry.Spec = std::make_shared<const RouteSpec>(std::move(Compiled));
   }
-  BOOST_LEAF_AUTO(Value, parseValue(Entry, routeSchema(), Mode));
-  BOOST_LEAF_AUTO(NewRoute, makeRoute(Entry.Path, Value));
-  auto Spec = std::make_shared<const RouteSpec>(std::move(NewRoute));
-  this->RouteEntries.emplace(Entry.Path,
-                             RouteEntry{ValueHash, std::move(Spec)});
+  RouteTable::RouteShard &Shard = this->ownShard(Path);
+  const auto Old = Shard.find(Path);
+  if (Old != Shard.end() && this->Changed.count(Path) == 0)
+    this->Replaced.push_back(Old->second.Spec);
+  this->Changed[Path] = Entry.Spec;
+  Shard[Path] = std::move(Entry);
   return {};
 }
 
-leaf::result<void> RouteTable::addLimits(const wire::Setting &Entry,
-                                         Validation Mode) {
-  BOOST_LEAF_AUTO(Value, parseValue(Entry, limitsSchema(), Mode));
-  this->Limits.MaxHeaderBytes =
-      std::min(this->Limits.MaxHeaderBytes,
-               Value.value("maxHeaderBytes", this->Limits.MaxHeaderBytes));
-  this->Limits.MaxBodyBytes =
-      std::min(this->Limits.MaxBodyBytes,
-               Value.value("maxBodyBytes", this->Limits.MaxBodyBytes));
+leaf::result<void> RouteTableBuilder::putLimits(const std::string &Path,
+                                                std::string_view Value) {
+  BOOST_LEAF_AUTO(Document,
+                  parseValue(Path, Value, limitsSchema(), this->Mode));
+  CallerLimits Limits;
+  Limits.MaxHeaderBytes =
+      Document.value("maxHeaderBytes", Limits.MaxHeaderBytes);
+  Limits.MaxBodyBytes = Document.value("maxBodyBytes", Limits.MaxBodyBytes);
+  this->Result->LimitsByPath[Path] = Limits;
   return {};
 }
 
-leaf::result<void> RouteTable::indexRoutes() {
-  for (const auto &[Path, Entry] : this->RouteEntries) {
-    const RouteSpec &Route = *Entry.Spec;
+leaf::result<void> RouteTableBuilder::remove(std::string_view Path) {
+  BOOST_LEAF_AUTO(Parts, parseSettingPath(Path));
+  if (Parts.Kind == "services") {
+    this->ServiceRemoved =
+        this->Result->ServiceEntries.erase(serviceNameOf(Parts)) != 0 ||
+        this->ServiceRemoved;
+  } else if (Parts.Kind == "limits") {
+    this->Result->LimitsByPath.erase(std::string(Path));
+  } else if (Parts.Kind == "routes") {
+    RouteTable::RouteShard &Shard = this->ownShard(Path);
+    const auto Old = Shard.find(Path);
+    if (Old == Shard.end())
+      return {};
+    if (this->Changed.count(Path) == 0)
+      this->Replaced.push_back(Old->second.Spec);
+    this->Changed[std::string(Path)] = nullptr;
+    Shard.erase(Old);
+  }
+  return {};
+}
+
+RouteTable::RouteShard &RouteTableBuilder::ownShard(std::string_view Path) {
+  const std::size_t Index = RouteTable::shardOf(Path);
+  auto &Own = this->OwnShards[Index];
+  if (!Own) {
+    const auto &Shared = this->Result->Shards[Index];
+    Own = Shared ? std::make_shared<RouteTable::RouteShard>(*Shared)
+                 : std::make_shared<RouteTable::RouteShard>();
+    this->Result->Shards[Index] = Own;
+  }
+  return *Own;
+}
+
+RouteTable::JobRoutes &RouteTableBuilder::ownJob(const std::string &Job) {
+  auto &Own = this->OwnJobs[Job];
+  if (!Own) {
+    auto &Shared = this->Result->RoutesByJob[Job];
+    Own = Shared ? std::make_shared<RouteTable::JobRoutes>(*Shared)
+                 : std::make_shared<RouteTable::JobRoutes>();
+    Shared = Own;
+  }
+  return *Own;
+}
+
+leaf::result<void> RouteTableBuilder::checkServices() const {
+  const auto Check = [&](const RouteSpec &Route) -> leaf::result<void> {
     for (const SplitPart &Part : Route.Parts) {
-      if (this->service(Part.Service) == nullptr)
-        return fail(ResultCode::ReferenceMissing, Path,
+      if (this->Result->service(Part.Service) == nullptr)
+        return fail(ResultCode::ReferenceMissing, Route.Path,
                     "the service " + Part.Service + " does not exist");
     }
-    auto &Routes = this->RoutesByJob[Route.Job];
-    for (const auto &Other : Routes) {
-      if (Other->PathPrefix == Route.PathPrefix)
-        return fail(ResultCode::MatchTaken, Path,
-                    Other->Path + " has the same job and path prefix");
-    }
-    Routes.push_back(Entry.Spec);
+    return {};
+  };
+  for (const auto &[Path, Spec] : this->Changed) {
+    if (Spec)
+      BOOST_LEAF_CHECK(Check(*Spec));
   }
-  for (auto &[Job, Routes] : this->RoutesByJob) {
-    std::sort(Routes.begin(), Routes.end(),
-              [](const auto &Left, const auto &Right) {
-                return Left->PathPrefix.size() > Right->PathPrefix.size();
-              });
+  if (!this->ServiceRemoved)
+    return {};
+  for (const auto &[Job, Routes] : this->Result->RoutesByJob) {
+    for (const auto &[Prefix, Spec] : *Routes)
+      BOOST_LEAF_CHECK(Check(*Spec));
   }
   return {};
 }
 
-const RouteSpec *RouteTable::match(std::string_view Job,
-                                   std::string_view Path) const {
-  const auto Found = this->RoutesByJob.find(Job);
-  if (Found == this->RoutesByJob.end())
-    return nullptr;
-  for (const auto &Route : Found->second) {
-    if (matchesPrefix(Route->PathPrefix, Path))
-      return Route.get();
+leaf::result<void> RouteTableBuilder::indexRoutes() {
+  for (const auto &Old : this->Replaced) {
+    this->ownJob(Old->Job).erase(Old->PathPrefix);
+    this->Result->Routes -= 1;
+  }
+  for (const auto &[Path, Spec] : this->Changed) {
+    if (!Spec)
+      continue;
+    const auto [Slot, Inserted] =
+        this->ownJob(Spec->Job).emplace(Spec->PathPrefix, Spec);
+    if (!Inserted)
+      return fail(ResultCode::MatchTaken, Path,
+                  Slot->second->Path + " has the same job and path prefix");
+    this->Result->Routes += 1;
+  }
+  for (const auto &[Job, Routes] : this->OwnJobs) {
+    if (Routes->empty())
+      this->Result->RoutesByJob.erase(Job);
   }
-  return nullptr;
+  return {};
 }
 
-const ServiceSpec *RouteTable::service(std::string_view Name) const {
-  const auto Found = this->ServiceEntries.find(Name);
-  return Found == this->ServiceEntries.end() ? nullptr
-                                             : Found->second.Spec.get();
+leaf::result<std::shared_ptr<const RouteTable>> RouteTableBuilder::finish() {
+  BOOST_LEAF_CHECK(this->indexRoutes());
+  BOOST_LEAF_CHECK(this->checkServices());
+  this->Result->Limits = CallerLimits();
+  for (const auto &[Path, Limits] : this->Result->LimitsByPath) {
+    this->Result->Limits.MaxHeaderBytes =
+        std::min(this->Result->Limits.MaxHeaderBytes, Limits.MaxHeaderBytes);
+    this->Result->Limits.MaxBodyBytes =
+        std::min(this->Result->Limits.MaxBodyBytes, Limits.MaxBodyBytes);
+  }
+  return std::shared_ptr<const RouteTable>(std::move(this->Result));
 }
 
 } // namespace persimmon
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -5,6 +5,7 @@
 #include "settingsmap.h"
 #include "time.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,8 +61,11 @@
 /// schemas. Committed ones were validated before the commit.
 enum class Validation { Required, Skip };
 
+class RouteTableBuilder;
+
 /// A configuration compiled for lookups. Every service that a route refers to
-/// is in the table. Immutable once built.
+/// is in the table. Immutable once built; successive versions share what did
+/// not change.
 class RouteTable {
 public:
   /// Compiles \p Settings and validates them as a whole. Reuses the entries of
@@ -79,9 +83,11 @@
 
   const CallerLimits &limits() const { return this->Limits; }
 
-  std::size_t routeCount() const { return this->RouteEntries.size(); }
+  std::size_t routeCount() const { return this->Routes; }
 
 private:
+  friend class RouteTableBuilder;
+
   struct RouteEntry {
     std::uint64_t ValueHash = 0;
     std::shared_ptr<const RouteSpec> Spec;
@@ -90,22 +96,67 @@
     std::uint64_t ValueHash = 0;
     std::shared_ptr<const ServiceSpec> Spec;
   };
+  /// The routes are divided by the hash of their path, so that a change copies
+  /// a small part of them.
+  static constexpr std::size_t ShardCount = 64;
+  using RouteShard = std::map<std::string, RouteEntry, std::less<>>;
+  /// The routes of one job by path prefix.
+  using JobRoutes =
+      std::map<std::string, std::shared_ptr<const RouteSpec>, std::less<>>;
 
-  leaf::result<void> add(const wire::Setting &Entry, const RouteTable *Previous,
-                         Validation Mode);
-  leaf::result<void> addService(const wire::Setting &Entry,
-                                const RouteTable *Previous, Validation Mode);
-  leaf::result<void> addRoute(const wire::Setting &Entry,
-                              const RouteTable *Previous, Validation Mode);
-  leaf::result<void> addLimits(const wire::Setting &Entry, Validation Mode);
-  leaf::result<void> indexRoutes();
+  static std::size_t shardOf(std::string_view Path);
+  const RouteEntry *findRoute(std::string_view Path) const;
 
   std::map<std::string, ServiceEntry, std::less<>> ServiceEntries;
-  std::map<std::string, RouteEntry, std::less<>> RouteEntries;
-  std::map<std::string, std::vector<std::shared_ptr<const RouteSpec>>,
-           std::less<>>
+  std::array<std::shared_ptr<const RouteShard>, ShardCount> Shards;
+  std::map<std::string, std::shared_ptr<const JobRoutes>, std::less<>>
       RoutesByJob;
+  std::map<std::string, CallerLimits, std::less<>> LimitsByPath;
   CallerLimits Limits;
+  std::size_t Routes = 0;
+};
+
+/// Compiles a changed version of a RouteTable. The work is in proportion to the
+/// edits, and can be done in steps of any number of edits.
+class RouteTableBuilder {
+public:
+  /// Starts from \p Base; null for an empty table. Entries of \p Reused with
+  /// the same value are taken from there instead of being compiled again; it
+  /// may be null.
+  RouteTableBuilder(std::shared_ptr<const RouteTable> Base,
+                    const RouteTable *Reused, Validation Mode);
+
+  /// Compiles the new value of the setting at \p Path. Errors: ValueInvalid.
+  leaf::result<void> put(const std::string &Path, std::string_view Value);
+
+  /// Removes the setting at \p Path.
+  leaf::result<void> remove(std::string_view Path);
+
+  /// Validates the result as a whole and returns it. Errors: ReferenceMissing,
+  /// MatchTaken.
+  leaf::result<std::shared_ptr<const RouteTable>> finish();
+
+private:
+  leaf::result<void> putService(const std::string &Path,
+                                std::string_view Value);
+  leaf::result<void> putRoute(const std::string &Path, std::string_view Value);
+  leaf::result<void> putLimits(const std::string &Path, std::string_view Value);
+  RouteTable::RouteShard &ownShard(std::string_view Path);
+  RouteTable::JobRoutes &ownJob(const std::string &Job);
+  leaf::result<void> checkServices() const;
+  leaf::result<void> indexRoutes();
+
+  std::shared_ptr<const RouteTable> Base;
+  const RouteTable *Reused;
+  Validation Mode;
+  std::shared_ptr<RouteTable> Result;
+  std::map<std::size_t, std::shared_ptr<RouteTable::RouteShard>> OwnShards;
+  std::map<std::string, std::shared_ptr<RouteTable::JobRoutes>, std::less<>>
+      OwnJobs;
+  std::vector<std::shared_ptr<const RouteSpec>> Replaced;
+  /// Changed routes by path; null for removed ones.
+  std::map<std::string, std::shared_ptr<const RouteSpec>, std::less<>> Changed;
+  bool ServiceRemoved = false;
 };
 
 /// The components of a settings path TEAM/KIND/NAME.
--- a/src/libpersimmon/settingsstore.cpp
+++ b/src/libpersimmon/settingsstore.cpp
@@ -1,16 +1,13 @@
 #include "settingsstore.h"
 
 #include <algorithm>
-#include <set>
 
 namespace persimmon {
 
 namespace {
 
 constexpr std::size_t MaxOutcomes = 4096;
-constexpr std::size_t MaxSettings = 20'000;
-constexpr std::size_t MaxValueBytes = 16'384;
-constexpr std::size_t MaxEdits = 8192;
+constexpr std::size_t MaxEdits = 20'000;
 constexpr std::size_t MaxChangeIdBytes = 100;
 
 /// Applies \p Edits, whose expected versions have been checked, to \p Settings
@@ -38,58 +35,84 @@
 
 } // namespace
 
-leaf::result<void>
-SettingsStore::checkEdits(const wire::Change &Candidate,
-                          SettingsMap &ResultingSettings) const {
-  std::set<std::string_view> Seen;
-  for (const wire::PathEdit &Edit : Candidate.Edits) {
-    BOOST_LEAF_AUTO(Parts, parseSettingPath(Edit.Path));
-    if (Parts.Team != Candidate.Team)
-      return fail(ResultCode::OutsideSubtree, Edit.Path);
-    if (!Seen.insert(Edit.Path).second)
-      return fail(ResultCode::ValueInvalid, Edit.Path,
-                  "the path occurs twice in the change");
-    if (Edit.Value.size() > MaxValueBytes)
-      return fail(ResultCode::LimitExceeded, Edit.Path, "value too large");
-    const auto Found = ResultingSettings.find(Edit.Path);
-    const std::int64_t Current =
-        Found == ResultingSettings.end() ? 0 : Found->second.Version;
-    if (Current != Edit.ExpectedVersion)
-      return fail(ResultCode::Conflict, Edit.Path,
-                  "the current version is " + std::to_string(Current) +
-                      ", the change expects " +
-                      std::to_string(Edit.ExpectedVersion));
-    if (Edit.Remove && Current == 0)
-      return fail(ResultCode::PathUnknown, Edit.Path);
-  }
-  return {};
-}
-
-Failure SettingsStore::check(const wire::Change &Candidate) const {
+Failure SettingsStore::checkForm(const wire::Change &Candidate,
+                                 std::int64_t OutcomesEvictedThrough) {
   if (Candidate.ChangeId.empty() ||
       Candidate.ChangeId.size() > MaxChangeIdBytes || Candidate.Edits.empty())
     return {ResultCode::ValueInvalid, Candidate.ChangeId,
             "a change needs an id of 1 to 100 bytes and at least one edit"};
-  if (Candidate.BasedOn < this->OutcomesEvictedThrough)
+  if (Candidate.BasedOn < OutcomesEvictedThrough)
     return {ResultCode::ChangeTooOld, Candidate.ChangeId, {}};
   if (Candidate.Edits.size() > MaxEdits)
     return {ResultCode::LimitExceeded, Candidate.ChangeId, "too many edits"};
-  SettingsMap ResultingSettings = this->Settings;
-  Failure Refusal = handleResult(
-      [&] { return this->checkEdits(Candidate, ResultingSettings); }, [] {});
-  if (Refusal.failed())
+  return {};
+}
+
+Failure SettingsStore::check(const wire::Change &Candidate) {
+  this->startCheck(Candidate);
+  while (true) {
+    if (auto Result = this->advanceCheck(MaxEdits))
+      return std::move(*Result);
+  }
+}
+
+void SettingsStore::startCheck(const wire::Change &Candidate) {
+  this->Running = std::make_unique<RunningCheck>();
+  this->Running->Candidate = &Candidate;
+  this->Running->Refusal = checkForm(Candidate, this->OutcomesEvictedThrough);
+}
+
+std::optional<Failure> SettingsStore::advanceCheck(std::size_t MaxEdits) {
+  if (this->Running->Refusal.failed()) {
+    Failure Refusal = std::move(this->Running->Refusal);
+    this->Running.reset();
     return Refusal;
-  std::uint64_t ResultingHash = this->Hash;
-  applyEdits(Candidate.Edits, this->Version + 1, ResultingSettings,
-             ResultingHash);
-  if (ResultingSettings.size() > MaxSettings)
-    return {ResultCode::LimitExceeded, Candidate.ChangeId, "too many settings"};
-  return handleResult(
-      [&] {
-        return RouteTable::build(ResultingSettings, this->Table.get(),
-                                 Validation::Required);
-      },
-      [&](auto Built) { this->CheckedTable = std::move(Built); });
+  }
+  if (!this->advanceTable(MaxEdits))
+    return std::nullopt;
+  if (!this->Running->Steps)
+    this->Running->Steps.emplace(this->Settings, this->Table,
+                                 *this->Running->Candidate);
+  this->CompiledSettings +=
+      std::min(MaxEdits, this->Running->Candidate->Edits.size());
+  auto Result = this->Running->Steps->advance(MaxEdits);
+  if (!Result)
+    return std::nullopt;
+  if (!Result->failed()) {
+    this->CheckedChangeId = this->Running->Candidate->ChangeId;
+    this->CheckedTable = this->Running->Steps->table();
+  }
+  this->Running.reset();
+  return Result;
+}
+
+bool SettingsStore::advanceTable(std::size_t MaxSettings) {
+  if (this->Table)
+    return true;
+  if (!this->Draft)
+    this->Draft.emplace(
+        TableDraft{RouteTableBuilder(nullptr, nullptr, Validation::Skip), {}});
+  auto Item = this->Settings.lower_bound(this->Draft->NextPath);
+  for (std::size_t I = 0; I < MaxSettings && Item != this->Settings.end();
+       ++I, ++Item) {
+    this->CompiledSettings += 1;
+    handleResult(
+        [&] {
+          return this->Draft->Builder.put(Item->first, Item->second.Value);
+        },
+        [] {});
+  }
+  if (Item != this->Settings.end()) {
+    this->Draft->NextPath = Item->first;
+    return false;
+  }
+  handleResult([&] { return this->Draft->Builder.finish(); },
+               [&](auto Built) { this->Table = std::move(Built); });
+  // Committed settings were validated before the commit, so they compile.
+  if (!this->Table)
+    this->Table = std::make_shared<const RouteTable>();
+  this->Draft.reset();
+  return true;
 }
 
 std::optional<std::int64_t>
@@ -124,16 +147,14 @@
   this->Version = NewVersion;
   Out.Change.Hash = static_cast<std::int64_t>(this->Hash);
   this->recordOutcome(TheChange.ChangeId, NewVersion);
-  // Entries that the check has compiled are reused.
-  const std::shared_ptr<const RouteTable> Previous =
-      this->CheckedTable ? std::move(this->CheckedTable) : this->Table;
+  // A replica that did not check the change compiles nothing until it leads.
+  this->Table = this->CheckedChangeId == TheChange.ChangeId
+                    ? std::move(this->CheckedTable)
+                    : nullptr;
   this->CheckedTable.reset();
-  handleResult(
-      [&] {
-        return RouteTable::build(this->Settings, Previous.get(),
-                                 Validation::Skip);
-      },
-      [&](auto Built) { this->Table = std::move(Built); });
+  this->CheckedChangeId.clear();
+  this->Draft.reset();
+  this->Running.reset();
   return Out;
 }
 
@@ -203,8 +224,10 @@
 
 leaf::result<void> SettingsStore::restore(const wire::StoreSnapshot &Snapshot) {
   SettingsStore RestoredStore;
-  for (const wire::Setting &Entry : Snapshot.Settings)
+  for (const wire::Setting &Entry : Snapshot.Settings) {
+    BOOST_LEAF_CHECK(parseSettingPath(Entry.Path));
     RestoredStore.Settings.emplace(Entry.Path, Entry);
+  }
   for (const wire::TeamGrant &Grant : Snapshot.Teams)
     RestoredStore.Teams.emplace(Grant.Team, Grant);
   for (const wire::ChangeOutcome &Outcome : Snapshot.Outcomes) {
@@ -216,10 +239,6 @@
   RestoredStore.Version = Snapshot.ConfigurationVersion;
   RestoredStore.VersionBase = Snapshot.VersionBase;
   RestoredStore.Hash = hashOf(RestoredStore.Settings);
-  BOOST_LEAF_AUTO(Built,
-                  RouteTable::build(RestoredStore.Settings, this->Table.get(),
-                                    Validation::Skip));
-  RestoredStore.Table = std::move(Built);
   *this = std::move(RestoredStore);
   return {};
 }
--- a/src/libpersimmon/subtree.cpp
+++ b/src/libpersimmon/subtree.cpp
@@ -46,22 +46,23 @@
   wire::Change Out;
   Out.ChangeId = Wanted.Digest;
   Out.Team = Wanted.Team;
-  auto Values = Wanted.Values;
-  Values[RecordPath] =
-      json{{"number", Wanted.Number}, {"digest", Wanted.Digest}}.dump();
-  for (const auto &[Path, Value] : Values) {
+  const auto AddPut = [&](const std::string &Path, const std::string &Value) {
     const auto Found = Current.find(Path);
     if (Found != Current.end() && Found->second.Value == Value)
-      continue;
+      return;
     wire::PathEdit Edit =
         makeEdit(Path, Found == Current.end() ? nullptr : &Found->second);
     Edit.Value = Value;
     Out.Edits.push_back(std::move(Edit));
-  }
+  };
+  for (const auto &[Path, Value] : Wanted.Values)
+    AddPut(Path, Value);
+  AddPut(RecordPath,
+         json{{"number", Wanted.Number}, {"digest", Wanted.Digest}}.dump());
   const std::string Prefix = Wanted.Team + "/";
   for (auto Item = Current.lower_bound(Prefix);
        Item != Current.end() && Item->first.starts_with(Prefix); ++Item) {
-    if (Values.count(Item->first) != 0)
+    if (Item->first == RecordPath || Wanted.Values.count(Item->first) != 0)
       continue;
     wire::PathEdit Edit = makeEdit(Item->first, &Item->second);
     Edit.Remove = true;
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-constexpr milliseconds ReportValidity{500};
+/// Time in which a report loses its weight against the mean of its service.
+constexpr milliseconds ReportValidity{1000};
+/// Weight of the newest report in the mean of its service.
+constexpr double MeanLoadWeight = 0.1;
 constexpr milliseconds RampDuration{5000};
 constexpr milliseconds EjectionDuration{5000};
 /// Time for membership to detect a daemon that is down; after it the target is
@@ -29,6 +32,7 @@
 TargetChooser::Stats &TargetChooser::statsOf(const wire::MemberRecord &Record,
                                              Time Now) {
   Stats &Target = this->Targets[Record.Name];
+  Target.Service = Record.Service;
   if (Target.Incarnation != Record.Incarnation) {
     // No ramp for targets seen for the first time, as all are after the start
     // of this daemon.
@@ -36,6 +40,7 @@
     const int InFlight = Target.InFlight;
     Target = Stats{};
     Target.InFlight = InFlight;
+    Target.Service = Record.Service;
     Target.Incarnation = Record.Incarnation;
     Target.RampUntil = Restarted ? Now + RampDuration : Now;
     Target.RampLength = RampDuration;
@@ -48,13 +53,39 @@
   return Target;
 }
 
+double TargetChooser::slotScore(const wire::MemberRecord &Record,
+                                const Stats &Target, Time Now) const {
+  const int Slots = std::max(1, Record.Slots);
+  const double Own = static_cast<double>(Target.InFlight) / Slots;
+  const auto Mean = this->MeanLoads.find(Record.Service);
+  if (Mean == this->MeanLoads.end())
+    return Own;
+  const double Weight =
+      static_cast<double>(millisecondsUntil(Target.ReportValidUntil, Now)) /
+      static_cast<double>(ReportValidity.count());
+  const double Reported =
+      static_cast<double>(Target.ReportedRunning + Target.ReportedQueued) /
+      Slots;
+  return std::max(Own, Weight * Reported + (1 - Weight) * Mean->second);
+}
+
+double TargetChooser::linkScore(const Stats &Target, const LinkUse &Use,
+                                Time Now) const {
+  const auto UsefulMs = millisecondsUntil(Use.UsefulUntil, Now);
+  const auto BusyMs = millisecondsUntil(Target.LinkBusyUntil, Now);
+  if (BusyMs == 0)
+    return 0;
+  return static_cast<double>(BusyMs) /
+         static_cast<double>(std::max<long long>(1, UsefulMs));
+}
+
 double TargetChooser::score(const wire::MemberRecord &Record, Stats &Target,
-                            bool UseUnwellHints, Time Now) const {
+                            bool UseUnwellHints, const LinkUse &Use,
+                            Time Now) const {
   const int Slots = std::max(1, Record.Slots);
-  int Load = Target.InFlight;
-  if (Now < Target.ReportValidUntil)
-    Load = std::max(Load, Target.ReportedRunning + Target.ReportedQueued);
-  double Score = static_cast<double>(Load) / Slots;
+  double Score = this->slotScore(Record, Target, Now);
+  if (Use.LargeAnswer && Record.Name != this->OwnName)
+    Score = std::max(Score, this->linkScore(Target, Use, Now));
   Score += FailurePenalty * Target.FailureRate;
   if (UseUnwellHints && Record.Unwell)
     Score += UnwellPenalty;
@@ -71,18 +102,27 @@
 TargetChoice TargetChooser::choose(const Membership &Members,
                                    std::string_view Service,
                                    const std::set<std::string> &Excluded,
-                                   Time Now, bool LargeBody) {
+                                   Time Now, const LinkUse &Use) {
+  this->OwnName = Members.self().Name;
   std::vector<const wire::MemberRecord *> Eligible;
   std::size_t Unwell = 0;
   std::size_t Ejected = 0;
-  for (const std::string &Name : Members.targetsOf(Service)) {
-    const wire::MemberRecord *Record = Members.find(Name);
-    if (Record == nullptr || Excluded.count(Name) != 0)
-      continue;
-    Eligible.push_back(Record);
-    Unwell += Record->Unwell ? 1 : 0;
-    Ejected += Now < this->statsOf(*Record, Now).EjectedUntil ? 1 : 0;
-  }
+  const auto AddEligible = [&](const std::vector<std::string> &Names) {
+    for (const std::string &Name : Names) {
+      const wire::MemberRecord *Record = Members.find(Name);
+      if (Record == nullptr || Excluded.count(Name) != 0)
+        continue;
+      Eligible.push_back(Record);
+      Unwell += Record->Unwell ? 1 : 0;
+      Ejected += Now < this->statsOf(*Record, Now).EjectedUntil ? 1 : 0;
+    }
+  };
+  AddEligible(Members.targetsOf(Service));
+  // A service whose targets all fell silent at once is more likely cut off by
+  // full links than gone.
+  const bool AllSilent = Members.targetsOf(Service).empty();
+  if (AllSilent)
+    AddEligible(Members.silentTargetsOf(Service, Now));
   const auto Unreachable = [&](const wire::MemberRecord *Record) {
     return Now < this->statsOf(*Record, Now).UnreachableUntil;
   };
@@ -99,14 +139,14 @@
   Out.Candidates = Eligible.size();
   if (Eligible.empty())
     return Out;
-  if (LargeBody) {
+  if (Use.LargeBody || Use.LargeAnswer) {
     const auto LocalTarget =
         std::find_if(Eligible.begin(), Eligible.end(), [&](const auto *Item) {
-          return Item->Name == Members.self().Name;
+          return Item->Name == this->OwnName;
         });
     if (LocalTarget != Eligible.end() &&
         this->score(**LocalTarget, this->statsOf(**LocalTarget, Now),
-                    UseUnwellHints, Now) < SaturatedScore) {
+                    UseUnwellHints, Use, Now) < SaturatedScore) {
       Out.Record = *LocalTarget;
       Out.Reason = "own-target";
       return Out;
@@ -127,9 +167,9 @@
         }
         const double Scores[2] = {
             this->score(*From[First], this->statsOf(*From[First], Now),
-                        UseUnwellHints, Now),
+                        UseUnwellHints, Use, Now),
             this->score(*From[Second], this->statsOf(*From[Second], Now),
-                        UseUnwellHints, Now)};
+                        UseUnwellHints, Use, Now)};
         const std::size_t Best = this->Policy.pick(Scores[0], Scores[1]);
         return std::pair(From[Best == 0 ? First : Second], Scores[Best]);
       };
@@ -137,12 +177,14 @@
     const auto [Record, Score] = PickOfTwo(SameZone);
     if (Score < SaturatedScore || SameZone.size() == Eligible.size()) {
       Out.Record = Record;
-      Out.Reason = "own-zone";
+      Out.Reason = AllSilent ? "all-silent" : "own-zone";
       return Out;
     }
   }
   Out.Record = PickOfTwo(Eligible).first;
-  Out.Reason = SameZone.empty() ? "no-target-in-zone" : "zone-loaded";
+  Out.Reason = AllSilent          ? "all-silent"
+               : SameZone.empty() ? "no-target-in-zone"
+                                  : "zone-loaded";
   return Out;
 }
 
@@ -175,9 +217,18 @@
   const auto Found = this->Targets.find(Name);
   if (Found == this->Targets.end())
     return;
-  Found->second.ReportedRunning = Load.Running;
-  Found->second.ReportedQueued = Load.Queued;
-  Found->second.ReportValidUntil = Now + ReportValidity;
+  Stats &Target = Found->second;
+  if (Load.Slots > 0) {
+    const double Share =
+        static_cast<double>(Load.Running + Load.Queued) / Load.Slots;
+    const auto [Mean, First] = this->MeanLoads.emplace(Target.Service, Share);
+    if (!First)
+      Mean->second += MeanLoadWeight * (Share - Mean->second);
+  }
+  Target.ReportedRunning = Load.Running;
+  Target.ReportedQueued = Load.Queued;
+  Target.ReportValidUntil = Now + ReportValidity;
+  Target.LinkBusyUntil = Now + milliseconds(Load.LinkMs);
 }
 
 } // namespace persimmon
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -17,6 +17,16 @@
   std::string_view Reason;
 };
 
+/// The use of links by a call that is to be placed.
+struct LinkUse {
+  /// The request has a body that is sent in parts.
+  bool LargeBody = false;
+  /// The answers of the route are usually sent in parts.
+  bool LargeAnswer = false;
+  /// Until then, the answer has its full value for the caller.
+  Time UsefulUntil = NoDeadline;
+};
+
 /// Abstract policy that selects one of two candidates for an attempt.
 class ChoicePolicy {
 public:
@@ -51,11 +61,12 @@
                 const ChoicePolicy &Policy);
 
   /// Chooses a target of \p Service that is not in \p Excluded. Calls with a
-  /// large body go to the local target while it has free capacity, because the
-  /// body then uses no link.
+  /// large body or answer go to the local target while it has free capacity,
+  /// because the body then uses no link. For a large answer, the load of a
+  /// target includes the backlog of its daemon's link.
   TargetChoice choose(const Membership &Members, std::string_view Service,
                       const std::set<std::string> &Excluded, Time Now,
-                      bool LargeBody = false);
+                      const LinkUse &Use = {});
 
   /// Records that an attempt was sent.
   void started(std::string_view Name);
@@ -72,9 +83,13 @@
 private:
   struct Stats {
     int InFlight = 0;
+    std::string Service;
     int ReportedRunning = 0;
     int ReportedQueued = 0;
+    /// Until then, the report outweighs the mean of its service.
     Time ReportValidUntil;
+    /// When the target's link will have carried the reported backlog.
+    Time LinkBusyUntil;
     double FailureRate = 0;
     Time EjectedUntil;
     Time UnreachableUntil;
@@ -85,13 +100,23 @@
   };
 
   double score(const wire::MemberRecord &Record, Stats &Target,
-               bool UseUnwellHints, Time Now) const;
+               bool UseUnwellHints, const LinkUse &Use, Time Now) const;
+  /// Returns the load of the target as a share of its slots. An old report is
+  /// blended with the mean of the service: a target that reported nothing
+  /// recently is not taken for an idle one.
+  double slotScore(const wire::MemberRecord &Record, const Stats &Target,
+                   Time Now) const;
+  /// Returns the wait for the target's link as a share of the useful time.
+  double linkScore(const Stats &Target, const LinkUse &Use, Time Now) const;
   Stats &statsOf(const wire::MemberRecord &Record, Time Now);
 
   std::string Zone;
+  std::string OwnName;
   Random Rng;
   const ChoicePolicy &Policy;
   std::map<std::string, Stats, std::less<>> Targets;
+  /// Mean of the reported loads of each service, as a share of the slots.
+  std::map<std::string, double, std::less<>> MeanLoads;
 };
 
 } // namespace persimmon
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -7027,6 +7027,10 @@
 void Load::__set_Slots(const int32_t val) {
   this->Slots = val;
 }
+
+void Load::__set_LinkMs(const int32_t val) {
+  this->LinkMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -7079,6 +7083,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->LinkMs);
+          this->__isset.LinkMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7108,6 +7120,10 @@
   xfer += oprot->writeI32(this->Slots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("LinkMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->LinkMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7118,6 +7134,7 @@
   swap(a.Running, b.Running);
   swap(a.Queued, b.Queued);
   swap(a.Slots, b.Slots);
+  swap(a.LinkMs, b.LinkMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7125,18 +7142,21 @@
   Running = other261.Running;
   Queued = other261.Queued;
   Slots = other261.Slots;
+  LinkMs = other261.LinkMs;
   __isset = other261.__isset;
 }
 Load::Load(Load&& other262) noexcept {
   Running = other262.Running;
   Queued = other262.Queued;
   Slots = other262.Slots;
+  LinkMs = other262.LinkMs;
   __isset = other262.__isset;
 }
 Load& Load::operator=(const Load& other263) noexcept {
   Running = other263.Running;
   Queued = other263.Queued;
   Slots = other263.Slots;
+  LinkMs = other263.LinkMs;
   __isset = other263.__isset;
   return *this;
 }
@@ -7144,6 +7164,7 @@
   Running = other264.Running;
   Queued = other264.Queued;
   Slots = other264.Slots;
+  LinkMs = other264.LinkMs;
   __isset = other264.__isset;
   return *this;
 }
@@ -7153,6 +7174,7 @@
   out << "Running=" << to_string(Running);
   out << ", " << "Queued=" << to_string(Queued);
   out << ", " << "Slots=" << to_string(Slots);
+  out << ", " << "LinkMs=" << to_string(LinkMs);
   out << ")";
 }
 
@@ -7327,6 +7349,10 @@
 void CallReply::__set_BodyGranted(const int64_t val) {
   this->BodyGranted = val;
 }
+
+void CallReply::__set_RetryAfterMs(const int32_t val) {
+  this->RetryAfterMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -7457,6 +7483,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->RetryAfterMs);
+          this->__isset.RetryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7526,6 +7560,10 @@
   xfer += oprot->writeI64(this->BodyGranted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("RetryAfterMs", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->RetryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7544,6 +7582,7 @@
   swap(a.Nested, b.Nested);
   swap(a.Shed, b.Shed);
   swap(a.BodyGranted, b.BodyGranted);
+  swap(a.RetryAfterMs, b.RetryAfterMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7559,6 +7598,7 @@
   Nested = other276.Nested;
   Shed = other276.Shed;
   BodyGranted = other276.BodyGranted;
+  RetryAfterMs = other276.RetryAfterMs;
   __isset = other276.__isset;
 }
 CallReply::CallReply(CallReply&& other277) noexcept {
@@ -7573,6 +7613,7 @@
   Nested = other277.Nested;
   Shed = std::move(other277.Shed);
   BodyGranted = other277.BodyGranted;
+  RetryAfterMs = other277.RetryAfterMs;
   __isset = other277.__isset;
 }
 CallReply& CallReply::operator=(const CallReply& other278) {
@@ -7587,6 +7628,7 @@
   Nested = other278.Nested;
   Shed = other278.Shed;
   BodyGranted = other278.BodyGranted;
+  RetryAfterMs = other278.RetryAfterMs;
   __isset = other278.__isset;
   return *this;
 }
@@ -7602,6 +7644,7 @@
   Nested = other279.Nested;
   Shed = std::move(other279.Shed);
   BodyGranted = other279.BodyGranted;
+  RetryAfterMs = other279.RetryAfterMs;
   __isset = other279.__isset;
   return *this;
 }
@@ -7619,6 +7662,7 @@
   out << ", " << "Nested=" << to_string(Nested);
   out << ", " << "Shed=" << to_string(Shed);
   out << ", " << "BodyGranted=" << to_string(BodyGranted);
+  out << ", " << "RetryAfterMs=" << to_string(RetryAfterMs);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -2751,12 +2751,16 @@
 std::ostream& operator<<(std::ostream& out, const BodyPart& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : Running(false), Queued(false), Slots(false) {}
+  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true) {}
   bool Running :1;
   bool Queued :1;
   bool Slots :1;
+  bool LinkMs :1;
 } _Load__isset;
 
+/**
+ * LinkMs is the time that the daemon's link needs for the answers that wait or are expected.
+ */
 class Load : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2767,13 +2771,15 @@
   Load() noexcept
        : Running(0),
          Queued(0),
-         Slots(0) {
+         Slots(0),
+         LinkMs(0) {
   }
 
   virtual ~Load() noexcept;
   int32_t Running;
   int32_t Queued;
   int32_t Slots;
+  int32_t LinkMs;
 
   _Load__isset __isset;
 
@@ -2783,6 +2789,8 @@
 
   void __set_Slots(const int32_t val);
 
+  void __set_LinkMs(const int32_t val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(Running == rhs.Running))
@@ -2791,6 +2799,8 @@
       return false;
     if (!(Slots == rhs.Slots))
       return false;
+    if (!(LinkMs == rhs.LinkMs))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
@@ -2866,7 +2876,7 @@
 std::ostream& operator<<(std::ostream& out, const ShedLoad& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), Nested(true), Shed(false), BodyGranted(true) {}
+  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), Nested(true), Shed(false), BodyGranted(true), RetryAfterMs(true) {}
   bool Id :1;
   bool Outcome :1;
   bool Code :1;
@@ -2878,12 +2888,15 @@
   bool Nested :1;
   bool Shed :1;
   bool BodyGranted :1;
+  bool RetryAfterMs :1;
 } _CallReply__isset;
 
 /**
  * Nested says that the call is treated as made by a running call; Shed is
  * sent with answers to such calls. BodyGranted, of an admitted call, is the
  * number of bytes of its body that may be sent so far; -1 for all of them.
+ * RetryAfterMs, of a refused call, is the time until there may be room for it;
+ * 0 if it is not known.
  */
 class CallReply : public virtual ::apache::thrift::TBase {
  public:
@@ -2899,7 +2912,8 @@
               BodySize(0),
               Body(),
               Nested(false),
-              BodyGranted(-1LL) {
+              BodyGranted(-1LL),
+              RetryAfterMs(0) {
   }
 
   virtual ~CallReply() noexcept;
@@ -2918,6 +2932,7 @@
   bool Nested;
   ShedLoad Shed;
   int64_t BodyGranted;
+  int32_t RetryAfterMs;
 
   _CallReply__isset __isset;
 
@@ -2943,6 +2958,8 @@
 
   void __set_BodyGranted(const int64_t val);
 
+  void __set_RetryAfterMs(const int32_t val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2967,6 +2984,8 @@
       return false;
     if (!(BodyGranted == rhs.BodyGranted))
       return false;
+    if (!(RetryAfterMs == rhs.RetryAfterMs))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -363,10 +363,12 @@
   Admitted = 4
 }
 
+/** LinkMs is the time that the daemon's link needs for the answers that wait or are expected. */
 struct Load {
   1: i32 Running
   2: i32 Queued
   3: i32 Slots
+  4: i32 LinkMs = 0
 }
 
 /**
@@ -382,6 +384,8 @@
  * Nested says that the call is treated as made by a running call; Shed is
  * sent with answers to such calls. BodyGranted, of an admitted call, is the
  * number of bytes of its body that may be sent so far; -1 for all of them.
+ * RetryAfterMs, of a refused call, is the time until there may be room for it;
+ * 0 if it is not known.
  */
 struct CallReply {
   1: AttemptId Id
@@ -395,6 +399,7 @@
   10: bool Nested = false
   11: ShedLoad Shed
   12: i64 BodyGranted = -1
+  13: i32 RetryAfterMs = 0
 }
 
 struct CallQuery {
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -1329,3 +1329,179 @@
   P.tick(milliseconds(1000));
   CHECK(P.Cancelled == CancelledBefore);
 }
+
+TEST_CASE(
+    "a call that no route matches is denied only by a confirmed version") {
+  ProxyFixture P;
+  SettingsMap Settings;
+  Settings["team/services/work"].Path = "team/services/work";
+  Settings["team/services/work"].Value = "{}";
+  Settings["team/services/work"].Version = 1;
+  wire::PullReply Reply;
+  Reply.IsSnapshot = true;
+  Reply.Version = 1;
+  Reply.Settings = {Settings.begin()->second};
+  Reply.Hash = static_cast<std::int64_t>(hashOf(Settings));
+  wire::Announce News;
+  News.Head.From = "p2";
+  News.Head.Address = "p2:1";
+  News.Head.Version = 1;
+  News.Head.Updates = {Targets::record("p2", true)};
+  News.Head.Updates.back().Control = true;
+  Time Now = Start;
+  const auto Submit = [&](EventBody Body) {
+    Event Next;
+    Next.At = Now;
+    Next.Body = std::move(Body);
+    return P.Daemon->reduce(Next);
+  };
+  const auto NonceOf = [](const Effects &Out) {
+    for (const Effect &Item : Out) {
+      const auto *Sent = std::get_if<SendMessage>(&Item);
+      const auto *Request = Sent == nullptr
+                                ? nullptr
+                                : std::get_if<wire::StampRequest>(&Sent->Body);
+      if (Request != nullptr)
+        return Request->Nonce;
+    }
+    return std::int64_t{0};
+  };
+  const auto Confirm = [&](std::int64_t Nonce) {
+    wire::StampReply Stamp;
+    Stamp.Nonce = Nonce;
+    Stamp.Confirmed.Version = 1;
+    return Submit(MessageReceived{"p2:1", Stamp});
+  };
+  Submit(MessageReceived{"p2:1", News});
+  Submit(MessageReceived{"p2:1", Reply});
+  REQUIRE(P.Daemon->distribution().version() == 1);
+  Confirm(NonceOf(Submit(Tick())));
+  REQUIRE(P.Daemon->serving());
+
+  CallArrived Call;
+  Call.CallNumber = 1;
+  Call.Job = "unknown";
+  Call.Url = "/";
+  // Held until the control instance confirms the version, then denied.
+  const Effects Held = Submit(Call);
+  CHECK(refusalCode(Held) == ResultCode::Ok);
+  REQUIRE(NonceOf(Held) != 0);
+  CHECK(refusalCode(Confirm(NonceOf(Held))) == ResultCode::NoRoute);
+  // The confirmation holds for a while.
+  Call.CallNumber = 2;
+  CHECK(refusalCode(Submit(Call)) == ResultCode::NoRoute);
+  // A process that was paused does not deny by the expired confirmation, and
+  // without an answer it does not claim that there is no route.
+  Now += milliseconds(1500);
+  Call.CallNumber = 3;
+  CHECK(refusalCode(Submit(Call)) == ResultCode::Ok);
+  Now += milliseconds(200);
+  CHECK(refusalCode(Submit(Tick())) == ResultCode::NotCurrent);
+}
+
+TEST_CASE("a call is not given up because its target's daemon is silent") {
+  CallRouterFixture P;
+  P.call(1, milliseconds(6000));
+  wire::CallReply Running;
+  Running.Id.Sender = "p0";
+  Running.Id.SenderIncarnation = 1;
+  Running.Id.Number = 1;
+  Running.Outcome = wire::CallOutcome::Running;
+  Effects Out;
+  P.Router.receive(Running, P.Now, Out);
+  wire::Gossip Gossip;
+  Gossip.Updates.push_back(Targets::record("p1", true));
+  Gossip.Updates.back().State = wire::Liveness::Dead;
+  P.Members.mergeGossip(Gossip, P.Now);
+  Out.clear();
+  P.Now += milliseconds(200);
+  P.Router.tick(P.Now, Out);
+  CHECK(P.Router.callCount() == 1);
+  CHECK(refusalCode(Out) == ResultCode::Ok);
+  // A daemon that was started anew runs nothing of before.
+  Gossip.Updates.back().State = wire::Liveness::Alive;
+  Gossip.Updates.back().Incarnation = 2;
+  P.Members.mergeGossip(Gossip, P.Now);
+  Out.clear();
+  P.Now += milliseconds(20);
+  P.Router.tick(P.Now, Out);
+  CHECK(refusalCode(Out) == ResultCode::OutcomeUnknown);
+}
+
+TEST_CASE("silent targets are tried if a service has no others") {
+  Targets T(2);
+  TargetChooser Chooser("zone-a", 1, T.Policy);
+  const auto Report = [&](const std::string &Name, wire::Liveness::type State) {
+    wire::Gossip Gossip;
+    Gossip.Updates.push_back(Targets::record(Name, true));
+    Gossip.Updates.back().State = State;
+    T.Members.mergeGossip(Gossip, Start);
+  };
+  Report("p1", wire::Liveness::Dead);
+  CHECK(T.chooseMany(Chooser).count("p1") == 0);
+  Report("p2", wire::Liveness::Dead);
+  const TargetChoice Choice =
+      Chooser.choose(T.Members, "team/work", {}, Start + milliseconds(100));
+  REQUIRE(Choice.Record != nullptr);
+  CHECK(Choice.Reason == "all-silent");
+  CHECK(
+      Chooser
+          .choose(T.Members, "team/work", {}, Start + std::chrono::seconds(20))
+          .Record == nullptr);
+  // A daemon that announced its stop is not tried.
+  Report("p1", wire::Liveness::Left);
+  Report("p2", wire::Liveness::Left);
+  CHECK(Chooser.choose(T.Members, "team/work", {}, Start).Record == nullptr);
+}
+
+TEST_CASE("a target without a recent report counts as loaded as its service") {
+  Targets T(3);
+  TargetChooser Chooser("zone-a", 1, T.Policy);
+  T.chooseMany(Chooser);
+  wire::Load Full;
+  Full.Running = 10;
+  Full.Queued = 10;
+  Full.Slots = 10;
+  for (int I = 0; I < 50; ++I) {
+    Chooser.reported("p1", Full, Start);
+    Chooser.reported("p2", Full, Start);
+  }
+  wire::Load Half = Full;
+  Half.Running = 5;
+  Half.Queued = 0;
+  Chooser.reported("p3", Half, Start);
+  // p3 is known to have room; the others are known to be full.
+  CHECK(T.chooseMany(Chooser)["p3"] > 600);
+  // Later nothing is known of any, so none is preferred for its silence.
+  const Time Later = Start + std::chrono::seconds(5);
+  std::map<std::string, int> Counts;
+  for (int I = 0; I < 900; ++I)
+    Counts[Chooser.choose(T.Members, "team/work", {}, Later).Record->Name] += 1;
+  for (const auto &[Name, Count] : Counts)
+    CHECK(Count > 200);
+}
+
+TEST_CASE(
+    "calls with long answers go to the own target, or to the least loaded "
+    "link") {
+  Targets T(2);
+  TargetChooser Chooser("zone-a", 1, T.Policy);
+  T.chooseMany(Chooser);
+  LinkUse Use;
+  Use.LargeAnswer = true;
+  Use.UsefulUntil = Start + milliseconds(600);
+  wire::Load Busy;
+  Busy.Slots = 10;
+  Busy.LinkMs = 400;
+  Chooser.reported("p1", Busy, Start);
+  for (int I = 0; I < 100; ++I)
+    CHECK(Chooser.choose(T.Members, "team/work", {}, Start, Use).Record->Name ==
+          "p2");
+  T.Members.updateSelf([](wire::MemberRecord &Record) {
+    Record.Service = "team/work";
+    Record.Target = wire::TargetState::Serving;
+    Record.Slots = 10;
+  });
+  CHECK(Chooser.choose(T.Members, "team/work", {}, Start, Use).Record->Name ==
+        "p0");
+}
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -3,6 +3,8 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace persimmon;
 
 namespace {
@@ -257,3 +259,65 @@
   // A pre-vote does not increase the term; an election needs a quorum first.
   CHECK(F.Subject.term() == 2);
 }
+
+TEST_CASE("a leader sends an entry once, not with each heartbeat until the "
+          "reply") {
+  Fixture F(4);
+  F.lead();
+  F.acknowledge(2, 2);
+  F.acknowledge(3, 2);
+  F.Out.clear();
+  F.Subject.propose(entry(0, 0), F.Now, F.Out);
+  F.tickFor(milliseconds(800));
+  int Entries = 0;
+  for (const auto &Request : F.sent<wire::AppendRequest>())
+    Entries += static_cast<int>(Request.Entries.size());
+  CHECK(Entries == 2);
+  // A follower that lost the entry says so, and gets it again.
+  F.Out.clear();
+  wire::AppendReply Lost;
+  Lost.Term = F.Subject.term();
+  Lost.FromDisk = 2;
+  Lost.Success = false;
+  Lost.MatchIndex = 2;
+  Lost.Round = 1000;
+  F.Subject.receive(Lost, F.Now, F.Out);
+  REQUIRE(F.sent<wire::AppendRequest>().size() == 1);
+  CHECK(F.sent<wire::AppendRequest>()[0].Entries.size() == 1);
+  CHECK(F.sent<wire::AppendRequest>()[0].PrevIndex == 2);
+}
+
+TEST_CASE("a learner that the leader knows of renews its request only there") {
+  Consensus Learner{replica("c4", 4), {{"c2", "c2:1"}, {"c3", "c3:1"}}, {}, 1};
+  Time Now = Start;
+  Learner.restore(DurableState(), Now);
+  const auto Requests = [&](milliseconds Span, bool Heartbeats) {
+    std::map<std::string, int> Sent;
+    for (const Time End = Now + Span; Now < End;) {
+      Now += milliseconds(20);
+      Effects Out;
+      if (Heartbeats) {
+        wire::AppendRequest Heartbeat;
+        Heartbeat.Term = 2;
+        Heartbeat.Leader = replica("c2", 2);
+        Heartbeat.ToDisk = 4;
+        Learner.receive(Heartbeat, "path", Now, Out);
+      }
+      Learner.tick(Now, Out);
+      for (const Effect &Item : Out) {
+        const auto *Message = std::get_if<SendMessage>(&Item);
+        if (Message != nullptr &&
+            std::holds_alternative<wire::JoinRequest>(Message->Body))
+          Sent[Message->Address] += 1;
+      }
+    }
+    return Sent;
+  };
+  auto Searching = Requests(milliseconds(3000), false);
+  CHECK(Searching["c2:1"] >= 9);
+  CHECK(Searching["c3:1"] >= 9);
+  auto Known = Requests(milliseconds(10'000), true);
+  CHECK(Known["c2:1"] >= 4);
+  CHECK(Known["c2:1"] <= 9);
+  CHECK(Known["c3:1"] == 0);
+}
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -357,10 +357,86 @@
   ResultCode Code = ResultCode::Ok;
   Code = handleResult(
              [&] {
-               return Operators->readDocument(request(
+               return Operators->openDocument(request(
                    "POST", "/persimmonwheel/Config.Replace", "{\"version\":"));
              },
-             [](const SubtreeDocument &) {})
+             [](const std::unique_ptr<DocumentReader> &) {})
              .Code;
   CHECK(Code == ResultCode::ValueInvalid);
 }
+
+TEST_CASE("entries of a document that did not change are not converted again") {
+  const auto Cache = std::make_shared<platform::ConfigurationCache>();
+  const auto Read = [&](const std::string &Text) {
+    SubtreeDocument Out;
+    const Failure Error = handleResult(
+        [&]() -> leaf::result<SubtreeDocument> {
+          BOOST_LEAF_AUTO(Reader,
+                          platform::ConfigurationReader::open(Text, Cache));
+          while (true) {
+            BOOST_LEAF_AUTO(Complete, Reader->step());
+            if (Complete)
+              return Reader->take();
+          }
+        },
+        [&](SubtreeDocument Document) { Out = std::move(Document); });
+    CHECK(!Error.failed());
+    return Out;
+  };
+  const std::string Route =
+      R"({"name":"r","host":"a.example","pathPrefix":"/p/","kind":"safe",)"
+      R"("timeoutS":0.5,"maxAttempts":2,"service":"one"})";
+  const std::string Service = R"({"name":"one","healthPath":"/health"})";
+  const auto Document = [&](const char *Version, const std::string &Routes) {
+    return R"({"version":)" + std::string(Version) +
+           R"(,"baseVersion":0,"routes":[)" + Routes + R"(],"services":[)" +
+           Service + "]}";
+  };
+  const SubtreeDocument First = Read(Document("1", Route));
+  REQUIRE(First.Values.size() == 2);
+  const auto Known = Cache->findText("routes", Route);
+  REQUIRE(Known != nullptr);
+  CHECK(First.Values.at(Known->Path) == Known->Value);
+  const SubtreeDocument Second = Read(Document("2", " " + Route + " "));
+  CHECK(Second.Values == First.Values);
+  CHECK(Cache->findText("routes", Route) == Known);
+  CHECK(Cache->findValue(Known->Path, Known->Value) == Known);
+  CHECK(Cache->findValue(Known->Path, "{}") == nullptr);
+}
+
+TEST_CASE("a document that cannot be read in full is refused") {
+  const std::string Whole = Example;
+  const auto CodeOf = [](const std::string &Text) {
+    return handleResult([&] { return platform::readConfiguration(Text); },
+                        [](const SubtreeDocument &) {})
+        .Code;
+  };
+  REQUIRE(CodeOf(Whole) == ResultCode::Ok);
+  const std::size_t End = Whole.rfind('}');
+  for (std::size_t Length = 0; Length <= End; Length += 7)
+    CHECK(CodeOf(Whole.substr(0, Length)) == ResultCode::ValueInvalid);
+  CHECK(CodeOf(Whole.substr(0, End)) == ResultCode::ValueInvalid);
+  CHECK(CodeOf(Whole + "{}") == ResultCode::ValueInvalid);
+  CHECK(CodeOf(Whole + "x") == ResultCode::ValueInvalid);
+  CHECK(CodeOf("[]") == ResultCode::ValueInvalid);
+  CHECK(CodeOf(R"({"version":1,"version":2,"baseVersion":0,"routes":[],)"
+               R"("services":[]})") == ResultCode::ValueInvalid);
+  CHECK(CodeOf(R"({"version":1,"baseVersion":0,"routes":{},"services":[]})") ==
+        ResultCode::ValueInvalid);
+  CHECK(CodeOf(R"({"version":1,"baseVersion":0,"routes":[1],"services":[]})") ==
+        ResultCode::ValueInvalid);
+}
+
+TEST_CASE("downloads may be repeated, uploads may not") {
+  json Sent = json::parse(Example);
+  Sent["routes"][0]["kind"] = "download";
+  SubtreeDocument Document;
+  REQUIRE(
+      !handleResult([&] { return platform::readConfiguration(Sent.dump()); },
+                    [&](SubtreeDocument Read) { Document = std::move(Read); })
+           .failed());
+  CHECK(json::parse(Document.Values.at("mesh/routes/r-1"))["repeatable"] ==
+        "always");
+  CHECK(json::parse(Document.Values.at("mesh/routes/r-3"))["repeatable"] ==
+        "never");
+}
--- a/tests/store/test_store.cpp
+++ b/tests/store/test_store.cpp
@@ -268,3 +268,108 @@
   CHECK(F.Store.settings().size() == 1);
   CHECK(F.Store.hash() == Sum());
 }
+
+namespace {
+
+/// Returns edits that add \p Count routes to one service.
+std::vector<wire::PathEdit> manyRoutes(int Count) {
+  std::vector<wire::PathEdit> Out = {
+      Fixture::put("team/services/work", Service, 0)};
+  for (int I = 0; I < Count; ++I)
+    Out.push_back(
+        Fixture::put("team/routes/r" + std::to_string(I),
+                     R"({"job":"job","service":"team/work","pathPrefix":"/p)" +
+                         std::to_string(I) + "\"}",
+                     0));
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("a large change is checked in steps of a bounded number of edits") {
+  Fixture F;
+  constexpr std::size_t MaxEdits = 64;
+  const wire::Change Wanted = F.change(manyRoutes(2400));
+  F.Store.startCheck(Wanted);
+  std::optional<Failure> Result;
+  int Steps = 0;
+  std::uint64_t Before = 0;
+  while (!Result && ++Steps < 1000) {
+    Result = F.Store.advanceCheck(MaxEdits);
+    CHECK(F.Store.compiledSettings() - Before <= MaxEdits);
+    Before = F.Store.compiledSettings();
+  }
+  REQUIRE(Result);
+  CHECK(!Result->failed());
+  CHECK(Steps >= 2400 / 64);
+}
+
+TEST_CASE("a change of one route of many is checked by the work for one") {
+  Fixture F;
+  REQUIRE(!F.submit(manyRoutes(4000)).failed());
+  const std::uint64_t Before = F.Store.compiledSettings();
+  REQUIRE(
+      !F
+           .submit({Fixture::put(
+               "team/routes/r7",
+               R"({"job":"job","service":"team/work","pathPrefix":"/x"})", 1)})
+           .failed());
+  CHECK(F.Store.compiledSettings() - Before == 1);
+  CHECK(F.Store.table()->match("job", "/p7") == nullptr);
+  CHECK(F.Store.table()->match("job", "/x/1") != nullptr);
+  CHECK(F.Store.table()->match("job", "/p8") != nullptr);
+  CHECK(F.Store.table()->routeCount() == 4000);
+}
+
+TEST_CASE("a replica that only follows compiles nothing") {
+  Fixture F;
+  wire::LogEntry Entry;
+  Entry.Kind = wire::EntryKind::Change;
+  Entry.Index = 1;
+  Entry.TheChange = F.change(manyRoutes(100));
+  F.Store.apply(Entry);
+  F.Index = 1;
+  CHECK(F.Store.version() == 1);
+  CHECK(F.Store.compiledSettings() == 0);
+  // It compiles the settings once when it checks a change as leader.
+  REQUIRE(!F.submit({Fixture::put("team/routes/r1", Route, 1)}).failed());
+  CHECK(F.Store.compiledSettings() == 102);
+}
+
+TEST_CASE("a table that was changed step by step equals one built anew") {
+  Fixture F;
+  REQUIRE(!F.submit(manyRoutes(50)).failed());
+  const auto Change = [&](const std::string &Name, const std::string &Prefix,
+                          std::int64_t Expected) {
+    return Fixture::put("team/routes/" + Name,
+                        R"({"job":"job","service":"team/work","pathPrefix":")" +
+                            Prefix + "\"}",
+                        Expected);
+  };
+  // Two routes exchange their prefixes within one change.
+  REQUIRE(!F.submit({Change("r1", "/p2", 1), Change("r2", "/p1", 1)}).failed());
+  CHECK(F.Store.table()->match("job", "/p2")->Path == "team/routes/r1");
+  CHECK(F.Store.table()->match("job", "/p1")->Path == "team/routes/r2");
+  CHECK(F.submit({Change("r3", "/p4", 1)}).Code == ResultCode::MatchTaken);
+  REQUIRE(!F.submit({Fixture::remove("team/routes/r4", 1)}).failed());
+  REQUIRE(!F.submit({Change("r3", "/p4", 1)}).failed());
+  CHECK(F.submit({Fixture::remove("team/services/work", 1)}).Code ==
+        ResultCode::ReferenceMissing);
+  std::shared_ptr<const RouteTable> Anew;
+  handleResult(
+      [&] {
+        return RouteTable::build(F.Store.settings(), nullptr,
+                                 Validation::Required);
+      },
+      [&](auto Built) { Anew = std::move(Built); });
+  REQUIRE(Anew);
+  CHECK(Anew->routeCount() == F.Store.table()->routeCount());
+  for (int I = 0; I < 50; ++I) {
+    const std::string Url = "/p" + std::to_string(I) + "/x";
+    const RouteSpec *Left = Anew->match("job", Url);
+    const RouteSpec *Right = F.Store.table()->match("job", Url);
+    REQUIRE((Left == nullptr) == (Right == nullptr));
+    if (Left != nullptr)
+      CHECK(Left->Path == Right->Path);
+  }
+}
--- a/tests/support/fakeclients.cpp
+++ b/tests/support/fakeclients.cpp
@@ -14,16 +14,34 @@
 std::string FakeCluster::change(const std::string &Path,
                                 const std::string &Value,
                                 std::int64_t Expected) {
+  wire::PathEdit Edit;
+  Edit.Path = Path;
+  Edit.Value = Value;
+  Edit.ExpectedVersion = Expected;
+  return this->submitChange({std::move(Edit)});
+}
+
+std::string FakeCluster::changeRoutes(int Count) {
+  std::vector<wire::PathEdit> Edits(static_cast<std::size_t>(Count) + 1);
+  Edits[0].Path = "team/services/many";
+  Edits[0].Value = "{}";
+  for (int I = 1; I <= Count; ++I) {
+    wire::PathEdit &Edit = Edits[static_cast<std::size_t>(I)];
+    Edit.Path = "team/routes/many-" + std::to_string(I);
+    Edit.Value = R"({"job":"many","service":"team/many","pathPrefix":"/p)" +
+                 std::to_string(I) + "\"}";
+  }
+  return this->submitChange(std::move(Edits));
+}
+
+std::string FakeCluster::submitChange(std::vector<wire::PathEdit> Edits) {
   SubmittedChange Submitted;
   Submitted.TheChange.ChangeId =
       "change-" + std::to_string(this->SubmittedChanges.size());
+  const std::string &Path = Edits.front().Path;
   Submitted.TheChange.Team = Path.substr(0, Path.find('/'));
   Submitted.TheChange.BasedOn = this->NewestAccepted;
-  wire::PathEdit Edit;
-  Edit.Path = Path;
-  Edit.Value = Value;
-  Edit.ExpectedVersion = Expected;
-  Submitted.TheChange.Edits.push_back(Edit);
+  Submitted.TheChange.Edits = std::move(Edits);
   std::string Id = Submitted.TheChange.ChangeId;
   Submitted.NextTry = this->Now;
   this->SubmittedChanges.emplace(Id, std::move(Submitted));
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -499,6 +499,12 @@
   return true;
 }
 
+std::uint64_t FakeCluster::compiledBy(const Instance &Item) {
+  if (Item.Daemon == nullptr || Item.Daemon->control() == nullptr)
+    return 0;
+  return Item.Daemon->control()->store().compiledSettings();
+}
+
 void FakeCluster::submit(Instance &To, EventBody Body) {
   if (To.Daemon == nullptr)
     return;
@@ -527,7 +533,13 @@
   What.At = this->Now;
   What.WallMs = 1'000'000;
   What.Body = std::move(Body);
+  const std::uint64_t CompiledBefore = compiledBy(To);
   const Effects All = To.Daemon->reduce(What);
+  const auto Compiled =
+      static_cast<std::int64_t>(compiledBy(To) - CompiledBefore);
+  if (Compiled > 0 && this->CompileTime.count() > 0)
+    To.FrozenUntil =
+        std::max(To.FrozenUntil, this->Now + this->CompileTime * Compiled);
   for (const Effect &Item : All) {
     if (!this->carryOut(To, Item))
       return;
@@ -539,9 +551,10 @@
   for (auto &[Name, Item] : this->Instances) {
     if (Item.Daemon == nullptr || this->Now < Item.NextTick)
       continue;
-    Item.NextTick = this->Now + TickInterval;
+    // The tick of a busy instance is late, not lost.
     if (this->Now < Item.FrozenUntil)
       continue;
+    Item.NextTick = this->Now + TickInterval;
     this->submit(Item, Tick());
   }
 }
@@ -565,6 +578,7 @@
     this->Now += milliseconds(1);
     this->restartDueInstances();
     this->resendChanges();
+    this->sendDueTicks();
     while (!this->InFlight.empty() &&
            this->InFlight.begin()->first <= this->Now) {
       auto First = this->InFlight.extract(this->InFlight.begin());
@@ -595,7 +609,6 @@
       }
       this->submit(To, std::move(Item.Body));
     }
-    this->sendDueTicks();
   }
   return Until();
 }
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -87,6 +87,11 @@
   /// Changes that only lost disks held are no longer expected.
   void recover(const std::string &Name);
   void setRunTime(milliseconds Time) { this->RunTime = Time; }
+  /// Sets how long an instance is busy for each setting that it validates or
+  /// compiles. It handles no event meanwhile.
+  void setCompileTime(std::chrono::microseconds PerSetting) {
+    this->CompileTime = PerSetting;
+  }
 
   /// Runs until \p Until returns true or \p Limit has passed. Returns the last
   /// result of \p Until.
@@ -97,6 +102,10 @@
   std::string change(const std::string &Path, const std::string &Value,
                      std::int64_t Expected);
 
+  /// Submits a change that adds a service and \p Count routes to it, and
+  /// resends it until it is accepted. Returns its id.
+  std::string changeRoutes(int Count);
+
   /// Returns the version that an accepted change has, otherwise nothing.
   std::optional<std::int64_t>
   acceptedVersion(const std::string &ChangeId) const;
@@ -196,6 +205,8 @@
   };
 
   void submit(Instance &To, EventBody Body);
+  std::string submitChange(std::vector<wire::PathEdit> Edits);
+  static std::uint64_t compiledBy(const Instance &Item);
   bool carryOut(Instance &By, const Effect &What);
   void perform(Instance &By, const PersistHardState &What);
   void perform(Instance &By, const PersistEntries &What);
@@ -209,6 +220,7 @@
   void perform(Instance &By, const RenewConnection &What);
   void perform(Instance &By, const DropReceivedAnswer &What);
   void perform(Instance &By, const ReadyToExit &What);
+  void perform(Instance &By, const ContinueWork &What);
   /// Ignores effects that the simulation does not model, such as log lines.
   template <typename EffectT> void perform(Instance &, const EffectT &) {}
   void sendMessage(Instance &By, const SendMessage &What,
@@ -255,6 +267,7 @@
   std::int64_t LastRequest = 0;
   std::int64_t LastDisk = 0;
   milliseconds RunTime{30};
+  std::chrono::microseconds CompileTime{0};
   bool Armed = false;
   std::vector<PlannedFault> Plan;
   std::size_t Step = 0;
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -137,6 +137,14 @@
     this->Connections.at(Found->second).UndecidedAttempts.erase(What.Id);
 }
 
+void FakeCluster::perform(Instance &By, const ContinueWork &) {
+  Delivery Next;
+  Next.To = By.Identity.Name;
+  Next.Incarnation = By.LastIncarnation;
+  Next.Body = WorkContinued();
+  this->scheduleDelivery(this->Now + milliseconds(1), std::move(Next));
+}
+
 void FakeCluster::perform(Instance &By, const ReadyToExit &) {
   this->addTraceLine(By.Identity.Name + " exits");
   const std::string &Name = By.Identity.Name;
