--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -15,6 +15,8 @@
 /// Interval at which the settings file is checked for changes, as it may be
 /// replaced without a signal.
 constexpr milliseconds SettingsCheckInterval{1000};
+/// A step of the event loop that delays the events behind it noticeably.
+constexpr milliseconds LongStep{5};
 /// Short enough to resolve the seconds in which a link was saturated.
 constexpr milliseconds TrafficLogInterval{2000};
 
@@ -132,6 +134,9 @@
   this->TickTimer.async_wait([this](std::error_code Error) {
     if (Error)
       return;
+    const std::chrono::duration<double> Late =
+        std::chrono::steady_clock::now() - this->TickTimer.expiry();
+    this->DaemonMetrics.observe("persimmon_loop_late_seconds", Late.count());
     this->submit(Tick{this->Network->takeLinkBytes()});
     this->logTraffic(std::chrono::steady_clock::now());
     flushLog();
@@ -227,6 +232,11 @@
   NewEvent.WallMs = wallClockMs();
   NewEvent.Body = std::move(Body);
   this->executeAll(this->LocalNode->reduce(NewEvent));
+  const std::chrono::duration<double> Took =
+      std::chrono::steady_clock::now() - NewEvent.At;
+  // Short steps are too many to be counted one by one.
+  if (Took >= LongStep)
+    this->DaemonMetrics.observe("persimmon_long_step_seconds", Took.count());
 }
 
 void DaemonHost::executeAll(const Effects &EffectList) {
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 
 namespace persimmon {
 
@@ -105,8 +106,13 @@
   constexpr std::string_view HexDigits = "0123456789abcdef";
   std::string Out(Digits, '0');
   std::string Bytes(Digits, '\0');
-  RAND_bytes(reinterpret_cast<unsigned char *>(Bytes.data()),
-             static_cast<int>(Bytes.size()));
+  if (RAND_bytes(reinterpret_cast<unsigned char *>(Bytes.data()),
+                 static_cast<int>(Bytes.size())) != 1) {
+    // Predictable salts and call ids are worse than a process that stops.
+    logError("event=random-failed source=openssl");
+    flushLog();
+    std::abort();
+  }
   for (std::size_t I = 0; I < Digits; ++I)
     Out[I] = HexDigits[static_cast<std::uint8_t>(Bytes[I]) % HexDigits.size()];
   return Out;
--- a/src/libpersimmon/changecheck.cpp
+++ b/src/libpersimmon/changecheck.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 ChangeCheck::ChangeCheck(const SettingsMap &TheSettings,
-                         std::shared_ptr<const RouteTable> Table,
+                         const std::shared_ptr<const RouteTable> &Table,
                          const wire::Change &TheCandidate)
     : Settings(TheSettings), Candidate(TheCandidate),
       Builder(Table, Table.get(), Validation::Required),
--- a/src/libpersimmon/changecheck.h
+++ b/src/libpersimmon/changecheck.h
@@ -18,7 +18,7 @@
   /// Starts the check of \p Candidate against \p Settings, which \p Table is
   /// compiled from. All must outlive the check and stay unchanged.
   ChangeCheck(const SettingsMap &Settings,
-              std::shared_ptr<const RouteTable> Table,
+              const std::shared_ptr<const RouteTable> &Table,
               const wire::Change &Candidate);
 
   /// Validates up to \p MaxEdits further edits. Returns the result, or nothing
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -3,6 +3,9 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+
 using namespace persimmon;
 
 namespace {
@@ -182,3 +185,100 @@
   CHECK(Left.Table.records().size() == 32);
   CHECK(Right.Table.records().size() == 32);
 }
+
+namespace {
+
+/// A fleet whose members start within 0.3 s and know only one of them.
+class Fleet {
+public:
+  explicit Fleet(int Count) {
+    for (int I = 0; I < Count; ++I) {
+      wire::MemberRecord Record = record("p" + std::to_string(I), 1);
+      Record.Zone = "zone-" + std::to_string(I % 5);
+      Record.Service = "team/work";
+      Record.Target = wire::TargetState::Serving;
+      this->Members.emplace(
+          Record.Address,
+          Membership(Record, {"p0:1"}, static_cast<std::uint64_t>(I) + 1));
+    }
+  }
+
+  /// Returns the mean number of bytes that a member sends each second.
+  double run(milliseconds Duration) {
+    this->SentBytes = 0;
+    for (const Time End = this->Now + Duration; this->Now < End;) {
+      this->Now += milliseconds(20);
+      for (auto &[Address, Table] : this->Members) {
+        Effects Out;
+        Table.tick(this->Now, Out);
+        this->deliver(Address, Out);
+      }
+    }
+    return static_cast<double>(this->SentBytes) * 1000 /
+           static_cast<double>(Duration.count()) /
+           static_cast<double>(this->Members.size());
+  }
+
+  bool complete() const {
+    return std::all_of(this->Members.begin(), this->Members.end(),
+                       [&](const auto &Item) {
+                         return Item.second.targetsOf("team/work").size() ==
+                                this->Members.size();
+                       });
+  }
+
+private:
+  void deliver(const std::string &From, const Effects &Out) {
+    for (const Effect &Item : Out) {
+      const auto *Sent = std::get_if<SendMessage>(&Item);
+      if (Sent == nullptr)
+        continue;
+      this->SentBytes += encode(Sent->Body).size();
+      const auto To = this->Members.find(Sent->Address);
+      if (To == this->Members.end())
+        continue;
+      Effects Replies;
+      this->receive(To->second, Sent->Body, From, Replies);
+      this->deliver(Sent->Address, Replies);
+    }
+  }
+
+  void receive(Membership &To, const Message &Body, const std::string &From,
+               Effects &Out) {
+    if (const auto *Probe = std::get_if<wire::Probe>(&Body))
+      To.receive(*Probe, From, this->Now, Out);
+    else if (const auto *Ack = std::get_if<wire::ProbeAck>(&Body))
+      To.receive(*Ack, this->Now, Out);
+    else if (const auto *Request = std::get_if<wire::SyncRequest>(&Body))
+      To.receive(*Request, From, Out);
+    else if (const auto *Reply = std::get_if<wire::SyncReply>(&Body))
+      To.receive(*Reply, From, this->Now, Out);
+    else if (const auto *News = std::get_if<wire::Announce>(&Body))
+      To.mergeGossip(News->Head, this->Now);
+  }
+
+  Time Now = Start;
+  std::map<std::string, Membership> Members;
+  std::size_t SentBytes = 0;
+};
+
+} // namespace
+
+TEST_CASE("a fleet that starts at once is known everywhere") {
+  Fleet Started(200);
+  // Twice the interval at which members compare their tables.
+  Started.run(milliseconds(20'000));
+  CHECK(Started.complete());
+}
+
+TEST_CASE("a fleet that starts at once is quiet after two seconds") {
+  // The limit for what a daemon sends.
+  constexpr double MaxBytesPerSecond = 5000;
+  Fleet Started(200);
+  const double First = Started.run(milliseconds(2000));
+  const double Second = Started.run(milliseconds(2000));
+  const double Third = Started.run(milliseconds(4000));
+  INFO("bytes/s " << First << ", " << Second << ", " << Third);
+  CHECK(Second < MaxBytesPerSecond);
+  CHECK(Third < MaxBytesPerSecond);
+}
