Show that a proxy without news runs calls by a superseded version

A proxy whose link loses the announcements, or that was paused, knows of no newer version, and a call that a route of its own version matches is served however old that version is.

A proxy that reaches no control instance serves on (passes, and has to).

FakeCluster::loseDatagrams drops datagrams to one instance.

--- a/tests/matrix/test_matrix.cpp
+++ b/tests/matrix/test_matrix.cpp
@@ -458,6 +458,79 @@
   }
 }
 
+namespace {
+
+/// Moves the route of repeatable calls and waits until the change is accepted.
+void moveRoute(FakeCluster &Cluster) {
+  const std::string Moved = Cluster.change(
+      "team/routes/any", R"({"job":"job-moved","service":"team/work"})",
+      versionOf(Cluster, "team/routes/any"));
+  REQUIRE(Cluster.run(ConvergenceTimeout, [&] {
+    return Cluster.acceptedVersion(Moved).has_value();
+  }));
+}
+
+/// Sends a repeatable call through p1 every 50 ms for \p Duration. Returns how
+/// many of them ran.
+int runsOfCalls(FakeCluster &Cluster, milliseconds Duration) {
+  constexpr milliseconds CallInterval{50};
+  std::vector<std::string> Ids;
+  for (milliseconds Passed{0}; Passed < Duration; Passed += CallInterval) {
+    Ids.push_back(Cluster.call("p1", false));
+    Cluster.run(CallInterval);
+  }
+  Cluster.run(CallTime);
+  int Out = 0;
+  for (const std::string &Id : Ids)
+    Out += Cluster.calls().at(Id).Runs;
+  return Out;
+}
+
+} // namespace
+
+// A full link drops every announcement of a change, so the proxy hears of
+// nothing newer than the version in force.
+TEST_CASE("a proxy that hears of no change does not run calls by a superseded "
+          "version") {
+  constexpr milliseconds InForceLimit{2000};
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    FakeCluster Cluster(Seed);
+    prepareAll(Cluster);
+    Cluster.loseDatagrams("p1", true);
+    moveRoute(Cluster);
+    Cluster.run(InForceLimit);
+    INFO("seed " << Seed);
+    CHECK(runsOfCalls(Cluster, milliseconds(1000)) == 0);
+  }
+}
+
+TEST_CASE("a proxy that was paused does not run calls by a superseded "
+          "version") {
+  constexpr milliseconds Pause{4000};
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    FakeCluster Cluster(Seed);
+    prepareAll(Cluster);
+    Cluster.freeze("p1", Pause);
+    moveRoute(Cluster);
+    const std::string Waiting = Cluster.call("p1", false);
+    Cluster.run(Pause);
+    INFO("seed " << Seed);
+    CHECK(runsOfCalls(Cluster, milliseconds(1000)) == 0);
+    CHECK(Cluster.calls().at(Waiting).Runs == 0);
+  }
+}
+
+TEST_CASE("a proxy that reaches no control instance goes on serving") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    FakeCluster Cluster(Seed);
+    prepareAll(Cluster);
+    for (const char *Name : {"c1", "c2", "c3"})
+      Cluster.partition(Name, milliseconds(20'000));
+    INFO("seed " << Seed);
+    CHECK(runsOfCalls(Cluster, milliseconds(4000)) == 80);
+  }
+}
+
 TEST_CASE("pairs of faults, sampled") {
   for (const Flow &Item : flows())
     runFaultPairs(Item);
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -215,6 +215,12 @@
   this->Instances.at(Name).StreamDelay = Delay;
 }
 
+void FakeCluster::loseDatagrams(const std::string &Name, bool Lost) {
+  this->addTraceLine("datagrams to " + Name +
+                     (Lost ? " are lost" : " arrive again"));
+  this->Instances.at(Name).LosesDatagrams = Lost;
+}
+
 void FakeCluster::blockConnections(const std::string &Name, bool Blocked) {
   this->addTraceLine(Name + (Blocked ? " accepts no new connections"
                                      : " accepts new connections"));
@@ -371,7 +377,7 @@
   std::string From = By.Identity.Address;
   if (What.Via == Channel::Datagram && !What.Address.starts_with('#')) {
     Instance *To = this->byAddress(What.Address);
-    if (To == nullptr || Fault == FaultKind::LoseMessage)
+    if (To == nullptr || To->LosesDatagrams || Fault == FaultKind::LoseMessage)
       return;
     Out.To = To->Identity.Name;
     Out.Incarnation = To->LastIncarnation;
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -73,6 +73,9 @@
   /// Delays everything sent to \p Name on streams from now on by \p Delay, as
   /// on a link saturated by large bodies. Zero removes the delay.
   void delayStreams(const std::string &Name, milliseconds Delay);
+  /// Sets whether datagrams to \p Name are lost, as on a link whose queue is
+  /// full. Streams are not affected.
+  void loseDatagrams(const std::string &Name, bool Lost);
   /// Sets whether new connections to \p Name fail to open. Open connections
   /// are not affected.
   void blockConnections(const std::string &Name, bool Blocked);
@@ -161,6 +164,7 @@
     Time PartitionedUntil;
     milliseconds StreamDelay{0};
     bool Blocked = false;
+    bool LosesDatagrams = false;
     int DelayedPullReplies = 0;
     Time RestartAt = NoDeadline;
     Time NextTick;
