Serve calls only by a version that was confirmed recently

Cause: a call that a route matches was served by the version in force for as long as the proxy heard of nothing newer. What a proxy hears are datagrams: a full link drops them, and a paused process reads them late.

Change: a proxy with calls asks for a confirmation 600 ms after the last one, its parent in the report tree first, then the control instances, in the end over connections. The leader answers with the newest version and the age of its last confirmed heartbeat round; proxies pass it on with its age. A confirmation counts from the sending of its question. Calls are served for 1.8 s after it, and a superseded version until 1.8 s after it was last the newest one. Without any answer for 400 ms the proxy is out of touch and serves on. Replies to earlier questions count too: before, each retry made the reply to the one before it worthless, so a reply slower than 40 ms never counted.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -469,9 +469,12 @@
   this->DaemonMetrics.setGauge(
       "persimmon_calls_refused_by_link",
       static_cast<double>(this->LocalNode->scheduler().refusedByLink()));
-  if (const CallRouter *Router = this->LocalNode->router())
+  if (const CallRouter *Router = this->LocalNode->router()) {
     this->DaemonMetrics.setGauge("persimmon_call_retries",
                                  static_cast<double>(Router->retryCount()));
+    this->DaemonMetrics.setGauge("persimmon_out_of_touch",
+                                 Router->validity().OutOfTouch ? 1 : 0);
+  }
   std::string Text = this->DaemonMetrics.exportText();
   const auto &Traffic = this->Network->traffic();
   Text += "# TYPE persimmon_peer_bytes_total counter\n";
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::size_t MaxCalls = 4096;
-/// Calls without a route that wait for a confirmation of the version in force.
-constexpr std::size_t MaxUnrouted = 256;
+/// Calls that wait for a confirmation of the version in force.
+constexpr std::size_t MaxHeld = 256;
 /// Time for a control instance to confirm the version: many round trips between
 /// availability zones.
 constexpr milliseconds ConfirmationTimeout{150};
@@ -89,7 +89,7 @@
   if (this->Stopping)
     return this->refuse(Number, {ResultCode::Stopping, {}, {}}, Out);
   // No job is known before the first configuration has been received.
-  if (!Serving || this->Config.version() == 0 || this->Config.outdated(Now))
+  if (!Serving || this->Config.version() == 0 || !this->Config.mayServe(Now))
     return this->refuse(Number, {ResultCode::NotCurrent, {}, {}}, Out);
   if (this->Calls.size() >= MaxCalls)
     return this->refuse(Number, {ResultCode::TooManyCalls, {}, {}}, Out);
@@ -103,6 +103,8 @@
         " heard=" + std::to_string(this->Config.newestKnownVersion())});
     return this->denyRoute(Arrived, Now, Out);
   }
+  if (!this->maySend(Now))
+    return this->hold(Arrived, Arrived.Deadline, Out);
   Call NewCall = this->makeCall(Arrived, *Route, Now);
   const ServiceSpec &Service = *Table->service(NewCall.Service);
   if (Arrived.BodySize > Service.MaxBodyBytes)
@@ -122,22 +124,31 @@
 
 void CallRouter::denyRoute(const CallArrived &Arrived, Time Now, Effects &Out) {
   const Failure Denied{ResultCode::NoRoute, Arrived.Job, {}};
-  if (Now < this->ConfirmedUntil || this->Config.superseded())
+  if (Now < this->Validity.DeniesUntil || this->Config.superseded())
     return this->refuseByConfiguration(Arrived.CallNumber, Denied, Out);
-  if (this->Unrouted.size() >= MaxUnrouted)
+  this->hold(Arrived, Now + ConfirmationTimeout, Out);
+}
+
+bool CallRouter::maySend(Time Now) const {
+  // Once a newer version is known, its own time limit applies.
+  return Now < this->Validity.ServesUntil || this->Validity.OutOfTouch ||
+         this->Config.superseded();
+}
+
+void CallRouter::hold(const CallArrived &Arrived, Time RefuseAt, Effects &Out) {
+  if (this->Held.size() >= MaxHeld)
     return this->refuse(Arrived.CallNumber, {ResultCode::NotCurrent, {}, {}},
                         Out);
-  this->Unrouted.emplace(Arrived.CallNumber,
-                         UnroutedCall{Arrived, Now + ConfirmationTimeout});
+  this->Held.emplace(Arrived.CallNumber, HeldCall{Arrived, RefuseAt});
 }
 
 void CallRouter::routeAgain(bool Serving, Time Now, Effects &Out) {
-  for (const auto &[Number, Held] : std::exchange(this->Unrouted, {}))
-    this->handleCall(Held.Arrived, Serving, Now, Out);
+  for (const auto &[Number, Item] : std::exchange(this->Held, {}))
+    this->handleCall(Item.Arrived, Serving, Now, Out);
 }
 
-void CallRouter::expireUnrouted(Time Now, Effects &Out) {
-  std::erase_if(this->Unrouted, [&](const auto &Item) {
+void CallRouter::expireHeld(Time Now, Effects &Out) {
+  std::erase_if(this->Held, [&](const auto &Item) {
     if (Now < Item.second.RefuseAt)
       return false;
     this->refuse(Item.first, {ResultCode::NotCurrent, {}, {}}, Out);
@@ -592,7 +603,7 @@
     this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
                  Out);
   this->Cancellations.tick(Now, Out);
-  this->expireUnrouted(Now, Out);
+  this->expireHeld(Now, Out);
   this->checkConnections(Now, Out);
   for (const std::int64_t Number : this->callNumbers()) {
     Call *TheCall = this->find(Number);
@@ -627,7 +638,7 @@
 
 void CallRouter::callerDisconnected(std::int64_t CallNumber, Time Now,
                                     Effects &Out) {
-  this->Unrouted.erase(CallNumber);
+  this->Held.erase(CallNumber);
   Call *TheCall = this->find(CallNumber);
   if (TheCall == nullptr)
     return;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -36,12 +36,22 @@
   /// NotCurrent.
   void handleCall(const CallArrived &Call, bool Serving, Time Now,
                   Effects &Out);
-  /// Sets until when the version in force counts as the newest one. Afterwards
-  /// a call without a route is held until a confirmation arrives.
-  void setConfirmedUntil(Time Until) { this->ConfirmedUntil = Until; }
+  /// Until when the version in force counts as the newest one.
+  struct VersionValidity {
+    /// Afterwards a call without a route is held until a confirmation arrives.
+    Time DeniesUntil = NoDeadline;
+    /// Afterwards every call is held, unless OutOfTouch is set.
+    Time ServesUntil = NoDeadline;
+    /// No daemon can tell which version is the newest one.
+    bool OutOfTouch = false;
+  };
+  void setValidity(const VersionValidity &Validity) {
+    this->Validity = Validity;
+  }
+  const VersionValidity &validity() const { return this->Validity; }
   /// Returns whether calls wait for a confirmation of the version in force.
-  bool hasUnrouted() const { return !this->Unrouted.empty(); }
-  /// Handles the calls that were held for want of a route once more.
+  bool hasHeld() const { return !this->Held.empty(); }
+  /// Handles the calls that were held once more.
   void routeAgain(bool Serving, Time Now, Effects &Out);
   /// Cancels the call of a caller that disconnected.
   void callerDisconnected(std::int64_t CallNumber, Time Now, Effects &Out);
@@ -95,7 +105,7 @@
 
   /// Returns the number of calls that have not been answered.
   std::size_t callCount() const {
-    return this->Calls.size() + this->Unrouted.size();
+    return this->Calls.size() + this->Held.size();
   }
   /// Returns the total number of attempts made beyond the first attempt of each
   /// call.
@@ -155,9 +165,9 @@
     }
   };
 
-  /// A call that no route of the version in force matches, while that version
-  /// is not confirmed as the newest one.
-  struct UnroutedCall {
+  /// A call that waits until the version in force is confirmed as the newest
+  /// one.
+  struct HeldCall {
     CallArrived Arrived;
     Time RefuseAt;
   };
@@ -196,7 +206,10 @@
   /// Denies a call without a route, or holds it until the version in force is
   /// confirmed.
   void denyRoute(const CallArrived &Arrived, Time Now, Effects &Out);
-  void expireUnrouted(Time Now, Effects &Out);
+  /// Returns whether calls may be routed by the version in force.
+  bool maySend(Time Now) const;
+  void hold(const CallArrived &Arrived, Time RefuseAt, Effects &Out);
+  void expireHeld(Time Now, Effects &Out);
   /// Refuses a call that the configuration in force does not allow.
   void refuseByConfiguration(std::int64_t CallNumber, Failure Error,
                              Effects &Out) const;
@@ -225,8 +238,8 @@
   Random Rng;
   RetryBudget Budget;
   std::map<std::int64_t, Call> Calls;
-  std::map<std::int64_t, UnroutedCall> Unrouted;
-  Time ConfirmedUntil = NoDeadline;
+  std::map<std::int64_t, HeldCall> Held;
+  VersionValidity Validity;
   std::map<std::int64_t, std::int64_t> CallByAttempt;
   std::map<std::string, ConnectionHealth, std::less<>> HealthByAddress;
   std::int64_t LastAttemptNumber = 0;
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -110,6 +110,10 @@
   /// Starts a heartbeat round that confirms leadership; returns its number.
   std::int64_t confirmLeadership(Time Now, Effects &Out);
 
+  /// Returns the number of the next heartbeat round, which is sent within the
+  /// heartbeat interval.
+  std::int64_t nextRound() const { return this->Round + 1; }
+
   /// Returns the newest heartbeat round that a quorum has acknowledged.
   std::int64_t confirmedRound() const;
 
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -211,10 +211,28 @@
 }
 
 void ControlService::receive(const wire::StampRequest &Body,
-                             std::string_view From, Time, Effects &) {
+                             std::string_view From, Time Now, Effects &Out) {
   if (!this->ConsensusModule.ready())
     return;
-  this->StampRequests.push_back({std::string(From), Body.Nonce, 0});
+  if (Body.MaxAgeMs <= 0 ||
+      Now > this->VerifiedAt + milliseconds(Body.MaxAgeMs)) {
+    this->StampRequests.push_back({std::string(From), Body.Nonce, 0});
+    return;
+  }
+  wire::StampReply Reply = this->makeStampReply(Body.Nonce);
+  Reply.AgeMs =
+      static_cast<std::int32_t>(millisecondsUntil(Now, this->VerifiedAt)) + 1;
+  send(Out, From, std::move(Reply), Channel::Datagram);
+}
+
+wire::StampReply ControlService::makeStampReply(std::int64_t Nonce) const {
+  wire::StampReply Out;
+  Out.Nonce = Nonce;
+  Out.Confirmed.Term = this->ConsensusModule.term();
+  Out.Confirmed.Version = this->Store.version();
+  Out.Confirmed.Counter = this->IssuedStamp.Counter;
+  Out.Source = this->ConsensusModule.self().Address;
+  return Out;
 }
 
 void ControlService::receive(const wire::ClaimRequest &Body,
@@ -405,6 +423,10 @@
 void ControlService::startLeadershipConfirmation(Time Now, Effects &Out) {
   if (!this->ConsensusModule.ready())
     return;
+  if (this->VerifyRound == 0) {
+    this->VerifyRound = this->ConsensusModule.nextRound();
+    this->VerifyStartedAt = Now;
+  }
   const bool StampRequested =
       std::any_of(this->StampRequests.begin(), this->StampRequests.end(),
                   [](const PendingStamp &Item) { return Item.Round == 0; });
@@ -426,26 +448,25 @@
   if (!this->ConsensusModule.ready()) {
     this->StampRequests.clear();
     this->StampRound = 0;
+    this->VerifyRound = 0;
+    this->VerifiedAt = Time();
     return;
   }
   const std::int64_t Confirmed = this->ConsensusModule.confirmedRound();
-  wire::Stamp ConfirmedStamp;
-  ConfirmedStamp.Term = this->ConsensusModule.term();
-  ConfirmedStamp.Version = this->Store.version();
-  ConfirmedStamp.Counter = this->IssuedStamp.Counter;
   std::erase_if(this->StampRequests, [&](const PendingStamp &Item) {
     if (Item.Round == 0 || Item.Round > Confirmed)
       return false;
-    wire::StampReply Reply;
-    Reply.Nonce = Item.Nonce;
-    Reply.Confirmed = ConfirmedStamp;
-    send(Out, Item.From, std::move(Reply), Channel::Datagram);
+    send(Out, Item.From, this->makeStampReply(Item.Nonce), Channel::Datagram);
     return true;
   });
   if (this->StampRound != 0 && this->StampRound <= Confirmed) {
     this->StampRound = 0;
-    ConfirmedStamp.Counter += 1;
-    this->IssuedStamp = ConfirmedStamp;
+    this->IssuedStamp = this->makeStampReply(0).Confirmed;
+    this->IssuedStamp.Counter += 1;
+  }
+  if (this->VerifyRound != 0 && this->VerifyRound <= Confirmed) {
+    this->VerifyRound = 0;
+    this->VerifiedAt = this->VerifyStartedAt;
   }
   std::erase_if(this->Reads, [&](const PendingRead &Item) {
     if (Item.Round > Confirmed)
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -121,6 +121,8 @@
   void answerWrite(const wire::LogEntry &Entry, Effects &Out);
   void proposeQueued(Time Now, Effects &Out);
   void startLeadershipConfirmation(Time Now, Effects &Out);
+  /// Returns a reply with the newest committed version.
+  wire::StampReply makeStampReply(std::int64_t Nonce) const;
   void answerConfirmedRequests(Effects &Out);
   void expireRequests(Time Now, Effects &Out);
   void failPendingRequests(Effects &Out);
@@ -149,6 +151,11 @@
   wire::Stamp IssuedStamp;
   std::int64_t StampRound = 0;
   Time NextStamp;
+  /// The heartbeat round after VerifyStartedAt, if its confirmation is awaited.
+  std::int64_t VerifyRound = 0;
+  Time VerifyStartedAt;
+  /// When this replica was last confirmed as the leader.
+  Time VerifiedAt;
   Time NextClaimExpiry;
   std::int64_t LastWallMs = 0;
 };
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -45,11 +45,19 @@
   /// Records that \p NewerVersion was committed, without naming a source.
   void noteCommittedVersion(std::int64_t NewerVersion, Time Now);
 
+  /// Records that no version newer than the one in force was committed at
+  /// \p At.
+  void noteCurrent(Time At) { this->CurrentAt = std::max(this->CurrentAt, At); }
+
   /// Returns whether a newer version has been known for so long that calls must
   /// no longer be served with the version in force.
   bool outdated(Time Now) const {
     return !this->Pending.empty() && Now >= this->Pending.front().ServeUntil;
   }
+  /// Returns whether calls may be served with the version in force: if a newer
+  /// one is known, neither was it heard of too long ago, nor can it have been
+  /// committed too long before.
+  bool mayServe(Time Now) const;
   /// Returns whether a version newer than the one in force is known.
   bool superseded() const { return !this->Pending.empty(); }
 
@@ -140,6 +148,8 @@
   std::int64_t NewestPeerVersion = 0;
   /// Ordered by version, hence also by deadline.
   std::deque<PendingVersion> Pending;
+  /// When the version in force was last known to be the newest one.
+  Time CurrentAt;
   /// Number of datagram pull requests sent for the missing versions.
   int DatagramPulls = 0;
   Time NextDatagramPull;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -111,6 +111,7 @@
   }
   if (this->Config.version() == this->AnnouncedVersion)
     return;
+  this->applyConfirmation();
   this->AnnouncedVersion = this->Config.version();
   this->Members.setVersion(this->AnnouncedVersion);
   this->announce(Out);
@@ -347,18 +348,35 @@
 void Node::on(const CallArrived &Body, const Event &TheEvent, Effects &Out) {
   if (!this->Router)
     return;
-  this->Router->setConfirmedUntil(
-      this->Confirmation.validUntil(this->Config.version()));
-  this->Router->handleCall(Body, this->Gate.open(), TheEvent.At, Out);
+  this->Confirmation.recordUse(TheEvent.At);
   this->updateConfirmation(TheEvent.At, Out);
+  this->Router->handleCall(Body, this->Gate.open(), TheEvent.At, Out);
+  if (this->Router->hasHeld())
+    this->updateConfirmation(TheEvent.At, Out);
 }
 
 void Node::updateConfirmation(Time Now, Effects &Out) {
-  this->Router->setConfirmedUntil(
-      this->Confirmation.validUntil(this->Config.version()));
-  if (this->Router->hasUnrouted())
-    this->Confirmation.request(this->Members.self(), this->ControlAddresses,
-                               Now, Out);
+  const std::int64_t Version = this->Config.version();
+  this->Confirmation.tick({this->Members.self().Address,
+                           this->Reports.parentAddresses(),
+                           this->ControlAddresses},
+                          this->Router->hasHeld(), Now, Out);
+  const bool WasOutOfTouch = this->Router->validity().OutOfTouch;
+  this->Router->setValidity({this->Confirmation.deniesUntil(Version),
+                             this->Confirmation.servesUntil(Version),
+                             this->Confirmation.outOfTouch(Now)});
+  if (this->Router->validity().OutOfTouch && !WasOutOfTouch) {
+    Out.emplace_back(LogWarning{"event=out-of-touch version=" +
+                                std::to_string(Version) + " confirmedMsAgo=" +
+                                std::to_string(millisecondsUntil(
+                                    Now, this->Confirmation.confirmedAt()))});
+    this->Router->routeAgain(this->Gate.open(), Now, Out);
+  }
+}
+
+void Node::applyConfirmation() {
+  if (this->Confirmation.version() <= this->Config.version())
+    this->Config.noteCurrent(this->Confirmation.confirmedAt());
 }
 
 void Node::on(const CallerDisconnected &Body, const Event &TheEvent,
@@ -386,10 +404,32 @@
   this->Gate.receive(Reply, this->Config.version(), Out);
   if (!this->Router || !this->Confirmation.receive(Reply))
     return;
+  this->applyConfirmation();
+  this->Config.noteCommittedVersion(Reply.Confirmed.Version, Now);
+  this->Config.notePeerVersion(Reply.Source, Reply.Confirmed.Version, Now, Out);
+  this->Confirmation.answerWaiting({this->Members.self().Address,
+                                    this->Reports.parentAddresses(),
+                                    this->ControlAddresses},
+                                   this->Config.version(), Now, Out);
   this->updateConfirmation(Now, Out);
   this->Router->routeAgain(this->Gate.open(), Now, Out);
 }
 
+void Node::receiveStampRequest(const wire::StampRequest &Request,
+                               std::string_view From, Time Now, Effects &Out) {
+  wire::Gossip SenderUpdate;
+  SenderUpdate.Updates.push_back(Request.Who);
+  this->Members.mergeGossip(SenderUpdate, Now);
+  if (this->Control)
+    return this->Control->receive(Request, From, Now, Out);
+  this->Confirmation.receive(Request, From, Now);
+  this->Confirmation.answerWaiting({this->Members.self().Address,
+                                    this->Reports.parentAddresses(),
+                                    this->ControlAddresses},
+                                   this->Config.version(), Now, Out);
+  this->updateConfirmation(Now, Out);
+}
+
 template <typename MessageT>
 void Node::receive(const MessageT &Body, const std::string &From, Time Now,
                    Effects &Out) {
@@ -404,13 +444,9 @@
                                    Out);
   }
 
-  if constexpr (std::is_same_v<T, wire::StampRequest>) {
-    wire::Gossip SenderUpdate;
-    SenderUpdate.Updates.push_back(Body.Who);
-    this->Members.mergeGossip(SenderUpdate, Now);
-  }
-
-  if constexpr (std::is_same_v<T, wire::Probe>)
+  if constexpr (std::is_same_v<T, wire::StampRequest>)
+    this->receiveStampRequest(Body, From, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::Probe>)
     this->Members.receive(Body, From, Now, Out);
   else if constexpr (std::is_same_v<T, wire::Announce>)
     this->Members.mergeGossip(Body.Head, Now);
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -130,9 +130,13 @@
   void advanceStop(Time Now, Effects &Out);
   bool drained() const;
   bool nested(const wire::CallRequest &Request);
-  /// Lets the router deny calls while the version in force is confirmed, and
-  /// asks for a confirmation if a call waits for one.
+  /// Tells the router how far the version in force is confirmed, and asks for
+  /// a confirmation if one is due.
   void updateConfirmation(Time Now, Effects &Out);
+  /// Applies what is confirmed to the version in force.
+  void applyConfirmation();
+  void receiveStampRequest(const wire::StampRequest &Request,
+                           std::string_view From, Time Now, Effects &Out);
   void announce(Effects &Out);
 
   const Topology &VersionTopology;
--- a/src/libpersimmon/reporttree.h
+++ b/src/libpersimmon/reporttree.h
@@ -4,6 +4,7 @@
 #include "membership.h"
 
 #include <map>
+#include <span>
 #include <string>
 
 namespace persimmon {
@@ -31,6 +32,11 @@
   void tick(const Membership &Members, std::int64_t VersionInForce, Time Now,
             Effects &Out);
 
+  /// Returns the addresses that reports are sent to.
+  std::span<const std::string> parentAddresses() const {
+    return this->ParentAddresses;
+  }
+
   /// Returns the aggregate over all proxies; for control instances.
   Summary summary(const Membership &Members, Time Now) const;
 
--- a/src/libpersimmon/versionconfirmation.cpp
+++ b/src/libpersimmon/versionconfirmation.cpp
@@ -1,5 +1,6 @@
 #include "versionconfirmation.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace persimmon {
@@ -7,37 +8,150 @@
 namespace {
 
 /// A change must be in force everywhere within two seconds of its
-/// acknowledgement, so an older confirmation does not justify a denial.
-constexpr milliseconds Validity{1000};
+/// acknowledgement; a denial is not repeated by the caller, so it needs a more
+/// recent confirmation than a call that is served.
+constexpr milliseconds DenyValidity{1000};
+constexpr milliseconds ServeValidity{1800};
+/// Age of a confirmation at which the next one is requested while calls arrive.
+/// The rest of ServeValidity is left for lost requests.
+constexpr milliseconds RefreshAge{600};
+/// Age up to which a parent passes on its own confirmation.
+constexpr milliseconds RequestedAge{200};
 /// Several round trips between availability zones.
-constexpr milliseconds RetryInterval{40};
+constexpr milliseconds RetryInterval{60};
+constexpr milliseconds SlowRetryInterval{250};
+/// Requests after which the interval between them becomes longer.
+constexpr int QuickRequests = 8;
+/// Requests after which a connection is used as well: datagrams do not pass a
+/// full link.
+constexpr int DatagramsBeforeStream = 3;
+/// Time for several requests, of which the last ones use connections.
+constexpr milliseconds OutOfTouchAfter{400};
+/// A pause between requests after which earlier ones tell nothing about whether
+/// the control instances can be reached now.
+constexpr milliseconds RequestPause{1000};
+constexpr std::size_t MaxOpenRequests = 32;
+constexpr std::size_t MaxWaiting = 64;
+constexpr milliseconds WaitingTimeout{300};
 
 } // namespace
 
-void VersionConfirmation::request(const wire::MemberRecord &Self,
-                                  std::span<const std::string> ControlAddresses,
-                                  Time Now, Effects &Out) {
-  if (Now < this->NextRequest)
-    return;
-  this->NextRequest = Now + RetryInterval;
-  this->RequestedAt = Now;
-  this->Nonce = static_cast<std::int64_t>(
-      this->Rng.below(std::numeric_limits<std::int64_t>::max()));
+bool VersionConfirmation::due(bool Urgent, Time Now) const {
+  const milliseconds Interval = this->UnansweredRequests < QuickRequests
+                                    ? RetryInterval
+                                    : SlowRetryInterval;
+  if (Now < this->LastRequest + Interval)
+    return false;
+  if (Urgent || !this->Waiting.empty())
+    return true;
+  return this->LastUse > this->ConfirmedAt &&
+         Now >= this->ConfirmedAt + RefreshAge &&
+         Now < this->LastUse + RequestPause;
+}
+
+void VersionConfirmation::tick(const Peers &Others, bool Urgent, Time Now,
+                               Effects &Out) {
+  std::erase_if(this->Waiting,
+                [&](const WaitingProxy &Item) { return Now >= Item.Until; });
+  if (this->due(Urgent, Now))
+    this->send(Others, Now, Out);
+}
+
+void VersionConfirmation::send(const Peers &Others, Time Now, Effects &Out) {
+  if (this->UnansweredSince == NoDeadline ||
+      Now > this->LastRequest + RequestPause) {
+    this->UnansweredSince = Now;
+    this->UnansweredRequests = 0;
+  }
+  this->LastRequest = Now;
+  this->UnansweredRequests += 1;
   wire::StampRequest Request;
-  Request.Nonce = this->Nonce;
-  Request.Who = Self;
-  for (const std::string &Address : ControlAddresses)
-    send(Out, Address, Request, Channel::Datagram);
+  Request.Nonce = static_cast<std::int64_t>(
+      this->Rng.below(std::numeric_limits<std::int64_t>::max()));
+  Request.MaxAgeMs = static_cast<std::int32_t>(RequestedAge.count());
+  this->OpenRequests.push_back({Request.Nonce, Now});
+  if (this->OpenRequests.size() > MaxOpenRequests)
+    this->OpenRequests.pop_front();
+  if (this->UnansweredRequests == 1 && !Others.Parents.empty()) {
+    for (const std::string &Address : Others.Parents)
+      persimmon::send(Out, Address, Request, Channel::Datagram);
+    return;
+  }
+  const bool ByStream = this->UnansweredRequests > DatagramsBeforeStream &&
+                        this->UnansweredRequests <= QuickRequests;
+  for (const std::string &Address : Others.ControlInstances)
+    persimmon::send(Out, Address, Request,
+                    ByStream ? Channel::Stream : Channel::Datagram);
 }
 
 bool VersionConfirmation::receive(const wire::StampReply &Reply) {
-  if (this->Nonce == 0 || Reply.Nonce != this->Nonce)
+  const auto Answered = std::find_if(
+      this->OpenRequests.begin(), this->OpenRequests.end(),
+      [&](const OpenRequest &Item) { return Item.Nonce == Reply.Nonce; });
+  if (Answered == this->OpenRequests.end())
     return false;
-  this->Nonce = 0;
-  this->ConfirmedVersion = Reply.Confirmed.Version;
-  // A version that was committed after the request may be newer.
-  this->ValidUntil = this->RequestedAt + Validity;
+  const Time At = Answered->SentAt - milliseconds(std::max(0, Reply.AgeMs));
+  this->OpenRequests.erase(this->OpenRequests.begin(), std::next(Answered));
+  this->UnansweredSince = NoDeadline;
+  this->UnansweredRequests = 0;
+  if (At <= this->ConfirmedAt &&
+      Reply.Confirmed.Version <= this->ConfirmedVersion)
+    return false;
+  // A version that is newer than an earlier confirmation was committed after
+  // it, so the later of the two times holds for the newer version.
+  this->ConfirmedAt = std::max(this->ConfirmedAt, At);
+  this->ConfirmedVersion =
+      std::max(this->ConfirmedVersion, Reply.Confirmed.Version);
   return true;
 }
 
+void VersionConfirmation::receive(const wire::StampRequest &Request,
+                                  std::string_view From, Time Now) {
+  if (Request.MaxAgeMs <= 0 || this->Waiting.size() >= MaxWaiting)
+    return;
+  this->Waiting.push_back({std::string(From), Request.Nonce,
+                           milliseconds(Request.MaxAgeMs),
+                           Now + WaitingTimeout});
+}
+
+bool VersionConfirmation::satisfies(const WaitingProxy &Item, Time Now) const {
+  return Now <= this->ConfirmedAt + Item.MaxAge;
+}
+
+void VersionConfirmation::answerWaiting(const Peers &Others,
+                                        std::int64_t VersionInForce, Time Now,
+                                        Effects &Out) {
+  std::erase_if(this->Waiting, [&](const WaitingProxy &Item) {
+    if (!this->satisfies(Item, Now))
+      return false;
+    wire::StampReply Reply;
+    Reply.Nonce = Item.Nonce;
+    Reply.Confirmed.Version = this->ConfirmedVersion;
+    Reply.AgeMs =
+        static_cast<std::int32_t>(millisecondsUntil(Now, this->ConfirmedAt)) +
+        1;
+    if (VersionInForce >= this->ConfirmedVersion)
+      Reply.Source = Others.SelfAddress;
+    persimmon::send(Out, Item.Address, std::move(Reply), Channel::Datagram);
+    return true;
+  });
+}
+
+Time VersionConfirmation::deniesUntil(std::int64_t VersionInForce) const {
+  return VersionInForce >= this->ConfirmedVersion
+             ? this->ConfirmedAt + DenyValidity
+             : Time();
+}
+
+Time VersionConfirmation::servesUntil(std::int64_t VersionInForce) const {
+  return VersionInForce >= this->ConfirmedVersion
+             ? this->ConfirmedAt + ServeValidity
+             : Time();
+}
+
+bool VersionConfirmation::outOfTouch(Time Now) const {
+  return this->UnansweredSince != NoDeadline &&
+         Now >= this->UnansweredSince + OutOfTouchAfter;
+}
+
 } // namespace persimmon
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -5869,6 +5869,10 @@
 void StampRequest::__set_Who(const MemberRecord& val) {
   this->Who = val;
 }
+
+void StampRequest::__set_MaxAgeMs(const int32_t val) {
+  this->MaxAgeMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const StampRequest& obj)
 {
   obj.printTo(out);
@@ -5913,6 +5917,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->MaxAgeMs);
+          this->__isset.MaxAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5938,6 +5950,10 @@
   xfer += this->Who.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("MaxAgeMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->MaxAgeMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5947,28 +5963,33 @@
   using ::std::swap;
   swap(a.Nonce, b.Nonce);
   swap(a.Who, b.Who);
+  swap(a.MaxAgeMs, b.MaxAgeMs);
   swap(a.__isset, b.__isset);
 }
 
 StampRequest::StampRequest(const StampRequest& other231) {
   Nonce = other231.Nonce;
   Who = other231.Who;
+  MaxAgeMs = other231.MaxAgeMs;
   __isset = other231.__isset;
 }
 StampRequest::StampRequest(StampRequest&& other232) noexcept {
   Nonce = other232.Nonce;
   Who = std::move(other232.Who);
+  MaxAgeMs = other232.MaxAgeMs;
   __isset = other232.__isset;
 }
 StampRequest& StampRequest::operator=(const StampRequest& other233) {
   Nonce = other233.Nonce;
   Who = other233.Who;
+  MaxAgeMs = other233.MaxAgeMs;
   __isset = other233.__isset;
   return *this;
 }
 StampRequest& StampRequest::operator=(StampRequest&& other234) noexcept {
   Nonce = other234.Nonce;
   Who = std::move(other234.Who);
+  MaxAgeMs = other234.MaxAgeMs;
   __isset = other234.__isset;
   return *this;
 }
@@ -5977,6 +5998,7 @@
   out << "StampRequest(";
   out << "Nonce=" << to_string(Nonce);
   out << ", " << "Who=" << to_string(Who);
+  out << ", " << "MaxAgeMs=" << to_string(MaxAgeMs);
   out << ")";
 }
 
@@ -5992,6 +6014,14 @@
 void StampReply::__set_Confirmed(const Stamp& val) {
   this->Confirmed = val;
 }
+
+void StampReply::__set_AgeMs(const int32_t val) {
+  this->AgeMs = val;
+}
+
+void StampReply::__set_Source(const std::string& val) {
+  this->Source = val;
+}
 std::ostream& operator<<(std::ostream& out, const StampReply& obj)
 {
   obj.printTo(out);
@@ -6036,6 +6066,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->AgeMs);
+          this->__isset.AgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Source);
+          this->__isset.Source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6061,6 +6107,14 @@
   xfer += this->Confirmed.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("AgeMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->AgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Source", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->Source);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6070,28 +6124,38 @@
   using ::std::swap;
   swap(a.Nonce, b.Nonce);
   swap(a.Confirmed, b.Confirmed);
+  swap(a.AgeMs, b.AgeMs);
+  swap(a.Source, b.Source);
   swap(a.__isset, b.__isset);
 }
 
-StampReply::StampReply(const StampReply& other235) noexcept {
+StampReply::StampReply(const StampReply& other235) {
   Nonce = other235.Nonce;
   Confirmed = other235.Confirmed;
+  AgeMs = other235.AgeMs;
+  Source = other235.Source;
   __isset = other235.__isset;
 }
 StampReply::StampReply(StampReply&& other236) noexcept {
   Nonce = other236.Nonce;
   Confirmed = std::move(other236.Confirmed);
+  AgeMs = other236.AgeMs;
+  Source = std::move(other236.Source);
   __isset = other236.__isset;
 }
-StampReply& StampReply::operator=(const StampReply& other237) noexcept {
+StampReply& StampReply::operator=(const StampReply& other237) {
   Nonce = other237.Nonce;
   Confirmed = other237.Confirmed;
+  AgeMs = other237.AgeMs;
+  Source = other237.Source;
   __isset = other237.__isset;
   return *this;
 }
 StampReply& StampReply::operator=(StampReply&& other238) noexcept {
   Nonce = other238.Nonce;
   Confirmed = std::move(other238.Confirmed);
+  AgeMs = other238.AgeMs;
+  Source = std::move(other238.Source);
   __isset = other238.__isset;
   return *this;
 }
@@ -6100,6 +6164,8 @@
   out << "StampReply(";
   out << "Nonce=" << to_string(Nonce);
   out << ", " << "Confirmed=" << to_string(Confirmed);
+  out << ", " << "AgeMs=" << to_string(AgeMs);
+  out << ", " << "Source=" << to_string(Source);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -2304,13 +2304,16 @@
 std::ostream& operator<<(std::ostream& out, const Report& obj);
 
 typedef struct _StampRequest__isset {
-  _StampRequest__isset() : Nonce(false), Who(false) {}
+  _StampRequest__isset() : Nonce(false), Who(false), MaxAgeMs(true) {}
   bool Nonce :1;
   bool Who :1;
+  bool MaxAgeMs :1;
 } _StampRequest__isset;
 
 /**
  * Who introduces the daemon to the leader before the reply allows it to open for calls.
+ * MaxAgeMs is the age up to which an earlier confirmation may be returned; 0 asks the
+ * leader for a confirmation that starts after the request.
  */
 class StampRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -2320,12 +2323,14 @@
   StampRequest& operator=(const StampRequest&);
   StampRequest& operator=(StampRequest&&) noexcept;
   StampRequest() noexcept
-               : Nonce(0) {
+               : Nonce(0),
+                 MaxAgeMs(0) {
   }
 
   virtual ~StampRequest() noexcept;
   int64_t Nonce;
   MemberRecord Who;
+  int32_t MaxAgeMs;
 
   _StampRequest__isset __isset;
 
@@ -2333,12 +2338,16 @@
 
   void __set_Who(const MemberRecord& val);
 
+  void __set_MaxAgeMs(const int32_t val);
+
   bool operator == (const StampRequest & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
       return false;
     if (!(Who == rhs.Who))
       return false;
+    if (!(MaxAgeMs == rhs.MaxAgeMs))
+      return false;
     return true;
   }
   bool operator != (const StampRequest &rhs) const {
@@ -2358,25 +2367,35 @@
 std::ostream& operator<<(std::ostream& out, const StampRequest& obj);
 
 typedef struct _StampReply__isset {
-  _StampReply__isset() : Nonce(false), Confirmed(false) {}
+  _StampReply__isset() : Nonce(false), Confirmed(false), AgeMs(true), Source(false) {}
   bool Nonce :1;
   bool Confirmed :1;
+  bool AgeMs :1;
+  bool Source :1;
 } _StampReply__isset;
 
+/**
+ * AgeMs is how long ago Confirmed.Version was the newest one. Source is the address of
+ * a daemon that has it in force; empty if the sender knows none.
+ */
 class StampReply : public virtual ::apache::thrift::TBase {
  public:
 
-  StampReply(const StampReply&) noexcept;
+  StampReply(const StampReply&);
   StampReply(StampReply&&) noexcept;
-  StampReply& operator=(const StampReply&) noexcept;
+  StampReply& operator=(const StampReply&);
   StampReply& operator=(StampReply&&) noexcept;
   StampReply() noexcept
-             : Nonce(0) {
+             : Nonce(0),
+               AgeMs(0),
+               Source() {
   }
 
   virtual ~StampReply() noexcept;
   int64_t Nonce;
   Stamp Confirmed;
+  int32_t AgeMs;
+  std::string Source;
 
   _StampReply__isset __isset;
 
@@ -2384,12 +2403,20 @@
 
   void __set_Confirmed(const Stamp& val);
 
+  void __set_AgeMs(const int32_t val);
+
+  void __set_Source(const std::string& val);
+
   bool operator == (const StampReply & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
       return false;
     if (!(Confirmed == rhs.Confirmed))
       return false;
+    if (!(AgeMs == rhs.AgeMs))
+      return false;
+    if (!(Source == rhs.Source))
+      return false;
     return true;
   }
   bool operator != (const StampReply &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -292,15 +292,26 @@
   5: list<Laggard> Laggards
 }
 
-/** Who introduces the daemon to the leader before the reply allows it to open for calls. */
+/**
+ * Who introduces the daemon to the leader before the reply allows it to open for calls.
+ * MaxAgeMs is the age up to which an earlier confirmation may be returned; 0 asks the
+ * leader for a confirmation that starts after the request.
+ */
 struct StampRequest {
   1: i64 Nonce
   2: MemberRecord Who
+  3: i32 MaxAgeMs = 0
 }
 
+/**
+ * AgeMs is how long ago Confirmed.Version was the newest one. Source is the address of
+ * a daemon that has it in force; empty if the sender knows none.
+ */
 struct StampReply {
   1: i64 Nonce
   2: Stamp Confirmed
+  3: i32 AgeMs = 0
+  4: string Source
 }
 
 // Calls between daemons.
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -487,6 +487,7 @@
     }
     Effects Ignored;
     this->Config.replaceContent(Settings, 1, Ignored);
+    this->Config.noteCurrent(this->Now);
   }
 
   Effects call(std::int64_t Number, milliseconds Timeout,
