Keep the rate that a target names in its answers

Cause: the load of a target was bounded by its slots only; nothing read the rate. Each call to a target passes the daemon beside it, so the bound is kept there.

Calls wait for the rate in the order of the queue; one that neither rate nor slots can serve in its useful time is refused at once. Answers report as many slots as the rate occupies, and callers' daemons divide by these, so that targets that take more get more. A daemon that starts beside a running target runs two calls at once until its first answer.

--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -61,6 +61,9 @@
   /// the request.
   virtual bool isNotRunResponse(const TargetResponse &Answer) const = 0;
 
+  /// Returns what the target says of itself in any of its responses.
+  virtual TargetNotice readNotice(const TargetResponse &Answer) const = 0;
+
   /// Returns whether the response belongs to the call with this id.
   virtual bool matchesCall(const TargetResponse &Answer,
                            std::string_view CallId) const = 0;
@@ -187,6 +190,12 @@
 endToEndHeaders(std::vector<wire::Header> Headers,
                 std::span<const std::string_view> Excluded);
 
+/// Reads what a target says of itself from the header \p LimitName, a decimal
+/// number of calls per second, and \p LeavingName, "1" if it shuts down. A
+/// limit that is not a number is ignored.
+TargetNotice noticeOf(const TargetResponse &Answer, std::string_view LimitName,
+                      std::string_view LeavingName);
+
 /// Parses a header that holds the milliseconds left until the deadline. Returns
 /// NoDeadline if the header is missing. Errors: RequestMalformed.
 leaf::result<Time> readDeadline(const HttpRequest &Request,
--- a/src/libhost/nativeprotocol.cpp
+++ b/src/libhost/nativeprotocol.cpp
@@ -27,6 +27,10 @@
 constexpr std::string_view CallIdHeader = "X-Request-Id";
 constexpr std::string_view DeadlineHeader = "Persimmon-Deadline-Ms";
 constexpr std::string_view NotRunHeader = "Persimmon-Not-Run";
+/// Calls per second that the target takes, in its responses.
+constexpr std::string_view LimitHeader = "Persimmon-Limit";
+/// "1" in the responses of a target that shuts down.
+constexpr std::string_view LeavingHeader = "Persimmon-Leaving";
 constexpr std::array<std::string_view, 3> NativeHeaders = {
     CallIdHeader, DeadlineHeader, NotRunHeader};
 
@@ -91,6 +95,10 @@
     return Answer.Status == Unavailable && !Answer.header(NotRunHeader).empty();
   }
 
+  TargetNotice readNotice(const TargetResponse &Answer) const override {
+    return noticeOf(Answer, LimitHeader, LeavingHeader);
+  }
+
   bool matchesCall(const TargetResponse &, std::string_view) const override {
     // Targets of the native protocol are not required to echo the call id.
     return true;
@@ -192,6 +200,20 @@
   return Now + milliseconds(std::min(Value, MaxMs));
 }
 
+TargetNotice noticeOf(const TargetResponse &Answer, std::string_view LimitName,
+                      std::string_view LeavingName) {
+  TargetNotice Out;
+  const std::string_view Limit = Answer.header(LimitName);
+  double PerSecond = 0;
+  const auto [End, Error] =
+      std::from_chars(Limit.data(), Limit.data() + Limit.size(), PerSecond);
+  if (Error == std::errc() && End == Limit.data() + Limit.size() &&
+      PerSecond >= 0)
+    Out.CallsPerSecond = PerSecond;
+  Out.Leaving = Answer.header(LeavingName) == "1";
+  return Out;
+}
+
 bool isVisibleAscii(std::string_view Text) {
   return std::all_of(Text.begin(), Text.end(),
                      [](char C) { return C > ' ' && C < '\x7f'; });
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -247,7 +247,7 @@
 void ProxyApi::runOnTarget(const RunOnTarget &Run) {
   const BodyStore::Request *Stored = this->Bodies.request(Run.Id);
   if (Stored == nullptr)
-    return this->onTargetFinished(Run.Id, TargetResponse());
+    return this->onTargetFinished(Run.Id, {}, TargetResponse());
   this->applyConnectionLimit();
   const Time Now = std::chrono::steady_clock::now();
   const CallProtocol &Calls = *this->Protocols.Calls;
@@ -260,13 +260,14 @@
                           milliseconds(millisecondsUntil(Run.Deadline, Now)));
   Request.Body = Stored->Body;
   Request.Deadline = Run.Deadline;
+  std::string TargetRun = this->Sink.node().target().InstanceId;
   Request.ResponseMatches =
       [&Calls, Id = Stored->Header.CallId](const TargetResponse &Answer) {
         return Calls.matchesCall(Answer, Id);
       };
-  this->Running[Run.Id] =
-      this->Client.start(Request, [this, Id = Run.Id](TargetResponse Answer) {
-        this->onTargetFinished(Id, std::move(Answer));
+  this->Running[Run.Id] = this->Client.start(
+      Request, [this, Id = Run.Id, TargetRun](TargetResponse Answer) {
+        this->onTargetFinished(Id, TargetRun, std::move(Answer));
       });
 }
 
@@ -279,6 +280,7 @@
 }
 
 void ProxyApi::onTargetFinished(const wire::AttemptId &Id,
+                                const std::string &TargetRun,
                                 TargetResponse Answer) {
   this->Running.erase(Id);
   RunFinished Event;
@@ -288,6 +290,9 @@
       this->Protocols.Calls->isNotRunResponse(Answer))
     Event.End = RunEnd::Shed;
   Event.Status = Answer.Status;
+  if (Answer.End == RunEnd::Answered)
+    Event.Notice = this->Protocols.Calls->readNotice(Answer);
+  Event.TargetRun = TargetRun;
   Event.AnswerBytes = static_cast<std::int64_t>(Answer.Body.size());
   if (Event.End == RunEnd::Answered)
     this->Bodies.storeResponse(
@@ -408,16 +413,17 @@
         Table ? Table->service(this->ConfiguredService) : nullptr;
     if (Service == nullptr)
       return this->scheduleDiscovery(DiscoveryInterval);
-    this->requestHealth(
-        Service->HealthPath, [this](const TargetResponse &Answer) {
-          const auto Health = Answer.End == RunEnd::Answered
-                                  ? this->Protocols.Calls->readHealth(Answer)
-                                  : std::nullopt;
-          if (!Health)
-            return this->scheduleDiscovery(DiscoveryRetryInterval);
-          this->Sink.submit(TargetFound{this->ConfiguredService,
-                                        Health->InstanceId, Health->Slots});
-        });
+    this->requestHealth(Service->HealthPath, [this](
+                                                 const TargetResponse &Answer) {
+      const auto Health = Answer.End == RunEnd::Answered
+                              ? this->Protocols.Calls->readHealth(Answer)
+                              : std::nullopt;
+      if (!Health)
+        return this->scheduleDiscovery(DiscoveryRetryInterval);
+      this->Sink.submit(TargetFound{this->ConfiguredService, Health->InstanceId,
+                                    Health->Slots,
+                                    this->Protocols.Calls->readNotice(Answer)});
+    });
   });
 }
 
@@ -433,6 +439,8 @@
             Answer.End != RunEnd::NotConnected && Answer.End != RunEnd::NotSent;
         Event.Healthy =
             Answer.End == RunEnd::Answered && Answer.Status == StatusOk;
+        if (Answer.End == RunEnd::Answered)
+          Event.Notice = this->Protocols.Calls->readNotice(Answer);
         this->Sink.submit(Event);
       });
     }
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -69,7 +69,8 @@
   HttpResponse execute(const ReadinessQuery &Query);
   Failure checkCall(const HttpRequest &Request, const std::string &Job) const;
   void applyConnectionLimit();
-  void onTargetFinished(const wire::AttemptId &Id, TargetResponse Answer);
+  void onTargetFinished(const wire::AttemptId &Id, const std::string &TargetRun,
+                        TargetResponse Answer);
   void scheduleProbe();
   /// Polls the health endpoint of a target that is already running, starting
   /// after \p Pause, until its state is known or the discovery period ends.
--- a/src/libpersimmon/admissionqueue.cpp
+++ b/src/libpersimmon/admissionqueue.cpp
@@ -45,16 +45,28 @@
                                       Right.UsefulUntil, Right.Id);
 }
 
+double AdmissionQueue::waitMs(const SlotState &State, int Ahead,
+                              double AheadMs) {
+  const double SlotMs = AheadMs / State.Slots;
+  if (State.StartIntervalMs == 0)
+    return SlotMs;
+  const double RateMs = State.NextStartMs + Ahead * State.StartIntervalMs;
+  // The rate may leave slots unused.
+  return Ahead < State.Free ? RateMs : std::max(SlotMs, RateMs);
+}
+
 bool AdmissionQueue::canServe(const WaitingCall &Call, const SlotState &State,
                               Time Now) const {
+  int Ahead = 0;
   double AheadMs = State.RunningMs;
   for (const WaitingCall &Other : this->Calls) {
     if (!QueueOrder()(Other, Call))
       break;
+    Ahead += 1;
     AheadMs += this->Estimates.expectedMs(Other.Route);
   }
   const double NeededMs =
-      AheadMs / State.Slots + this->Estimates.expectedMs(Call.Route);
+      waitMs(State, Ahead, AheadMs) + this->Estimates.expectedMs(Call.Route);
   const double LeftMs = millisecondsOf(Call.UsefulUntil - Now);
   return NeededMs <= (Call.Late ? LeftMs * LateCallShare : LeftMs);
 }
@@ -115,6 +127,7 @@
 std::vector<WaitingCall> AdmissionQueue::takeUnservable(const SlotState &State,
                                                         Time Now) {
   std::vector<WaitingCall> Out;
+  int Ahead = 0;
   double AheadMs = State.RunningMs;
   auto FreeSlotsForBodies =
       State.Free -
@@ -122,12 +135,14 @@
                     [](const WaitingCall &Call) { return Call.Ready; });
   for (auto Item = this->Calls.begin(); Item != this->Calls.end();) {
     const double RunMs = this->Estimates.expectedMs(Item->Route);
-    const double NeededMs = AheadMs / State.Slots + RunMs;
+    const double NeededMs = waitMs(State, Ahead, AheadMs) + RunMs;
     const double LeftMs = millisecondsOf(Item->UsefulUntil - Now);
-    const bool HasFreeSlot = !Item->Ready && FreeSlotsForBodies-- > 0;
+    const bool HasFreeSlot =
+        State.StartIntervalMs == 0 && !Item->Ready && FreeSlotsForBodies-- > 0;
     const bool Late = !HasFreeSlot && NeededMs > LeftMs * (1 + PredictionSlack);
     const bool Unservable = Now >= Item->Deadline || Late;
     if (!Unservable) {
+      Ahead += 1;
       AheadMs += RunMs;
       ++Item;
       continue;
--- a/src/libpersimmon/admissionqueue.h
+++ b/src/libpersimmon/admissionqueue.h
@@ -49,6 +49,11 @@
   int Free = 0;
   /// Sum of the expected remaining times of all running calls, in milliseconds.
   double RunningMs = 0;
+  /// Time between the starts of two calls in milliseconds if the target limits
+  /// their rate; 0 otherwise.
+  double StartIntervalMs = 0;
+  /// Time until the next call may start.
+  double NextStartMs = 0;
 };
 
 /// Priority queue of the calls that wait for a slot of the target; also decides
@@ -113,6 +118,10 @@
 
   std::set<WaitingCall, QueueOrder>::const_iterator nextReady() const;
 
+  /// Returns how long a call waits behind \p Ahead waiting calls, which need
+  /// \p AheadMs of slots together with the running ones.
+  static double waitMs(const SlotState &State, int Ahead, double AheadMs);
+
   const RunTimeEstimates &Estimates;
   std::set<WaitingCall, QueueOrder> Calls;
 };
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -1,6 +1,7 @@
 #include "attemptscheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace persimmon {
 
@@ -20,6 +21,10 @@
 /// Minimum expected remaining time of a run that exceeds its route's mean, as a
 /// share of the mean.
 constexpr double LongRunShare = 0.3;
+/// Calls that run at once until the target has answered this process. A target
+/// in need names its rate in each answer, but a daemon that starts again does
+/// not know it.
+constexpr int RunsBeforeFirstAnswer = 2;
 
 } // namespace
 
@@ -58,6 +63,12 @@
 
 wire::Load AttemptScheduler::reportedLoad(Time Now) const {
   wire::Load Out = this->load();
+  if (this->RateLimit.active()) {
+    // As many slots as the calls occupy that the target takes.
+    const double Occupied =
+        this->RunTimes.expectedMs({}) / this->RateLimit.intervalMs();
+    Out.Slots = std::clamp(static_cast<int>(std::ceil(Occupied)), 1, Out.Slots);
+  }
   Out.LinkMs = static_cast<std::int32_t>(this->Link.backlog(Now).count());
   return Out;
 }
@@ -74,6 +85,12 @@
 
 void AttemptScheduler::setTarget(const TargetAnnounced &Announced, Time Now,
                                  Effects &Out) {
+  const bool KnownTarget = !this->Target.InstanceId.empty();
+  if (KnownTarget && Announced.InstanceId != this->Target.InstanceId)
+    this->RateLimit.clear();
+  // A target that starts while this process runs has named no rate yet.
+  this->TargetAnswered =
+      this->TargetAnswered || KnownTarget || Announced.Sequence <= 1;
   this->Target = Announced;
   if (Announced.State == wire::TargetState::Draining)
     this->refuseQueued(ResultCode::Draining, Now, Out);
@@ -212,6 +229,8 @@
   SlotState Out;
   Out.Slots = this->SlotCount;
   Out.Free = this->freeSlots();
+  Out.StartIntervalMs = this->RateLimit.intervalMs();
+  Out.NextStartMs = this->RateLimit.nextStartMs(Now);
   for (const wire::AttemptId &Id : this->RunningIds) {
     const Attempt &Item = this->Attempts.at(Id);
     const double MeanMs = this->RunTimes.expectedMs(Item.Route);
@@ -227,6 +246,36 @@
                   this->SlotCount - static_cast<int>(this->RunningIds.size()));
 }
 
+int AttemptScheduler::startableCalls(Time Now) const {
+  const int Free = this->RateLimit.available(this->freeSlots(), Now);
+  if (this->TargetAnswered)
+    return Free;
+  const int Running = static_cast<int>(this->RunningIds.size());
+  return std::clamp(RunsBeforeFirstAnswer - Running, 0, Free);
+}
+
+void AttemptScheduler::noticed(const TargetNotice &Notice, Time SentAt,
+                               Time Now, Effects &Out) {
+  const double Before = this->RateLimit.intervalMs();
+  this->TargetAnswered = true;
+  if (Notice.CallsPerSecond)
+    this->RateLimit.setRate(*Notice.CallsPerSecond, Now);
+  else
+    this->RateLimit.rateNotNamed(SentAt);
+  if (this->RateLimit.intervalMs() != Before)
+    Out.emplace_back(
+        LogDecision{"event=target-limit id=" + this->Target.InstanceId +
+                    " perSecond=" + std::to_string(this->callsPerSecond()) +
+                    " running=" + std::to_string(this->RunningIds.size()) +
+                    " queued=" + std::to_string(this->Queue.size())});
+}
+
+double AttemptScheduler::callsPerSecond() const {
+  constexpr double MsPerSecond = 1000.0;
+  return this->RateLimit.active() ? MsPerSecond / this->RateLimit.intervalMs()
+                                  : 0;
+}
+
 WaitingCall AttemptScheduler::waitingCall(const Attempt &Item) const {
   WaitingCall Call;
   Call.Id = Item.Id;
@@ -258,7 +307,7 @@
   Item.State = Stage::Reserved;
   Item.Outcome = wire::CallOutcome::Admitted;
   // A call that finds a free slot does not wait, so canServe() is not checked.
-  if (static_cast<int>(this->Queue.size()) >= this->freeSlots()) {
+  if (static_cast<int>(this->Queue.size()) >= this->startableCalls(Now)) {
     const ResultCode Code = this->enqueue(Item, Context.Limits, Now, Out);
     if (Code != ResultCode::Ok)
       return Code;
@@ -334,7 +383,7 @@
                                 Time Now, Effects &Out) {
   // Calls whose bodies are in transit may occupy one place per free slot.
   const std::size_t Bound =
-      static_cast<std::size_t>(this->freeSlots()) +
+      static_cast<std::size_t>(this->startableCalls(Now)) +
       (Limits == nullptr ? 0 : static_cast<std::size_t>(Limits->Queue));
   const int MinPriority = Limits == nullptr ? 0 : Limits->ShedBelowPriority;
   if (this->Queue.size() * 2 >= Bound && Priority < MinPriority)
@@ -382,7 +431,9 @@
       !this->reserveLink(Item, Request.BodyFollows ? Request.BodySize : 0, Now);
   if (LinkFull)
     Code = ResultCode::DeadlineCannotBeMet;
-  const bool SlotFree = this->freeSlots() > 0;
+  // Calls that wait for the target's rate go first.
+  const bool SlotFree =
+      this->startableCalls(Now) > 0 && !this->Queue.hasReady();
   if (Code == ResultCode::Ok && Request.BodyFollows)
     Code = this->reserve(Item, Request.BodySize, Context, Now, Out);
   else if (Code == ResultCode::Ok && !SlotFree)
@@ -417,6 +468,7 @@
       " queued=" + std::to_string(this->Queue.size()) +
       " slots=" + std::to_string(this->SlotCount) +
       " linkMs=" + std::to_string(this->Link.backlog(Now).count()) +
+      " perSecond=" + std::to_string(this->callsPerSecond()) +
       " usefulMs=" + std::to_string(Request.UsefulMs) +
       " nested=" + (Nested ? "yes" : "no") + " choice=" + std::string(Choice) +
       " code=" + std::to_string(static_cast<int>(Code))});
@@ -440,7 +492,8 @@
   Item.Outcome = wire::CallOutcome::Running;
   Item.Deadline = std::min(Item.Deadline, Body.Deadline);
   Item.UsefulUntil = std::min(Item.UsefulUntil, Item.Deadline);
-  const bool SlotFree = this->freeSlots() > 0;
+  const bool SlotFree =
+      this->startableCalls(Now) > 0 && !this->Queue.hasReady();
   Out.emplace_back(LogDecision{
       "event=body-arrived call=" + Body.CallId +
       " running=" + std::to_string(this->RunningIds.size()) +
@@ -467,6 +520,7 @@
   Item.StartedAt = Now;
   Item.NestedAtStart = this->NestedLimiter.nestedCount();
   this->RunningIds.insert(Item.Id);
+  this->RateLimit.take(Now);
   Out.emplace_back(RunOnTarget{Item.Id, Item.Deadline});
 }
 
@@ -484,7 +538,7 @@
 
 void AttemptScheduler::startQueued(Time Now, Effects &Out) {
   this->refuseUnservable(Now, Out);
-  while (this->Queue.hasReady() && this->freeSlots() > 0)
+  while (this->Queue.hasReady() && this->startableCalls(Now) > 0)
     this->run(this->Attempts.at(this->Queue.takeNext().Id), Now, Out);
 }
 
@@ -494,6 +548,11 @@
   if (Found == this->Attempts.end() || Found->second.State != Stage::Running)
     return;
   Attempt &Item = Found->second;
+  this->TargetAnswered = this->TargetAnswered || Run.End == RunEnd::Answered ||
+                         Run.End == RunEnd::Shed;
+  // A refusal need not tell all that an answer tells.
+  if (Run.End == RunEnd::Answered || Run.Notice.CallsPerSecond)
+    this->noticed(Run.Notice, Item.StartedAt, Now, Out);
   const std::chrono::duration<double, std::milli> Took = Now - Item.StartedAt;
   if (Run.End == RunEnd::Answered) {
     this->RunTimes.addSample(Item.Route, Took.count());
@@ -670,7 +729,7 @@
 }
 
 void AttemptScheduler::tick(Time Now, Effects &Out) {
-  this->refuseUnservable(Now, Out);
+  this->startQueued(Now, Out);
   this->grantBodies(Now, Out);
   this->sendAnswerParts(Now, Out);
   if (Now < this->NextSweep)
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -3,6 +3,7 @@
 #include "admissionqueue.h"
 #include "answersizes.h"
 #include "bodyflowcontrol.h"
+#include "callratelimit.h"
 #include "effects.h"
 #include "events.h"
 #include "nestedloadlimiter.h"
@@ -61,6 +62,11 @@
                Effects &Out);
   /// Releases an answer that its sender has acknowledged.
   void receive(const wire::AnswerAck &Ack, Time Now, Effects &Out);
+  /// Applies what the target said of itself in the answer to a request that was
+  /// sent at \p SentAt.
+  void noticed(const TargetNotice &Notice, Time SentAt, Time Now, Effects &Out);
+  /// Returns the rate that the target takes; 0 if it names none.
+  double callsPerSecond() const;
   /// Handles the end of a run on the target and starts waiting calls.
   void finished(const RunFinished &Run, Time Now, Effects &Out);
   /// Records the end of a call made by the local target.
@@ -166,7 +172,10 @@
   void logAdmission(const wire::CallRequest &Request, bool Nested,
                     std::string_view Choice, ResultCode Code, Time Now,
                     Effects &Out) const;
+  /// Returns the slots without a running call.
   int freeSlots() const;
+  /// Returns how many calls may start now.
+  int startableCalls(Time Now) const;
   bool makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
                 Effects &Out);
   SlotState slotState(Time Now) const;
@@ -210,6 +219,10 @@
   AnswerSizes AnswerLengths;
   OutgoingLink Link;
   std::uint64_t RefusedByLink = 0;
+  CallRateLimit RateLimit;
+  /// Whether the target has answered this process. Until then its rate is not
+  /// known.
+  bool TargetAnswered = false;
   std::set<wire::AttemptId> RunningIds;
   std::map<std::pair<std::string, std::int64_t>, Watermark> RemovedUpTo;
   std::int64_t HeldAnswerBytes = 0;
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -6,6 +6,7 @@
 #include "time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -108,6 +109,14 @@
   std::int64_t CallNumber = 0;
 };
 
+/// What the target says of itself in an answer.
+struct TargetNotice {
+  /// Calls per second that it takes from all instances together.
+  std::optional<double> CallsPerSecond;
+  /// It shuts down and takes no new calls.
+  bool Leaving = false;
+};
+
 /// This daemon's target announced its service and state.
 struct TargetAnnounced {
   std::string Service;
@@ -135,12 +144,14 @@
   std::string Service;
   std::string InstanceId;
   int Slots = 0;
+  TargetNotice Notice = {};
 };
 
 /// Result of a request to the target's health endpoint.
 struct TargetProbed {
   bool Reachable = false;
   bool Healthy = false;
+  TargetNotice Notice;
 };
 
 /// How a call on this daemon's target ended. NotConnected: nothing listens
@@ -153,6 +164,10 @@
   RunEnd End = RunEnd::Answered;
   int Status = 0;
   std::int64_t AnswerBytes = 0;
+  /// Of any answer, also one that is not forwarded.
+  TargetNotice Notice;
+  /// The run of the target that the request was sent to.
+  std::string TargetRun;
 };
 
 /// An operator submits a change, authorized by the team's token.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -292,6 +292,7 @@
   Announcement.InstanceId = Body.InstanceId;
   this->Target.announce(Announcement);
   this->targetChanged(TheEvent.At, Out);
+  this->Scheduler.noticed(Body.Notice, TheEvent.At, TheEvent.At, Out);
 }
 
 void Node::on(const TargetProbed &Body, const Event &TheEvent, Effects &Out) {
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -55,7 +55,11 @@
 
 double TargetChooser::slotScore(const wire::MemberRecord &Record,
                                 const Stats &Target, Time Now) const {
-  const int Slots = std::max(1, Record.Slots);
+  // A target in need reports fewer slots than it announced.
+  const bool Reduced = Now < Target.ReportValidUntil &&
+                       Target.ReportedSlots > 0 &&
+                       Target.ReportedSlots < Record.Slots;
+  const int Slots = Reduced ? Target.ReportedSlots : std::max(1, Record.Slots);
   const double Own = static_cast<double>(Target.InFlight) / Slots;
   const auto Mean = this->MeanLoads.find(Record.Service);
   if (Mean == this->MeanLoads.end())
@@ -225,6 +229,7 @@
     if (!First)
       Mean->second += MeanLoadWeight * (Share - Mean->second);
   }
+  Target.ReportedSlots = Load.Slots;
   Target.ReportedRunning = Load.Running;
   Target.ReportedQueued = Load.Queued;
   Target.ReportValidUntil = Now + ReportValidity;
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -84,6 +84,7 @@
   struct Stats {
     int InFlight = 0;
     std::string Service;
+    int ReportedSlots = 0;
     int ReportedRunning = 0;
     int ReportedQueued = 0;
     /// Until then, the report outweighs the mean of its service.
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -288,6 +288,23 @@
   CHECK(Calls->matchesCall(Response, "id-1"));
 }
 
+TEST_CASE("a target's rate and its leaving are read from any response") {
+  const auto Calls = platform::makeCallProtocol();
+  TargetResponse Response;
+  Response.Status = 503;
+  CHECK(!Calls->readNotice(Response).CallsPerSecond);
+  CHECK(!Calls->readNotice(Response).Leaving);
+  Response.Headers = {makeHeader("server-limit", "12.5"),
+                      makeHeader("Server-Leaving", "1")};
+  CHECK(Calls->readNotice(Response).CallsPerSecond == 12.5);
+  CHECK(Calls->readNotice(Response).Leaving);
+  for (const char *Malformed : {"", "x", "-1", "3,5", "4 "}) {
+    Response.Headers = {makeHeader("Server-Limit", Malformed)};
+    INFO(Malformed);
+    CHECK(!Calls->readNotice(Response).CallsPerSecond);
+  }
+}
+
 TEST_CASE("operators are redirected to the leader or get an error") {
   const auto Operators = platform::makeOperatorProtocol();
   const HttpResponse Redirect = Operators->makeErrorResponse(
