Take a target for leaving by any of its answers

A daemon that started again has not heard the announcement.

Cause: only announcements told of a leaving target. Change: the notice in any answer of the current run, one that is not forwarded or to a health check too, drains the target like its announcement; a later announcement of being ready does not undo it. An answer of an earlier run tells nothing.

--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -282,6 +282,16 @@
     this->targetChanged(TheEvent.At, Out);
 }
 
+void Node::noticeLeaving(const TargetNotice &Notice,
+                         const std::string &InstanceId, Time Now,
+                         Effects &Out) {
+  const bool Serving =
+      this->Target.current().State == wire::TargetState::Serving ||
+      this->Target.current().State == wire::TargetState::Starting;
+  if (Notice.Leaving && Serving && this->Target.leave(InstanceId))
+    this->targetChanged(Now, Out);
+}
+
 void Node::on(const TargetFound &Body, const Event &TheEvent, Effects &Out) {
   if (this->Target.current().State != wire::TargetState::None)
     return;
@@ -293,9 +303,12 @@
   this->Target.announce(Announcement);
   this->targetChanged(TheEvent.At, Out);
   this->Scheduler.noticed(Body.Notice, TheEvent.At, TheEvent.At, Out);
+  this->noticeLeaving(Body.Notice, Body.InstanceId, TheEvent.At, Out);
 }
 
 void Node::on(const TargetProbed &Body, const Event &TheEvent, Effects &Out) {
+  this->noticeLeaving(Body.Notice, this->Target.current().InstanceId,
+                      TheEvent.At, Out);
   this->MissedProbes = Body.Reachable ? 0 : this->MissedProbes + 1;
   const wire::TargetState::type State = this->Target.current().State;
   const bool Present =
@@ -313,6 +326,8 @@
 }
 
 void Node::on(const RunFinished &Body, const Event &TheEvent, Effects &Out) {
+  // Before the next call starts.
+  this->noticeLeaving(Body.Notice, Body.TargetRun, TheEvent.At, Out);
   this->Scheduler.finished(Body, TheEvent.At, Out);
   if (Body.End == RunEnd::NotConnected && this->Target.markGone())
     this->targetChanged(TheEvent.At, Out);
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -124,6 +124,9 @@
   void receiveStamp(const wire::StampReply &Reply, Time Now, Effects &Out);
   void propagateChanges(Time Now, Effects &Out);
   void targetChanged(Time Now, Effects &Out);
+  /// Stops sending calls to a target that says that it leaves.
+  void noticeLeaving(const TargetNotice &Notice, const std::string &InstanceId,
+                     Time Now, Effects &Out);
   void updateOutdated(Time Now, Effects &Out);
   void refreshControlAddresses(Time Now);
   void startDraining(Time Now, Effects &Out);
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -5,7 +5,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -265,3 +264,57 @@
   Limit.clear();
   CHECK(Limit.available(14, Start) == 14);
 }
+
+TEST_CASE("a target that says in an answer that it leaves gets no new calls") {
+  LeastOfTwo Choice;
+  PeerTopology VersionTopology;
+  NodeIdentity Identity;
+  Identity.Name = "p1";
+  Identity.Address = "p1:1";
+  Identity.Zone = "zone-a";
+  Identity.Incarnation = 1;
+  for (const RunEnd End : {RunEnd::Answered, RunEnd::Shed}) {
+    const auto Daemon = Node::makeProxy(Identity, {Choice, VersionTopology});
+    TargetAnnounced Target;
+    Target.Service = "team/work";
+    Target.Slots = 2;
+    Target.State = wire::TargetState::Serving;
+    Target.InstanceId = "i-1";
+    Target.Born = 1;
+    Target.Sequence = 1;
+    Daemon->reduce({Start, 0, Target});
+    RunFinished Run;
+    Run.End = End;
+    Run.Notice.Leaving = true;
+    // The answer of a run before this one says nothing about it.
+    Run.TargetRun = "i-0";
+    Daemon->reduce({Start, 0, Run});
+    CHECK(Daemon->target().State == wire::TargetState::Serving);
+    Run.TargetRun = "i-1";
+    Daemon->reduce({Start, 0, Run});
+    CHECK(Daemon->target().State == wire::TargetState::Draining);
+    CHECK(Daemon->members().self().Target == wire::TargetState::Draining);
+    // A late announcement does not make it serve again.
+    Target.Sequence = 2;
+    Daemon->reduce({Start, 0, Target});
+    CHECK(Daemon->target().State == wire::TargetState::Draining);
+  }
+}
+
+TEST_CASE("a target that is found leaving gets no calls") {
+  LeastOfTwo Choice;
+  PeerTopology VersionTopology;
+  NodeIdentity Identity;
+  Identity.Name = "p1";
+  Identity.Address = "p1:1";
+  Identity.Zone = "zone-a";
+  Identity.Incarnation = 1;
+  const auto Daemon = Node::makeProxy(Identity, {Choice, VersionTopology});
+  TargetFound Found;
+  Found.Service = "team/work";
+  Found.InstanceId = "i-1";
+  Found.Slots = 2;
+  Found.Notice.Leaving = true;
+  Daemon->reduce({Start, 0, Found});
+  CHECK(Daemon->target().State == wire::TargetState::Draining);
+}
