--- a/src/libhost/targetclient.h
+++ b/src/libhost/targetclient.h
@@ -18,6 +18,9 @@
   int Status = 0;
   std::vector<wire::Header> Headers;
   std::string Body;
+  /// The connection has carried an earlier request, whose response the target
+  /// may have sent twice.
+  bool OnUsedConnection = false;
 
   /// Returns the value of a header, or an empty string. Header names are
   /// case-insensitive.
--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -77,6 +77,7 @@
   this->WhenDone = std::move(Handler);
   this->SendStarted = false;
   this->RequestWritten = false;
+  this->Requests += 1;
   this->Reader.begin(Request.Method);
   if (this->Connected)
     return this->send();
@@ -198,6 +199,7 @@
 void TargetConnection::onResponseComplete() {
   const bool KeepAlive = this->Reader.keepAlive();
   TargetResponse Response = this->Reader.take();
+  Response.OnUsedConnection = this->Requests > 1;
   this->setHeldBytes(0);
   this->Reusable = this->Reusable && KeepAlive;
   if (this->ResponseMatches && !this->ResponseMatches(Response)) {
--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -87,6 +87,8 @@
   bool RequestWritten = false;
   bool Closed = false;
   bool Reusable = true;
+  /// Requests that this connection was used for.
+  int Requests = 0;
 };
 
 } // namespace persimmon
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -288,6 +288,18 @@
   CHECK(Calls->matchesCall(Response, "id-1"));
 }
 
+TEST_CASE("a rejection without an id on a used connection is of no call") {
+  const auto Calls = platform::makeCallProtocol();
+  TargetResponse Response;
+  Response.Status = 503;
+  Response.Headers = {makeHeader("X-Not-Executed", "1")};
+  CHECK(Calls->matchesCall(Response, "id-1"));
+  Response.OnUsedConnection = true;
+  CHECK(!Calls->matchesCall(Response, "id-1"));
+  Response.Headers.push_back(makeHeader("X-Request-Id", "id-1"));
+  CHECK(Calls->matchesCall(Response, "id-1"));
+}
+
 TEST_CASE("a target's rate and its leaving are read from any response") {
   const auto Calls = platform::makeCallProtocol();
   TargetResponse Response;
--- a/tests/targetclient/test_targetclient.cpp
+++ b/tests/targetclient/test_targetclient.cpp
@@ -171,6 +171,30 @@
   CHECK(Second.Body == "two");
 }
 
+TEST_CASE(
+    "a second copy of a rejection is not the answer to the next request") {
+  const std::string Rejection = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+  // The copy is written when the next request has arrived.
+  Fixture F({{Rejection}, {Rejection + response("b", "two")}});
+  const auto Matches = [](const std::string &Id) {
+    return [Id](const TargetResponse &Got) {
+      return Got.header("X-Id").empty()
+                 ? Got.Status >= 400 && !Got.OnUsedConnection
+                 : Got.header("X-Id") == Id;
+    };
+  };
+  TargetRequest First = F.request("a");
+  First.ResponseMatches = Matches("a");
+  CHECK(F.run(First).Status == 503);
+  TargetRequest Second = F.request("b");
+  Second.ResponseMatches = Matches("b");
+  const TargetResponse Got = F.run(Second);
+  CHECK(F.Target.Connections == 1);
+  CHECK(Got.Status == 200);
+  CHECK(Got.Body == "two");
+}
+
 TEST_CASE("a truncated response is reported as broken") {
   Fixture F({{"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\ncut",
               Step::Ending::Close}});
