--- a/tests/targetclient/test_targetclient.cpp
+++ b/tests/targetclient/test_targetclient.cpp
@@ -201,6 +201,20 @@
   CHECK(F.run("1").End == RunEnd::Broken);
 }
 
+TEST_CASE("a response whose head breaks off is broken") {
+  const std::string Whole = response("a", "body", "X-Seal: 1\r\n");
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string &Before : {std::string(), Interim}) {
+    const std::string Bytes = Before + Whole;
+    const std::size_t HeadEnd = Bytes.find("\r\n\r\n", Before.size()) + 4;
+    for (std::size_t Length = 0; Length < HeadEnd; ++Length) {
+      Fixture F({{Bytes.substr(0, Length), Step::Ending::Close}});
+      INFO(Bytes.substr(0, Length));
+      CHECK(F.run("a").End == RunEnd::Broken);
+    }
+  }
+}
+
 TEST_CASE("a response without a length ends with its connection") {
   Fixture F(
       {{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it", Step::Ending::Close}});
