Refuse calls that would not end before a planned stop, and exit in time

Here new calls are refused 2.2 s after the SIGTERM, but until then a call was taken however long its route runs, and was cut 5.3 s after the SIGTERM.

Change: while the daemon stops, a call is refused as not run if its deadline lies after the exit and its route is expected to run past it (one and a half times the mean at the entry, twice the mean at the target). The process exits 600 ms after the time for calls at the latest and says how many responses were not written.

Evidence: tests/calls, one new case. The exit has no test of its own.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr milliseconds TickInterval{20};
+/// Time to write the last responses after the time for calls has ended. A
+/// caller that does not read must not hold up the exit.
+constexpr milliseconds WriteOutTime{600};
 /// Interval at which the settings file is checked for changes, as it may be
 /// replaced without a signal.
 constexpr milliseconds SettingsCheckInterval{1000};
@@ -169,6 +172,9 @@
   this->Signals.async_wait([this](std::error_code Error, int) {
     if (Error)
       return;
+    if (this->ExitBy == NoDeadline && this->Settings.Stop.GiveUp.count() > 0)
+      this->ExitBy = std::chrono::steady_clock::now() +
+                     this->Settings.Stop.GiveUp + WriteOutTime;
     this->submit(StopRequested());
     this->watchSignals();
   });
@@ -442,6 +448,11 @@
   // Waits until all pending responses have been written to the callers.
   if (!this->Proxy || this->Proxy->pendingResponses() == 0)
     return this->Io.stop();
+  if (std::chrono::steady_clock::now() >= this->ExitBy) {
+    logWarning("event=stop-incomplete unwritten=" +
+               std::to_string(this->Proxy->pendingResponses()));
+    return this->Io.stop();
+  }
   auto Timer = std::make_shared<asio::steady_timer>(this->Io);
   Timer->expires_after(TickInterval);
   Timer->async_wait(
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -99,6 +99,8 @@
   asio::steady_timer SettingsTimer;
   std::filesystem::file_time_type SettingsWrittenAt;
   Time NextTrafficLogAt;
+  /// When the process exits even if responses are not written.
+  Time ExitBy = NoDeadline;
   std::array<TrafficCounters, std::variant_size_v<Message>> LoggedTraffic{};
   std::unique_ptr<ChoicePolicy> TargetPolicy;
   std::unique_ptr<Topology> VersionTopology;
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -25,6 +25,9 @@
 /// in need names its rate in each answer, but a daemon that starts again does
 /// not know it.
 constexpr int RunsBeforeFirstAnswer = 2;
+/// Multiple of a route's mean run time that must be left until the daemon
+/// exits. Longer runs are rare.
+constexpr int ExitMargin = 2;
 
 } // namespace
 
@@ -220,6 +223,11 @@
     return ResultCode::NoTarget;
   if (Request.RemainingMs <= 0)
     return ResultCode::DeadlineCannotBeMet;
+  const milliseconds RunTime(
+      static_cast<std::int64_t>(this->RunTimes.expectedMs(Request.Route)));
+  if (Now + milliseconds(Request.RemainingMs) > this->EndsAt &&
+      Now + RunTime * ExitMargin > this->EndsAt)
+    return ResultCode::Draining;
   if (!this->NestedLimiter.admit(Request.Route, Request.Priority, Now))
     return ResultCode::NestedOverload;
   return ResultCode::Ok;
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -90,6 +90,10 @@
   /// Applies an announcement of the target.
   void setTarget(const TargetAnnounced &Target, Time Now, Effects &Out);
 
+  /// Refuses calls that are not expected to end before \p End, when this daemon
+  /// exits.
+  void setEnd(Time End) { this->EndsAt = End; }
+
   /// Refuses new calls and returns queued ones to their senders as not run.
   void drain(Time Now, Effects &Out);
 
@@ -209,6 +213,7 @@
 
   TargetAnnounced Target;
   bool IsDraining = false;
+  Time EndsAt = NoDeadline;
   int SlotCount = 1;
   AttemptMap Attempts;
   NestedLoadLimiter NestedLimiter;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -110,6 +110,8 @@
   if (Arrived.BodySize > Service.MaxBodyBytes)
     return this->refuseByConfiguration(
         Number, {ResultCode::BodyTooLarge, Service.Name, {}}, Out);
+  if (!this->endsInTime(NewCall, Now))
+    return this->refuse(Number, {ResultCode::Stopping, {}, {}}, Out);
   this->Budget.deposit(Service.Name, Service.RetryBudgetPercent);
   Call &Stored = this->Calls.emplace(Number, std::move(NewCall)).first->second;
   if (!Stored.MayRepeat && !Arrived.IdempotencyKey.empty()) {
@@ -122,6 +124,14 @@
   this->dispatch(Stored, Now, Out);
 }
 
+bool CallRouter::endsInTime(const Call &NewCall, Time Now) const {
+  if (NewCall.Deadline <= this->EndsAt)
+    return true;
+  const milliseconds AnswerTime(static_cast<std::int64_t>(
+      AnswerTimeFactor * this->AnswerTimes.expectedMs(NewCall.RoutePath)));
+  return Now + AnswerTime <= this->EndsAt;
+}
+
 void CallRouter::denyRoute(const CallArrived &Arrived, Time Now, Effects &Out) {
   const Failure Denied{ResultCode::NoRoute, Arrived.Job, {}};
   if (Now < this->Validity.DeniesUntil || this->Config.superseded())
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -94,6 +94,10 @@
     this->Claims.setControlAddresses(std::move(Addresses));
   }
 
+  /// Makes the router refuse calls that are not expected to end before \p End,
+  /// when this daemon exits.
+  void setEnd(Time End) { this->EndsAt = End; }
+
   /// Makes the router refuse all new calls.
   void stop() { this->Stopping = true; }
 
@@ -203,6 +207,8 @@
   }
   void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
+  /// Returns whether the call is expected to end before this daemon exits.
+  bool endsInTime(const Call &NewCall, Time Now) const;
   /// Denies a call without a route, or holds it until the version in force is
   /// confirmed.
   void denyRoute(const CallArrived &Arrived, Time Now, Effects &Out);
@@ -251,6 +257,7 @@
   RunTimeEstimates AnswerTimes;
   AnswerSizes AnswerLengths;
   bool Stopping = false;
+  Time EndsAt = NoDeadline;
 };
 
 } // namespace persimmon
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -220,6 +220,9 @@
   this->DrainAt = TheEvent.At + this->Stop.ServeOn;
   if (this->Stop.GiveUp.count() > 0)
     this->GiveUpAt = TheEvent.At + this->Stop.GiveUp;
+  if (this->Router)
+    this->Router->setEnd(this->GiveUpAt);
+  this->Scheduler.setEnd(this->GiveUpAt);
   Out.emplace_back(LogDecision{"event=stop-started"});
   this->advanceStop(TheEvent.At, Out);
 }
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -251,6 +251,23 @@
   CHECK(startedRuns(L.Out).empty());
 }
 
+TEST_CASE("a call that is not expected to end before the daemon exits is "
+          "refused") {
+  TargetFixture T;
+  T.arrive(request(1));
+  const Time Later = Start + milliseconds(2000);
+  T.finish(1, Later);
+  T.UnderTest.setEnd(Later + milliseconds(3000));
+  T.Out.clear();
+  T.arrive(request(2), Later);
+  CHECK(startedRuns(T.Out).empty());
+  REQUIRE(replies(T.Out).count(2) == 1);
+  CHECK(replies(T.Out)[2].Outcome == wire::CallOutcome::NotRun);
+  // Its caller stops waiting before the exit.
+  T.arrive(request(3, 2500), Later);
+  CHECK(startedRuns(T.Out).count(3) == 1);
+}
+
 TEST_CASE("a broken run has an unknown outcome, an unreachable or shedding "
           "target does not") {
   TargetFixture L;
