Ask fewer control instances for a confirmation, and less often

Change: three random instances by datagram, the parent and one by connection, and after eight questions one instance at intervals that double up to a second.

Evidence: tests/confirmation, new case, nine instances: at most 18 questions in the first second and 12 in the ten seconds after it. Also: a metric for the rate that the target names.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -480,6 +480,8 @@
   this->DaemonMetrics.setGauge(
       "persimmon_calls_refused_by_link",
       static_cast<double>(this->LocalNode->scheduler().refusedByLink()));
+  this->DaemonMetrics.setGauge("persimmon_target_calls_per_second",
+                               this->LocalNode->scheduler().callsPerSecond());
   if (const CallRouter *Router = this->LocalNode->router()) {
     this->DaemonMetrics.setGauge("persimmon_call_retries",
                                  static_cast<double>(Router->retryCount()));
--- a/src/libpersimmon/versionconfirmation.cpp
+++ b/src/libpersimmon/versionconfirmation.cpp
@@ -19,12 +19,16 @@
 constexpr milliseconds RequestedAge{200};
 /// Several round trips between availability zones.
 constexpr milliseconds RetryInterval{60};
-constexpr milliseconds SlowRetryInterval{250};
-/// Requests after which the interval between them becomes longer.
+/// Requests after which the interval between them doubles each time: without a
+/// leader, all proxies ask.
 constexpr int QuickRequests = 8;
-/// Requests after which a connection is used as well: datagrams do not pass a
-/// full link.
+constexpr milliseconds LongestRetryInterval{1000};
+/// Requests after which every other one goes over connections: datagrams do not
+/// pass a full link.
 constexpr int DatagramsBeforeStream = 3;
+/// Control instances that a request by datagram is sent to. The leader is not
+/// known here, and the others need not hear from every proxy.
+constexpr std::size_t InstancesAsked = 3;
 /// Time for several requests, of which the last ones use connections.
 constexpr milliseconds OutOfTouchAfter{400};
 /// A pause between requests after which earlier ones tell nothing about whether
@@ -34,13 +38,30 @@
 constexpr std::size_t MaxWaiting = 64;
 constexpr milliseconds WaitingTimeout{300};
 
+/// Returns the pause after the request with the number \p Unanswered.
+milliseconds retryInterval(int Unanswered) {
+  milliseconds Out = RetryInterval;
+  for (int I = QuickRequests; I <= Unanswered && Out < LongestRetryInterval;
+       ++I)
+    Out *= 2;
+  return std::min(Out, LongestRetryInterval);
+}
+
+/// Returns \p Count random addresses.
+std::vector<std::string> pickInstances(std::span<const std::string> From,
+                                       std::size_t Count, Random &Rng) {
+  std::vector<std::string> Out(From.begin(), From.end());
+  Count = std::min(Count, Out.size());
+  for (std::size_t I = 0; I < Count; ++I)
+    std::swap(Out[I], Out[I + Rng.below(Out.size() - I)]);
+  Out.resize(Count);
+  return Out;
+}
+
 } // namespace
 
 bool VersionConfirmation::due(bool Urgent, Time Now) const {
-  const milliseconds Interval = this->UnansweredRequests < QuickRequests
-                                    ? RetryInterval
-                                    : SlowRetryInterval;
-  if (Now < this->LastRequest + Interval)
+  if (Now < this->LastRequest + retryInterval(this->UnansweredRequests))
     return false;
   if (Urgent || !this->Waiting.empty())
     return true;
@@ -72,16 +93,20 @@
   this->OpenRequests.push_back({Request.Nonce, Now});
   if (this->OpenRequests.size() > MaxOpenRequests)
     this->OpenRequests.pop_front();
-  if (this->UnansweredRequests == 1 && !Others.Parents.empty()) {
+  const int Count = this->UnansweredRequests;
+  const bool ByStream = Count > DatagramsBeforeStream && Count % 2 == 0;
+  const Channel Via = ByStream ? Channel::Stream : Channel::Datagram;
+  if (Count == 1 || ByStream) {
     for (const std::string &Address : Others.Parents)
-      persimmon::send(Out, Address, Request, Channel::Datagram);
-    return;
+      persimmon::send(Out, Address, Request, Via);
+    if (Count == 1 && !Others.Parents.empty())
+      return;
   }
-  const bool ByStream = this->UnansweredRequests > DatagramsBeforeStream &&
-                        this->UnansweredRequests <= QuickRequests;
-  for (const std::string &Address : Others.ControlInstances)
-    persimmon::send(Out, Address, Request,
-                    ByStream ? Channel::Stream : Channel::Datagram);
+  const std::size_t Instances =
+      ByStream || Count > QuickRequests ? std::size_t{1} : InstancesAsked;
+  for (const std::string &Address :
+       pickInstances(Others.ControlInstances, Instances, this->Rng))
+    persimmon::send(Out, Address, Request, Via);
 }
 
 bool VersionConfirmation::receive(const wire::StampReply &Reply) {
--- a/tests/confirmation/test_confirmation.cpp
+++ b/tests/confirmation/test_confirmation.cpp
@@ -201,3 +201,25 @@
   CHECK(MostAtProxy <= Fanout * 10 * 5);
   CHECK(Expired == 0);
 }
+
+// All proxies ask while there is no leader, so each asks few and less and less
+// often.
+TEST_CASE("an outage of the leader does not flood the control instances") {
+  Proxy P;
+  P.Controls.clear();
+  for (int I = 1; I <= 9; ++I)
+    P.Controls.push_back("c" + std::to_string(I) + ":1");
+  std::size_t InFirstSecond = 0;
+  std::size_t Later = 0;
+  for (Time Now = Start; Now < Start + milliseconds(11'000);
+       Now += TickInterval) {
+    P.UnderTest.recordUse(Now);
+    for (const Request &Item : P.tick(Now)) {
+      if (Item.To == "p1:1")
+        continue;
+      (Now < Start + milliseconds(1000) ? InFirstSecond : Later) += 1;
+    }
+  }
+  CHECK(InFirstSecond <= 2 * P.Controls.size());
+  CHECK(Later <= 12);
+}
