Keep the bound on unconfirmed versions and the peers to ask in one place

No change of behaviour. The 1.8 s stood in two files for the same bound; updateConfirmation answers the proxies that wait, so its callers need not; the tests of leaving targets share their proxy.

--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -30,9 +30,6 @@
 /// announcement takes a few tenths of a second to arrive, so a superseded
 /// version is served only for the remaining time.
 constexpr milliseconds SupersededServeLimit{1500};
-/// A version that was committed just after the version in force was confirmed
-/// as the newest one is due everywhere two seconds later.
-constexpr milliseconds UnconfirmedServeLimit{1800};
 /// Further versions are not recorded; the oldest entry sets the deadline.
 constexpr std::size_t MaxPending = 64;
 constexpr milliseconds BusyRetryMin{50};
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -15,6 +15,11 @@
 
 namespace persimmon {
 
+/// Time for which a version is served after it was last known to be the newest
+/// one. A change must be in force everywhere within 2 s of its acknowledgement,
+/// and a newer version may have been committed just after that moment.
+constexpr milliseconds UnconfirmedServeLimit{1800};
+
 /// The configuration held by one daemon and its exchange with peers. A newer
 /// version is pulled from any peer that has it, as deltas or as a snapshot,
 /// validated, compiled and put in force atomically. The version in force never
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -376,10 +376,11 @@
 
 void Node::updateConfirmation(Time Now, Effects &Out) {
   const std::int64_t Version = this->Config.version();
-  this->Confirmation.tick({this->Members.self().Address,
-                           this->Reports.parentAddresses(),
-                           this->ControlAddresses},
-                          this->Router->hasHeld(), Now, Out);
+  const VersionConfirmation::Peers Others{this->Members.self().Address,
+                                          this->Reports.parentAddresses(),
+                                          this->ControlAddresses};
+  this->Confirmation.answerWaiting(Others, Version, Now, Out);
+  this->Confirmation.tick(Others, this->Router->hasHeld(), Now, Out);
   const bool WasOutOfTouch = this->Router->validity().OutOfTouch;
   this->Router->setValidity({this->Confirmation.deniesUntil(Version),
                              this->Confirmation.servesUntil(Version),
@@ -426,10 +427,6 @@
   this->applyConfirmation();
   this->Config.noteCommittedVersion(Reply.Confirmed.Version, Now);
   this->Config.notePeerVersion(Reply.Source, Reply.Confirmed.Version, Now, Out);
-  this->Confirmation.answerWaiting({this->Members.self().Address,
-                                    this->Reports.parentAddresses(),
-                                    this->ControlAddresses},
-                                   this->Config.version(), Now, Out);
   this->updateConfirmation(Now, Out);
   this->Router->routeAgain(this->Gate.open(), Now, Out);
 }
@@ -442,10 +439,6 @@
   if (this->Control)
     return this->Control->receive(Request, From, Now, Out);
   this->Confirmation.receive(Request, From, Now);
-  this->Confirmation.answerWaiting({this->Members.self().Address,
-                                    this->Reports.parentAddresses(),
-                                    this->ControlAddresses},
-                                   this->Config.version(), Now, Out);
   this->updateConfirmation(Now, Out);
 }
 
--- a/src/libpersimmon/versionconfirmation.cpp
+++ b/src/libpersimmon/versionconfirmation.cpp
@@ -1,5 +1,7 @@
 #include "versionconfirmation.h"
 
+#include "distribution.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -11,9 +13,9 @@
 /// acknowledgement; a denial is not repeated by the caller, so it needs a more
 /// recent confirmation than a call that is served.
 constexpr milliseconds DenyValidity{1000};
-constexpr milliseconds ServeValidity{1800};
 /// Age of a confirmation at which the next one is requested while calls arrive.
-/// The rest of ServeValidity is left for lost requests.
+/// The rest of UnconfirmedServeLimit is
+/// left for lost requests.
 constexpr milliseconds RefreshAge{600};
 /// Age up to which a parent passes on its own confirmation.
 constexpr milliseconds RequestedAge{200};
@@ -170,7 +172,7 @@
 
 Time VersionConfirmation::servesUntil(std::int64_t VersionInForce) const {
   return VersionInForce >= this->ConfirmedVersion
-             ? this->ConfirmedAt + ServeValidity
+             ? this->ConfirmedAt + UnconfirmedServeLimit
              : Time();
 }
 
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -175,6 +175,23 @@
   return static_cast<int>(Tolerance * Rate * Seconds) + Slack;
 }
 
+/// A proxy that knows no other daemon.
+struct ProxyFixture {
+  LeastOfTwo Choice;
+  PeerTopology VersionTopology;
+  std::unique_ptr<Node> Daemon;
+
+  ProxyFixture() {
+    NodeIdentity Identity;
+    Identity.Name = "p1";
+    Identity.Address = "p1:1";
+    Identity.Zone = "zone-a";
+    Identity.Incarnation = 1;
+    this->Daemon =
+        Node::makeProxy(Identity, {this->Choice, this->VersionTopology});
+  }
+};
+
 } // namespace
 
 TEST_CASE("a target gets no more calls than the rate that it names") {
@@ -266,15 +283,9 @@
 }
 
 TEST_CASE("a target that says in an answer that it leaves gets no new calls") {
-  LeastOfTwo Choice;
-  PeerTopology VersionTopology;
-  NodeIdentity Identity;
-  Identity.Name = "p1";
-  Identity.Address = "p1:1";
-  Identity.Zone = "zone-a";
-  Identity.Incarnation = 1;
   for (const RunEnd End : {RunEnd::Answered, RunEnd::Shed}) {
-    const auto Daemon = Node::makeProxy(Identity, {Choice, VersionTopology});
+    const ProxyFixture Proxy;
+    const auto &Daemon = Proxy.Daemon;
     TargetAnnounced Target;
     Target.Service = "team/work";
     Target.Slots = 2;
@@ -302,14 +313,8 @@
 }
 
 TEST_CASE("a target that is found leaving gets no calls") {
-  LeastOfTwo Choice;
-  PeerTopology VersionTopology;
-  NodeIdentity Identity;
-  Identity.Name = "p1";
-  Identity.Address = "p1:1";
-  Identity.Zone = "zone-a";
-  Identity.Incarnation = 1;
-  const auto Daemon = Node::makeProxy(Identity, {Choice, VersionTopology});
+  const ProxyFixture Proxy;
+  const auto &Daemon = Proxy.Daemon;
   TargetFound Found;
   Found.Service = "team/work";
   Found.InstanceId = "i-1";
