Announce a target that is found leaving once, as leaving

A target found by its health endpoint was first announced as serving and then, in the same step, as leaving; a caller's daemon that got only the first message would have sent it calls. The end state is as before.

--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -304,9 +304,10 @@
   Announcement.Slots = Body.Slots;
   Announcement.InstanceId = Body.InstanceId;
   this->Target.announce(Announcement);
+  if (Body.Notice.Leaving)
+    this->Target.leave(Body.InstanceId);
   this->targetChanged(TheEvent.At, Out);
   this->Scheduler.noticed(Body.Notice, TheEvent.At, TheEvent.At, Out);
-  this->noticeLeaving(Body.Notice, Body.InstanceId, TheEvent.At, Out);
 }
 
 void Node::on(const TargetProbed &Body, const Event &TheEvent, Effects &Out) {
