Hand over the vote of a control instance that stops

Cause: a control instance that stops told the members, and consensus nothing. Its vote counted until it had been silent for 4.5 s from the election of the present leader on, so a second departure left one of three voters.

Change: an instance that stops says so to the voters before it exits and waits up to 4 s, within its giveUpMs, until a learner has taken over its vote. The leader replaces voters that have left as soon as a learner is up to date, itself last. The departure is known from the membership, so a new leader knows it too. The wait for silent voters is as before.

--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -174,7 +174,7 @@
 }
 
 void Consensus::sendJoinRequests(Time Now, Effects &Out) {
-  if (Now < this->NextJoin)
+  if (this->Leaving || Now < this->NextJoin)
     return;
   wire::JoinRequest Request;
   Request.Joiner = this->Self;
@@ -604,31 +604,71 @@
          Now >= Found->second.ActiveUntil + UnresponsiveVoterTimeout;
 }
 
-bool Consensus::removeVoter(Time Now, Effects &Out) {
-  const std::vector<wire::Replica> &Voters = this->Log.voters();
-  const bool TooMany =
-      this->Policy.open() && Voters.size() > this->Policy.Count;
+bool Consensus::isLeaving(const wire::Replica &Voter) const {
+  if (Voter.DiskId == this->Self.DiskId)
+    return this->Leaving;
+  return std::find(this->Departed.begin(), this->Departed.end(),
+                   Voter.Address) != this->Departed.end();
+}
+
+bool Consensus::isReplaced(std::size_t Position) const {
   // A replaced replica is removed only after its successor has become a voter,
   // which the voter list shows by an entry with the same instance after it.
-  for (auto Old = Voters.begin(); Old != Voters.end(); ++Old) {
-    const bool Replaced =
-        std::any_of(Old + 1, Voters.end(), [&](const wire::Replica &Newer) {
-          return Newer.Instance == Old->Instance;
-        });
-    if (!Replaced && !(TooMany && this->isUnresponsive(*Old, Now)))
-      continue;
-    Out.emplace_back(
-        LogWarning{"event=replica-removed instance=" + Old->Instance +
-                   " disk=" + std::to_string(Old->DiskId) +
-                   " reason=" + (Replaced ? "replaced" : "gone")});
-    wire::LogEntry Entry;
-    Entry.Kind = wire::EntryKind::Voters;
-    Entry.Voters = Voters;
-    Entry.Voters.erase(Entry.Voters.begin() + (Old - Voters.begin()));
-    this->propose(std::move(Entry), Now, Out);
-    return true;
-  }
-  return false;
+  const std::vector<wire::Replica> &Voters = this->Log.voters();
+  const auto Old = Voters.begin() + static_cast<std::ptrdiff_t>(Position);
+  return std::any_of(Old + 1, Voters.end(), [&](const wire::Replica &Newer) {
+    return Newer.Instance == Old->Instance;
+  });
+}
+
+std::optional<std::size_t> Consensus::findRemovableVoter(Time Now) const {
+  const std::vector<wire::Replica> &Voters = this->Log.voters();
+  const auto FindFirst =
+      [&](const auto &Matches) -> std::optional<std::size_t> {
+    for (std::size_t I = 0; I < Voters.size(); ++I) {
+      if (Matches(I))
+        return I;
+    }
+    return std::nullopt;
+  };
+  if (const auto Found =
+          FindFirst([&](std::size_t I) { return isReplaced(I); }))
+    return Found;
+  if (!this->Policy.open() || Voters.size() <= this->Policy.Count)
+    return std::nullopt;
+  const auto HasLeft = [&](std::size_t I) {
+    return Voters[I].DiskId != this->Self.DiskId && this->isLeaving(Voters[I]);
+  };
+  if (const auto Found = FindFirst(HasLeft))
+    return Found;
+  const auto IsLost = [&](std::size_t I) {
+    return this->isUnresponsive(Voters[I], Now);
+  };
+  if (const auto Found = FindFirst(IsLost))
+    return Found;
+  return FindFirst([&](std::size_t I) { return this->isLeaving(Voters[I]); });
+}
+
+bool Consensus::removeVoter(Time Now, Effects &Out) {
+  const auto Position = this->findRemovableVoter(Now);
+  if (!Position)
+    return false;
+  const wire::Replica &Old = this->Log.voters()[*Position];
+  const char *Reason = "gone";
+  if (this->isReplaced(*Position))
+    Reason = "replaced";
+  else if (this->isLeaving(Old))
+    Reason = "left";
+  Out.emplace_back(LogWarning{"event=replica-removed instance=" + Old.Instance +
+                              " disk=" + std::to_string(Old.DiskId) +
+                              " reason=" + Reason});
+  wire::LogEntry Entry;
+  Entry.Kind = wire::EntryKind::Voters;
+  Entry.Voters = this->Log.voters();
+  Entry.Voters.erase(Entry.Voters.begin() +
+                     static_cast<std::ptrdiff_t>(*Position));
+  this->propose(std::move(Entry), Now, Out);
+  return true;
 }
 
 bool Consensus::mayBecomeVoter(const wire::Replica &Learner, Time Now) const {
@@ -637,17 +677,17 @@
     return true;
   if (Voters.size() > this->Policy.Count)
     return false;
-  return std::any_of(Voters.begin(), Voters.end(),
-                     [&](const wire::Replica &Voter) {
-                       return Voter.Instance == Learner.Instance ||
-                              this->isUnresponsive(Voter, Now);
-                     });
+  return std::any_of(
+      Voters.begin(), Voters.end(), [&](const wire::Replica &Voter) {
+        return Voter.Instance == Learner.Instance || this->isLeaving(Voter) ||
+               this->isUnresponsive(Voter, Now);
+      });
 }
 
 void Consensus::addVoter(Time Now, Effects &Out) {
   for (const auto &[DiskId, Learner] : this->Followers) {
     if (this->isVoter(DiskId) || Learner.Match < this->CommitIndex ||
-        Now >= Learner.ActiveUntil ||
+        Now >= Learner.ActiveUntil || this->isLeaving(Learner.Replica) ||
         !this->mayBecomeVoter(Learner.Replica, Now))
       continue;
     Out.emplace_back(
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -60,6 +60,22 @@
     this->JoinAddresses = std::move(Addresses);
   }
 
+  /// Sets the addresses of the control instances that have left as planned. A
+  /// learner takes over the vote of such an instance as soon as it is up to
+  /// date.
+  void setDeparted(std::vector<std::string> Addresses) {
+    this->Departed = std::move(Addresses);
+  }
+
+  /// Makes this replica hand its vote over to a learner, if there is one, and
+  /// stop joining.
+  void leave() { this->Leaving = true; }
+
+  /// Returns whether this replica has a vote that a learner may take over.
+  bool mayHandOver() const {
+    return this->Policy.open() && this->isVoter(this->Self.DiskId);
+  }
+
   /// Makes this replica the only voter after a quorum of disks has been lost.
   /// Entries that only the lost disks stored are lost for good.
   void recover(std::int64_t VersionBase, Time Now, Effects &Out);
@@ -164,6 +180,11 @@
   bool isQuorumActive(Time Now) const;
   void trackVoters(Time Now);
   void updateVoters(Time Now, Effects &Out);
+  bool isLeaving(const wire::Replica &Voter) const;
+  /// Returns the position of the voter to remove next, if there is one. This
+  /// replica removes itself last, so that it leads as long as it has to.
+  std::optional<std::size_t> findRemovableVoter(Time Now) const;
+  bool isReplaced(std::size_t Position) const;
   bool removeVoter(Time Now, Effects &Out);
   void addVoter(Time Now, Effects &Out);
   bool isUnresponsive(const wire::Replica &Voter, Time Now) const;
@@ -179,6 +200,8 @@
   std::vector<ControlPeer> Peers;
   VoterPolicy Policy;
   std::vector<std::string> JoinAddresses;
+  std::vector<std::string> Departed;
+  bool Leaving = false;
   Random Rng;
   wire::HardState HardState;
   ReplicatedLog Log;
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -52,6 +52,14 @@
     this->ConsensusModule.setJoinAddresses(std::move(Addresses));
   }
 
+  /// Sets the addresses of the control instances that have left as planned.
+  void setDeparted(std::vector<std::string> Addresses) {
+    this->ConsensusModule.setDeparted(std::move(Addresses));
+  }
+
+  /// Makes this instance hand over its vote before it stops.
+  void leave() { this->ConsensusModule.leave(); }
+
   /// Handle a consensus message, a stamp request or a claim request.
   template <typename MessageT>
   void receive(const MessageT &Body, std::string_view From, Time Now,
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include <algorithm>
+#include <set>
 
 namespace persimmon {
 
@@ -8,6 +9,10 @@
 
 constexpr int MissedProbesUntilGone = 3;
 constexpr milliseconds LeaveAnnounceTime{300};
+/// How long a control instance that stops waits for another one to take over
+/// its vote.
+constexpr milliseconds HandoverTimeout{4000};
+constexpr milliseconds LeftAnnouncementInterval{200};
 constexpr milliseconds StaleWarningInterval{10'000};
 constexpr milliseconds ControlRefreshInterval{200};
 
@@ -121,8 +126,10 @@
   const Time Now = TheEvent.At;
   this->Scheduler.chargeLink(Body.LinkBytes, Now);
   this->refreshControlAddresses(Now);
-  if (this->Control)
+  if (this->Control) {
+    this->updateDeparted();
     this->Control->tick(Now, TheEvent.WallMs, Out);
+  }
   this->Members.tick(Now, Out);
   this->Config.tick(Now, Out);
   this->Config.dropIdleReplies(Now);
@@ -180,18 +187,79 @@
   if (Now < this->GiveUpAt && !this->drained())
     return;
   if (this->ExitAt == NoDeadline) {
+    if (this->awaitsHandover(Now, Out))
+      return;
     this->ExitAt = Now + LeaveAnnounceTime;
-    this->Members.updateSelf([](wire::MemberRecord &Record) {
-      Record.State = wire::Liveness::Left;
-      Record.Target = wire::TargetState::Gone;
-    });
-    this->announce(Out);
+    this->announceLeft(Out);
   } else if (Now >= this->ExitAt) {
     this->ExitSent = true;
     Out.emplace_back(ReadyToExit{});
   }
 }
 
+void Node::announceLeft(Effects &Out) {
+  this->Members.updateSelf([](wire::MemberRecord &Record) {
+    Record.State = wire::Liveness::Left;
+    Record.Target = wire::TargetState::Gone;
+  });
+  this->announce(Out);
+  if (!this->Control)
+    return;
+  std::vector<std::string> VoterAddresses;
+  for (const wire::Replica &Voter : this->Control->consensus().voters()) {
+    if (Voter.Address != this->Members.self().Address)
+      VoterAddresses.push_back(Voter.Address);
+  }
+  this->Members.announce(VoterAddresses, Out);
+}
+
+void Node::updateDeparted() {
+  if (this->DepartedRevision == this->Members.revision())
+    return;
+  this->DepartedRevision = this->Members.revision();
+  std::set<std::string> Departed;
+  for (const auto &[Name, Record] : this->Members.records()) {
+    if (Record.Control && Record.State == wire::Liveness::Left)
+      Departed.insert(Record.Address);
+  }
+  // The address may be in use by a later instance.
+  for (const auto &[Name, Record] : this->Members.records()) {
+    if (isAlive(Record))
+      Departed.erase(Record.Address);
+  }
+  this->Control->setDeparted({Departed.begin(), Departed.end()});
+}
+
+bool Node::hasSuccessor() const {
+  const auto &Voters = this->Control->consensus().voters();
+  return std::any_of(this->Members.records().begin(),
+                     this->Members.records().end(), [&](const auto &Item) {
+                       const wire::MemberRecord &Record = Item.second;
+                       return Record.Control && isAlive(Record) &&
+                              Record.Name != this->Members.self().Name &&
+                              std::none_of(Voters.begin(), Voters.end(),
+                                           [&](const wire::Replica &Voter) {
+                                             return Voter.Address ==
+                                                    Record.Address;
+                                           });
+                     });
+}
+
+bool Node::awaitsHandover(Time Now, Effects &Out) {
+  if (!this->Control || Now >= std::min(this->GiveUpAt, this->HandoverBy))
+    return false;
+  const Consensus &Replica = this->Control->consensus();
+  if (!Replica.mayHandOver() || !this->hasSuccessor())
+    return false;
+  // The leader hands over by itself. Until then the proxies need it as the
+  // source of confirmations.
+  if (!Replica.leader() && Now >= this->NextLeftAnnouncement) {
+    this->NextLeftAnnouncement = Now + LeftAnnouncementInterval;
+    this->announceLeft(Out);
+  }
+  return true;
+}
+
 bool Node::nested(const wire::CallRequest &Request) {
   const wire::MemberRecord *Entry = this->Members.find(Request.Id.Sender);
   return Entry != nullptr &&
@@ -223,6 +291,10 @@
   if (this->Router)
     this->Router->setEnd(this->GiveUpAt);
   this->Scheduler.setEnd(this->GiveUpAt);
+  if (this->Control) {
+    this->HandoverBy = TheEvent.At + HandoverTimeout;
+    this->Control->leave();
+  }
   Out.emplace_back(LogDecision{"event=stop-started"});
   this->advanceStop(TheEvent.At, Out);
 }
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -129,6 +129,13 @@
                      Time Now, Effects &Out);
   void updateOutdated(Time Now, Effects &Out);
   void refreshControlAddresses(Time Now);
+  /// Passes the control instances that have left to the consensus.
+  void updateDeparted();
+  /// Announces that this control instance leaves. Returns whether its exit has
+  /// to wait until another one has taken over its vote.
+  bool awaitsHandover(Time Now, Effects &Out);
+  bool hasSuccessor() const;
+  void announceLeft(Effects &Out);
   void startDraining(Time Now, Effects &Out);
   void advanceStop(Time Now, Effects &Out);
   bool drained() const;
@@ -167,6 +174,9 @@
   Time DrainAt = NoDeadline;
   Time GiveUpAt = NoDeadline;
   Time ExitAt = NoDeadline;
+  Time HandoverBy = NoDeadline;
+  Time NextLeftAnnouncement;
+  std::uint64_t DepartedRevision = 0;
   Time NextStaleWarning;
 };
 
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -113,6 +113,16 @@
     this->Instances.at(Name).Identity.ControlInstances.clear();
 }
 
+void FakeCluster::addSuccessor(const std::string &Name) {
+  Instance &Item = this->Instances[Name];
+  Item.Control = true;
+  Item.FirstDisk = false;
+  Item.Identity = this->Instances.at("c1").Identity;
+  Item.Identity.Name = Name;
+  Item.Identity.Address = Name + ":1";
+  Item.Identity.Zone = "zone-" + Name;
+}
+
 void FakeCluster::addProxy(const std::string &Name, const std::string &Zone,
                            const std::string &Service, int Slots) {
   Instance &Item = this->Instances[Name];
@@ -244,6 +254,15 @@
   Item.IsDraining = true;
 }
 
+bool FakeCluster::exited(const std::string &Name) const {
+  return this->Instances.at(Name).Exited;
+}
+
+void FakeCluster::remove(const std::string &Name) {
+  this->crash(Name);
+  this->Instances.at(Name).RestartAt = NoDeadline;
+}
+
 std::optional<std::string> FakeCluster::survivorOfLostQuorum() const {
   // The newest log holds the current voters.
   const Consensus *Newest = nullptr;
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -62,6 +62,9 @@
   /// Adds three control instances that know only each other's addresses and
   /// form the system when they are first started.
   void addInitialVoters();
+  /// Adds a control instance with an empty disk that knows the addresses of the
+  /// initial voters and joins them once it is started.
+  void addSuccessor(const std::string &Name);
   /// Forms the system at the control instance \p Name and issues a token for
   /// the team "team".
   void form(const std::string &Name);
@@ -81,6 +84,10 @@
   void blockConnections(const std::string &Name, bool Blocked);
   void setTarget(const std::string &Name, wire::TargetState::type State);
   void stop(const std::string &Name);
+  /// Returns whether \p Name has ended its planned stop.
+  bool exited(const std::string &Name) const;
+  /// Ends \p Name for good, without restart.
+  void remove(const std::string &Name);
 
   /// Returns the instance with the newest log if a quorum of the voters' disks
   /// is lost, otherwise nothing.
@@ -178,6 +185,7 @@
     std::map<std::int64_t, std::string> CallIds;
     int Running = 0;
     bool IsDraining = false;
+    bool Exited = false;
     /// True if the disk has not been lost since the first start.
     bool FirstDisk = true;
   };
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -147,6 +147,7 @@
 
 void FakeCluster::perform(Instance &By, const ReadyToExit &) {
   this->addTraceLine(By.Identity.Name + " exits");
+  By.Exited = true;
   const std::string &Name = By.Identity.Name;
   const std::string Stop = "planned stop of " + Name;
   for (const auto &[Id, Record] : this->Calls) {
