Bound what is kept of changes by bytes

Cause: the log, the disk store's copy of it and the deltas kept for peers were bounded by a count of entries whose size is the sender's choice.

Change: a sixteenth of memoryMb each for the log, the changes that wait for it and the deltas.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -1,6 +1,7 @@
 #include "daemonhost.h"
 
 #include "logging.h"
+#include "memoryshares.h"
 
 #include <asio/post.hpp>
 
@@ -85,6 +86,10 @@
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
   Identity.LinkMbps = this->Settings.LinkMbps;
+  const MemoryShares Shares =
+      MemoryShares::fromSettings(this->Settings.MemoryMb);
+  Identity.Snapshots.MaxLogBytes = Shares.maxLogBytes();
+  Identity.MaxHistoryBytes = Shares.maxHistoryBytes();
   this->TargetPolicy = makeChoicePolicy(this->Settings.Baselines.Choice);
   this->VersionTopology = makeTopology(this->Settings.Baselines.Distribution);
   if (this->Settings.Role == DaemonRole::Proxy) {
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -90,7 +90,6 @@
     BOOST_LEAF_AUTO(Readiness, requiredEndpoint(Document, "readiness", Where));
     Out.Readiness = Readiness;
   }
-  Out.MemoryMb = Document.value("memoryMb", Out.MemoryMb);
   Out.LinkMbps = Document.value("linkMbps", Out.LinkMbps);
   Out.RetryBurst = Document.value("retryBurst", Out.RetryBurst);
   return readTarget(Document.value("target", json::object()), Where,
@@ -187,6 +186,7 @@
   }
   BOOST_LEAF_CHECK(readControlInstances(Document, Where, Out));
   BOOST_LEAF_CHECK(readSeeds(Document, Where, Out));
+  Out.MemoryMb = Document.value("memoryMb", Out.MemoryMb);
   if (Out.Role == DaemonRole::Control)
     BOOST_LEAF_CHECK(readControl(Document, Where, Out));
   else
--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -6,7 +6,6 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <sys/file.h>
 #include <unistd.h>
 #include <utility>
@@ -26,11 +25,16 @@
 std::string systemError() { return std::strerror(errno); }
 
 leaf::result<std::string> readFile(const std::string &Path) {
-  std::ifstream In(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (!In || !(Text << In.rdbuf()).good())
+  std::ifstream In(Path, std::ios::binary | std::ios::ate);
+  const std::streamoff Size = In ? static_cast<std::streamoff>(In.tellg()) : 0;
+  // No file of the store is empty after its first use.
+  if (Size <= 0)
     return fail(ResultCode::DiskDamaged, Path, "cannot read the file");
-  return Text.str();
+  std::string Text(static_cast<std::size_t>(Size), '\0');
+  In.seekg(0);
+  if (!In.read(Text.data(), Size))
+    return fail(ResultCode::DiskDamaged, Path, "cannot read the file");
+  return Text;
 }
 
 leaf::result<void> writeAll(int Descriptor, std::string_view Bytes,
@@ -133,6 +137,7 @@
   std::swap(this->FolderDescriptor, Other.FolderDescriptor);
   std::swap(this->Hard, Other.Hard);
   std::swap(this->Tail, Other.Tail);
+  std::swap(this->JournalBytes, Other.JournalBytes);
   return *this;
 }
 
@@ -162,7 +167,6 @@
   }
   BOOST_LEAF_CHECK(Out.openJournal());
   Out.Hard = Out.State.HardState;
-  Out.Tail = Out.State.Entries;
   return Out;
 }
 
@@ -199,7 +203,9 @@
   return {};
 }
 
-leaf::result<void> DiskStore::applyRecord(char Kind, std::string_view Payload) {
+leaf::result<void> DiskStore::applyRecord(char Kind, std::string_view Payload,
+                                          std::uint64_t Offset,
+                                          std::size_t Size) {
   if (Kind == HardStateRecord) {
     BOOST_LEAF_ASSIGN(this->State.HardState, decodeHardState(Payload));
     return {};
@@ -215,7 +221,10 @@
     return fail(ResultCode::DiskDamaged, this->path("journal"),
                 "the journal lacks an entry before index " +
                     std::to_string(Entry.Index));
-  Entries.resize(static_cast<std::size_t>(Entry.Index - Base - 1));
+  const auto Kept = static_cast<std::size_t>(Entry.Index - Base - 1);
+  Entries.resize(Kept);
+  this->Tail.resize(Kept);
+  this->Tail.push_back({Entry.Index, Entry.Term, Offset, Size});
   Entries.push_back(std::move(Entry));
   return {};
 }
@@ -224,22 +233,25 @@
   BOOST_LEAF_AUTO(Text, readFile(this->path("journal")));
   std::string_view Rest = Text;
   while (!Rest.empty()) {
+    const std::size_t Offset = Text.size() - Rest.size();
+    this->JournalBytes = Offset;
     const ParsedRecord Record = parseRecord(Rest);
     if (!Record.Valid) {
       if (!isTornWrite(Rest, Record))
         return fail(ResultCode::DiskDamaged, this->path("journal"),
-                    "invalid record at byte " +
-                        std::to_string(Text.size() - Rest.size()));
+                    "invalid record at byte " + std::to_string(Offset));
       std::error_code Error;
-      fs::resize_file(this->path("journal"), Text.size() - Rest.size(), Error);
+      fs::resize_file(this->path("journal"), Offset, Error);
       if (Error)
         return fail(ResultCode::DiskDamaged, this->path("journal"),
                     Error.message());
       return {};
     }
-    BOOST_LEAF_CHECK(this->applyRecord(Record.Kind, Record.Payload));
+    BOOST_LEAF_CHECK(
+        this->applyRecord(Record.Kind, Record.Payload, Offset, Record.Size));
     Rest.remove_prefix(Record.Size);
   }
+  this->JournalBytes = Text.size();
   return {};
 }
 
@@ -254,6 +266,8 @@
     fs::rename(this->path(Name), DamagedFolder + "/" + Name, Error);
   }
   this->State = DurableState();
+  this->Tail.clear();
+  this->JournalBytes = 0;
   this->DiskId = NewDiskId;
   BOOST_LEAF_CHECK(this->replaceFile("journal", ""));
   return this->replaceFile("disk-id",
@@ -295,6 +309,7 @@
   if (::fdatasync(this->JournalDescriptor) != 0)
     return fail(ResultCode::DiskWriteFailed, this->path("journal"),
                 systemError());
+  this->JournalBytes += Bytes.size();
   return {};
 }
 
@@ -304,17 +319,33 @@
 }
 
 leaf::result<void> DiskStore::write(const PersistEntries &Record) {
-  std::string Bytes;
-  for (const wire::LogEntry &Entry : Record.Entries)
-    Bytes += makeRecord(EntryRecord, encodeRecord(Entry));
-  std::erase_if(this->Tail, [&](const wire::LogEntry &Entry) {
+  std::erase_if(this->Tail, [&](const JournalEntry &Entry) {
     return Entry.Index >= Record.Entries.front().Index;
   });
-  this->Tail.insert(this->Tail.end(), Record.Entries.begin(),
-                    Record.Entries.end());
+  std::string Bytes;
+  for (const wire::LogEntry &Entry : Record.Entries) {
+    const std::uint64_t Offset = this->JournalBytes + Bytes.size();
+    const std::string Encoded = makeRecord(EntryRecord, encodeRecord(Entry));
+    this->Tail.push_back({Entry.Index, Entry.Term, Offset, Encoded.size()});
+    Bytes += Encoded;
+  }
   return this->append(Bytes);
 }
 
+leaf::result<std::string> DiskStore::readTail() const {
+  std::ifstream In(this->path("journal"), std::ios::binary);
+  std::string Out;
+  for (const JournalEntry &Entry : this->Tail) {
+    const std::size_t Begin = Out.size();
+    Out.resize(Begin + Entry.Size);
+    In.seekg(static_cast<std::streamoff>(Entry.Offset));
+    if (!In.read(Out.data() + Begin, static_cast<std::streamsize>(Entry.Size)))
+      return fail(ResultCode::DiskWriteFailed, this->path("journal"),
+                  "cannot read an entry again");
+  }
+  return Out;
+}
+
 leaf::result<void> DiskStore::write(const PersistSnapshot &Record) {
   const wire::StoreSnapshot &Snapshot = Record.Snapshot;
   BOOST_LEAF_CHECK(this->replaceFile(
@@ -322,17 +353,22 @@
   // A snapshot installed from the leader replaces the journal's entries unless
   // they continue it.
   const auto Last = std::find_if(this->Tail.begin(), this->Tail.end(),
-                                 [&](const wire::LogEntry &Entry) {
+                                 [&](const JournalEntry &Entry) {
                                    return Entry.Index == Snapshot.LastIndex;
                                  });
   if (Last == this->Tail.end() || Last->Term != Snapshot.LastTerm)
     this->Tail.clear();
   else
     this->Tail.erase(this->Tail.begin(), Last + 1);
-  std::string Bytes = makeRecord(HardStateRecord, encodeRecord(this->Hard));
-  for (const wire::LogEntry &Entry : this->Tail)
-    Bytes += makeRecord(EntryRecord, encodeRecord(Entry));
-  BOOST_LEAF_CHECK(this->replaceFile("journal", Bytes));
+  BOOST_LEAF_AUTO(TailRecords, this->readTail());
+  const std::string Hard =
+      makeRecord(HardStateRecord, encodeRecord(this->Hard));
+  BOOST_LEAF_CHECK(this->replaceFile("journal", Hard + TailRecords));
+  this->JournalBytes = Hard.size();
+  for (JournalEntry &Entry : this->Tail) {
+    Entry.Offset = this->JournalBytes;
+    this->JournalBytes += Entry.Size;
+  }
   return this->openJournal();
 }
 
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -53,7 +53,10 @@
   leaf::result<void> readAll();
   leaf::result<void> readSnapshot();
   leaf::result<void> readJournal();
-  leaf::result<void> applyRecord(char Kind, std::string_view Payload);
+  leaf::result<void> applyRecord(char Kind, std::string_view Payload,
+                                 std::uint64_t Offset, std::size_t Size);
+  /// Returns the records of the entries in Tail, read from the journal.
+  leaf::result<std::string> readTail() const;
   leaf::result<void> initializeEmpty(std::int64_t NewDiskId);
   leaf::result<void> openJournal();
   leaf::result<void> append(std::string_view Bytes);
@@ -68,7 +71,16 @@
   int JournalDescriptor = -1;
   int FolderDescriptor = -1;
   wire::HardState Hard;
-  std::vector<wire::LogEntry> Tail;
+  /// Where the journal holds an entry that may be needed again. The entries
+  /// themselves are not kept a second time.
+  struct JournalEntry {
+    std::int64_t Index = 0;
+    std::int64_t Term = 0;
+    std::uint64_t Offset = 0;
+    std::size_t Size = 0;
+  };
+  std::vector<JournalEntry> Tail;
+  std::uint64_t JournalBytes = 0;
 };
 
 /// Encodes a journal record: kind, payload length, checksum and payload.
--- a/src/libhost/memoryshares.cpp
+++ b/src/libhost/memoryshares.cpp
@@ -1,6 +1,7 @@
 #include "memoryshares.h"
 
 #include <algorithm>
+#include <fstream>
 #include <limits>
 #include <string>
 
@@ -38,4 +39,9 @@
                                  : std::min(Total, DefaultMaxBytes));
 }
 
+MemoryShares MemoryShares::fromSettings(std::int64_t SettingMb) {
+  std::ifstream MachineMemory("/proc/meminfo");
+  return fromSettings(SettingMb, MachineMemory);
+}
+
 } // namespace persimmon
--- a/src/libhost/memoryshares.h
+++ b/src/libhost/memoryshares.h
@@ -16,6 +16,9 @@
   static MemoryShares fromSettings(std::int64_t SettingMb,
                                    std::istream &MachineMemory);
 
+  /// The same with the memory of this machine.
+  static MemoryShares fromSettings(std::int64_t SettingMb);
+
   /// Limit for all responses that are being read from the target. A response is
   /// in memory twice while its buffer grows and while it is split into
   /// messages, so a quarter takes up to half of the memory.
@@ -26,6 +29,12 @@
   /// its call, so an eighth takes a quarter of the memory.
   std::size_t maxCallerBodyBytes() const { return this->TotalBytes / 8; }
 
+  /// Limit for the replicated log in memory, for the changes that wait for it,
+  /// and for the deltas kept for peers: a sixteenth each. Encoding and sending
+  /// them takes as much again.
+  std::size_t maxLogBytes() const { return this->TotalBytes / 16; }
+  std::size_t maxHistoryBytes() const { return this->TotalBytes / 16; }
+
 private:
   explicit MemoryShares(std::size_t Bytes) : TotalBytes(Bytes) {}
 
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <fstream>
 
 namespace persimmon {
 
@@ -121,9 +120,7 @@
                const Dependencies &Required) {
   std::unique_ptr<ProxyApi> Out(new ProxyApi(Io, Settings, Required));
   Out->Client.setMaxConnections(DefaultConnections);
-  std::ifstream MachineMemory("/proc/meminfo");
-  const MemoryShares Shares =
-      MemoryShares::fromSettings(Settings.MemoryMb, MachineMemory);
+  const MemoryShares Shares = MemoryShares::fromSettings(Settings.MemoryMb);
   Out->Client.setMaxHeldBytes(Shares.maxResponseBytes());
   Required.Bodies.setMaxCallerBytes(Shares.maxCallerBodyBytes());
   BOOST_LEAF_ASSIGN(
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds UnresponsiveVoterTimeout{3000};
 constexpr milliseconds SnapshotResendInterval{2000};
 constexpr std::size_t EntriesPerMessage = 128;
+/// A larger message would delay the heartbeats behind it on a slow link.
+constexpr std::size_t BytesPerMessage = 1u << 20;
 
 } // namespace
 
@@ -460,7 +462,8 @@
   Request.PrevIndex = Behind ? this->Log.lastIndex() : To.Next - 1;
   Request.PrevTerm = this->Log.termAt(Request.PrevIndex);
   if (!Behind)
-    Request.Entries = this->Log.slice(To.Next, EntriesPerMessage);
+    Request.Entries =
+        this->Log.slice(To.Next, EntriesPerMessage, BytesPerMessage);
   Request.Commit = this->CommitIndex;
   Request.Round = this->Round;
   Request.ToDisk = To.Replica.DiskId;
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -111,6 +111,15 @@
   /// Drops log entries up to \p Index, which a stored snapshot covers.
   void compact(std::int64_t Index) { this->Log.compact(Index); }
 
+  /// Returns the memory that the log's entries take.
+  std::size_t logBytes() const { return this->Log.bytes(); }
+
+  /// Returns the lowest index from which on the log's entries take at most
+  /// \p MaxBytes of memory.
+  std::int64_t firstIndexWithin(std::size_t MaxBytes) const {
+    return this->Log.firstIndexWithin(MaxBytes);
+  }
+
   /// Sets the snapshot that is sent to followers whose next entry has been
   /// compacted.
   void setSnapshot(wire::StoreSnapshot Snapshot);
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -72,8 +72,22 @@
   this->applyAndPropose(Now, Out);
 }
 
+bool ControlService::hasRoomFor(const PendingWrite &Write) const {
+  if (this->Writes.size() >= MaxQueuedWrites)
+    return false;
+  std::size_t Sum = Write.Bytes;
+  for (const PendingWrite &Item : this->Writes)
+    Sum += Item.Bytes;
+  return this->Writes.empty() || Sum <= this->Snapshots.MaxLogBytes;
+}
+
 void ControlService::enqueue(PendingWrite Write, Time Now, Effects &Out) {
-  if (this->Writes.size() >= MaxQueuedWrites) {
+  Write.Bytes = memoryOf(Write.Entry);
+  if (Write.Subtree) {
+    for (const auto &[Path, Value] : Write.Subtree->Values)
+      Write.Bytes += Path.size() + Value.size();
+  }
+  if (!this->hasRoomFor(Write)) {
     this->answer(Write.RequestId, {ResultCode::Busy, {}, {}}, 0, Out);
     return;
   }
@@ -520,16 +534,21 @@
 }
 
 void ControlService::takeSnapshot(Effects &Out) {
-  if (this->AppliedIndex - this->SnapshotIndex <
-      this->Snapshots.EntriesPerSnapshot)
+  const std::int64_t Covered = this->AppliedIndex - this->SnapshotIndex;
+  const bool LogTooLarge =
+      this->ConsensusModule.logBytes() > this->Snapshots.MaxLogBytes;
+  if (Covered < this->Snapshots.EntriesPerSnapshot &&
+      !(LogTooLarge && Covered > 0))
     return;
   wire::StoreSnapshot Snapshot =
       this->Store.snapshot(this->AppliedIndex, this->AppliedTerm);
   Snapshot.Voters = this->CommittedVoters;
   this->SnapshotIndex = this->AppliedIndex;
   this->ConsensusModule.setSnapshot(Snapshot);
-  this->ConsensusModule.compact(this->AppliedIndex -
-                                this->Snapshots.EntriesKept);
+  const std::int64_t FirstKept = std::max(
+      this->AppliedIndex - this->Snapshots.EntriesKept + 1,
+      this->ConsensusModule.firstIndexWithin(this->Snapshots.MaxLogBytes / 2));
+  this->ConsensusModule.compact(std::min(FirstKept - 1, this->AppliedIndex));
   Out.emplace_back(PersistSnapshot{std::move(Snapshot)});
 }
 
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -15,6 +15,9 @@
 struct SnapshotPolicy {
   std::int64_t EntriesPerSnapshot = 1000;
   std::int64_t EntriesKept = 500;
+  /// Memory that the log may take before a snapshot is due; half of it is kept.
+  /// Also the limit of the documents that wait to be checked.
+  std::size_t MaxLogBytes = 16'000'000;
 };
 
 /// Serves a control instance's requests through the replicated log: operators'
@@ -93,6 +96,7 @@
     std::optional<SubtreeDocument> Subtree;
     std::int64_t Index = 0;
     Time Deadline;
+    std::size_t Bytes = 0;
   };
   struct PendingRead {
     std::int64_t RequestId = 0;
@@ -112,6 +116,7 @@
   bool refuseUnlessReady(std::int64_t RequestId, Effects &Out) const;
   void answer(std::int64_t RequestId, Failure Error, std::int64_t Version,
               Effects &Out) const;
+  bool hasRoomFor(const PendingWrite &Write) const;
   void enqueue(PendingWrite Write, Time Now, Effects &Out);
   /// Prepares the check of \p Write. Returns its result if it needs none,
   /// because it repeats a change or is rejected.
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -32,6 +32,12 @@
 constexpr milliseconds SupersededServeLimit{1500};
 /// Further versions are not recorded; the oldest entry sets the deadline.
 constexpr std::size_t MaxPending = 64;
+/// Deltas below this size are sent as they are. Sending them costs little.
+constexpr std::size_t MinSnapshotBytes = 64u << 10;
+/// Deltas that take more memory do not fit into a datagram, even if they are
+/// packed.
+constexpr std::size_t DatagramMemoryBytes =
+    4 * DatagramContentBytes * ExpectedPackingRatio;
 constexpr milliseconds BusyRetryMin{50};
 constexpr milliseconds BusyRetryMax{400};
 
@@ -66,8 +72,7 @@
     Out.emplace_back(LogWarning{"event=update-rejected " + describe(Error)});
     return;
   }
-  this->History.clear();
-  this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
+  this->restartHistory();
   Out.emplace_back(VersionInForce{this->Version});
 }
 
@@ -151,12 +156,43 @@
 
 void Distribution::appendHistory(const wire::Delta &Change) {
   this->History.push_back(Change);
-  while (this->History.size() > MaxHistory) {
+  this->HistoryBytes += memoryOf(Change);
+  while (this->History.size() > MaxHistory ||
+         (this->HistoryBytes > this->MaxHistoryBytes &&
+          this->History.size() > 1)) {
     this->HistoryBaseHash = this->History.front().Hash;
+    this->HistoryBytes -= memoryOf(this->History.front());
     this->History.pop_front();
   }
 }
 
+void Distribution::restartHistory() {
+  this->History.clear();
+  this->HistoryBytes = 0;
+  this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
+}
+
+std::size_t Distribution::deltaBytesFrom(std::int64_t Have) const {
+  std::size_t Sum = 0;
+  for (auto Change = this->deltasFrom(Have); Change != this->History.end();
+       ++Change)
+    Sum += memoryOf(*Change);
+  return Sum;
+}
+
+bool Distribution::exceedContent(std::int64_t Have) const {
+  const std::size_t DeltaBytes = this->deltaBytesFrom(Have);
+  if (DeltaBytes < MinSnapshotBytes)
+    return false;
+  std::size_t ContentBytes = 0;
+  for (const auto &[Path, Entry] : this->Settings) {
+    ContentBytes += memoryOf(Entry);
+    if (ContentBytes >= DeltaBytes)
+      return false;
+  }
+  return true;
+}
+
 bool Distribution::mayServe(Time Now) const {
   return this->Pending.empty() ||
          (Now < this->Pending.front().ServeUntil &&
@@ -347,10 +383,11 @@
     return;
   }
   // A peer without a version, or one that rejected a delta, requests a snapshot
-  // with HaveVersion 0.
+  // with HaveVersion 0. A peer that is many versions behind gets one as well.
   const bool HasDeltas =
       Request.HaveVersion > 0 &&
-      this->hasDeltasFrom(Request.HaveVersion, Request.HaveHash);
+      this->hasDeltasFrom(Request.HaveVersion, Request.HaveHash) &&
+      !this->exceedContent(Request.HaveVersion);
   if (!this->admitPull(!HasDeltas, Now)) {
     Reply.Busy = true;
     Reply.RetryAfterMs = static_cast<std::int32_t>(
@@ -377,7 +414,8 @@
   Reply.Version = this->Version;
   Reply.Hash = static_cast<std::int64_t>(this->Hash);
   const bool Newer = Request.HaveVersion < this->Version;
-  if (Newer && this->hasDeltasFrom(Request.HaveVersion, Request.HaveHash))
+  if (Newer && this->hasDeltasFrom(Request.HaveVersion, Request.HaveHash) &&
+      this->deltaBytesFrom(Request.HaveVersion) <= DatagramMemoryBytes)
     this->fillContent(Request.HaveVersion, Reply);
   std::size_t Bytes = bytesOf(Reply);
   if (Bytes > DatagramContentBytes &&
@@ -477,8 +515,7 @@
     Content[Entry.Path] = Entry;
   BOOST_LEAF_CHECK(
       this->putInForce(std::move(Content), Reply.Version, Reply.Hash));
-  this->History.clear();
-  this->HistoryBaseHash = static_cast<std::int64_t>(this->Hash);
+  this->restartHistory();
   return {};
 }
 
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -20,6 +20,9 @@
 /// and a newer version may have been committed just after that moment.
 constexpr milliseconds UnconfirmedServeLimit{1800};
 
+/// Memory for the deltas of a daemon without a memory limit in its settings.
+constexpr std::size_t DefaultHistoryBytes = 16'000'000;
+
 /// The configuration held by one daemon and its exchange with peers. A newer
 /// version is pulled from any peer that has it, as deltas or as a snapshot,
 /// validated, compiled and put in force atomically. The version in force never
@@ -31,9 +34,11 @@
   /// Whether this daemon routes calls and so needs the compiled table.
   enum class TableUse { RoutesCalls, None };
 
+  /// \p MaxHistoryBytes is the memory that the deltas kept for peers may take.
   explicit Distribution(std::uint64_t Seed,
-                        TableUse Use = TableUse::RoutesCalls)
-      : Rng(Seed), Use(Use) {}
+                        TableUse Use = TableUse::RoutesCalls,
+                        std::size_t MaxHistoryBytes = DefaultHistoryBytes)
+      : Rng(Seed), Use(Use), MaxHistoryBytes(MaxHistoryBytes) {}
 
   /// Applies a change that the local replica committed.
   void applyCommitted(const wire::Delta &Change, Effects &Out);
@@ -87,6 +92,8 @@
   }
   std::uint64_t hash() const { return this->Hash; }
   const SettingsMap &settings() const { return this->Settings; }
+  /// Returns the memory that the deltas kept for peers take.
+  std::size_t historyBytes() const { return this->HistoryBytes; }
 
   /// Returns the compiled table in force; null before the first version.
   const std::shared_ptr<const RouteTable> &table() const { return this->Table; }
@@ -135,6 +142,13 @@
   std::uint64_t hashAfter(std::span<const wire::Delta *const> Changes) const;
   void versionReplaced(std::int64_t NewVersion);
   void appendHistory(const wire::Delta &Change);
+  /// Drops all deltas; the version in force becomes the base of later ones.
+  void restartHistory();
+  /// Returns the memory that the deltas since \p Have take.
+  std::size_t deltaBytesFrom(std::int64_t Have) const;
+  /// Returns whether the deltas since \p Have are many and take more memory
+  /// than the whole content.
+  bool exceedContent(std::int64_t Have) const;
   std::deque<wire::Delta>::const_iterator deltasFrom(std::int64_t Have) const;
   bool hasDeltasFrom(std::int64_t Have, std::int64_t HaveHash) const;
   void fillContent(std::int64_t Base, wire::PullReply &Reply) const;
@@ -147,6 +161,8 @@
   std::int64_t Version = 0;
   std::uint64_t Hash = 0;
   std::deque<wire::Delta> History;
+  std::size_t HistoryBytes = 0;
+  std::size_t MaxHistoryBytes;
   std::int64_t HistoryBaseHash = 0;
   PackedReplyCache ReplyCache;
   std::vector<Source> Sources;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -48,9 +48,10 @@
     : VersionTopology(Policies.VersionTopology),
       Members(recordOf(Identity, IsControl), seedsOf(Identity),
               Identity.Seed + 1),
-      Config(Identity.Seed + 2, IsControl
-                                    ? Distribution::TableUse::None
-                                    : Distribution::TableUse::RoutesCalls),
+      Config(Identity.Seed + 2,
+             IsControl ? Distribution::TableUse::None
+                       : Distribution::TableUse::RoutesCalls,
+             Identity.MaxHistoryBytes),
       Gate(Identity.Seed + 3), Confirmation(Identity.Seed + 7),
       Scheduler(Identity.Seed + 6), Seeds(seedsOf(Identity)),
       ControlAddresses(Seeds), Stop(Identity.Stop) {}
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -46,6 +46,8 @@
   /// Burst of retries allowed beyond the percentages of the services, shared by
   /// all daemons.
   int RetryBurst = 0;
+  /// Memory that the configuration deltas kept for peers may take.
+  std::size_t MaxHistoryBytes = DefaultHistoryBytes;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
 };
--- a/src/libpersimmon/replicatedlog.cpp
+++ b/src/libpersimmon/replicatedlog.cpp
@@ -10,7 +10,7 @@
     this->compact(Snapshot.LastIndex);
     return;
   }
-  this->Entries.clear();
+  this->erase(0, this->Entries.size());
   this->BaseIndex = Snapshot.LastIndex;
   this->BaseTerm = Snapshot.LastTerm;
   this->BaseVoters = Snapshot.Voters;
@@ -22,7 +22,10 @@
     return;
   const std::int64_t First = NewEntries.front().Index;
   if (First <= this->lastIndex())
-    this->Entries.resize(static_cast<std::size_t>(First - this->firstIndex()));
+    this->erase(static_cast<std::size_t>(First - this->firstIndex()),
+                this->Entries.size());
+  for (const wire::LogEntry &Entry : NewEntries)
+    this->Bytes += memoryOf(Entry);
   this->Entries.insert(this->Entries.end(), NewEntries.begin(),
                        NewEntries.end());
   this->refreshVoters();
@@ -38,12 +41,33 @@
     if (Entry.Kind == wire::EntryKind::Voters)
       this->BaseVoters = Entry.Voters;
   }
-  this->Entries.erase(this->Entries.begin(), this->Entries.begin() + Covered);
+  this->erase(0, static_cast<std::size_t>(Covered));
   this->BaseIndex = Index;
   this->BaseTerm = Term;
   this->refreshVoters();
 }
 
+void ReplicatedLog::erase(std::size_t Begin, std::size_t End) {
+  const auto First = this->Entries.begin() + static_cast<std::ptrdiff_t>(Begin);
+  const auto Last = this->Entries.begin() + static_cast<std::ptrdiff_t>(End);
+  for (auto Entry = First; Entry != Last; ++Entry)
+    this->Bytes -= memoryOf(*Entry);
+  this->Entries.erase(First, Last);
+}
+
+std::int64_t ReplicatedLog::firstIndexWithin(std::size_t MaxBytes) const {
+  std::size_t Sum = 0;
+  std::int64_t Index = this->lastIndex() + 1;
+  for (auto Entry = this->Entries.rbegin(); Entry != this->Entries.rend();
+       ++Entry) {
+    Sum += memoryOf(*Entry);
+    if (Sum > MaxBytes)
+      break;
+    Index = Entry->Index;
+  }
+  return Index;
+}
+
 std::int64_t ReplicatedLog::lastIndex() const {
   return this->BaseIndex + static_cast<std::int64_t>(this->Entries.size());
 }
@@ -65,10 +89,13 @@
 }
 
 std::vector<wire::LogEntry> ReplicatedLog::slice(std::int64_t First,
-                                                 std::size_t Limit) const {
+                                                 std::size_t Limit,
+                                                 std::size_t MaxBytes) const {
   std::vector<wire::LogEntry> Out;
+  std::size_t Sum = 0;
   for (std::int64_t I = First; I <= this->lastIndex(); ++I) {
-    if (Out.size() == Limit)
+    Sum += memoryOf(this->at(I));
+    if (Out.size() == Limit || (Sum > MaxBytes && !Out.empty()))
       break;
     Out.push_back(this->at(I));
   }
--- a/src/libpersimmon/replicatedlog.h
+++ b/src/libpersimmon/replicatedlog.h
@@ -41,9 +41,17 @@
   /// Returns the entry at an index from firstIndex() to lastIndex().
   const wire::LogEntry &at(std::int64_t Index) const;
 
-  /// Returns at most \p Limit entries from \p First on.
-  std::vector<wire::LogEntry> slice(std::int64_t First,
-                                    std::size_t Limit) const;
+  /// Returns at most \p Limit entries from \p First on, and of these at least
+  /// one and no more than take \p MaxBytes of memory.
+  std::vector<wire::LogEntry> slice(std::int64_t First, std::size_t Limit,
+                                    std::size_t MaxBytes) const;
+
+  /// Returns the memory that the entries take.
+  std::size_t bytes() const { return this->Bytes; }
+
+  /// Returns the lowest index from which on the entries take at most
+  /// \p MaxBytes of memory.
+  std::int64_t firstIndexWithin(std::size_t MaxBytes) const;
 
   /// Returns the voters from the newest Voters entry, committed or not.
   const std::vector<wire::Replica> &voters() const { return this->Voters; }
@@ -53,11 +61,15 @@
 
 private:
   void refreshVoters();
+  /// Removes the entries from position \p Begin up to \p End of Entries.
+  void erase(std::size_t Begin, std::size_t End);
 
   std::int64_t BaseIndex = 0;
   std::int64_t BaseTerm = 0;
   std::vector<wire::Replica> BaseVoters;
   std::vector<wire::LogEntry> Entries;
+  /// Memory that Entries take.
+  std::size_t Bytes = 0;
   std::vector<wire::Replica> Voters;
   std::int64_t VotersIndex = 0;
 };
--- a/src/libwire/libwire.h
+++ b/src/libwire/libwire.h
@@ -6,5 +6,6 @@
 #include "hash.h"
 #include "message.h"
 #include "packing.h"
+#include "recordsize.h"
 #include "result.h"
 #include "resultcode.h"
