Answer requests whose text or handler fails

Cause: the JSON parser's message quotes the document and cuts a character of several bytes. Writing it into the JSON answer throws, in a posted step where nothing catches it.

Change: errors about JSON name the byte and quote nothing; error texts and log lines are printable ASCII; JSON answers replace what is not UTF-8. A route that lacks optional fields can be read back (an exception in a posted step before). As a last line of defence a request whose handler or step throws is answered 500 (405 InternalError) and logged. An exception while an event is handled stops the process, whose state is then unknown.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -224,10 +224,24 @@
           (Error.failed() ? "kept-old " + describe(Error) : "done"));
 }
 
+void DaemonHost::runEvents() {
+  while (true) {
+    try {
+      this->Io.run();
+      return;
+    } catch (const std::exception &Error) {
+      // Thrown by a handler outside of submit(), so the node's state is intact.
+      logError("event=handler-failed " +
+               describe({ResultCode::InternalError, {}, Error.what()}));
+      this->DaemonMetrics.incrementCounter("persimmon_handlers_failed_total");
+    }
+  }
+}
+
 leaf::result<void> DaemonHost::run() {
   logInfo("event=started name=" + this->Settings.Name +
           " address=" + this->Settings.Advertise.toString());
-  this->Io.run();
+  this->runEvents();
   flushLog();
   if (this->FatalError.failed())
     return fail(this->FatalError.Code, this->FatalError.Where,
@@ -242,7 +256,16 @@
   NewEvent.At = std::chrono::steady_clock::now();
   NewEvent.WallMs = wallClockMs();
   NewEvent.Body = std::move(Body);
-  this->executeAll(this->LocalNode->reduce(NewEvent));
+  try {
+    this->executeAll(this->LocalNode->reduce(NewEvent));
+  } catch (const std::exception &Error) {
+    // The event may have been handled in part. The process stops, since its
+    // state is unknown.
+    this->FatalError = {ResultCode::InternalError, "event", Error.what()};
+    logError("event=event-failed " + describe(this->FatalError));
+    this->Io.stop();
+    return;
+  }
   const std::chrono::duration<double> Took =
       std::chrono::steady_clock::now() - NewEvent.At;
   // Short steps are too many to be counted one by one.
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -66,6 +66,9 @@
   void onPathClosed(std::string Path) override;
   void onBodyPart(std::string From, const wire::BodyPart &Part);
 
+  /// Runs until the process stops. An exception of a handler ends only that
+  /// handler.
+  void runEvents();
   void executeAll(const Effects &EffectList);
   template <typename RecordT> void persist(const RecordT &Record);
   void execute(const PersistHardState &Item) { this->persist(Item); }
--- a/src/libhost/httpserver.cpp
+++ b/src/libhost/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "httpserver.h"
 
+#include "logging.h"
+
 #include <restinio/all.hpp>
 
 #include <algorithm>
@@ -192,10 +194,26 @@
     Out.Body = Request->body();
     this->RequestsByConnection.emplace(Request->connection_id(), Out.Id);
     this->OpenRequests.emplace(Out.Id, std::move(Request));
-    this->Handler.onRequest(std::move(Out));
+    const std::int64_t Id = Out.Id;
+    try {
+      this->Handler.onRequest(std::move(Out));
+    } catch (const std::exception &Error) {
+      this->refuseFailed(Id, Error);
+    }
     return restinio::request_accepted();
   }
 
+  /// Answers a request whose handler failed. Other requests are not affected.
+  void refuseFailed(std::int64_t Id, const std::exception &Error) {
+    const Failure Reason{ResultCode::InternalError, "request", Error.what()};
+    logError("event=request-failed " + describe(Reason));
+    HttpResponse Response;
+    Response.Status = httpStatusOf(Reason.Code);
+    Response.Body = describe(Reason) + "\n";
+    this->respond(Id, std::move(Response));
+    this->Handler.onRequestAborted(Id);
+  }
+
   void removeRequest(RequestMap::iterator Item) {
     const std::int64_t Id = Item->first;
     std::erase_if(this->RequestsByConnection,
--- a/src/libhost/logging.cpp
+++ b/src/libhost/logging.cpp
@@ -1,5 +1,7 @@
 #include "logging.h"
 
+#include "libwire/libwire.h"
+
 #include "boundedappender.h"
 
 #include <log4cplus/fileappender.h>
@@ -67,19 +69,19 @@
 }
 
 void logDecision(std::string_view Line) {
-  LOG4CPLUS_INFO(loggers().Decisions, std::string(Line));
+  LOG4CPLUS_INFO(loggers().Decisions, printable(Line));
 }
 
 void logInfo(std::string_view Line) {
-  LOG4CPLUS_INFO(loggers().Events, std::string(Line));
+  LOG4CPLUS_INFO(loggers().Events, printable(Line));
 }
 
 void logWarning(std::string_view Line) {
-  LOG4CPLUS_WARN(loggers().Events, std::string(Line));
+  LOG4CPLUS_WARN(loggers().Events, printable(Line));
 }
 
 void logError(std::string_view Line) {
-  LOG4CPLUS_ERROR(loggers().Events, std::string(Line));
+  LOG4CPLUS_ERROR(loggers().Events, printable(Line));
 }
 
 } // namespace persimmon
--- a/src/libhost/nativeprotocol.cpp
+++ b/src/libhost/nativeprotocol.cpp
@@ -113,8 +113,9 @@
 
 leaf::result<TargetAnnouncement> readAnnouncement(const std::string &Text) {
   TargetAnnouncement Out;
+  BOOST_LEAF_AUTO(Document,
+                  parseJson(Text, ResultCode::RequestMalformed, "target"));
   try {
-    const json Document = json::parse(Text);
     Out.Announced.Service = Document.at("service").get<std::string>();
     Out.Announced.Slots = Document.at("slots").get<int>();
     const std::string State = Document.value("state", "serving");
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -54,8 +54,9 @@
 }
 
 leaf::result<wire::Change> readChange(const std::string &Text) {
+  BOOST_LEAF_AUTO(Document,
+                  parseJson(Text, ResultCode::ValueInvalid, "request"));
   try {
-    const json Document = json::parse(Text);
     wire::Change Out;
     Out.ChangeId = Document.at("changeId").get<std::string>();
     Out.BasedOn = Document.at("basedOn").get<std::int64_t>();
@@ -84,7 +85,8 @@
 
 leaf::result<wire::TeamGrant> readGrant(const std::string &Text,
                                         bool ForAdministrator) {
-  const json Document = json::parse(Text, nullptr, false);
+  BOOST_LEAF_AUTO(Document,
+                  parseJson(Text, ResultCode::ValueInvalid, "request"));
   if (!Document.is_object())
     return fail(ResultCode::ValueInvalid, "request", "expected an object");
   const char *Key = ForAdministrator ? "adminToken" : "token";
@@ -193,7 +195,7 @@
       handleResult([&] { return Found->second.Reader->step(); },
                    [&](bool Done) { Complete = Done; });
   if (!Error.failed() && !Complete) {
-    asio::post(this->Io, [this, Id] { this->continueReading(Id); });
+    this->postStep(Id, &OperatorApi::continueReading);
     return;
   }
   Reading Done = std::move(Found->second);
@@ -204,6 +206,19 @@
   this->submitReplacement(std::move(Done.Event), Done.Url);
 }
 
+void OperatorApi::postStep(std::int64_t Id,
+                           void (OperatorApi::*Step)(std::int64_t)) {
+  asio::post(this->Io, [this, Id, Step] {
+    try {
+      (this->*Step)(Id);
+    } catch (const std::exception &Error) {
+      this->onRequestAborted(Id);
+      this->refuseExternal(
+          Id, {ResultCode::InternalError, "document", Error.what()});
+    }
+  });
+}
+
 void OperatorApi::submitReplacement(ReplaceRequested Event,
                                     const std::string &Url) {
   Event.Trusted = std::find(this->OpenTeams.begin(), this->OpenTeams.end(),
@@ -223,7 +238,7 @@
   if (Found == this->Writings.end())
     return;
   if (!Found->second->step()) {
-    asio::post(this->Io, [this, Id] { this->continueWriting(Id); });
+    this->postStep(Id, &OperatorApi::continueWriting);
     return;
   }
   HttpResponse Response = Found->second->take();
@@ -260,7 +275,7 @@
   Type.Name = "Content-Type";
   Type.Value = "application/json";
   Response.Headers.push_back(std::move(Type));
-  Response.Body = Body.dump() + "\n";
+  Response.Body = toText(Body) + "\n";
   this->Server->respond(Id, std::move(Response));
 }
 
--- a/src/libhost/operatorapi.h
+++ b/src/libhost/operatorapi.h
@@ -52,6 +52,9 @@
 
   bool handleExternalRequest(const HttpRequest &Request);
   void startReading(const HttpRequest &Request);
+  /// Continues the work on a request later. If that fails, the request is
+  /// refused.
+  void postStep(std::int64_t Id, void (OperatorApi::*Step)(std::int64_t));
   void continueReading(std::int64_t Id);
   void submitReplacement(ReplaceRequested Event, const std::string &Url);
   void continueWriting(std::int64_t Id);
--- a/src/libwire/libwire.h
+++ b/src/libwire/libwire.h
@@ -4,6 +4,7 @@
 /// Public header of libwire: messages, packing, result codes and hashes.
 
 #include "hash.h"
+#include "jsontext.h"
 #include "message.h"
 #include "packing.h"
 #include "recordsize.h"
--- a/src/libwire/resultcode.cpp
+++ b/src/libwire/resultcode.cpp
@@ -35,6 +35,23 @@
   return 500;
 }
 
+std::string printable(std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Out;
+  Out.reserve(Text.size());
+  for (const char C : Text) {
+    if (C >= ' ' && C < '\x7f') {
+      Out += C;
+      continue;
+    }
+    const auto Byte = static_cast<unsigned char>(C);
+    Out += "\\x";
+    Out += Digits[Byte >> 4U];
+    Out += Digits[Byte & 0xfU];
+  }
+  return Out;
+}
+
 std::string describe(const Failure &Error) {
   std::string Line = std::to_string(static_cast<int>(Error.Code));
   Line += " ";
@@ -43,7 +60,7 @@
     Line += " at " + Error.Where;
   Line += ": ";
   Line += Error.What.empty() ? std::string(textOf(Error.Code)) : Error.What;
-  return Line;
+  return printable(Line);
 }
 
 } // namespace persimmon
--- a/src/libwire/resultcode.h
+++ b/src/libwire/resultcode.h
@@ -31,7 +31,11 @@
 /// Returns the HTTP status for \p Code in responses to callers and operators.
 int httpStatusOf(ResultCode Code);
 
-/// Formats an error as one line: number, name, place and message.
+/// Returns \p Text as one line of printable ASCII. Other bytes are written as
+/// two hexadecimal digits after a backslash and an x.
+std::string printable(std::string_view Text);
+
+/// Formats an error as one printable line: number, name, place and message.
 std::string describe(const Failure &Error);
 
 } // namespace persimmon
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -456,6 +456,42 @@
         ResultCode::ValueInvalid);
 }
 
+// Guards against control instances that end because an error quotes bytes that
+// are not UTF-8 (Fault).
+TEST_CASE("errors about text that is not UTF-8 are answered") {
+  json Document = nextVersion();
+  json Route = Document["routes"][0];
+  for (int I = 0; I < 60; ++I) {
+    Route["name"] = "r-more-" + std::to_string(I);
+    Route["pathPrefix"] = "/more-" + std::to_string(I) + "/";
+    Document["routes"].push_back(Route);
+  }
+  std::string Text = Document.dump();
+  const std::string Word = "\"unsafe\"";
+  const std::string Quoted = "\xe2\x80\x9cunsafe\xe2\x80\x9d";
+  Text.replace(Text.rfind(Word), Word.size(), Quoted);
+  const Failure Error =
+      handleResult([&] { return platform::readConfiguration(Text); },
+                   [](const SubtreeDocument &) {});
+  CHECK(Error.Code == ResultCode::ValueInvalid);
+  const auto Operators = platform::makeOperatorProtocol();
+  CHECK(Operators->makeErrorResponse(Error, "").Status == 400);
+  const Failure Cut{ResultCode::ValueInvalid, "\xe2\x80", "\xff\n"};
+  const HttpResponse Answer = Operators->makeErrorResponse(Cut, "");
+  CHECK(json::accept(Answer.Body));
+  const auto Locals = platform::makeLocalProtocol();
+  CHECK(json::accept(Locals->makeErrorResponse(Cut).Body));
+}
+
+TEST_CASE("a route with required fields only is read back") {
+  SettingsMap Settings;
+  wire::Setting &Route = Settings["mesh/routes/r"];
+  Route.Path = "mesh/routes/r";
+  Route.Value = R"({"job":"a.example","service":"mesh/one"})";
+  const json Document = platform::writeConfiguration(Settings);
+  CHECK(Document.at("routes").at(0).at("host") == "a.example");
+}
+
 TEST_CASE("downloads may be repeated, uploads may not") {
   json Sent = json::parse(Example);
   Sent["routes"][0]["kind"] = "download";
