--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -136,6 +136,8 @@
 /// This daemon's target announced that it is shutting down.
 struct TargetLeaving {
   std::string InstanceId;
+  /// Start of the run, as in its announcements; 0 if unknown.
+  std::int64_t Born = 0;
 };
 
 /// A target that has not yet announced itself to this run of the daemon was
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds ForgetTimeout{600'000};
 /// Targets that are only silent are tried this long if a service has no others.
 constexpr milliseconds SilentTryTime{10'000};
+/// Longer than a target that leaves goes on serving.
+constexpr milliseconds LeavingRunTimeout{120'000};
 constexpr milliseconds PushInterval{100};
 constexpr milliseconds SyncInterval{10'000};
 constexpr milliseconds ShortSyncInterval{1000};
@@ -97,6 +99,9 @@
 
 void Membership::store(const wire::MemberRecord &Record, Time Now) {
   this->Records[Record.Name] = Record;
+  if (Record.__isset.LeavingRun)
+    this->LeavingRuns[Record.Name] = {Record.LeavingRun, Record.Incarnation,
+                                      Now + LeavingRunTimeout};
   this->Revision += 1;
   this->SuspectUntil.erase(Record.Name);
   this->ForgetAt.erase(Record.Name);
@@ -110,6 +115,15 @@
   this->queueUpdate(Record.Name);
 }
 
+const wire::TargetRun *
+Membership::leavingRunBefore(const wire::MemberRecord &Record) const {
+  const auto Found = this->LeavingRuns.find(Record.Name);
+  return Found == this->LeavingRuns.end() ||
+                 Found->second.Incarnation >= Record.Incarnation
+             ? nullptr
+             : &Found->second.Run;
+}
+
 void Membership::suspect(const std::string &Name, Time Now) {
   const auto Found = this->Records.find(Name);
   if (Found == this->Records.end() ||
@@ -139,6 +153,8 @@
     this->Revision += 1;
     return true;
   });
+  std::erase_if(this->LeavingRuns,
+                [&](const auto &Item) { return Now >= Item.second.ForgetAt; });
   std::erase_if(this->TryUntil,
                 [&](const auto &Item) { return Now >= Item.second; });
   std::erase_if(this->RelayedProbes,
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -83,6 +83,11 @@
   std::vector<std::string> silentTargetsOf(std::string_view Service,
                                            Time Now) const;
 
+  /// Returns the run of its target that the daemon of \p Record announced as
+  /// leaving before it restarted; null if there is none.
+  const wire::TargetRun *
+  leavingRunBefore(const wire::MemberRecord &Record) const;
+
   /// Replaces the addresses used to join.
   void setSeeds(std::vector<std::string> Addresses);
 
@@ -142,6 +147,13 @@
   std::map<std::string, wire::MemberRecord, std::less<>> Records;
   std::map<std::string, Time, std::less<>> SuspectUntil;
   std::map<std::string, Time, std::less<>> ForgetAt;
+  /// The run that a daemon last announced as leaving.
+  struct LeavingRecord {
+    wire::TargetRun Run;
+    std::int64_t Incarnation = 0;
+    Time ForgetAt;
+  };
+  std::map<std::string, LeavingRecord, std::less<>> LeavingRuns;
   /// Until when members that stopped responding are tried if there are no
   /// others.
   std::map<std::string, Time, std::less<>> TryUntil;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -328,9 +328,10 @@
       Announcement.InstanceId + " born=" + std::to_string(Announcement.Born) +
       " sequence=" + std::to_string(Announcement.Sequence) +
       " state=" + wire::to_string(Announcement.State)});
-  if (this->Draining)
-    return;
   this->Members.updateSelf([&](wire::MemberRecord &Record) {
+    this->fillLeavingRun(Record);
+    if (this->Draining)
+      return;
     Record.Service = Announcement.Service;
     Record.Target = Announcement.State;
     Record.Slots = Announcement.Slots;
@@ -354,18 +355,29 @@
 }
 
 void Node::on(const TargetLeaving &Body, const Event &TheEvent, Effects &Out) {
-  if (this->Target.leave(Body.InstanceId))
-    this->targetChanged(TheEvent.At, Out);
+  if (this->Target.leave(Body.InstanceId, Body.Born, TheEvent.WallMs))
+    return this->targetChanged(TheEvent.At, Out);
+  // The run may not be known yet, after a restart of this daemon.
+  this->Members.updateSelf(
+      [&](wire::MemberRecord &Record) { this->fillLeavingRun(Record); });
+  this->announce(Out);
+}
+
+void Node::fillLeavingRun(wire::MemberRecord &Record) const {
+  const auto Run = this->Target.leavingRun();
+  Record.__isset.LeavingRun = Run.has_value();
+  Record.LeavingRun = Run.value_or(wire::TargetRun());
 }
 
 void Node::noticeLeaving(const TargetNotice &Notice,
-                         const std::string &InstanceId, Time Now,
+                         const std::string &InstanceId, const Event &TheEvent,
                          Effects &Out) {
   const bool Serving =
       this->Target.current().State == wire::TargetState::Serving ||
       this->Target.current().State == wire::TargetState::Starting;
-  if (Notice.Leaving && Serving && this->Target.leave(InstanceId))
-    this->targetChanged(Now, Out);
+  if (Notice.Leaving && Serving &&
+      this->Target.leave(InstanceId, 0, TheEvent.WallMs))
+    this->targetChanged(TheEvent.At, Out);
 }
 
 void Node::on(const TargetFound &Body, const Event &TheEvent, Effects &Out) {
@@ -376,16 +388,16 @@
   Announcement.State = wire::TargetState::Serving;
   Announcement.Slots = Body.Slots;
   Announcement.InstanceId = Body.InstanceId;
-  this->Target.announce(Announcement);
+  this->Target.find(Announcement, TheEvent.WallMs);
   if (Body.Notice.Leaving)
-    this->Target.leave(Body.InstanceId);
+    this->Target.leave(Body.InstanceId, 0, TheEvent.WallMs);
   this->targetChanged(TheEvent.At, Out);
   this->Scheduler.noticed(Body.Notice, TheEvent.At, TheEvent.At, Out);
 }
 
 void Node::on(const TargetProbed &Body, const Event &TheEvent, Effects &Out) {
-  this->noticeLeaving(Body.Notice, this->Target.current().InstanceId,
-                      TheEvent.At, Out);
+  this->noticeLeaving(Body.Notice, this->Target.current().InstanceId, TheEvent,
+                      Out);
   this->MissedProbes = Body.Reachable ? 0 : this->MissedProbes + 1;
   const wire::TargetState::type State = this->Target.current().State;
   const bool Present =
@@ -404,7 +416,7 @@
 
 void Node::on(const RunFinished &Body, const Event &TheEvent, Effects &Out) {
   // Before the next call starts.
-  this->noticeLeaving(Body.Notice, Body.TargetRun, TheEvent.At, Out);
+  this->noticeLeaving(Body.Notice, Body.TargetRun, TheEvent, Out);
   this->Scheduler.finished(Body, TheEvent.At, Out);
   if (Body.End == RunEnd::NotConnected && this->Target.markGone())
     this->targetChanged(TheEvent.At, Out);
@@ -487,6 +499,9 @@
 
 void Node::on(const MessageReceived &Body, const Event &TheEvent,
               Effects &Out) {
+  if (const auto *Target = std::get_if<wire::LeavingTarget>(&Body.Body))
+    return this->on(TargetLeaving{Target->Run.InstanceId, Target->Run.Born},
+                    TheEvent, Out);
   std::visit(
       [&](const auto &Content) {
         this->receive(Content, Body.From, TheEvent.At, Out);
@@ -510,6 +525,11 @@
   wire::Gossip SenderUpdate;
   SenderUpdate.Updates.push_back(Request.Who);
   this->Members.mergeGossip(SenderUpdate, Now);
+  if (const auto *Run = this->Members.leavingRunBefore(Request.Who)) {
+    wire::LeavingTarget Reply;
+    Reply.Run = *Run;
+    send(Out, From, std::move(Reply), Channel::Datagram);
+  }
   if (this->Control)
     return this->Control->receive(Request, From, Now, Out);
   this->Confirmation.receive(Request, From, Now);
@@ -566,7 +586,8 @@
     this->Scheduler.receive(Body, From, Now, Out);
   else if constexpr (std::is_same_v<T, wire::AnswerAck>)
     this->Scheduler.receive(Body, Now, Out);
-  else if constexpr (std::is_same_v<T, wire::BodyPart>)
+  else if constexpr (std::is_same_v<T, wire::BodyPart> ||
+                     std::is_same_v<T, wire::LeavingTarget>)
     return; // The host reassembles bodies; parts never reach the reducer.
   else if constexpr (std::is_same_v<T, wire::CallReply> ||
                      std::is_same_v<T, wire::ClaimReply> ||
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -128,7 +128,10 @@
   void targetChanged(Time Now, Effects &Out);
   /// Stops sending calls to a target that says that it leaves.
   void noticeLeaving(const TargetNotice &Notice, const std::string &InstanceId,
-                     Time Now, Effects &Out);
+                     const Event &TheEvent, Effects &Out);
+  /// Tells other members which run of the target leaves, for a restart of this
+  /// daemon.
+  void fillLeavingRun(wire::MemberRecord &Record) const;
   void updateOutdated(Time Now, Effects &Out);
   void refreshControlAddresses(Time Now);
   /// Passes the control instances that have left to the consensus.
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -3644,6 +3644,129 @@
 }
 
 
+TargetRun::~TargetRun() noexcept {
+}
+
+
+void TargetRun::__set_InstanceId(const std::string& val) {
+  this->InstanceId = val;
+}
+
+void TargetRun::__set_Born(const int64_t val) {
+  this->Born = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->InstanceId);
+          this->__isset.InstanceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Born);
+          this->__isset.Born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetRun");
+
+  xfer += oprot->writeFieldBegin("InstanceId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->InstanceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetRun &a, TargetRun &b) {
+  using ::std::swap;
+  swap(a.InstanceId, b.InstanceId);
+  swap(a.Born, b.Born);
+  swap(a.__isset, b.__isset);
+}
+
+TargetRun::TargetRun(const TargetRun& other139) {
+  InstanceId = other139.InstanceId;
+  Born = other139.Born;
+  __isset = other139.__isset;
+}
+TargetRun::TargetRun(TargetRun&& other140) noexcept {
+  InstanceId = std::move(other140.InstanceId);
+  Born = other140.Born;
+  __isset = other140.__isset;
+}
+TargetRun& TargetRun::operator=(const TargetRun& other141) {
+  InstanceId = other141.InstanceId;
+  Born = other141.Born;
+  __isset = other141.__isset;
+  return *this;
+}
+TargetRun& TargetRun::operator=(TargetRun&& other142) noexcept {
+  InstanceId = std::move(other142.InstanceId);
+  Born = other142.Born;
+  __isset = other142.__isset;
+  return *this;
+}
+void TargetRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetRun(";
+  out << "InstanceId=" << to_string(InstanceId);
+  out << ", " << "Born=" << to_string(Born);
+  out << ")";
+}
+
+
 MemberRecord::~MemberRecord() noexcept {
 }
 
@@ -3695,6 +3818,11 @@
 void MemberRecord::__set_ColdMs(const int32_t val) {
   this->ColdMs = val;
 }
+
+void MemberRecord::__set_LeavingRun(const TargetRun& val) {
+  this->LeavingRun = val;
+__isset.LeavingRun = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -3773,9 +3901,9 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast139;
-          xfer += iprot->readI32(ecast139);
-          this->State = static_cast<Liveness::type>(ecast139);
+          int32_t ecast143;
+          xfer += iprot->readI32(ecast143);
+          this->State = static_cast<Liveness::type>(ecast143);
           this->__isset.State = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3791,9 +3919,9 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast140;
-          xfer += iprot->readI32(ecast140);
-          this->Target = static_cast<TargetState::type>(ecast140);
+          int32_t ecast144;
+          xfer += iprot->readI32(ecast144);
+          this->Target = static_cast<TargetState::type>(ecast144);
           this->__isset.Target = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3823,6 +3951,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->LeavingRun.read(iprot);
+          this->__isset.LeavingRun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3888,6 +4024,11 @@
   xfer += oprot->writeI32(this->ColdMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.LeavingRun) {
+    xfer += oprot->writeFieldBegin("LeavingRun", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->LeavingRun.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3907,69 +4048,74 @@
   swap(a.Slots, b.Slots);
   swap(a.Unwell, b.Unwell);
   swap(a.ColdMs, b.ColdMs);
+  swap(a.LeavingRun, b.LeavingRun);
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other141) {
-  Name = other141.Name;
-  Address = other141.Address;
-  Zone = other141.Zone;
-  Control = other141.Control;
-  Incarnation = other141.Incarnation;
-  Sequence = other141.Sequence;
-  State = other141.State;
-  Service = other141.Service;
-  Target = other141.Target;
-  Slots = other141.Slots;
-  Unwell = other141.Unwell;
-  ColdMs = other141.ColdMs;
-  __isset = other141.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other142) noexcept {
-  Name = std::move(other142.Name);
-  Address = std::move(other142.Address);
-  Zone = std::move(other142.Zone);
-  Control = other142.Control;
-  Incarnation = other142.Incarnation;
-  Sequence = other142.Sequence;
-  State = other142.State;
-  Service = std::move(other142.Service);
-  Target = other142.Target;
-  Slots = other142.Slots;
-  Unwell = other142.Unwell;
-  ColdMs = other142.ColdMs;
-  __isset = other142.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other143) {
-  Name = other143.Name;
-  Address = other143.Address;
-  Zone = other143.Zone;
-  Control = other143.Control;
-  Incarnation = other143.Incarnation;
-  Sequence = other143.Sequence;
-  State = other143.State;
-  Service = other143.Service;
-  Target = other143.Target;
-  Slots = other143.Slots;
-  Unwell = other143.Unwell;
-  ColdMs = other143.ColdMs;
-  __isset = other143.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other145) {
+  Name = other145.Name;
+  Address = other145.Address;
+  Zone = other145.Zone;
+  Control = other145.Control;
+  Incarnation = other145.Incarnation;
+  Sequence = other145.Sequence;
+  State = other145.State;
+  Service = other145.Service;
+  Target = other145.Target;
+  Slots = other145.Slots;
+  Unwell = other145.Unwell;
+  ColdMs = other145.ColdMs;
+  LeavingRun = other145.LeavingRun;
+  __isset = other145.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other146) noexcept {
+  Name = std::move(other146.Name);
+  Address = std::move(other146.Address);
+  Zone = std::move(other146.Zone);
+  Control = other146.Control;
+  Incarnation = other146.Incarnation;
+  Sequence = other146.Sequence;
+  State = other146.State;
+  Service = std::move(other146.Service);
+  Target = other146.Target;
+  Slots = other146.Slots;
+  Unwell = other146.Unwell;
+  ColdMs = other146.ColdMs;
+  LeavingRun = std::move(other146.LeavingRun);
+  __isset = other146.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other147) {
+  Name = other147.Name;
+  Address = other147.Address;
+  Zone = other147.Zone;
+  Control = other147.Control;
+  Incarnation = other147.Incarnation;
+  Sequence = other147.Sequence;
+  State = other147.State;
+  Service = other147.Service;
+  Target = other147.Target;
+  Slots = other147.Slots;
+  Unwell = other147.Unwell;
+  ColdMs = other147.ColdMs;
+  LeavingRun = other147.LeavingRun;
+  __isset = other147.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other144) noexcept {
-  Name = std::move(other144.Name);
-  Address = std::move(other144.Address);
-  Zone = std::move(other144.Zone);
-  Control = other144.Control;
-  Incarnation = other144.Incarnation;
-  Sequence = other144.Sequence;
-  State = other144.State;
-  Service = std::move(other144.Service);
-  Target = other144.Target;
-  Slots = other144.Slots;
-  Unwell = other144.Unwell;
-  ColdMs = other144.ColdMs;
-  __isset = other144.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other148) noexcept {
+  Name = std::move(other148.Name);
+  Address = std::move(other148.Address);
+  Zone = std::move(other148.Zone);
+  Control = other148.Control;
+  Incarnation = other148.Incarnation;
+  Sequence = other148.Sequence;
+  State = other148.State;
+  Service = std::move(other148.Service);
+  Target = other148.Target;
+  Slots = other148.Slots;
+  Unwell = other148.Unwell;
+  ColdMs = other148.ColdMs;
+  LeavingRun = std::move(other148.LeavingRun);
+  __isset = other148.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -3987,6 +4133,7 @@
   out << ", " << "Slots=" << to_string(Slots);
   out << ", " << "Unwell=" << to_string(Unwell);
   out << ", " << "ColdMs=" << to_string(ColdMs);
+  out << ", " << "LeavingRun="; (__isset.LeavingRun ? (out << to_string(LeavingRun)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4078,14 +4225,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Updates.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->Updates.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->Updates.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->Updates[_i149].read(iprot);
+              xfer += this->Updates[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4130,10 +4277,10 @@
   xfer += oprot->writeFieldBegin("Updates", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter150;
-    for (_iter150 = this->Updates.begin(); _iter150 != this->Updates.end(); ++_iter150)
+    std::vector<MemberRecord> ::const_iterator _iter154;
+    for (_iter154 = this->Updates.begin(); _iter154 != this->Updates.end(); ++_iter154)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4154,38 +4301,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other151) {
-  From = other151.From;
-  Address = other151.Address;
-  Version = other151.Version;
-  Newest = other151.Newest;
-  Updates = other151.Updates;
-  __isset = other151.__isset;
-}
-Gossip::Gossip(Gossip&& other152) noexcept {
-  From = std::move(other152.From);
-  Address = std::move(other152.Address);
-  Version = other152.Version;
-  Newest = std::move(other152.Newest);
-  Updates = std::move(other152.Updates);
-  __isset = other152.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other153) {
-  From = other153.From;
-  Address = other153.Address;
-  Version = other153.Version;
-  Newest = other153.Newest;
-  Updates = other153.Updates;
-  __isset = other153.__isset;
+Gossip::Gossip(const Gossip& other155) {
+  From = other155.From;
+  Address = other155.Address;
+  Version = other155.Version;
+  Newest = other155.Newest;
+  Updates = other155.Updates;
+  __isset = other155.__isset;
+}
+Gossip::Gossip(Gossip&& other156) noexcept {
+  From = std::move(other156.From);
+  Address = std::move(other156.Address);
+  Version = other156.Version;
+  Newest = std::move(other156.Newest);
+  Updates = std::move(other156.Updates);
+  __isset = other156.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other157) {
+  From = other157.From;
+  Address = other157.Address;
+  Version = other157.Version;
+  Newest = other157.Newest;
+  Updates = other157.Updates;
+  __isset = other157.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other154) noexcept {
-  From = std::move(other154.From);
-  Address = std::move(other154.Address);
-  Version = other154.Version;
-  Newest = std::move(other154.Newest);
-  Updates = std::move(other154.Updates);
-  __isset = other154.__isset;
+Gossip& Gossip::operator=(Gossip&& other158) noexcept {
+  From = std::move(other158.From);
+  Address = std::move(other158.Address);
+  Version = other158.Version;
+  Newest = std::move(other158.Newest);
+  Updates = std::move(other158.Updates);
+  __isset = other158.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -4292,26 +4439,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Probe::Probe(const Probe& other155) {
-  Head = other155.Head;
-  Number = other155.Number;
-  __isset = other155.__isset;
+Probe::Probe(const Probe& other159) {
+  Head = other159.Head;
+  Number = other159.Number;
+  __isset = other159.__isset;
 }
-Probe::Probe(Probe&& other156) noexcept {
-  Head = std::move(other156.Head);
-  Number = other156.Number;
-  __isset = other156.__isset;
+Probe::Probe(Probe&& other160) noexcept {
+  Head = std::move(other160.Head);
+  Number = other160.Number;
+  __isset = other160.__isset;
 }
-Probe& Probe::operator=(const Probe& other157) {
-  Head = other157.Head;
-  Number = other157.Number;
-  __isset = other157.__isset;
+Probe& Probe::operator=(const Probe& other161) {
+  Head = other161.Head;
+  Number = other161.Number;
+  __isset = other161.__isset;
   return *this;
 }
-Probe& Probe::operator=(Probe&& other158) noexcept {
-  Head = std::move(other158.Head);
-  Number = other158.Number;
-  __isset = other158.__isset;
+Probe& Probe::operator=(Probe&& other162) noexcept {
+  Head = std::move(other162.Head);
+  Number = other162.Number;
+  __isset = other162.__isset;
   return *this;
 }
 void Probe::printTo(std::ostream& out) const {
@@ -4432,30 +4579,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ProbeAck::ProbeAck(const ProbeAck& other159) {
-  Head = other159.Head;
-  Number = other159.Number;
-  WantsRecord = other159.WantsRecord;
-  __isset = other159.__isset;
+ProbeAck::ProbeAck(const ProbeAck& other163) {
+  Head = other163.Head;
+  Number = other163.Number;
+  WantsRecord = other163.WantsRecord;
+  __isset = other163.__isset;
 }
-ProbeAck::ProbeAck(ProbeAck&& other160) noexcept {
-  Head = std::move(other160.Head);
-  Number = other160.Number;
-  WantsRecord = other160.WantsRecord;
-  __isset = other160.__isset;
+ProbeAck::ProbeAck(ProbeAck&& other164) noexcept {
+  Head = std::move(other164.Head);
+  Number = other164.Number;
+  WantsRecord = other164.WantsRecord;
+  __isset = other164.__isset;
 }
-ProbeAck& ProbeAck::operator=(const ProbeAck& other161) {
-  Head = other161.Head;
-  Number = other161.Number;
-  WantsRecord = other161.WantsRecord;
-  __isset = other161.__isset;
+ProbeAck& ProbeAck::operator=(const ProbeAck& other165) {
+  Head = other165.Head;
+  Number = other165.Number;
+  WantsRecord = other165.WantsRecord;
+  __isset = other165.__isset;
   return *this;
 }
-ProbeAck& ProbeAck::operator=(ProbeAck&& other162) noexcept {
-  Head = std::move(other162.Head);
-  Number = other162.Number;
-  WantsRecord = other162.WantsRecord;
-  __isset = other162.__isset;
+ProbeAck& ProbeAck::operator=(ProbeAck&& other166) noexcept {
+  Head = std::move(other166.Head);
+  Number = other166.Number;
+  WantsRecord = other166.WantsRecord;
+  __isset = other166.__isset;
   return *this;
 }
 void ProbeAck::printTo(std::ostream& out) const {
@@ -4577,30 +4724,30 @@
   swap(a.__isset, b.__isset);
 }
 
-IndirectProbe::IndirectProbe(const IndirectProbe& other163) {
-  Head = other163.Head;
-  Number = other163.Number;
-  SubjectAddress = other163.SubjectAddress;
-  __isset = other163.__isset;
+IndirectProbe::IndirectProbe(const IndirectProbe& other167) {
+  Head = other167.Head;
+  Number = other167.Number;
+  SubjectAddress = other167.SubjectAddress;
+  __isset = other167.__isset;
 }
-IndirectProbe::IndirectProbe(IndirectProbe&& other164) noexcept {
-  Head = std::move(other164.Head);
-  Number = other164.Number;
-  SubjectAddress = std::move(other164.SubjectAddress);
-  __isset = other164.__isset;
+IndirectProbe::IndirectProbe(IndirectProbe&& other168) noexcept {
+  Head = std::move(other168.Head);
+  Number = other168.Number;
+  SubjectAddress = std::move(other168.SubjectAddress);
+  __isset = other168.__isset;
 }
-IndirectProbe& IndirectProbe::operator=(const IndirectProbe& other165) {
-  Head = other165.Head;
-  Number = other165.Number;
-  SubjectAddress = other165.SubjectAddress;
-  __isset = other165.__isset;
+IndirectProbe& IndirectProbe::operator=(const IndirectProbe& other169) {
+  Head = other169.Head;
+  Number = other169.Number;
+  SubjectAddress = other169.SubjectAddress;
+  __isset = other169.__isset;
   return *this;
 }
-IndirectProbe& IndirectProbe::operator=(IndirectProbe&& other166) noexcept {
-  Head = std::move(other166.Head);
-  Number = other166.Number;
-  SubjectAddress = std::move(other166.SubjectAddress);
-  __isset = other166.__isset;
+IndirectProbe& IndirectProbe::operator=(IndirectProbe&& other170) noexcept {
+  Head = std::move(other170.Head);
+  Number = other170.Number;
+  SubjectAddress = std::move(other170.SubjectAddress);
+  __isset = other170.__isset;
   return *this;
 }
 void IndirectProbe::printTo(std::ostream& out) const {
@@ -4688,22 +4835,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Announce::Announce(const Announce& other167) {
-  Head = other167.Head;
-  __isset = other167.__isset;
+Announce::Announce(const Announce& other171) {
+  Head = other171.Head;
+  __isset = other171.__isset;
 }
-Announce::Announce(Announce&& other168) noexcept {
-  Head = std::move(other168.Head);
-  __isset = other168.__isset;
+Announce::Announce(Announce&& other172) noexcept {
+  Head = std::move(other172.Head);
+  __isset = other172.__isset;
 }
-Announce& Announce::operator=(const Announce& other169) {
-  Head = other169.Head;
-  __isset = other169.__isset;
+Announce& Announce::operator=(const Announce& other173) {
+  Head = other173.Head;
+  __isset = other173.__isset;
   return *this;
 }
-Announce& Announce::operator=(Announce&& other170) noexcept {
-  Head = std::move(other170.Head);
-  __isset = other170.__isset;
+Announce& Announce::operator=(Announce&& other174) noexcept {
+  Head = std::move(other174.Head);
+  __isset = other174.__isset;
   return *this;
 }
 void Announce::printTo(std::ostream& out) const {
@@ -4753,14 +4900,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Buckets.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->Buckets.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->Buckets.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += iprot->readI64(this->Buckets[_i175]);
+              xfer += iprot->readI64(this->Buckets[_i179]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4789,10 +4936,10 @@
   xfer += oprot->writeFieldBegin("Buckets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter176;
-    for (_iter176 = this->Buckets.begin(); _iter176 != this->Buckets.end(); ++_iter176)
+    std::vector<int64_t> ::const_iterator _iter180;
+    for (_iter180 = this->Buckets.begin(); _iter180 != this->Buckets.end(); ++_iter180)
     {
-      xfer += oprot->writeI64((*_iter176));
+      xfer += oprot->writeI64((*_iter180));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4809,22 +4956,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other177) {
-  Buckets = other177.Buckets;
-  __isset = other177.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other181) {
+  Buckets = other181.Buckets;
+  __isset = other181.__isset;
 }
-SyncRequest::SyncRequest(SyncRequest&& other178) noexcept {
-  Buckets = std::move(other178.Buckets);
-  __isset = other178.__isset;
+SyncRequest::SyncRequest(SyncRequest&& other182) noexcept {
+  Buckets = std::move(other182.Buckets);
+  __isset = other182.__isset;
 }
-SyncRequest& SyncRequest::operator=(const SyncRequest& other179) {
-  Buckets = other179.Buckets;
-  __isset = other179.__isset;
+SyncRequest& SyncRequest::operator=(const SyncRequest& other183) {
+  Buckets = other183.Buckets;
+  __isset = other183.__isset;
   return *this;
 }
-SyncRequest& SyncRequest::operator=(SyncRequest&& other180) noexcept {
-  Buckets = std::move(other180.Buckets);
-  __isset = other180.__isset;
+SyncRequest& SyncRequest::operator=(SyncRequest&& other184) noexcept {
+  Buckets = std::move(other184.Buckets);
+  __isset = other184.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -4882,14 +5029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Buckets.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->Buckets.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->Buckets.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
             {
-              xfer += iprot->readI32(this->Buckets[_i185]);
+              xfer += iprot->readI32(this->Buckets[_i189]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4902,14 +5049,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->Records.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->Records.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += this->Records[_i190].read(iprot);
+              xfer += this->Records[_i194].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4946,10 +5093,10 @@
   xfer += oprot->writeFieldBegin("Buckets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->Buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter191;
-    for (_iter191 = this->Buckets.begin(); _iter191 != this->Buckets.end(); ++_iter191)
+    std::vector<int32_t> ::const_iterator _iter195;
+    for (_iter195 = this->Buckets.begin(); _iter195 != this->Buckets.end(); ++_iter195)
     {
-      xfer += oprot->writeI32((*_iter191));
+      xfer += oprot->writeI32((*_iter195));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4958,10 +5105,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<MemberRecord> ::const_iterator _iter192;
-    for (_iter192 = this->Records.begin(); _iter192 != this->Records.end(); ++_iter192)
+    std::vector<MemberRecord> ::const_iterator _iter196;
+    for (_iter196 = this->Records.begin(); _iter196 != this->Records.end(); ++_iter196)
     {
-      xfer += (*_iter192).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4984,30 +5131,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other193) {
-  Buckets = other193.Buckets;
-  Records = other193.Records;
-  WantsRecords = other193.WantsRecords;
-  __isset = other193.__isset;
+SyncReply::SyncReply(const SyncReply& other197) {
+  Buckets = other197.Buckets;
+  Records = other197.Records;
+  WantsRecords = other197.WantsRecords;
+  __isset = other197.__isset;
 }
-SyncReply::SyncReply(SyncReply&& other194) noexcept {
-  Buckets = std::move(other194.Buckets);
-  Records = std::move(other194.Records);
-  WantsRecords = other194.WantsRecords;
-  __isset = other194.__isset;
+SyncReply::SyncReply(SyncReply&& other198) noexcept {
+  Buckets = std::move(other198.Buckets);
+  Records = std::move(other198.Records);
+  WantsRecords = other198.WantsRecords;
+  __isset = other198.__isset;
 }
-SyncReply& SyncReply::operator=(const SyncReply& other195) {
-  Buckets = other195.Buckets;
-  Records = other195.Records;
-  WantsRecords = other195.WantsRecords;
-  __isset = other195.__isset;
+SyncReply& SyncReply::operator=(const SyncReply& other199) {
+  Buckets = other199.Buckets;
+  Records = other199.Records;
+  WantsRecords = other199.WantsRecords;
+  __isset = other199.__isset;
   return *this;
 }
-SyncReply& SyncReply::operator=(SyncReply&& other196) noexcept {
-  Buckets = std::move(other196.Buckets);
-  Records = std::move(other196.Records);
-  WantsRecords = other196.WantsRecords;
-  __isset = other196.__isset;
+SyncReply& SyncReply::operator=(SyncReply&& other200) noexcept {
+  Buckets = std::move(other200.Buckets);
+  Records = std::move(other200.Records);
+  WantsRecords = other200.WantsRecords;
+  __isset = other200.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -5146,34 +5293,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PullRequest::PullRequest(const PullRequest& other197) noexcept {
-  HaveVersion = other197.HaveVersion;
-  HaveHash = other197.HaveHash;
-  TakesPacked = other197.TakesPacked;
-  AsDatagram = other197.AsDatagram;
-  __isset = other197.__isset;
-}
-PullRequest::PullRequest(PullRequest&& other198) noexcept {
-  HaveVersion = other198.HaveVersion;
-  HaveHash = other198.HaveHash;
-  TakesPacked = other198.TakesPacked;
-  AsDatagram = other198.AsDatagram;
-  __isset = other198.__isset;
-}
-PullRequest& PullRequest::operator=(const PullRequest& other199) noexcept {
-  HaveVersion = other199.HaveVersion;
-  HaveHash = other199.HaveHash;
-  TakesPacked = other199.TakesPacked;
-  AsDatagram = other199.AsDatagram;
-  __isset = other199.__isset;
+PullRequest::PullRequest(const PullRequest& other201) noexcept {
+  HaveVersion = other201.HaveVersion;
+  HaveHash = other201.HaveHash;
+  TakesPacked = other201.TakesPacked;
+  AsDatagram = other201.AsDatagram;
+  __isset = other201.__isset;
+}
+PullRequest::PullRequest(PullRequest&& other202) noexcept {
+  HaveVersion = other202.HaveVersion;
+  HaveHash = other202.HaveHash;
+  TakesPacked = other202.TakesPacked;
+  AsDatagram = other202.AsDatagram;
+  __isset = other202.__isset;
+}
+PullRequest& PullRequest::operator=(const PullRequest& other203) noexcept {
+  HaveVersion = other203.HaveVersion;
+  HaveHash = other203.HaveHash;
+  TakesPacked = other203.TakesPacked;
+  AsDatagram = other203.AsDatagram;
+  __isset = other203.__isset;
   return *this;
 }
-PullRequest& PullRequest::operator=(PullRequest&& other200) noexcept {
-  HaveVersion = other200.HaveVersion;
-  HaveHash = other200.HaveHash;
-  TakesPacked = other200.TakesPacked;
-  AsDatagram = other200.AsDatagram;
-  __isset = other200.__isset;
+PullRequest& PullRequest::operator=(PullRequest&& other204) noexcept {
+  HaveVersion = other204.HaveVersion;
+  HaveHash = other204.HaveHash;
+  TakesPacked = other204.TakesPacked;
+  AsDatagram = other204.AsDatagram;
+  __isset = other204.__isset;
   return *this;
 }
 void PullRequest::printTo(std::ostream& out) const {
@@ -5278,14 +5425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Deltas.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->Deltas.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->Deltas.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->Deltas[_i205].read(iprot);
+              xfer += this->Deltas[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5306,14 +5453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Settings.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->Settings.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->Settings.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += this->Settings[_i210].read(iprot);
+              xfer += this->Settings[_i214].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5390,10 +5537,10 @@
   xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
-    std::vector<Delta> ::const_iterator _iter211;
-    for (_iter211 = this->Deltas.begin(); _iter211 != this->Deltas.end(); ++_iter211)
+    std::vector<Delta> ::const_iterator _iter215;
+    for (_iter215 = this->Deltas.begin(); _iter215 != this->Deltas.end(); ++_iter215)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5406,10 +5553,10 @@
   xfer += oprot->writeFieldBegin("Settings", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Settings.size()));
-    std::vector<Setting> ::const_iterator _iter212;
-    for (_iter212 = this->Settings.begin(); _iter212 != this->Settings.end(); ++_iter212)
+    std::vector<Setting> ::const_iterator _iter216;
+    for (_iter216 = this->Settings.begin(); _iter216 != this->Settings.end(); ++_iter216)
     {
-      xfer += (*_iter212).write(oprot);
+      xfer += (*_iter216).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5455,58 +5602,58 @@
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other213) {
-  Busy = other213.Busy;
-  RetryAfterMs = other213.RetryAfterMs;
-  Deltas = other213.Deltas;
-  IsSnapshot = other213.IsSnapshot;
-  Settings = other213.Settings;
-  Version = other213.Version;
-  Hash = other213.Hash;
-  Packed = other213.Packed;
-  UnpackedBytes = other213.UnpackedBytes;
-  TooLarge = other213.TooLarge;
-  __isset = other213.__isset;
-}
-PullReply::PullReply(PullReply&& other214) noexcept {
-  Busy = other214.Busy;
-  RetryAfterMs = other214.RetryAfterMs;
-  Deltas = std::move(other214.Deltas);
-  IsSnapshot = other214.IsSnapshot;
-  Settings = std::move(other214.Settings);
-  Version = other214.Version;
-  Hash = other214.Hash;
-  Packed = std::move(other214.Packed);
-  UnpackedBytes = other214.UnpackedBytes;
-  TooLarge = other214.TooLarge;
-  __isset = other214.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other215) {
-  Busy = other215.Busy;
-  RetryAfterMs = other215.RetryAfterMs;
-  Deltas = other215.Deltas;
-  IsSnapshot = other215.IsSnapshot;
-  Settings = other215.Settings;
-  Version = other215.Version;
-  Hash = other215.Hash;
-  Packed = other215.Packed;
-  UnpackedBytes = other215.UnpackedBytes;
-  TooLarge = other215.TooLarge;
-  __isset = other215.__isset;
+PullReply::PullReply(const PullReply& other217) {
+  Busy = other217.Busy;
+  RetryAfterMs = other217.RetryAfterMs;
+  Deltas = other217.Deltas;
+  IsSnapshot = other217.IsSnapshot;
+  Settings = other217.Settings;
+  Version = other217.Version;
+  Hash = other217.Hash;
+  Packed = other217.Packed;
+  UnpackedBytes = other217.UnpackedBytes;
+  TooLarge = other217.TooLarge;
+  __isset = other217.__isset;
+}
+PullReply::PullReply(PullReply&& other218) noexcept {
+  Busy = other218.Busy;
+  RetryAfterMs = other218.RetryAfterMs;
+  Deltas = std::move(other218.Deltas);
+  IsSnapshot = other218.IsSnapshot;
+  Settings = std::move(other218.Settings);
+  Version = other218.Version;
+  Hash = other218.Hash;
+  Packed = std::move(other218.Packed);
+  UnpackedBytes = other218.UnpackedBytes;
+  TooLarge = other218.TooLarge;
+  __isset = other218.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other219) {
+  Busy = other219.Busy;
+  RetryAfterMs = other219.RetryAfterMs;
+  Deltas = other219.Deltas;
+  IsSnapshot = other219.IsSnapshot;
+  Settings = other219.Settings;
+  Version = other219.Version;
+  Hash = other219.Hash;
+  Packed = other219.Packed;
+  UnpackedBytes = other219.UnpackedBytes;
+  TooLarge = other219.TooLarge;
+  __isset = other219.__isset;
   return *this;
 }
-PullReply& PullReply::operator=(PullReply&& other216) noexcept {
-  Busy = other216.Busy;
-  RetryAfterMs = other216.RetryAfterMs;
-  Deltas = std::move(other216.Deltas);
-  IsSnapshot = other216.IsSnapshot;
-  Settings = std::move(other216.Settings);
-  Version = other216.Version;
-  Hash = other216.Hash;
-  Packed = std::move(other216.Packed);
-  UnpackedBytes = other216.UnpackedBytes;
-  TooLarge = other216.TooLarge;
-  __isset = other216.__isset;
+PullReply& PullReply::operator=(PullReply&& other220) noexcept {
+  Busy = other220.Busy;
+  RetryAfterMs = other220.RetryAfterMs;
+  Deltas = std::move(other220.Deltas);
+  IsSnapshot = other220.IsSnapshot;
+  Settings = std::move(other220.Settings);
+  Version = other220.Version;
+  Hash = other220.Hash;
+  Packed = std::move(other220.Packed);
+  UnpackedBytes = other220.UnpackedBytes;
+  TooLarge = other220.TooLarge;
+  __isset = other220.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -5618,26 +5765,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Laggard::Laggard(const Laggard& other217) {
-  Name = other217.Name;
-  Version = other217.Version;
-  __isset = other217.__isset;
+Laggard::Laggard(const Laggard& other221) {
+  Name = other221.Name;
+  Version = other221.Version;
+  __isset = other221.__isset;
 }
-Laggard::Laggard(Laggard&& other218) noexcept {
-  Name = std::move(other218.Name);
-  Version = other218.Version;
-  __isset = other218.__isset;
+Laggard::Laggard(Laggard&& other222) noexcept {
+  Name = std::move(other222.Name);
+  Version = other222.Version;
+  __isset = other222.__isset;
 }
-Laggard& Laggard::operator=(const Laggard& other219) {
-  Name = other219.Name;
-  Version = other219.Version;
-  __isset = other219.__isset;
+Laggard& Laggard::operator=(const Laggard& other223) {
+  Name = other223.Name;
+  Version = other223.Version;
+  __isset = other223.__isset;
   return *this;
 }
-Laggard& Laggard::operator=(Laggard&& other220) noexcept {
-  Name = std::move(other220.Name);
-  Version = other220.Version;
-  __isset = other220.__isset;
+Laggard& Laggard::operator=(Laggard&& other224) noexcept {
+  Name = std::move(other224.Name);
+  Version = other224.Version;
+  __isset = other224.__isset;
   return *this;
 }
 void Laggard::printTo(std::ostream& out) const {
@@ -5736,14 +5883,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Laggards.clear();
-            uint32_t _size221;
-            ::apache::thrift::protocol::TType _etype224;
-            xfer += iprot->readListBegin(_etype224, _size221);
-            this->Laggards.resize(_size221);
-            uint32_t _i225;
-            for (_i225 = 0; _i225 < _size221; ++_i225)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->Laggards.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += this->Laggards[_i225].read(iprot);
+              xfer += this->Laggards[_i229].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5788,10 +5935,10 @@
   xfer += oprot->writeFieldBegin("Laggards", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Laggards.size()));
-    std::vector<Laggard> ::const_iterator _iter226;
-    for (_iter226 = this->Laggards.begin(); _iter226 != this->Laggards.end(); ++_iter226)
+    std::vector<Laggard> ::const_iterator _iter230;
+    for (_iter230 = this->Laggards.begin(); _iter230 != this->Laggards.end(); ++_iter230)
     {
-      xfer += (*_iter226).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5812,38 +5959,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other227) {
-  From = other227.From;
-  LeastVersion = other227.LeastVersion;
-  Count = other227.Count;
-  NamesSum = other227.NamesSum;
-  Laggards = other227.Laggards;
-  __isset = other227.__isset;
-}
-Report::Report(Report&& other228) noexcept {
-  From = std::move(other228.From);
-  LeastVersion = other228.LeastVersion;
-  Count = other228.Count;
-  NamesSum = other228.NamesSum;
-  Laggards = std::move(other228.Laggards);
-  __isset = other228.__isset;
-}
-Report& Report::operator=(const Report& other229) {
-  From = other229.From;
-  LeastVersion = other229.LeastVersion;
-  Count = other229.Count;
-  NamesSum = other229.NamesSum;
-  Laggards = other229.Laggards;
-  __isset = other229.__isset;
+Report::Report(const Report& other231) {
+  From = other231.From;
+  LeastVersion = other231.LeastVersion;
+  Count = other231.Count;
+  NamesSum = other231.NamesSum;
+  Laggards = other231.Laggards;
+  __isset = other231.__isset;
+}
+Report::Report(Report&& other232) noexcept {
+  From = std::move(other232.From);
+  LeastVersion = other232.LeastVersion;
+  Count = other232.Count;
+  NamesSum = other232.NamesSum;
+  Laggards = std::move(other232.Laggards);
+  __isset = other232.__isset;
+}
+Report& Report::operator=(const Report& other233) {
+  From = other233.From;
+  LeastVersion = other233.LeastVersion;
+  Count = other233.Count;
+  NamesSum = other233.NamesSum;
+  Laggards = other233.Laggards;
+  __isset = other233.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other230) noexcept {
-  From = std::move(other230.From);
-  LeastVersion = other230.LeastVersion;
-  Count = other230.Count;
-  NamesSum = other230.NamesSum;
-  Laggards = std::move(other230.Laggards);
-  __isset = other230.__isset;
+Report& Report::operator=(Report&& other234) noexcept {
+  From = std::move(other234.From);
+  LeastVersion = other234.LeastVersion;
+  Count = other234.Count;
+  NamesSum = other234.NamesSum;
+  Laggards = std::move(other234.Laggards);
+  __isset = other234.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -5967,30 +6114,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StampRequest::StampRequest(const StampRequest& other231) {
-  Nonce = other231.Nonce;
-  Who = other231.Who;
-  MaxAgeMs = other231.MaxAgeMs;
-  __isset = other231.__isset;
+StampRequest::StampRequest(const StampRequest& other235) {
+  Nonce = other235.Nonce;
+  Who = other235.Who;
+  MaxAgeMs = other235.MaxAgeMs;
+  __isset = other235.__isset;
 }
-StampRequest::StampRequest(StampRequest&& other232) noexcept {
-  Nonce = other232.Nonce;
-  Who = std::move(other232.Who);
-  MaxAgeMs = other232.MaxAgeMs;
-  __isset = other232.__isset;
+StampRequest::StampRequest(StampRequest&& other236) noexcept {
+  Nonce = other236.Nonce;
+  Who = std::move(other236.Who);
+  MaxAgeMs = other236.MaxAgeMs;
+  __isset = other236.__isset;
 }
-StampRequest& StampRequest::operator=(const StampRequest& other233) {
-  Nonce = other233.Nonce;
-  Who = other233.Who;
-  MaxAgeMs = other233.MaxAgeMs;
-  __isset = other233.__isset;
+StampRequest& StampRequest::operator=(const StampRequest& other237) {
+  Nonce = other237.Nonce;
+  Who = other237.Who;
+  MaxAgeMs = other237.MaxAgeMs;
+  __isset = other237.__isset;
   return *this;
 }
-StampRequest& StampRequest::operator=(StampRequest&& other234) noexcept {
-  Nonce = other234.Nonce;
-  Who = std::move(other234.Who);
-  MaxAgeMs = other234.MaxAgeMs;
-  __isset = other234.__isset;
+StampRequest& StampRequest::operator=(StampRequest&& other238) noexcept {
+  Nonce = other238.Nonce;
+  Who = std::move(other238.Who);
+  MaxAgeMs = other238.MaxAgeMs;
+  __isset = other238.__isset;
   return *this;
 }
 void StampRequest::printTo(std::ostream& out) const {
@@ -6129,34 +6276,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StampReply::StampReply(const StampReply& other235) {
-  Nonce = other235.Nonce;
-  Confirmed = other235.Confirmed;
-  AgeMs = other235.AgeMs;
-  Source = other235.Source;
-  __isset = other235.__isset;
+StampReply::StampReply(const StampReply& other239) {
+  Nonce = other239.Nonce;
+  Confirmed = other239.Confirmed;
+  AgeMs = other239.AgeMs;
+  Source = other239.Source;
+  __isset = other239.__isset;
 }
-StampReply::StampReply(StampReply&& other236) noexcept {
-  Nonce = other236.Nonce;
-  Confirmed = std::move(other236.Confirmed);
-  AgeMs = other236.AgeMs;
-  Source = std::move(other236.Source);
-  __isset = other236.__isset;
+StampReply::StampReply(StampReply&& other240) noexcept {
+  Nonce = other240.Nonce;
+  Confirmed = std::move(other240.Confirmed);
+  AgeMs = other240.AgeMs;
+  Source = std::move(other240.Source);
+  __isset = other240.__isset;
 }
-StampReply& StampReply::operator=(const StampReply& other237) {
-  Nonce = other237.Nonce;
-  Confirmed = other237.Confirmed;
-  AgeMs = other237.AgeMs;
-  Source = other237.Source;
-  __isset = other237.__isset;
+StampReply& StampReply::operator=(const StampReply& other241) {
+  Nonce = other241.Nonce;
+  Confirmed = other241.Confirmed;
+  AgeMs = other241.AgeMs;
+  Source = other241.Source;
+  __isset = other241.__isset;
   return *this;
 }
-StampReply& StampReply::operator=(StampReply&& other238) noexcept {
-  Nonce = other238.Nonce;
-  Confirmed = std::move(other238.Confirmed);
-  AgeMs = other238.AgeMs;
-  Source = std::move(other238.Source);
-  __isset = other238.__isset;
+StampReply& StampReply::operator=(StampReply&& other242) noexcept {
+  Nonce = other242.Nonce;
+  Confirmed = std::move(other242.Confirmed);
+  AgeMs = other242.AgeMs;
+  Source = std::move(other242.Source);
+  __isset = other242.__isset;
   return *this;
 }
 void StampReply::printTo(std::ostream& out) const {
@@ -6279,30 +6426,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AttemptId::AttemptId(const AttemptId& other239) {
-  Sender = other239.Sender;
-  SenderIncarnation = other239.SenderIncarnation;
-  Number = other239.Number;
-  __isset = other239.__isset;
+AttemptId::AttemptId(const AttemptId& other243) {
+  Sender = other243.Sender;
+  SenderIncarnation = other243.SenderIncarnation;
+  Number = other243.Number;
+  __isset = other243.__isset;
 }
-AttemptId::AttemptId(AttemptId&& other240) noexcept {
-  Sender = std::move(other240.Sender);
-  SenderIncarnation = other240.SenderIncarnation;
-  Number = other240.Number;
-  __isset = other240.__isset;
+AttemptId::AttemptId(AttemptId&& other244) noexcept {
+  Sender = std::move(other244.Sender);
+  SenderIncarnation = other244.SenderIncarnation;
+  Number = other244.Number;
+  __isset = other244.__isset;
 }
-AttemptId& AttemptId::operator=(const AttemptId& other241) {
-  Sender = other241.Sender;
-  SenderIncarnation = other241.SenderIncarnation;
-  Number = other241.Number;
-  __isset = other241.__isset;
+AttemptId& AttemptId::operator=(const AttemptId& other245) {
+  Sender = other245.Sender;
+  SenderIncarnation = other245.SenderIncarnation;
+  Number = other245.Number;
+  __isset = other245.__isset;
   return *this;
 }
-AttemptId& AttemptId::operator=(AttemptId&& other242) noexcept {
-  Sender = std::move(other242.Sender);
-  SenderIncarnation = other242.SenderIncarnation;
-  Number = other242.Number;
-  __isset = other242.__isset;
+AttemptId& AttemptId::operator=(AttemptId&& other246) noexcept {
+  Sender = std::move(other246.Sender);
+  SenderIncarnation = other246.SenderIncarnation;
+  Number = other246.Number;
+  __isset = other246.__isset;
   return *this;
 }
 void AttemptId::printTo(std::ostream& out) const {
@@ -6407,26 +6554,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other243) {
-  Name = other243.Name;
-  Value = other243.Value;
-  __isset = other243.__isset;
+Header::Header(const Header& other247) {
+  Name = other247.Name;
+  Value = other247.Value;
+  __isset = other247.__isset;
 }
-Header::Header(Header&& other244) noexcept {
-  Name = std::move(other244.Name);
-  Value = std::move(other244.Value);
-  __isset = other244.__isset;
+Header::Header(Header&& other248) noexcept {
+  Name = std::move(other248.Name);
+  Value = std::move(other248.Value);
+  __isset = other248.__isset;
 }
-Header& Header::operator=(const Header& other245) {
-  Name = other245.Name;
-  Value = other245.Value;
-  __isset = other245.__isset;
+Header& Header::operator=(const Header& other249) {
+  Name = other249.Name;
+  Value = other249.Value;
+  __isset = other249.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other246) noexcept {
-  Name = std::move(other246.Name);
-  Value = std::move(other246.Value);
-  __isset = other246.__isset;
+Header& Header::operator=(Header&& other250) noexcept {
+  Name = std::move(other250.Name);
+  Value = std::move(other250.Value);
+  __isset = other250.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -6577,14 +6724,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Headers.clear();
-            uint32_t _size247;
-            ::apache::thrift::protocol::TType _etype250;
-            xfer += iprot->readListBegin(_etype250, _size247);
-            this->Headers.resize(_size247);
-            uint32_t _i251;
-            for (_i251 = 0; _i251 < _size247; ++_i251)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->Headers.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->Headers[_i251].read(iprot);
+              xfer += this->Headers[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6713,10 +6860,10 @@
   xfer += oprot->writeFieldBegin("Headers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Headers.size()));
-    std::vector<Header> ::const_iterator _iter252;
-    for (_iter252 = this->Headers.begin(); _iter252 != this->Headers.end(); ++_iter252)
+    std::vector<Header> ::const_iterator _iter256;
+    for (_iter256 = this->Headers.begin(); _iter256 != this->Headers.end(); ++_iter256)
     {
-      xfer += (*_iter252).write(oprot);
+      xfer += (*_iter256).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6788,82 +6935,82 @@
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other253) {
-  Id = other253.Id;
-  ReceiverIncarnation = other253.ReceiverIncarnation;
-  Service = other253.Service;
-  Method = other253.Method;
-  Url = other253.Url;
-  Headers = other253.Headers;
-  BodySize = other253.BodySize;
-  Body = other253.Body;
-  RemainingMs = other253.RemainingMs;
-  Priority = other253.Priority;
-  CallId = other253.CallId;
-  MayRepeat = other253.MayRepeat;
-  UsefulMs = other253.UsefulMs;
-  Route = other253.Route;
-  Late = other253.Late;
-  BodyFollows = other253.BodyFollows;
-  __isset = other253.__isset;
-}
-CallRequest::CallRequest(CallRequest&& other254) noexcept {
-  Id = std::move(other254.Id);
-  ReceiverIncarnation = other254.ReceiverIncarnation;
-  Service = std::move(other254.Service);
-  Method = std::move(other254.Method);
-  Url = std::move(other254.Url);
-  Headers = std::move(other254.Headers);
-  BodySize = other254.BodySize;
-  Body = std::move(other254.Body);
-  RemainingMs = other254.RemainingMs;
-  Priority = other254.Priority;
-  CallId = std::move(other254.CallId);
-  MayRepeat = other254.MayRepeat;
-  UsefulMs = other254.UsefulMs;
-  Route = std::move(other254.Route);
-  Late = other254.Late;
-  BodyFollows = other254.BodyFollows;
-  __isset = other254.__isset;
-}
-CallRequest& CallRequest::operator=(const CallRequest& other255) {
-  Id = other255.Id;
-  ReceiverIncarnation = other255.ReceiverIncarnation;
-  Service = other255.Service;
-  Method = other255.Method;
-  Url = other255.Url;
-  Headers = other255.Headers;
-  BodySize = other255.BodySize;
-  Body = other255.Body;
-  RemainingMs = other255.RemainingMs;
-  Priority = other255.Priority;
-  CallId = other255.CallId;
-  MayRepeat = other255.MayRepeat;
-  UsefulMs = other255.UsefulMs;
-  Route = other255.Route;
-  Late = other255.Late;
-  BodyFollows = other255.BodyFollows;
-  __isset = other255.__isset;
+CallRequest::CallRequest(const CallRequest& other257) {
+  Id = other257.Id;
+  ReceiverIncarnation = other257.ReceiverIncarnation;
+  Service = other257.Service;
+  Method = other257.Method;
+  Url = other257.Url;
+  Headers = other257.Headers;
+  BodySize = other257.BodySize;
+  Body = other257.Body;
+  RemainingMs = other257.RemainingMs;
+  Priority = other257.Priority;
+  CallId = other257.CallId;
+  MayRepeat = other257.MayRepeat;
+  UsefulMs = other257.UsefulMs;
+  Route = other257.Route;
+  Late = other257.Late;
+  BodyFollows = other257.BodyFollows;
+  __isset = other257.__isset;
+}
+CallRequest::CallRequest(CallRequest&& other258) noexcept {
+  Id = std::move(other258.Id);
+  ReceiverIncarnation = other258.ReceiverIncarnation;
+  Service = std::move(other258.Service);
+  Method = std::move(other258.Method);
+  Url = std::move(other258.Url);
+  Headers = std::move(other258.Headers);
+  BodySize = other258.BodySize;
+  Body = std::move(other258.Body);
+  RemainingMs = other258.RemainingMs;
+  Priority = other258.Priority;
+  CallId = std::move(other258.CallId);
+  MayRepeat = other258.MayRepeat;
+  UsefulMs = other258.UsefulMs;
+  Route = std::move(other258.Route);
+  Late = other258.Late;
+  BodyFollows = other258.BodyFollows;
+  __isset = other258.__isset;
+}
+CallRequest& CallRequest::operator=(const CallRequest& other259) {
+  Id = other259.Id;
+  ReceiverIncarnation = other259.ReceiverIncarnation;
+  Service = other259.Service;
+  Method = other259.Method;
+  Url = other259.Url;
+  Headers = other259.Headers;
+  BodySize = other259.BodySize;
+  Body = other259.Body;
+  RemainingMs = other259.RemainingMs;
+  Priority = other259.Priority;
+  CallId = other259.CallId;
+  MayRepeat = other259.MayRepeat;
+  UsefulMs = other259.UsefulMs;
+  Route = other259.Route;
+  Late = other259.Late;
+  BodyFollows = other259.BodyFollows;
+  __isset = other259.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other256) noexcept {
-  Id = std::move(other256.Id);
-  ReceiverIncarnation = other256.ReceiverIncarnation;
-  Service = std::move(other256.Service);
-  Method = std::move(other256.Method);
-  Url = std::move(other256.Url);
-  Headers = std::move(other256.Headers);
-  BodySize = other256.BodySize;
-  Body = std::move(other256.Body);
-  RemainingMs = other256.RemainingMs;
-  Priority = other256.Priority;
-  CallId = std::move(other256.CallId);
-  MayRepeat = other256.MayRepeat;
-  UsefulMs = other256.UsefulMs;
-  Route = std::move(other256.Route);
-  Late = other256.Late;
-  BodyFollows = other256.BodyFollows;
-  __isset = other256.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other260) noexcept {
+  Id = std::move(other260.Id);
+  ReceiverIncarnation = other260.ReceiverIncarnation;
+  Service = std::move(other260.Service);
+  Method = std::move(other260.Method);
+  Url = std::move(other260.Url);
+  Headers = std::move(other260.Headers);
+  BodySize = other260.BodySize;
+  Body = std::move(other260.Body);
+  RemainingMs = other260.RemainingMs;
+  Priority = other260.Priority;
+  CallId = std::move(other260.CallId);
+  MayRepeat = other260.MayRepeat;
+  UsefulMs = other260.UsefulMs;
+  Route = std::move(other260.Route);
+  Late = other260.Late;
+  BodyFollows = other260.BodyFollows;
+  __isset = other260.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -7032,38 +7179,38 @@
   swap(a.__isset, b.__isset);
 }
 
-BodyPart::BodyPart(const BodyPart& other257) {
-  Id = other257.Id;
-  OfAnswer = other257.OfAnswer;
-  Offset = other257.Offset;
-  Data = other257.Data;
-  RemainingMs = other257.RemainingMs;
-  __isset = other257.__isset;
+BodyPart::BodyPart(const BodyPart& other261) {
+  Id = other261.Id;
+  OfAnswer = other261.OfAnswer;
+  Offset = other261.Offset;
+  Data = other261.Data;
+  RemainingMs = other261.RemainingMs;
+  __isset = other261.__isset;
 }
-BodyPart::BodyPart(BodyPart&& other258) noexcept {
-  Id = std::move(other258.Id);
-  OfAnswer = other258.OfAnswer;
-  Offset = other258.Offset;
-  Data = std::move(other258.Data);
-  RemainingMs = other258.RemainingMs;
-  __isset = other258.__isset;
+BodyPart::BodyPart(BodyPart&& other262) noexcept {
+  Id = std::move(other262.Id);
+  OfAnswer = other262.OfAnswer;
+  Offset = other262.Offset;
+  Data = std::move(other262.Data);
+  RemainingMs = other262.RemainingMs;
+  __isset = other262.__isset;
 }
-BodyPart& BodyPart::operator=(const BodyPart& other259) {
-  Id = other259.Id;
-  OfAnswer = other259.OfAnswer;
-  Offset = other259.Offset;
-  Data = other259.Data;
-  RemainingMs = other259.RemainingMs;
-  __isset = other259.__isset;
+BodyPart& BodyPart::operator=(const BodyPart& other263) {
+  Id = other263.Id;
+  OfAnswer = other263.OfAnswer;
+  Offset = other263.Offset;
+  Data = other263.Data;
+  RemainingMs = other263.RemainingMs;
+  __isset = other263.__isset;
   return *this;
 }
-BodyPart& BodyPart::operator=(BodyPart&& other260) noexcept {
-  Id = std::move(other260.Id);
-  OfAnswer = other260.OfAnswer;
-  Offset = other260.Offset;
-  Data = std::move(other260.Data);
-  RemainingMs = other260.RemainingMs;
-  __isset = other260.__isset;
+BodyPart& BodyPart::operator=(BodyPart&& other264) noexcept {
+  Id = std::move(other264.Id);
+  OfAnswer = other264.OfAnswer;
+  Offset = other264.Offset;
+  Data = std::move(other264.Data);
+  RemainingMs = other264.RemainingMs;
+  __isset = other264.__isset;
   return *this;
 }
 void BodyPart::printTo(std::ostream& out) const {
@@ -7204,34 +7351,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other261) noexcept {
-  Running = other261.Running;
-  Queued = other261.Queued;
-  Slots = other261.Slots;
-  LinkMs = other261.LinkMs;
-  __isset = other261.__isset;
+Load::Load(const Load& other265) noexcept {
+  Running = other265.Running;
+  Queued = other265.Queued;
+  Slots = other265.Slots;
+  LinkMs = other265.LinkMs;
+  __isset = other265.__isset;
 }
-Load::Load(Load&& other262) noexcept {
-  Running = other262.Running;
-  Queued = other262.Queued;
-  Slots = other262.Slots;
-  LinkMs = other262.LinkMs;
-  __isset = other262.__isset;
+Load::Load(Load&& other266) noexcept {
+  Running = other266.Running;
+  Queued = other266.Queued;
+  Slots = other266.Slots;
+  LinkMs = other266.LinkMs;
+  __isset = other266.__isset;
 }
-Load& Load::operator=(const Load& other263) noexcept {
-  Running = other263.Running;
-  Queued = other263.Queued;
-  Slots = other263.Slots;
-  LinkMs = other263.LinkMs;
-  __isset = other263.__isset;
+Load& Load::operator=(const Load& other267) noexcept {
+  Running = other267.Running;
+  Queued = other267.Queued;
+  Slots = other267.Slots;
+  LinkMs = other267.LinkMs;
+  __isset = other267.__isset;
   return *this;
 }
-Load& Load::operator=(Load&& other264) noexcept {
-  Running = other264.Running;
-  Queued = other264.Queued;
-  Slots = other264.Slots;
-  LinkMs = other264.LinkMs;
-  __isset = other264.__isset;
+Load& Load::operator=(Load&& other268) noexcept {
+  Running = other268.Running;
+  Queued = other268.Queued;
+  Slots = other268.Slots;
+  LinkMs = other268.LinkMs;
+  __isset = other268.__isset;
   return *this;
 }
 void Load::printTo(std::ostream& out) const {
@@ -7337,26 +7484,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ShedLoad::ShedLoad(const ShedLoad& other265) noexcept {
-  Priority = other265.Priority;
-  PerMille = other265.PerMille;
-  __isset = other265.__isset;
+ShedLoad::ShedLoad(const ShedLoad& other269) noexcept {
+  Priority = other269.Priority;
+  PerMille = other269.PerMille;
+  __isset = other269.__isset;
 }
-ShedLoad::ShedLoad(ShedLoad&& other266) noexcept {
-  Priority = other266.Priority;
-  PerMille = other266.PerMille;
-  __isset = other266.__isset;
+ShedLoad::ShedLoad(ShedLoad&& other270) noexcept {
+  Priority = other270.Priority;
+  PerMille = other270.PerMille;
+  __isset = other270.__isset;
 }
-ShedLoad& ShedLoad::operator=(const ShedLoad& other267) noexcept {
-  Priority = other267.Priority;
-  PerMille = other267.PerMille;
-  __isset = other267.__isset;
+ShedLoad& ShedLoad::operator=(const ShedLoad& other271) noexcept {
+  Priority = other271.Priority;
+  PerMille = other271.PerMille;
+  __isset = other271.__isset;
   return *this;
 }
-ShedLoad& ShedLoad::operator=(ShedLoad&& other268) noexcept {
-  Priority = other268.Priority;
-  PerMille = other268.PerMille;
-  __isset = other268.__isset;
+ShedLoad& ShedLoad::operator=(ShedLoad&& other272) noexcept {
+  Priority = other272.Priority;
+  PerMille = other272.PerMille;
+  __isset = other272.__isset;
   return *this;
 }
 void ShedLoad::printTo(std::ostream& out) const {
@@ -7457,9 +7604,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast269;
-          xfer += iprot->readI32(ecast269);
-          this->Outcome = static_cast<CallOutcome::type>(ecast269);
+          int32_t ecast273;
+          xfer += iprot->readI32(ecast273);
+          this->Outcome = static_cast<CallOutcome::type>(ecast273);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7485,14 +7632,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Headers.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->Headers.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->Headers.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += this->Headers[_i274].read(iprot);
+              xfer += this->Headers[_i278].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7593,10 +7740,10 @@
   xfer += oprot->writeFieldBegin("Headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Headers.size()));
-    std::vector<Header> ::const_iterator _iter275;
-    for (_iter275 = this->Headers.begin(); _iter275 != this->Headers.end(); ++_iter275)
+    std::vector<Header> ::const_iterator _iter279;
+    for (_iter279 = this->Headers.begin(); _iter279 != this->Headers.end(); ++_iter279)
     {
-      xfer += (*_iter275).write(oprot);
+      xfer += (*_iter279).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7652,66 +7799,66 @@
   swap(a.__isset, b.__isset);
 }
 
-CallReply::CallReply(const CallReply& other276) {
-  Id = other276.Id;
-  Outcome = other276.Outcome;
-  Code = other276.Code;
-  Status = other276.Status;
-  Headers = other276.Headers;
-  BodySize = other276.BodySize;
-  Body = other276.Body;
-  TargetLoad = other276.TargetLoad;
-  Nested = other276.Nested;
-  Shed = other276.Shed;
-  BodyGranted = other276.BodyGranted;
-  RetryAfterMs = other276.RetryAfterMs;
-  __isset = other276.__isset;
-}
-CallReply::CallReply(CallReply&& other277) noexcept {
-  Id = std::move(other277.Id);
-  Outcome = other277.Outcome;
-  Code = other277.Code;
-  Status = other277.Status;
-  Headers = std::move(other277.Headers);
-  BodySize = other277.BodySize;
-  Body = std::move(other277.Body);
-  TargetLoad = std::move(other277.TargetLoad);
-  Nested = other277.Nested;
-  Shed = std::move(other277.Shed);
-  BodyGranted = other277.BodyGranted;
-  RetryAfterMs = other277.RetryAfterMs;
-  __isset = other277.__isset;
-}
-CallReply& CallReply::operator=(const CallReply& other278) {
-  Id = other278.Id;
-  Outcome = other278.Outcome;
-  Code = other278.Code;
-  Status = other278.Status;
-  Headers = other278.Headers;
-  BodySize = other278.BodySize;
-  Body = other278.Body;
-  TargetLoad = other278.TargetLoad;
-  Nested = other278.Nested;
-  Shed = other278.Shed;
-  BodyGranted = other278.BodyGranted;
-  RetryAfterMs = other278.RetryAfterMs;
-  __isset = other278.__isset;
+CallReply::CallReply(const CallReply& other280) {
+  Id = other280.Id;
+  Outcome = other280.Outcome;
+  Code = other280.Code;
+  Status = other280.Status;
+  Headers = other280.Headers;
+  BodySize = other280.BodySize;
+  Body = other280.Body;
+  TargetLoad = other280.TargetLoad;
+  Nested = other280.Nested;
+  Shed = other280.Shed;
+  BodyGranted = other280.BodyGranted;
+  RetryAfterMs = other280.RetryAfterMs;
+  __isset = other280.__isset;
+}
+CallReply::CallReply(CallReply&& other281) noexcept {
+  Id = std::move(other281.Id);
+  Outcome = other281.Outcome;
+  Code = other281.Code;
+  Status = other281.Status;
+  Headers = std::move(other281.Headers);
+  BodySize = other281.BodySize;
+  Body = std::move(other281.Body);
+  TargetLoad = std::move(other281.TargetLoad);
+  Nested = other281.Nested;
+  Shed = std::move(other281.Shed);
+  BodyGranted = other281.BodyGranted;
+  RetryAfterMs = other281.RetryAfterMs;
+  __isset = other281.__isset;
+}
+CallReply& CallReply::operator=(const CallReply& other282) {
+  Id = other282.Id;
+  Outcome = other282.Outcome;
+  Code = other282.Code;
+  Status = other282.Status;
+  Headers = other282.Headers;
+  BodySize = other282.BodySize;
+  Body = other282.Body;
+  TargetLoad = other282.TargetLoad;
+  Nested = other282.Nested;
+  Shed = other282.Shed;
+  BodyGranted = other282.BodyGranted;
+  RetryAfterMs = other282.RetryAfterMs;
+  __isset = other282.__isset;
   return *this;
 }
-CallReply& CallReply::operator=(CallReply&& other279) noexcept {
-  Id = std::move(other279.Id);
-  Outcome = other279.Outcome;
-  Code = other279.Code;
-  Status = other279.Status;
-  Headers = std::move(other279.Headers);
-  BodySize = other279.BodySize;
-  Body = std::move(other279.Body);
-  TargetLoad = std::move(other279.TargetLoad);
-  Nested = other279.Nested;
-  Shed = std::move(other279.Shed);
-  BodyGranted = other279.BodyGranted;
-  RetryAfterMs = other279.RetryAfterMs;
-  __isset = other279.__isset;
+CallReply& CallReply::operator=(CallReply&& other283) noexcept {
+  Id = std::move(other283.Id);
+  Outcome = other283.Outcome;
+  Code = other283.Code;
+  Status = other283.Status;
+  Headers = std::move(other283.Headers);
+  BodySize = other283.BodySize;
+  Body = std::move(other283.Body);
+  TargetLoad = std::move(other283.TargetLoad);
+  Nested = other283.Nested;
+  Shed = std::move(other283.Shed);
+  BodyGranted = other283.BodyGranted;
+  RetryAfterMs = other283.RetryAfterMs;
+  __isset = other283.__isset;
   return *this;
 }
 void CallReply::printTo(std::ostream& out) const {
@@ -7825,26 +7972,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other280) {
-  Id = other280.Id;
-  ReceiverIncarnation = other280.ReceiverIncarnation;
-  __isset = other280.__isset;
+CallQuery::CallQuery(const CallQuery& other284) {
+  Id = other284.Id;
+  ReceiverIncarnation = other284.ReceiverIncarnation;
+  __isset = other284.__isset;
 }
-CallQuery::CallQuery(CallQuery&& other281) noexcept {
-  Id = std::move(other281.Id);
-  ReceiverIncarnation = other281.ReceiverIncarnation;
-  __isset = other281.__isset;
+CallQuery::CallQuery(CallQuery&& other285) noexcept {
+  Id = std::move(other285.Id);
+  ReceiverIncarnation = other285.ReceiverIncarnation;
+  __isset = other285.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other282) {
-  Id = other282.Id;
-  ReceiverIncarnation = other282.ReceiverIncarnation;
-  __isset = other282.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other286) {
+  Id = other286.Id;
+  ReceiverIncarnation = other286.ReceiverIncarnation;
+  __isset = other286.__isset;
   return *this;
 }
-CallQuery& CallQuery::operator=(CallQuery&& other283) noexcept {
-  Id = std::move(other283.Id);
-  ReceiverIncarnation = other283.ReceiverIncarnation;
-  __isset = other283.__isset;
+CallQuery& CallQuery::operator=(CallQuery&& other287) noexcept {
+  Id = std::move(other287.Id);
+  ReceiverIncarnation = other287.ReceiverIncarnation;
+  __isset = other287.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -7931,22 +8078,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other284) {
-  Id = other284.Id;
-  __isset = other284.__isset;
+CallCancel::CallCancel(const CallCancel& other288) {
+  Id = other288.Id;
+  __isset = other288.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other285) noexcept {
-  Id = std::move(other285.Id);
-  __isset = other285.__isset;
+CallCancel::CallCancel(CallCancel&& other289) noexcept {
+  Id = std::move(other289.Id);
+  __isset = other289.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other286) {
-  Id = other286.Id;
-  __isset = other286.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other290) {
+  Id = other290.Id;
+  __isset = other290.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other287) noexcept {
-  Id = std::move(other287.Id);
-  __isset = other287.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other291) noexcept {
+  Id = std::move(other291.Id);
+  __isset = other291.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -8032,22 +8179,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerAck::AnswerAck(const AnswerAck& other288) {
-  Id = other288.Id;
-  __isset = other288.__isset;
+AnswerAck::AnswerAck(const AnswerAck& other292) {
+  Id = other292.Id;
+  __isset = other292.__isset;
 }
-AnswerAck::AnswerAck(AnswerAck&& other289) noexcept {
-  Id = std::move(other289.Id);
-  __isset = other289.__isset;
+AnswerAck::AnswerAck(AnswerAck&& other293) noexcept {
+  Id = std::move(other293.Id);
+  __isset = other293.__isset;
 }
-AnswerAck& AnswerAck::operator=(const AnswerAck& other290) {
-  Id = other290.Id;
-  __isset = other290.__isset;
+AnswerAck& AnswerAck::operator=(const AnswerAck& other294) {
+  Id = other294.Id;
+  __isset = other294.__isset;
   return *this;
 }
-AnswerAck& AnswerAck::operator=(AnswerAck&& other291) noexcept {
-  Id = std::move(other291.Id);
-  __isset = other291.__isset;
+AnswerAck& AnswerAck::operator=(AnswerAck&& other295) noexcept {
+  Id = std::move(other295.Id);
+  __isset = other295.__isset;
   return *this;
 }
 void AnswerAck::printTo(std::ostream& out) const {
@@ -8133,22 +8280,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other292) noexcept {
-  IsReply = other292.IsReply;
-  __isset = other292.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other296) noexcept {
+  IsReply = other296.IsReply;
+  __isset = other296.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other293) noexcept {
-  IsReply = other293.IsReply;
-  __isset = other293.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other297) noexcept {
+  IsReply = other297.IsReply;
+  __isset = other297.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other294) noexcept {
-  IsReply = other294.IsReply;
-  __isset = other294.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other298) noexcept {
+  IsReply = other298.IsReply;
+  __isset = other298.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other295) noexcept {
-  IsReply = other295.IsReply;
-  __isset = other295.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other299) noexcept {
+  IsReply = other299.IsReply;
+  __isset = other299.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -8234,22 +8381,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other296) {
-  Wanted = other296.Wanted;
-  __isset = other296.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other300) {
+  Wanted = other300.Wanted;
+  __isset = other300.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other297) noexcept {
-  Wanted = std::move(other297.Wanted);
-  __isset = other297.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other301) noexcept {
+  Wanted = std::move(other301.Wanted);
+  __isset = other301.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other298) {
-  Wanted = other298.Wanted;
-  __isset = other298.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other302) {
+  Wanted = other302.Wanted;
+  __isset = other302.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other299) noexcept {
-  Wanted = std::move(other299.Wanted);
-  __isset = other299.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other303) noexcept {
+  Wanted = std::move(other303.Wanted);
+  __isset = other303.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -8386,34 +8533,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other300) {
-  CallNumber = other300.CallNumber;
-  Code = other300.Code;
-  Holder = other300.Holder;
-  LeaderAddress = other300.LeaderAddress;
-  __isset = other300.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other304) {
+  CallNumber = other304.CallNumber;
+  Code = other304.Code;
+  Holder = other304.Holder;
+  LeaderAddress = other304.LeaderAddress;
+  __isset = other304.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other301) noexcept {
-  CallNumber = other301.CallNumber;
-  Code = other301.Code;
-  Holder = std::move(other301.Holder);
-  LeaderAddress = std::move(other301.LeaderAddress);
-  __isset = other301.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other305) noexcept {
+  CallNumber = other305.CallNumber;
+  Code = other305.Code;
+  Holder = std::move(other305.Holder);
+  LeaderAddress = std::move(other305.LeaderAddress);
+  __isset = other305.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other302) {
-  CallNumber = other302.CallNumber;
-  Code = other302.Code;
-  Holder = other302.Holder;
-  LeaderAddress = other302.LeaderAddress;
-  __isset = other302.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other306) {
+  CallNumber = other306.CallNumber;
+  Code = other306.Code;
+  Holder = other306.Holder;
+  LeaderAddress = other306.LeaderAddress;
+  __isset = other306.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other303) noexcept {
-  CallNumber = other303.CallNumber;
-  Code = other303.Code;
-  Holder = std::move(other303.Holder);
-  LeaderAddress = std::move(other303.LeaderAddress);
-  __isset = other303.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other307) noexcept {
+  CallNumber = other307.CallNumber;
+  Code = other307.Code;
+  Holder = std::move(other307.Holder);
+  LeaderAddress = std::move(other307.LeaderAddress);
+  __isset = other307.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -8536,30 +8683,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeQuery::OutcomeQuery(const OutcomeQuery& other304) noexcept {
-  RequestId = other304.RequestId;
-  OwnerIncarnation = other304.OwnerIncarnation;
-  CallNumber = other304.CallNumber;
-  __isset = other304.__isset;
+OutcomeQuery::OutcomeQuery(const OutcomeQuery& other308) noexcept {
+  RequestId = other308.RequestId;
+  OwnerIncarnation = other308.OwnerIncarnation;
+  CallNumber = other308.CallNumber;
+  __isset = other308.__isset;
 }
-OutcomeQuery::OutcomeQuery(OutcomeQuery&& other305) noexcept {
-  RequestId = other305.RequestId;
-  OwnerIncarnation = other305.OwnerIncarnation;
-  CallNumber = other305.CallNumber;
-  __isset = other305.__isset;
+OutcomeQuery::OutcomeQuery(OutcomeQuery&& other309) noexcept {
+  RequestId = other309.RequestId;
+  OwnerIncarnation = other309.OwnerIncarnation;
+  CallNumber = other309.CallNumber;
+  __isset = other309.__isset;
 }
-OutcomeQuery& OutcomeQuery::operator=(const OutcomeQuery& other306) noexcept {
-  RequestId = other306.RequestId;
-  OwnerIncarnation = other306.OwnerIncarnation;
-  CallNumber = other306.CallNumber;
-  __isset = other306.__isset;
+OutcomeQuery& OutcomeQuery::operator=(const OutcomeQuery& other310) noexcept {
+  RequestId = other310.RequestId;
+  OwnerIncarnation = other310.OwnerIncarnation;
+  CallNumber = other310.CallNumber;
+  __isset = other310.__isset;
   return *this;
 }
-OutcomeQuery& OutcomeQuery::operator=(OutcomeQuery&& other307) noexcept {
-  RequestId = other307.RequestId;
-  OwnerIncarnation = other307.OwnerIncarnation;
-  CallNumber = other307.CallNumber;
-  __isset = other307.__isset;
+OutcomeQuery& OutcomeQuery::operator=(OutcomeQuery&& other311) noexcept {
+  RequestId = other311.RequestId;
+  OwnerIncarnation = other311.OwnerIncarnation;
+  CallNumber = other311.CallNumber;
+  __isset = other311.__isset;
   return *this;
 }
 void OutcomeQuery::printTo(std::ostream& out) const {
@@ -8621,9 +8768,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast308;
-          xfer += iprot->readI32(ecast308);
-          this->Outcome = static_cast<CallOutcome::type>(ecast308);
+          int32_t ecast312;
+          xfer += iprot->readI32(ecast312);
+          this->Outcome = static_cast<CallOutcome::type>(ecast312);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8666,26 +8813,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other309) noexcept {
-  RequestId = other309.RequestId;
-  Outcome = other309.Outcome;
-  __isset = other309.__isset;
+OutcomeReply::OutcomeReply(const OutcomeReply& other313) noexcept {
+  RequestId = other313.RequestId;
+  Outcome = other313.Outcome;
+  __isset = other313.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other310) noexcept {
-  RequestId = other310.RequestId;
-  Outcome = other310.Outcome;
-  __isset = other310.__isset;
+OutcomeReply::OutcomeReply(OutcomeReply&& other314) noexcept {
+  RequestId = other314.RequestId;
+  Outcome = other314.Outcome;
+  __isset = other314.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other311) noexcept {
-  RequestId = other311.RequestId;
-  Outcome = other311.Outcome;
-  __isset = other311.__isset;
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other315) noexcept {
+  RequestId = other315.RequestId;
+  Outcome = other315.Outcome;
+  __isset = other315.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other312) noexcept {
-  RequestId = other312.RequestId;
-  Outcome = other312.Outcome;
-  __isset = other312.__isset;
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other316) noexcept {
+  RequestId = other316.RequestId;
+  Outcome = other316.Outcome;
+  __isset = other316.__isset;
   return *this;
 }
 void OutcomeReply::printTo(std::ostream& out) const {
@@ -8697,6 +8844,107 @@
 }
 
 
+LeavingTarget::~LeavingTarget() noexcept {
+}
+
+
+void LeavingTarget::__set_Run(const TargetRun& val) {
+  this->Run = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Run.read(iprot);
+          this->__isset.Run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingTarget");
+
+  xfer += oprot->writeFieldBegin("Run", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->Run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingTarget &a, LeavingTarget &b) {
+  using ::std::swap;
+  swap(a.Run, b.Run);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingTarget::LeavingTarget(const LeavingTarget& other317) {
+  Run = other317.Run;
+  __isset = other317.__isset;
+}
+LeavingTarget::LeavingTarget(LeavingTarget&& other318) noexcept {
+  Run = std::move(other318.Run);
+  __isset = other318.__isset;
+}
+LeavingTarget& LeavingTarget::operator=(const LeavingTarget& other319) {
+  Run = other319.Run;
+  __isset = other319.__isset;
+  return *this;
+}
+LeavingTarget& LeavingTarget::operator=(LeavingTarget&& other320) noexcept {
+  Run = std::move(other320.Run);
+  __isset = other320.__isset;
+  return *this;
+}
+void LeavingTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingTarget(";
+  out << "Run=" << to_string(Run);
+  out << ")";
+}
+
+
 PullContent::~PullContent() noexcept {
 }
 
@@ -8740,14 +8988,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Deltas.clear();
-            uint32_t _size313;
-            ::apache::thrift::protocol::TType _etype316;
-            xfer += iprot->readListBegin(_etype316, _size313);
-            this->Deltas.resize(_size313);
-            uint32_t _i317;
-            for (_i317 = 0; _i317 < _size313; ++_i317)
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->Deltas.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->Deltas[_i317].read(iprot);
+              xfer += this->Deltas[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8760,14 +9008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Settings.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _etype321;
-            xfer += iprot->readListBegin(_etype321, _size318);
-            this->Settings.resize(_size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->Settings.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += this->Settings[_i322].read(iprot);
+              xfer += this->Settings[_i330].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8796,10 +9044,10 @@
   xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
-    std::vector<Delta> ::const_iterator _iter323;
-    for (_iter323 = this->Deltas.begin(); _iter323 != this->Deltas.end(); ++_iter323)
+    std::vector<Delta> ::const_iterator _iter331;
+    for (_iter331 = this->Deltas.begin(); _iter331 != this->Deltas.end(); ++_iter331)
     {
-      xfer += (*_iter323).write(oprot);
+      xfer += (*_iter331).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8808,10 +9056,10 @@
   xfer += oprot->writeFieldBegin("Settings", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Settings.size()));
-    std::vector<Setting> ::const_iterator _iter324;
-    for (_iter324 = this->Settings.begin(); _iter324 != this->Settings.end(); ++_iter324)
+    std::vector<Setting> ::const_iterator _iter332;
+    for (_iter332 = this->Settings.begin(); _iter332 != this->Settings.end(); ++_iter332)
     {
-      xfer += (*_iter324).write(oprot);
+      xfer += (*_iter332).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8829,26 +9077,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PullContent::PullContent(const PullContent& other325) {
-  Deltas = other325.Deltas;
-  Settings = other325.Settings;
-  __isset = other325.__isset;
+PullContent::PullContent(const PullContent& other333) {
+  Deltas = other333.Deltas;
+  Settings = other333.Settings;
+  __isset = other333.__isset;
 }
-PullContent::PullContent(PullContent&& other326) noexcept {
-  Deltas = std::move(other326.Deltas);
-  Settings = std::move(other326.Settings);
-  __isset = other326.__isset;
+PullContent::PullContent(PullContent&& other334) noexcept {
+  Deltas = std::move(other334.Deltas);
+  Settings = std::move(other334.Settings);
+  __isset = other334.__isset;
 }
-PullContent& PullContent::operator=(const PullContent& other327) {
-  Deltas = other327.Deltas;
-  Settings = other327.Settings;
-  __isset = other327.__isset;
+PullContent& PullContent::operator=(const PullContent& other335) {
+  Deltas = other335.Deltas;
+  Settings = other335.Settings;
+  __isset = other335.__isset;
   return *this;
 }
-PullContent& PullContent::operator=(PullContent&& other328) noexcept {
-  Deltas = std::move(other328.Deltas);
-  Settings = std::move(other328.Settings);
-  __isset = other328.__isset;
+PullContent& PullContent::operator=(PullContent&& other336) noexcept {
+  Deltas = std::move(other336.Deltas);
+  Settings = std::move(other336.Settings);
+  __isset = other336.__isset;
   return *this;
 }
 void PullContent::printTo(std::ostream& out) const {
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -123,6 +123,8 @@
 
 class JoinRequest;
 
+class TargetRun;
+
 class MemberRecord;
 
 class Gossip;
@@ -181,6 +183,8 @@
 
 class OutcomeReply;
 
+class LeavingTarget;
+
 class PullContent;
 
 typedef struct _Replica__isset {
@@ -1469,8 +1473,63 @@
 
 std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
 
+typedef struct _TargetRun__isset {
+  _TargetRun__isset() : InstanceId(false), Born(true) {}
+  bool InstanceId :1;
+  bool Born :1;
+} _TargetRun__isset;
+
+/**
+ * A run of a target that leaves. Born is its start in ms since 1970, 0 if unknown.
+ */
+class TargetRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetRun(const TargetRun&);
+  TargetRun(TargetRun&&) noexcept;
+  TargetRun& operator=(const TargetRun&);
+  TargetRun& operator=(TargetRun&&) noexcept;
+  TargetRun() noexcept
+            : InstanceId(),
+              Born(0LL) {
+  }
+
+  virtual ~TargetRun() noexcept;
+  std::string InstanceId;
+  int64_t Born;
+
+  _TargetRun__isset __isset;
+
+  void __set_InstanceId(const std::string& val);
+
+  void __set_Born(const int64_t val);
+
+  bool operator == (const TargetRun & rhs) const
+  {
+    if (!(InstanceId == rhs.InstanceId))
+      return false;
+    if (!(Born == rhs.Born))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetRun &a, TargetRun &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetRun& obj);
+
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true) {}
+  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true), LeavingRun(false) {}
   bool Name :1;
   bool Address :1;
   bool Zone :1;
@@ -1483,11 +1542,13 @@
   bool Slots :1;
   bool Unwell :1;
   bool ColdMs :1;
+  bool LeavingRun :1;
 } _MemberRecord__isset;
 
 /**
  * A daemon and the target beside it. Only that daemon raises Incarnation and
- * Sequence. ColdMs is how long the target stays slow after its start.
+ * Sequence. ColdMs is how long the target stays slow after its start. LeavingRun
+ * is set while the target is leaving.
  */
 class MemberRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -1532,6 +1593,7 @@
   int32_t Slots;
   bool Unwell;
   int32_t ColdMs;
+  TargetRun LeavingRun;
 
   _MemberRecord__isset __isset;
 
@@ -1559,6 +1621,8 @@
 
   void __set_ColdMs(const int32_t val);
 
+  void __set_LeavingRun(const TargetRun& val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(Name == rhs.Name))
@@ -1585,6 +1649,10 @@
       return false;
     if (!(ColdMs == rhs.ColdMs))
       return false;
+    if (__isset.LeavingRun != rhs.__isset.LeavingRun)
+      return false;
+    else if (__isset.LeavingRun && !(LeavingRun == rhs.LeavingRun))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
@@ -3442,6 +3510,54 @@
 
 std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj);
 
+typedef struct _LeavingTarget__isset {
+  _LeavingTarget__isset() : Run(false) {}
+  bool Run :1;
+} _LeavingTarget__isset;
+
+/**
+ * Tells a daemon that has restarted which run of its target acknowledged to
+ * leave before.
+ */
+class LeavingTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingTarget(const LeavingTarget&);
+  LeavingTarget(LeavingTarget&&) noexcept;
+  LeavingTarget& operator=(const LeavingTarget&);
+  LeavingTarget& operator=(LeavingTarget&&) noexcept;
+  LeavingTarget() noexcept {
+  }
+
+  virtual ~LeavingTarget() noexcept;
+  TargetRun Run;
+
+  _LeavingTarget__isset __isset;
+
+  void __set_Run(const TargetRun& val);
+
+  bool operator == (const LeavingTarget & rhs) const
+  {
+    if (!(Run == rhs.Run))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingTarget &a, LeavingTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingTarget& obj);
+
 typedef struct _PullContent__isset {
   _PullContent__isset() : Deltas(false), Settings(false) {}
   bool Deltas :1;
--- a/src/libwire/message.cpp
+++ b/src/libwire/message.cpp
@@ -23,7 +23,8 @@
         "PullRequest",    "PullReply",   "Report",        "StampRequest",
         "StampReply",     "CallRequest", "BodyPart",      "CallReply",
         "CallQuery",      "CallCancel",  "AnswerAck",     "Heartbeat",
-        "ClaimRequest",   "ClaimReply",  "OutcomeQuery",  "OutcomeReply"};
+        "ClaimRequest",   "ClaimReply",  "OutcomeQuery",  "OutcomeReply",
+        "LeavingTarget"};
 
 template <typename RecordT>
 void appendRecord(std::string &Out, const RecordT &Record) {
--- a/src/libwire/message.h
+++ b/src/libwire/message.h
@@ -19,7 +19,7 @@
     wire::StampReply, wire::CallRequest, wire::BodyPart, wire::CallReply,
     wire::CallQuery, wire::CallCancel, wire::AnswerAck, wire::Heartbeat,
     wire::ClaimRequest, wire::ClaimReply, wire::OutcomeQuery,
-    wire::OutcomeReply>;
+    wire::OutcomeReply, wire::LeavingTarget>;
 
 /// Largest encoded message that decode() accepts.
 constexpr std::size_t MaxMessageBytes = 64u << 20;
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -182,9 +182,16 @@
   Gone = 4
 }
 
+/** A run of a target that leaves. Born is its start in ms since 1970, 0 if unknown. */
+struct TargetRun {
+  1: string InstanceId
+  2: i64 Born = 0
+}
+
 /**
  * A daemon and the target beside it. Only that daemon raises Incarnation and
- * Sequence. ColdMs is how long the target stays slow after its start.
+ * Sequence. ColdMs is how long the target stays slow after its start. LeavingRun
+ * is set while the target is leaving.
  */
 struct MemberRecord {
   1: string Name
@@ -199,6 +206,7 @@
   10: i32 Slots
   11: bool Unwell
   12: i32 ColdMs = 0
+  13: optional TargetRun LeavingRun
 }
 
 struct Gossip {
@@ -453,6 +461,14 @@
   2: CallOutcome Outcome
 }
 
+/**
+ * Tells a daemon that has restarted which run of its target acknowledged to
+ * leave before.
+ */
+struct LeavingTarget {
+  1: TargetRun Run
+}
+
 /** Content of a packed PullReply. */
 struct PullContent {
   1: list<Delta> Deltas
--- a/tests/policies/test_policies.cpp
+++ b/tests/policies/test_policies.cpp
@@ -310,8 +310,8 @@
   using State = wire::TargetState;
   TargetWatch Watch;
   Watch.announce(announcement("a", 100, 5, State::Serving));
-  CHECK(!Watch.leave("other"));
-  CHECK(Watch.leave("a"));
+  CHECK(!Watch.leave("other", 0, 1000));
+  CHECK(Watch.leave("a", 0, 1000));
   CHECK(Watch.current().State == State::Draining);
   Watch.announce(announcement("a", 100, 6, State::Serving));
   CHECK(Watch.current().State == State::Draining);
