Limit nesting and numbers of documents from outside

A configuration with a value nested 100,000 deep ended control instances by a segmentation fault, and announcements with numbers beyond their type were taken.

Cause: documents are copied and written recursively; numbers were converted without a range.

Change: 64 levels at most, ranges for all numbers of announcements, ids of at most 200 visible characters, 64 KB an announcement, no port beyond 65535 in a member's address, finite rates. Each refusal is answered 400.

tests/platform failed before: the configuration by SIGSEGV, the announcements at the first number beyond its type.

--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -74,6 +74,12 @@
   readHealth(const TargetResponse &Answer) const = 0;
 };
 
+/// Limits of the numbers in a target's announcement.
+constexpr std::int64_t MaxTargetSlots = 1'000'000;
+constexpr std::int64_t MaxTargetConnections = 1'000'000;
+constexpr std::size_t MaxAnnouncementBytes = 64u << 10;
+constexpr std::size_t MaxInstanceIdBytes = 200;
+
 /// An announcement of the daemon's target; Address is where the target listens.
 struct TargetAnnouncement {
   TargetAnnounced Announced;
--- a/src/libhost/nativeprotocol.cpp
+++ b/src/libhost/nativeprotocol.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace persimmon {
 
@@ -113,24 +114,28 @@
 
 leaf::result<TargetAnnouncement> readAnnouncement(const std::string &Text) {
   TargetAnnouncement Out;
+  if (Text.size() > MaxAnnouncementBytes)
+    return fail(ResultCode::RequestMalformed, "target", "too many bytes");
   BOOST_LEAF_AUTO(Document,
                   parseJson(Text, ResultCode::RequestMalformed, "target"));
+  BOOST_LEAF_AUTO(Slots, readWholeNumber(Document, "slots", 1, MaxTargetSlots));
+  Out.Announced.Slots = static_cast<int>(Slots);
+  if (Document.contains("connections")) {
+    BOOST_LEAF_AUTO(Connections, readWholeNumber(Document, "connections", 0,
+                                                 MaxTargetConnections));
+    Out.Connections = static_cast<int>(Connections);
+  }
   try {
     Out.Announced.Service = Document.at("service").get<std::string>();
-    Out.Announced.Slots = Document.at("slots").get<int>();
     const std::string State = Document.value("state", "serving");
     Out.Announced.State = State == "starting"   ? wire::TargetState::Starting
                           : State == "draining" ? wire::TargetState::Draining
                           : State == "gone"     ? wire::TargetState::Gone
                                                 : wire::TargetState::Serving;
     Out.Address = Document.at("address").get<std::string>();
-    Out.Connections = Document.value("connections", 0);
   } catch (const json::exception &Error) {
     return fail(ResultCode::RequestMalformed, "target", Error.what());
   }
-  if (Out.Announced.Slots < 1)
-    return fail(ResultCode::RequestMalformed, "target",
-                "slots must be greater than 0");
   return Out;
 }
 
@@ -209,7 +214,7 @@
   const auto [End, Error] =
       std::from_chars(Limit.data(), Limit.data() + Limit.size(), PerSecond);
   if (Error == std::errc() && End == Limit.data() + Limit.size() &&
-      PerSecond >= 0)
+      PerSecond >= 0 && std::isfinite(PerSecond))
     Out.CallsPerSecond = PerSecond;
   Out.Leaving = Answer.header(LeavingName) == "1";
   return Out;
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <charconv>
 #include <map>
 #include <set>
 #include <utility>
@@ -36,10 +37,17 @@
     Error = std::make_error_code(std::errc::invalid_argument);
     return {};
   }
+  const std::string_view PortText = Address.substr(Colon + 1);
+  std::uint16_t Port = 0;
+  const auto [End, Status] =
+      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
+  if (Status != std::errc() || End != PortText.data() + PortText.size()) {
+    Error = std::make_error_code(std::errc::invalid_argument);
+    return {};
+  }
   const auto Ip =
       asio::ip::make_address(std::string(Address.substr(0, Colon)), Error);
-  const int Port = std::atoi(std::string(Address.substr(Colon + 1)).c_str());
-  return {Ip, static_cast<std::uint16_t>(Port)};
+  return {Ip, Port};
 }
 
 bool isAcceptedConnection(std::string_view To) { return To.starts_with('#'); }
--- a/src/libwire/jsontext.cpp
+++ b/src/libwire/jsontext.cpp
@@ -8,10 +8,35 @@
 
 using nlohmann::json;
 
+/// Documents are copied and written recursively.
+constexpr std::size_t MaxDepth = 64;
+
+/// Returns whether the arrays and objects of \p Text nest too deep.
+bool nestsTooDeep(std::string_view Text) {
+  std::size_t Depth = 0;
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    const char C = Text[I];
+    if (InString && C == '\\')
+      ++I;
+    else if (C == '"')
+      InString = !InString;
+    else if (InString)
+      continue;
+    else if ((C == '[' || C == '{') && ++Depth > MaxDepth)
+      return true;
+    else if ((C == ']' || C == '}') && Depth > 0)
+      --Depth;
+  }
+  return false;
+}
+
 } // namespace
 
 leaf::result<json> parseJson(std::string_view Text, ResultCode Code,
                              std::string_view Where) {
+  if (nestsTooDeep(Text))
+    return fail(Code, std::string(Where), "the JSON nests too deep");
   // The library's messages quote the text and may cut it inside a character.
   try {
     return json::parse(Text);
@@ -23,6 +48,21 @@
   }
 }
 
+leaf::result<std::int64_t> readWholeNumber(const json &Object, const char *Key,
+                                           std::int64_t Min, std::int64_t Max) {
+  const auto Found = Object.find(Key);
+  const bool Fits =
+      Found != Object.end() && Found->is_number_integer() &&
+      !(Found->is_number_unsigned() &&
+        Found->get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX));
+  const std::int64_t Value = Fits ? Found->get<std::int64_t>() : 0;
+  if (!Fits || Value < Min || Value > Max)
+    return fail(ResultCode::RequestMalformed, Key,
+                "expected a whole number from " + std::to_string(Min) + " to " +
+                    std::to_string(Max));
+  return Value;
+}
+
 std::string toText(const json &Value) {
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -222,6 +222,79 @@
   CHECK(!Locals->decode(request("GET", "/other")));
 }
 
+// Guards against processes that end because of one odd announcement (Fault).
+TEST_CASE("odd announcements are refused with an answer") {
+  const auto Locals = platform::makeLocalProtocol();
+  const std::string Url = "/persimmonwheel/Instances.Heartbeat/";
+  const auto Text = [](const std::string &Key, const std::string &Value) {
+    json Fields = {{"service", "one"}, {"address", "10.0.0.1:80"},
+                   {"slots", 8},       {"state", "ready"},
+                   {"sequence", 4},    {"born", 1700000000000}};
+    Fields.erase(Key);
+    std::string Out = Fields.dump();
+    Out.insert(Out.size() - 1, ",\"" + Key + "\":" + Value);
+    return Out;
+  };
+  const std::string Deep(100'000, '[');
+  const std::vector<std::pair<std::string, std::string>> Entries = {
+      {"slots", "99999999999999999999"},
+      {"slots", "1e300"},
+      {"slots", "4294967304"},
+      {"slots", "-1"},
+      {"slots", "0"},
+      {"slots", "8.5"},
+      {"sequence", "1e30"},
+      {"sequence", "-4"},
+      {"sequence", "18446744073709551615"},
+      {"born", "1e400"},
+      {"born", "18446744073709551615"},
+      {"born", "\"now\""},
+      {"coldRemainingS", "1e400"},
+      {"more", Deep},
+      {"more", "\"\xe2\x80\""},
+      {"more", "\"" + std::string(70'000, 'n') + "\""}};
+  for (const auto &[Key, Value] : Entries) {
+    INFO(Key << " " << Value.substr(0, 40));
+    const auto Call =
+        Locals->decode(request("POST", Url + "i-1", Text(Key, Value)));
+    REQUIRE(Call);
+    REQUIRE(std::holds_alternative<Failure>(*Call));
+    CHECK(Locals->makeErrorResponse(std::get<Failure>(*Call)).Status == 400);
+  }
+  for (const std::string &Id :
+       {std::string(), std::string(4096, 'i'), std::string("i\xff")}) {
+    const auto Call = Locals->decode(request("POST", Url + Id, Text("a", "1")));
+    CHECK(std::holds_alternative<Failure>(*Call));
+    const auto Leave = Locals->decode(
+        request("POST", "/persimmonwheel/Instances.Leave/" + Id));
+    CHECK(std::holds_alternative<Failure>(*Leave));
+  }
+  const auto Cold = Locals->decode(
+      request("POST", Url + "i-1", Text("coldRemainingS", "1e300")));
+  CHECK(std::get<TargetAnnouncement>(*Cold).Announced.ColdFor ==
+        std::chrono::hours(1));
+}
+
+TEST_CASE("a configuration with odd numbers or nesting is refused") {
+  const auto CodeOf = [](const std::string &Key, const std::string &Value) {
+    json Document = nextVersion();
+    Document["routes"][0].erase(Key);
+    Document["routes"][0]["MARK"] = 0;
+    std::string Text = Document.dump();
+    const std::string Mark = "\"MARK\":0";
+    Text.replace(Text.find(Mark), Mark.size(), "\"" + Key + "\":" + Value);
+    return handleResult([&] { return platform::readConfiguration(Text); },
+                        [](const SubtreeDocument &) {})
+        .Code;
+  };
+  CHECK(
+      CodeOf("colour", std::string(100'000, '[') + std::string(100'000, ']')) ==
+      ResultCode::ValueInvalid);
+  CHECK(CodeOf("timeoutS", "1e400") == ResultCode::ValueInvalid);
+  CHECK(CodeOf("priority", "1e300") == ResultCode::Ok);
+  CHECK(CodeOf("priority", "-9999999999") == ResultCode::Ok);
+}
+
 TEST_CASE("headers of calls are translated and never passed through") {
   const auto Calls = platform::makeCallProtocol();
   CallMetadata Terms;
