Wait at the start for ports in use

A daemon ended at once (107 PortInUse) if a port was still held, for example by an earlier run that was about to end.

Change: before anything is opened, the start waits up to 8 s for its addresses, longer than a planned stop takes, and logs it. SIGTERM still ends a process that waits.

tests/startup failed before in 2 of 3 cases (held ports, an earlier run).

--- a/src/libhost/daemonprogram.cpp
+++ b/src/libhost/daemonprogram.cpp
@@ -3,12 +3,15 @@
 #include "daemonhost.h"
 #include "logging.h"
 
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
 #include <getopt.h>
 
 #include <array>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace persimmon {
 
@@ -16,6 +19,9 @@
 
 constexpr int ExitFailure = 1;
 constexpr int ExitUsage = 2;
+/// Longer than a daemon takes to stop.
+constexpr milliseconds AddressTimeout{8000};
+constexpr milliseconds AddressCheckInterval{100};
 
 constexpr std::string_view Usage =
     "Usage: persimmonwheeld --settings FILE\n"
@@ -41,6 +47,49 @@
   return ExitFailure;
 }
 
+template <typename ProtocolT>
+bool isInUse(const Endpoint &Address, ProtocolT Protocol) {
+  asio::io_context Io;
+  typename ProtocolT::socket Probe(Io);
+  std::error_code Error;
+  const auto Ip = asio::ip::make_address(Address.Ip, Error);
+  if (!Error)
+    Probe.open(Protocol, Error);
+  if (!Error && std::is_same_v<ProtocolT, asio::ip::tcp>)
+    Probe.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Probe.bind({Ip, Address.Port}, Error);
+  return Error == asio::error::address_in_use;
+}
+
+/// Returns an address of \p Settings that another process uses, or nothing.
+std::optional<Endpoint> findUsedAddress(const DaemonSettings &Settings) {
+  if (isInUse(Settings.Listen, asio::ip::udp::v4()))
+    return Settings.Listen;
+  for (const auto &Address :
+       {std::optional(Settings.Listen), Settings.Operators, Settings.Callers,
+        Settings.Local, Settings.Readiness}) {
+    if (Address && isInUse(*Address, asio::ip::tcp::v4()))
+      return Address;
+  }
+  return std::nullopt;
+}
+
+/// Waits for some time while an address is in use. Its process can be about to
+/// end, such as an earlier run of this daemon. Nothing is opened meanwhile, so
+/// that signals end this process.
+void waitForAddresses(const DaemonSettings &Settings) {
+  const Time Deadline = std::chrono::steady_clock::now() + AddressTimeout;
+  while (std::chrono::steady_clock::now() < Deadline) {
+    const auto Used = findUsedAddress(Settings);
+    if (!Used)
+      return;
+    logWarning("event=start-delayed inUse=" + Used->toString());
+    flushLog();
+    std::this_thread::sleep_for(AddressCheckInterval);
+  }
+}
+
 int runDaemon(const Options &ParsedOptions, const EdgeProtocols &Protocols) {
   DaemonSettings Settings;
   Failure Error = handleResult(
@@ -55,6 +104,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   startLogging(Settings.Log);
   std::unique_ptr<DaemonHost> Host;
+  waitForAddresses(Settings);
   Error = handleResult(
       [&] { return DaemonHost::open(Settings, Protocols); },
       [&](std::unique_ptr<DaemonHost> Opened) { Host = std::move(Opened); });
--- /dev/null
+++ b/tests/startup/test_startup.cpp
@@ -0,0 +1,124 @@
+#include "support/process.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <thread>
+
+using namespace persimmon;
+namespace fs = std::filesystem;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds HeldFor{1500};
+constexpr std::chrono::seconds StartTimeout{10};
+constexpr unsigned short PeerPort = 7100;
+constexpr unsigned short OperatorPort = 7101;
+
+/// Settings of a control instance at \p Ip. Each test has its own address, as
+/// tests run beside each other.
+class ControlFolder {
+public:
+  explicit ControlFolder(const std::string &Ip) {
+    std::string Name = (fs::temp_directory_path() / "start-XXXXXX").string();
+    REQUIRE(::mkdtemp(Name.data()) != nullptr);
+    this->Folder = Name;
+    const std::string Peer = Ip + ":" + std::to_string(PeerPort);
+    std::ofstream(this->settings())
+        << R"({"role":"control","name":"c1","availabilityZone":"z","listen":")"
+        << Peer << R"(","operators":")" << Ip << ":" << OperatorPort
+        << R"(","controlInstances":[{"name":"c1","address":")" << Peer
+        << R"("}],"dataFolder":")" << this->Folder << "/data\"}";
+  }
+  ~ControlFolder() { fs::remove_all(this->Folder); }
+
+  std::string settings() const { return this->Folder + "/c1.json"; }
+
+  void start(Process &Daemon) const {
+    REQUIRE(Daemon.start({DAEMON_PROGRAM, "--settings", this->settings()},
+                         this->Folder + "/log"));
+  }
+
+private:
+  std::string Folder;
+};
+
+bool answers(const std::string &Ip) {
+  asio::io_context Io;
+  tcp::socket Socket(Io);
+  std::error_code Error;
+  Socket.connect({asio::ip::make_address(Ip), OperatorPort}, Error);
+  return !Error;
+}
+
+/// Returns whether \p Daemon accepts connections before the start timeout.
+bool starts(Process &Daemon, const std::string &Ip) {
+  const auto Deadline = std::chrono::steady_clock::now() + StartTimeout;
+  while (std::chrono::steady_clock::now() < Deadline && Daemon.running()) {
+    if (answers(Ip))
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against daemons that end because an earlier run has not ended yet
+// (Fault).
+TEST_CASE("a daemon starts once its ports are free") {
+  const std::string Ip = "127.64.0.1";
+  for (const unsigned short Port : {PeerPort, OperatorPort}) {
+    const ControlFolder Folder(Ip);
+    asio::io_context Io;
+    std::optional<tcp::acceptor> Holder;
+    Holder.emplace(Io, tcp::endpoint(asio::ip::make_address(Ip), Port));
+    // The daemon must not inherit the socket.
+    REQUIRE(::fcntl(Holder->native_handle(), F_SETFD, FD_CLOEXEC) == 0);
+    Process Daemon;
+    Folder.start(Daemon);
+    std::this_thread::sleep_for(HeldFor);
+    INFO("port " << Port);
+    CHECK(Daemon.running());
+    Holder.reset();
+    CHECK(starts(Daemon, Ip));
+  }
+}
+
+TEST_CASE("a daemon starts once an earlier run has ended") {
+  const std::string Ip = "127.64.0.2";
+  const ControlFolder Folder(Ip);
+  Process Earlier;
+  Folder.start(Earlier);
+  REQUIRE(starts(Earlier, Ip));
+  Process Daemon;
+  Folder.start(Daemon);
+  std::this_thread::sleep_for(HeldFor);
+  CHECK(Daemon.running());
+  Earlier.kill();
+  CHECK(starts(Daemon, Ip));
+}
+
+TEST_CASE("a daemon that waits for its ports stops at once") {
+  const std::string Ip = "127.64.0.3";
+  const ControlFolder Folder(Ip);
+  Process Earlier;
+  Folder.start(Earlier);
+  REQUIRE(starts(Earlier, Ip));
+  Process Daemon;
+  Folder.start(Daemon);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  Daemon.signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(!Daemon.running());
+}
