Count the silence of a lost leader from its last message

A leader that is lost without SIGTERM was replaced as a voter only 4.5 s after the next leader's election, up to six seconds after its loss.

Cause: the next leader started the count anew. Change: it goes on from the last message of the leader before it. The wait for other voters is as before.

--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -25,8 +25,9 @@
 constexpr milliseconds LearnerTimeout{5000};
 /// A quarter of the learner timeout, so that lost datagrams are made up for.
 constexpr milliseconds JoinRenewalInterval{1250};
-/// Longer than a restart takes; a voter that returns later has to join again.
-constexpr milliseconds UnresponsiveVoterTimeout{3000};
+/// Counted from a voter's last answer. Longer than a restart takes; a voter
+/// that returns later has to join again.
+constexpr milliseconds UnresponsiveVoterTimeout{4500};
 constexpr milliseconds SnapshotResendInterval{2000};
 constexpr std::size_t EntriesPerMessage = 128;
 /// A larger message would delay the heartbeats behind it on a slow link.
@@ -149,8 +150,10 @@
   if (!Paused)
     return;
   this->ElectionDeadline += Pause;
+  this->PreviousLeaderReplaceableAt += Pause;
   for (auto &[DiskId, Item] : this->Followers) {
     Item.ActiveUntil += Pause;
+    Item.ReplaceableAt += Pause;
     Item.ReplyDeadline += Pause;
   }
 }
@@ -307,6 +310,8 @@
   if (Term > this->HardState.Term || this->CurrentRole != Role::Follower)
     this->stepDown(Term, Now, Out);
   this->CurrentLeader = Leader;
+  this->PreviousLeader = Leader.DiskId;
+  this->PreviousLeaderReplaceableAt = Now + UnresponsiveVoterTimeout;
   this->LeaderActiveUntil = Now + ElectionTimeoutMin;
   this->resetElection(Now);
 }
@@ -412,6 +417,9 @@
     NewProgress.Replica = Voter;
     NewProgress.Next = this->Log.lastIndex() + 1;
     NewProgress.ActiveUntil = Now + ElectionTimeoutMax;
+    NewProgress.ReplaceableAt = Voter.DiskId == this->PreviousLeader
+                                    ? this->PreviousLeaderReplaceableAt
+                                    : Now + UnresponsiveVoterTimeout;
     NewProgress.ReplyDeadline = Now + ReplyTimeout;
     this->Followers.emplace(Voter.DiskId, NewProgress);
   }
@@ -487,6 +495,7 @@
     return;
   Progress &From = Found->second;
   From.ActiveUntil = Now + ElectionTimeoutMax;
+  From.ReplaceableAt = Now + UnresponsiveVoterTimeout;
   From.ReplyDeadline = Now + ReplyTimeout;
   From.Round = std::max(From.Round, Reply.Round);
   if (!Reply.Success) {
@@ -603,8 +612,7 @@
 
 bool Consensus::isUnresponsive(const wire::Replica &Voter, Time Now) const {
   const auto Found = this->Followers.find(Voter.DiskId);
-  return Found != this->Followers.end() &&
-         Now >= Found->second.ActiveUntil + UnresponsiveVoterTimeout;
+  return Found != this->Followers.end() && Now >= Found->second.ReplaceableAt;
 }
 
 bool Consensus::isLeaving(const wire::Replica &Voter) const {
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -166,6 +166,8 @@
     /// to earlier requests say nothing about later ones.
     std::int64_t ResetRound = 0;
     Time ActiveUntil;
+    /// When a voter that has not answered meanwhile may be replaced.
+    Time ReplaceableAt;
     Time NextSnapshotSend;
     Time ReplyDeadline;
   };
@@ -224,6 +226,10 @@
   Time LastTick;
   Time ElectionDeadline;
   Time LeaderActiveUntil;
+  /// The last other leader that this replica followed, and when it may be
+  /// replaced as a voter. The count goes on if this replica leads next.
+  std::int64_t PreviousLeader = 0;
+  Time PreviousLeaderReplaceableAt;
   Time NextHeartbeat;
   Time NextJoin;
   std::int64_t TermStart = 0;
--- a/tests/voters/test_voters.cpp
+++ b/tests/voters/test_voters.cpp
@@ -13,6 +13,8 @@
 /// How long a new control instance may take until it can stand in for another.
 constexpr milliseconds CatchUpTime{4000};
 constexpr milliseconds StopTime{6000};
+/// Time from the loss of a voter until a successor that runs has its vote.
+constexpr milliseconds LostVoterTime{5000};
 constexpr std::uint64_t Seeds = 20;
 
 const Consensus *leadingConsensus(const FakeCluster &Cluster) {
@@ -150,6 +152,22 @@
   CHECK(isVoter(Case.Cluster, Stopped));
 }
 
+// Guards against a count that starts anew with each leader.
+TEST_CASE("a lost leader is replaced as soon as any other lost voter") {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    for (const bool LosesLeader : {true, false}) {
+      Replacement Case(Seed, {"c4"});
+      const std::string &Lost = LosesLeader ? Case.Leader : Case.Followers[0];
+      Case.Cluster.remove(Lost);
+      Case.Cluster.run(LostVoterTime);
+      CAPTURE(Seed, LosesLeader);
+      CHECK(isVoter(Case.Cluster, "c4"));
+      CHECK(!isVoter(Case.Cluster, Lost));
+      CHECK(Case.Cluster.violations().empty());
+    }
+  }
+}
+
 // Guards against replacing slow voters as soon as voters that have left.
 TEST_CASE("a paused voter is not replaced at once") {
   Replacement Case(1, {"c4"});
