--- a/src/libwire/recordsize.cpp
+++ b/src/libwire/recordsize.cpp
@@ -31,7 +31,7 @@
 }
 
 static std::size_t memoryOf(const std::string &Text) {
-  return sizeof(Text) + heapOf(Text);
+  return sizeof(std::string) + heapOf(Text);
 }
 
 template <typename RecordT>
