Handle a repeated leave once

A leave that is repeated, which control instances do for a daemon that starts, took one of the eight remembered places each time, so another run's leave was forgotten and its target was used again. Each repetition was also announced to the members anew.

Change: one entry holds all runs with an id, up to the last one that left. The daemon announces its record only if the run that leaves has changed.

Two new cases of tests/targetruns failed before (20 announcements, Serving instead of Draining) and pass.

--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -358,6 +358,10 @@
   if (this->Target.leave(Body.InstanceId, Body.Born, TheEvent.WallMs))
     return this->targetChanged(TheEvent.At, Out);
   // The run may not be known yet, after a restart of this daemon.
+  wire::MemberRecord Updated = this->Members.self();
+  this->fillLeavingRun(Updated);
+  if (Updated == this->Members.self())
+    return;
   this->Members.updateSelf(
       [&](wire::MemberRecord &Record) { this->fillLeavingRun(Record); });
   this->announce(Out);
--- a/src/libpersimmon/targetwatch.cpp
+++ b/src/libpersimmon/targetwatch.cpp
@@ -75,7 +75,16 @@
                          InstanceId == this->Current.InstanceId;
   if (IsCurrent && Born == 0)
     Born = this->Current.Born;
-  this->Left.push_back({InstanceId, Born != 0 ? Born : WallMs});
+  LeftRun Run{InstanceId, Born != 0 ? Born : WallMs};
+  // One entry holds all runs with an id up to the last one that left.
+  const auto Known = std::find_if(
+      this->Left.begin(), this->Left.end(),
+      [&](const LeftRun &Item) { return Item.InstanceId == InstanceId; });
+  if (Known != this->Left.end()) {
+    Run.BornUntil = std::max(Run.BornUntil, Known->BornUntil);
+    this->Left.erase(Known);
+  }
+  this->Left.push_back(std::move(Run));
   if (this->Left.size() > MaxLeftRuns)
     this->Left.pop_front();
   if (!IsCurrent || !this->hasLeft(this->Current) ||
--- a/tests/targetruns/test_targetruns.cpp
+++ b/tests/targetruns/test_targetruns.cpp
@@ -80,6 +80,10 @@
 
   State::type state() const { return this->Proxy->target().State; }
 
+  const wire::MemberRecord &record() const {
+    return this->Proxy->members().self();
+  }
+
 private:
   NodePolicies policies() { return {this->Choice, this->VersionTopology}; }
 
@@ -165,6 +169,26 @@
   CHECK(Case.state() == State::Serving);
 }
 
+// Guards against a gossip of its own for each repetition of a leave.
+TEST_CASE("a leave that is repeated is announced once") {
+  Pair Case;
+  Case.tell(TargetLeaving{"i-1", Case.wallMs()});
+  const auto Sequence = Case.record().Sequence;
+  for (int I = 0; I < 20; ++I)
+    Case.tell(TargetLeaving{"i-1", Case.wallMs()});
+  CHECK(Case.record().Sequence == Sequence);
+}
+
+// Guards against repetitions that displace the leave of another run.
+TEST_CASE("a leave is kept beside repeated leaves of another run") {
+  Pair Case;
+  Case.tell(TargetLeaving{"i-1", Case.wallMs()});
+  for (int I = 0; I < 20; ++I)
+    Case.tell(TargetLeaving{"i-2", Case.wallMs()});
+  Case.tell(announcement("i-1", Case.wallMs(), 1));
+  CHECK(Case.state() == State::Draining);
+}
+
 TEST_CASE("a restarted daemon knows which target said that it drains") {
   Pair Case;
   const std::int64_t Born = Case.wallMs();
