--- a/src/libwire/resultcode.cpp
+++ b/src/libwire/resultcode.cpp
@@ -1,5 +1,7 @@
 #include "resultcode.h"
 
+#include <algorithm>
+
 namespace persimmon {
 
 std::string_view nameOf(ResultCode Code) {
@@ -36,11 +38,14 @@
 }
 
 std::string printable(std::string_view Text) {
+  const auto IsPrintable = [](char C) { return C >= ' ' && C < '\x7f'; };
+  // Nearly all lines are, and there are several for each call.
+  if (std::all_of(Text.begin(), Text.end(), IsPrintable))
+    return std::string(Text);
   constexpr std::string_view Digits = "0123456789abcdef";
   std::string Out;
-  Out.reserve(Text.size());
   for (const char C : Text) {
-    if (C >= ' ' && C < '\x7f') {
+    if (IsPrintable(C)) {
       Out += C;
       continue;
     }
