--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -643,7 +643,7 @@
     return std::nullopt;
   };
   if (const auto Found =
-          FindFirst([&](std::size_t I) { return isReplaced(I); }))
+          FindFirst([&](std::size_t I) { return this->isReplaced(I); }))
     return Found;
   if (!this->Policy.open() || Voters.size() <= this->Policy.Count)
     return std::nullopt;
