Share the tests' folder and lone control instance

Five tests made and removed a temporary folder of their own, three a control instance without others, two of tests/startup the same wait. Each is one piece in tests/support now, or one function.

--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -1,15 +1,14 @@
 #include "support/process.h"
+#include "support/temporaryfolder.h"
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <filesystem>
 #include <fstream>
 #include <thread>
 
 using namespace persimmon;
-namespace fs = std::filesystem;
 
 namespace {
 
@@ -22,18 +21,15 @@
 class ControlFixture {
 public:
   ControlFixture() {
-    std::string Name = (fs::temp_directory_path() / "one-XXXXXX").string();
-    REQUIRE(::mkdtemp(Name.data()) != nullptr);
-    this->Folder = Name;
-    std::ofstream(this->Folder + "/c1.json")
+    std::ofstream(this->Folder.file("c1.json"))
         << R"({"role":"control","name":"c1","availabilityZone":"zone-a",
             "listen":"127.62.0.1:7100","operators":"127.62.0.1:7101",
             "controlInstances":[{"name":"c1","address":"127.62.0.1:7100"}],
             "dataFolder":")"
-        << this->Folder << "/data\"}";
+        << this->Folder.file("data") << "\"}";
     REQUIRE(this->Daemon.start(
-        {DAEMON_PROGRAM, "--settings", this->Folder + "/c1.json"},
-        this->Folder + "/log"));
+        {DAEMON_PROGRAM, "--settings", this->Folder.file("c1.json")},
+        this->Folder.file("log")));
     for (int I = 0; I < 100; ++I) {
       if (runClient({"-c", this->address(), "members"}).Status == 0)
         return;
@@ -41,22 +37,18 @@
     }
     FAIL("the control instance did not start");
   }
-  ~ControlFixture() {
-    this->Daemon.kill();
-    fs::remove_all(this->Folder);
-  }
-
   std::string address() const { return "127.62.0.1:7101"; }
 
   std::string writeFile(const std::string &Name,
                         const std::string &Text) const {
-    std::string File = this->Folder + "/" + Name;
+    std::string File = this->Folder.file(Name);
     std::ofstream(File) << Text;
     return File;
   }
 
 private:
-  std::string Folder;
+  TemporaryFolder Folder;
+  /// Ends before its folder is removed.
   Process Daemon;
 };
 
--- a/tests/diskstore/test_diskstore.cpp
+++ b/tests/diskstore/test_diskstore.cpp
@@ -1,4 +1,5 @@
 #include "libhost/diskstore.h"
+#include "support/temporaryfolder.h"
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
@@ -12,23 +13,6 @@
 
 namespace {
 
-/// A temporary folder that the destructor removes.
-class TemporaryFolder {
-public:
-  TemporaryFolder() {
-    std::string Name = (fs::temp_directory_path() / "disk-XXXXXX").string();
-    REQUIRE(::mkdtemp(Name.data()) != nullptr);
-    this->Path = Name;
-  }
-  ~TemporaryFolder() { fs::remove_all(this->Path); }
-
-  std::string path() const { return this->Path + "/data"; }
-  std::string file(const char *Name) const { return this->path() + "/" + Name; }
-
-private:
-  std::string Path;
-};
-
 wire::LogEntry entry(std::int64_t Index, std::int64_t Term) {
   wire::LogEntry Out;
   Out.Index = Index;
--- a/tests/httpserver/test_httpserver.cpp
+++ b/tests/httpserver/test_httpserver.cpp
@@ -1,5 +1,6 @@
 #include "libhost/eventsink.h"
 #include "libhost/operatorapi.h"
+#include "support/lonecontrol.h"
 
 #include <asio/buffer.hpp>
 #include <asio/connect.hpp>
@@ -107,20 +108,10 @@
 class LeadingSink : public EventSink {
 public:
   LeadingSink() {
-    NodeIdentity Identity;
-    Identity.Name = "control";
-    Identity.Address = "127.0.0.1:7380";
-    Identity.Seeds = {Identity.Address};
-    Identity.Voters.Count = 1;
-    const Failure Error = handleResult(
-        [&] {
-          return Node::makeControl(
-              Identity, initialVoterAt(Identity.Address).DiskId, {},
-              {this->Choice, this->VersionTopology}, this->Now);
-        },
-        [&](std::unique_ptr<Node> Made) { this->Daemon = std::move(Made); });
-    REQUIRE(!Error.failed());
-    this->submit(BootstrapRequested{Identity.Seeds});
+    const std::string Address = "127.0.0.1:7380";
+    this->Daemon = makeLoneControl(
+        Address, {}, {this->Choice, this->VersionTopology}, this->Now);
+    this->submit(BootstrapRequested{{Address}});
     for (int I = 0; I < 200; ++I) {
       this->Now += milliseconds(20);
       this->submit(Tick());
--- a/tests/memory/test_memory.cpp
+++ b/tests/memory/test_memory.cpp
@@ -1,6 +1,7 @@
 #include "libhost/diskstore.h"
-#include "libpersimmon/node.h"
+#include "support/lonecontrol.h"
 #include "support/platformroutes.h"
+#include "support/temporaryfolder.h"
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
@@ -35,27 +36,13 @@
   return 0;
 }
 
-class TemporaryFolder {
-public:
-  TemporaryFolder() {
-    std::string Name = (fs::temp_directory_path() / "memory-XXXXXX").string();
-    REQUIRE(::mkdtemp(Name.data()) != nullptr);
-    this->Path = Name;
-  }
-  ~TemporaryFolder() { fs::remove_all(this->Path); }
-
-  std::string path() const { return this->Path + "/data"; }
-
-  std::size_t bytes() const {
-    std::size_t Sum = 0;
-    for (const auto &Item : fs::directory_iterator(this->path()))
-      Sum += Item.is_regular_file() ? fs::file_size(Item) : 0;
-    return Sum;
-  }
-
-private:
-  std::string Path;
-};
+/// Returns the size of the files in \p Folder.
+std::size_t bytesIn(const TemporaryFolder &Folder) {
+  std::size_t Sum = 0;
+  for (const auto &Item : fs::directory_iterator(Folder.path()))
+    Sum += Item.is_regular_file() ? fs::file_size(Item) : 0;
+  return Sum;
+}
 
 /// A control instance that is the only voter, with its disk.
 class SingleControl {
@@ -69,20 +56,9 @@
         },
         [&](DiskStore Store) { this->Disk.emplace(std::move(Store)); });
     REQUIRE(!Opened.failed());
-    NodeIdentity Identity;
-    Identity.Name = "control";
-    Identity.Address = Address;
-    Identity.Incarnation = 1;
-    Identity.Seeds = {Address};
-    Identity.Voters.Count = 1;
-    const auto Made = handleResult(
-        [&] {
-          return Node::makeControl(
-              Identity, this->Disk->diskId(), this->Disk->state(),
-              {this->Choice, this->VersionTopology}, this->Now);
-        },
-        [&](std::unique_ptr<Node> Item) { this->Daemon = std::move(Item); });
-    REQUIRE(!Made.failed());
+    this->Daemon =
+        makeLoneControl(Address, this->Disk->state(),
+                        {this->Choice, this->VersionTopology}, this->Now);
     this->Disk->releaseState();
     this->submit(BootstrapRequested{{Address}});
     for (int I = 0; I < 200 && !this->Daemon->control()->consensus().ready();
@@ -172,7 +148,7 @@
     for (int Number = 1; Number <= Changes; ++Number)
       REQUIRE(Subject.replace(Number));
     CHECK(residentBytes() < ControlBytes);
-    CHECK(Folder.bytes() < DiskBytes);
+    CHECK(bytesIn(Folder) < DiskBytes);
   }
   SingleControl Restarted(Folder);
   CHECK(Restarted.node().control()->store().settings().size() > Routes);
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -1,6 +1,7 @@
 #include "libhost/daemonsettings.h"
 #include "libhost/memoryshares.h"
 #include "support/process.h"
+#include "support/temporaryfolder.h"
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
@@ -37,13 +38,10 @@
 }
 
 ProgramRun runDaemon(const std::string &Option, const std::string &Settings) {
-  std::string Folder = (fs::temp_directory_path() / "run-XXXXXX").string();
-  REQUIRE(::mkdtemp(Folder.data()) != nullptr);
-  const std::string File = Folder + "/settings.json";
+  const TemporaryFolder Folder;
+  const std::string File = Folder.file("settings.json");
   std::ofstream(File) << Settings;
-  ProgramRun Out = runProgram({DAEMON_PROGRAM, Option, File});
-  fs::remove_all(Folder);
-  return Out;
+  return runProgram({DAEMON_PROGRAM, Option, File});
 }
 
 } // namespace
--- a/tests/startup/test_startup.cpp
+++ b/tests/startup/test_startup.cpp
@@ -1,4 +1,5 @@
 #include "support/process.h"
+#include "support/temporaryfolder.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -9,13 +10,12 @@
 #include <chrono>
 #include <csignal>
 #include <fcntl.h>
-#include <filesystem>
 #include <fstream>
+#include <functional>
 #include <optional>
 #include <thread>
 
 using namespace persimmon;
-namespace fs = std::filesystem;
 using asio::ip::tcp;
 
 namespace {
@@ -30,27 +30,23 @@
 class ControlFolder {
 public:
   explicit ControlFolder(const std::string &Ip) {
-    std::string Name = (fs::temp_directory_path() / "start-XXXXXX").string();
-    REQUIRE(::mkdtemp(Name.data()) != nullptr);
-    this->Folder = Name;
     const std::string Peer = Ip + ":" + std::to_string(PeerPort);
     std::ofstream(this->settings())
         << R"({"role":"control","name":"c1","availabilityZone":"z","listen":")"
         << Peer << R"(","operators":")" << Ip << ":" << OperatorPort
         << R"(","controlInstances":[{"name":"c1","address":")" << Peer
-        << R"("}],"dataFolder":")" << this->Folder << "/data\"}";
+        << R"("}],"dataFolder":")" << this->Folder.file("data") << "\"}";
   }
-  ~ControlFolder() { fs::remove_all(this->Folder); }
 
-  std::string settings() const { return this->Folder + "/c1.json"; }
+  std::string settings() const { return this->Folder.file("c1.json"); }
 
   void start(Process &Daemon) const {
     REQUIRE(Daemon.start({DAEMON_PROGRAM, "--settings", this->settings()},
-                         this->Folder + "/log"));
+                         this->Folder.file("log")));
   }
 
 private:
-  std::string Folder;
+  TemporaryFolder Folder;
 };
 
 bool answers(const std::string &Ip) {
@@ -72,6 +68,17 @@
   return false;
 }
 
+/// Checks that a daemon waits for its addresses and starts after \p Release.
+void checkWaits(const ControlFolder &Folder, const std::string &Ip,
+                const std::function<void()> &Release) {
+  Process Daemon;
+  Folder.start(Daemon);
+  std::this_thread::sleep_for(HeldFor);
+  CHECK(Daemon.running());
+  Release();
+  CHECK(starts(Daemon, Ip));
+}
+
 } // namespace
 
 // Guards against daemons that end because an earlier run has not ended yet
@@ -85,13 +92,8 @@
     Holder.emplace(Io, tcp::endpoint(asio::ip::make_address(Ip), Port));
     // The daemon must not inherit the socket.
     REQUIRE(::fcntl(Holder->native_handle(), F_SETFD, FD_CLOEXEC) == 0);
-    Process Daemon;
-    Folder.start(Daemon);
-    std::this_thread::sleep_for(HeldFor);
     INFO("port " << Port);
-    CHECK(Daemon.running());
-    Holder.reset();
-    CHECK(starts(Daemon, Ip));
+    checkWaits(Folder, Ip, [&] { Holder.reset(); });
   }
 }
 
@@ -101,12 +103,7 @@
   Process Earlier;
   Folder.start(Earlier);
   REQUIRE(starts(Earlier, Ip));
-  Process Daemon;
-  Folder.start(Daemon);
-  std::this_thread::sleep_for(HeldFor);
-  CHECK(Daemon.running());
-  Earlier.kill();
-  CHECK(starts(Daemon, Ip));
+  checkWaits(Folder, Ip, [&] { Earlier.kill(); });
 }
 
 TEST_CASE("a daemon that waits for its ports stops at once") {
--- a/tests/targetruns/test_targetruns.cpp
+++ b/tests/targetruns/test_targetruns.cpp
@@ -1,4 +1,4 @@
-#include "libpersimmon/node.h"
+#include "support/lonecontrol.h"
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
@@ -33,20 +33,8 @@
 class Pair {
 public:
   Pair() {
-    NodeIdentity Identity;
-    Identity.Name = "control";
-    Identity.Address = ControlAddress;
-    Identity.Incarnation = 1;
-    Identity.Seeds = {ControlAddress};
-    Identity.Voters.Count = 1;
-    const Failure Error = handleResult(
-        [&] {
-          return Node::makeControl(Identity,
-                                   initialVoterAt(ControlAddress).DiskId, {},
-                                   this->policies(), this->Now);
-        },
-        [&](std::unique_ptr<Node> Made) { this->Control = std::move(Made); });
-    REQUIRE(!Error.failed());
+    this->Control =
+        makeLoneControl(ControlAddress, {}, this->policies(), this->Now);
     this->restartProxy();
     this->send(*this->Control, BootstrapRequested{{ControlAddress}});
     this->run(milliseconds(4000));
