Match the prefixes of platform routes as text

Documents with /a/ and /a// were refused with 205.

Cause: the platform compares a prefix as text, the settings compare whole segments. Both stood in one field, and makeRoute() removed the slashes at the end before anything knew which one was meant.

Change: routes have the property pathMatch; platform routes are stored with "text". Text prefixes keep their last slash in the key of the table, so that one walk from the longest candidate to the shortest serves both. Stored routes of the platform's team without the property are text if they end with a slash.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -86,6 +86,7 @@
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
   Identity.LinkMbps = this->Settings.LinkMbps;
+  Identity.TextPrefixTeam = this->Protocols.TextPrefixTeam;
   const MemoryShares Shares =
       MemoryShares::fromSettings(this->Settings.MemoryMb);
   Identity.Snapshots.MaxLogBytes = Shares.maxLogBytes();
--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -183,6 +183,8 @@
   std::unique_ptr<CallProtocol> Calls;
   std::unique_ptr<LocalProtocol> Locals;
   std::unique_ptr<OperatorProtocol> Operators;
+  /// Team whose subtree Operators stores; as in CompileOptions.
+  std::string TextPrefixTeam;
 };
 
 /// Returns persimmonwheel's native protocols.
--- a/src/libpersimmon/changecheck.cpp
+++ b/src/libpersimmon/changecheck.cpp
@@ -13,9 +13,11 @@
 
 ChangeCheck::ChangeCheck(const SettingsMap &TheSettings,
                          const std::shared_ptr<const RouteTable> &Table,
-                         const wire::Change &TheCandidate)
+                         const wire::Change &TheCandidate,
+                         std::string TextPrefixTeam)
     : Settings(TheSettings), Candidate(TheCandidate),
-      Builder(Table, Table.get(), Validation::Required),
+      Builder(Table, Table.get(),
+              {Validation::Required, std::move(TextPrefixTeam)}),
       ResultingCount(TheSettings.size()) {}
 
 leaf::result<void> ChangeCheck::checkEdit(const wire::PathEdit &Edit) {
--- a/src/libpersimmon/changecheck.h
+++ b/src/libpersimmon/changecheck.h
@@ -17,9 +17,10 @@
 public:
   /// Starts the check of \p Candidate against \p Settings, which \p Table is
   /// compiled from. All must outlive the check and stay unchanged.
+  /// \p TextPrefixTeam as in CompileOptions.
   ChangeCheck(const SettingsMap &Settings,
               const std::shared_ptr<const RouteTable> &Table,
-              const wire::Change &Candidate);
+              const wire::Change &Candidate, std::string TextPrefixTeam);
 
   /// Validates up to \p MaxEdits further edits. Returns the result, or nothing
   /// while edits are left.
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -25,9 +25,10 @@
 ControlService::ControlService(wire::Replica Self,
                                std::vector<ControlPeer> Peers,
                                VoterPolicy Voters, SnapshotPolicy ThePolicy,
-                               std::uint64_t Seed)
+                               std::uint64_t Seed,
+                               const std::string &TextPrefixTeam)
     : ConsensusModule(std::move(Self), std::move(Peers), Voters, Seed),
-      Snapshots(ThePolicy) {}
+      Store(TextPrefixTeam), Snapshots(ThePolicy) {}
 
 leaf::result<void> ControlService::restore(const DurableState &State,
                                            Time Now) {
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -26,9 +26,10 @@
 /// against the state that it will be applied to.
 class ControlService {
 public:
+  /// \p TextPrefixTeam as in CompileOptions.
   ControlService(wire::Replica Self, std::vector<ControlPeer> Peers,
                  VoterPolicy Voters, SnapshotPolicy Snapshots,
-                 std::uint64_t Seed);
+                 std::uint64_t Seed, const std::string &TextPrefixTeam);
 
   /// Restores the state that was loaded from disk. Errors: SnapshotDamaged.
   leaf::result<void> restore(const DurableState &State, Time Now);
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -85,7 +85,7 @@
                 "the content does not match the announced hash");
   if (this->Use == TableUse::RoutesCalls) {
     BOOST_LEAF_ASSIGN(this->Table, RouteTable::build(Content, this->Table.get(),
-                                                     Validation::Skip));
+                                                     this->Compilation));
   }
   this->Settings = std::move(Content);
   this->Hash = ContentHash;
@@ -119,7 +119,7 @@
 
 leaf::result<void>
 Distribution::compileChanges(std::span<const wire::Delta *const> Changes) {
-  RouteTableBuilder Builder(this->Table, this->Table.get(), Validation::Skip);
+  RouteTableBuilder Builder(this->Table, this->Table.get(), this->Compilation);
   for (const wire::Delta *Change : Changes) {
     for (const wire::Setting &Entry : Change->Puts)
       BOOST_LEAF_CHECK(Builder.put(Entry.Path, Entry.Value));
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -34,11 +34,14 @@
   /// Whether this daemon routes calls and so needs the compiled table.
   enum class TableUse { RoutesCalls, None };
 
-  /// \p MaxHistoryBytes is the memory that the deltas kept for peers may take.
+  /// \p MaxHistoryBytes is the memory that the deltas kept for peers may take;
+  /// \p TextPrefixTeam as in CompileOptions.
   explicit Distribution(std::uint64_t Seed,
                         TableUse Use = TableUse::RoutesCalls,
-                        std::size_t MaxHistoryBytes = DefaultHistoryBytes)
-      : Rng(Seed), Use(Use), MaxHistoryBytes(MaxHistoryBytes) {}
+                        std::size_t MaxHistoryBytes = DefaultHistoryBytes,
+                        const std::string &TextPrefixTeam = {})
+      : Rng(Seed), Use(Use), Compilation(Validation::Skip, TextPrefixTeam),
+        MaxHistoryBytes(MaxHistoryBytes) {}
 
   /// Applies a change that the local replica committed.
   void applyCommitted(const wire::Delta &Change, Effects &Out);
@@ -156,6 +159,8 @@
 
   Random Rng;
   TableUse Use;
+  /// Committed settings were validated before the commit.
+  CompileOptions Compilation;
   SettingsMap Settings;
   std::shared_ptr<const RouteTable> Table;
   std::int64_t Version = 0;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -51,7 +51,7 @@
       Config(Identity.Seed + 2,
              IsControl ? Distribution::TableUse::None
                        : Distribution::TableUse::RoutesCalls,
-             Identity.MaxHistoryBytes),
+             Identity.MaxHistoryBytes, Identity.TextPrefixTeam),
       Gate(Identity.Seed + 3), Confirmation(Identity.Seed + 7),
       Scheduler(Identity.Seed + 6), Seeds(seedsOf(Identity)),
       ControlAddresses(Seeds), Stop(Identity.Stop) {}
@@ -84,7 +84,8 @@
       Others.push_back(Peer);
   }
   Out->Control.emplace(std::move(Self), std::move(Others), Identity.Voters,
-                       Identity.Snapshots, Identity.Seed + 5);
+                       Identity.Snapshots, Identity.Seed + 5,
+                       Identity.TextPrefixTeam);
   BOOST_LEAF_CHECK(Out->Control->restore(State, Now));
   return Out;
 }
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -48,6 +48,8 @@
   int RetryBurst = 0;
   /// Memory that the configuration deltas kept for peers may take.
   std::size_t MaxHistoryBytes = DefaultHistoryBytes;
+  /// As in CompileOptions.
+  std::string TextPrefixTeam;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
 };
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -67,7 +67,30 @@
   return Spec;
 }
 
-leaf::result<RouteSpec> makeRoute(std::string Path, const json &Value) {
+/// Reads the path prefix of a route in the form in which RouteTable looks it
+/// up. \p Default is the meaning of a prefix that ends with a slash if the
+/// route has no pathMatch.
+leaf::result<std::string> readPathPrefix(const std::string &Path,
+                                         const json &Value, PathMatch Default) {
+  std::string Prefix = Value.value("pathPrefix", "/");
+  if (!Prefix.starts_with('/'))
+    return fail(ResultCode::ValueInvalid, Path,
+                "a path prefix must start with '/'");
+  const std::string Named = Value.value("pathMatch", "");
+  const bool EndsWithSlash = Prefix.ends_with('/');
+  if (Named == "text" && !EndsWithSlash)
+    return fail(ResultCode::ValueInvalid, Path,
+                "a path prefix that is matched as text must end with '/'");
+  if (Named == "text" ||
+      (Named.empty() && EndsWithSlash && Default == PathMatch::Text))
+    return Prefix;
+  while (Prefix.size() > 1 && Prefix.back() == '/')
+    Prefix.pop_back();
+  return Prefix;
+}
+
+leaf::result<RouteSpec> makeRoute(std::string Path, const json &Value,
+                                  PathMatch DefaultMatch) {
   RouteSpec Spec;
   Spec.Path = std::move(Path);
   Spec.Job = Value.at("job").get<std::string>();
@@ -91,13 +114,11 @@
   if (!HasPositiveWeight)
     return fail(ResultCode::ValueInvalid, Spec.Path,
                 "the weights of a split add up to 0");
-  Spec.PathPrefix = Value.value("pathPrefix", Spec.PathPrefix);
-  if (!isValidJob(Spec.Job) || !Spec.PathPrefix.starts_with('/'))
+  if (!isValidJob(Spec.Job))
     return fail(ResultCode::ValueInvalid, Spec.Path,
-                "a job may contain only a-z, 0-9, '-', '_' and '.'; a path "
-                "prefix must start with '/'");
-  while (Spec.PathPrefix.size() > 1 && Spec.PathPrefix.back() == '/')
-    Spec.PathPrefix.pop_back();
+                "a job may contain only a-z, 0-9, '-', '_' and '.'");
+  BOOST_LEAF_ASSIGN(Spec.PathPrefix,
+                    readPathPrefix(Spec.Path, Value, DefaultMatch));
   const std::string Repeat = Value.value("repeatable", "by-method");
   if (Repeat == "always")
     Spec.Repeat = Repeatable::Always;
@@ -141,8 +162,8 @@
 
 leaf::result<std::shared_ptr<const RouteTable>>
 RouteTable::build(const SettingsMap &Settings, const RouteTable *Previous,
-                  Validation Mode) {
-  RouteTableBuilder Builder(nullptr, Previous, Mode);
+                  CompileOptions Options) {
+  RouteTableBuilder Builder(nullptr, Previous, std::move(Options));
   for (const auto &[Path, Entry] : Settings)
     BOOST_LEAF_CHECK(Builder.put(Path, Entry.Value));
   return Builder.finish();
@@ -167,17 +188,19 @@
   if (Found == this->RoutesByJob.end())
     return nullptr;
   const JobRoutes &Prefixes = *Found->second;
-  // A prefix matches whole path segments: /a matches /a, /a/b and /a?b, not
-  // /ab.
+  // Text prefixes end with a slash and those of segments without one, so the
+  // candidates end alternately after and before a slash of the path.
   std::string_view Candidate = Path.substr(0, Path.find('?'));
   while (!Candidate.empty()) {
     const auto Match = Prefixes.find(Candidate);
     if (Match != Prefixes.end())
       return Match->second.get();
-    Candidate = Candidate.substr(0, Candidate.rfind('/'));
+    if (Candidate.ends_with('/'))
+      Candidate.remove_suffix(1);
+    else
+      Candidate = Candidate.substr(0, Candidate.rfind('/') + 1);
   }
-  const auto Root = Prefixes.find("/");
-  return Root == Prefixes.end() ? nullptr : Root->second.get();
+  return nullptr;
 }
 
 const ServiceSpec *RouteTable::service(std::string_view Name) const {
@@ -188,8 +211,9 @@
 
 RouteTableBuilder::RouteTableBuilder(std::shared_ptr<const RouteTable> TheBase,
                                      const RouteTable *ReusedTable,
-                                     Validation TheMode)
-    : Base(std::move(TheBase)), Reused(ReusedTable), Mode(TheMode),
+                                     CompileOptions TheOptions)
+    : Base(std::move(TheBase)), Reused(ReusedTable),
+      Options(std::move(TheOptions)),
       Result(this->Base ? std::make_shared<RouteTable>(*this->Base)
                         : std::make_shared<RouteTable>()) {}
 
@@ -203,8 +227,9 @@
       return this->putRoute(Path, Value);
     if (Parts.Kind == "limits")
       return this->putLimits(Path, Value);
-    if (this->Mode == Validation::Required)
-      BOOST_LEAF_CHECK(parseValue(Path, Value, revisionSchema(), this->Mode));
+    if (this->Options.Mode == Validation::Required)
+      BOOST_LEAF_CHECK(
+          parseValue(Path, Value, revisionSchema(), this->Options.Mode));
     return {};
   } catch (const json::exception &Error) {
     // Only reached by a value that was not validated against its schema.
@@ -226,13 +251,20 @@
     }
   }
   BOOST_LEAF_AUTO(Document,
-                  parseValue(Path, Value, serviceSchema(), this->Mode));
+                  parseValue(Path, Value, serviceSchema(), this->Options.Mode));
   this->Result->ServiceEntries[Name] = {
       ValueHash,
       std::make_shared<const ServiceSpec>(makeService(Name, Document))};
   return {};
 }
 
+PathMatch RouteTableBuilder::defaultMatch(std::string_view Path) const {
+  const bool IsText =
+      !this->Options.TextPrefixTeam.empty() &&
+      Path.substr(0, Path.find('/')) == this->Options.TextPrefixTeam;
+  return IsText ? PathMatch::Text : PathMatch::Segments;
+}
+
 leaf::result<void> RouteTableBuilder::putRoute(const std::string &Path,
                                                std::string_view Value) {
   RouteTable::RouteEntry Entry;
@@ -243,8 +275,9 @@
     Entry = *Known;
   } else {
     BOOST_LEAF_AUTO(Document,
-                    parseValue(Path, Value, routeSchema(), this->Mode));
-    BOOST_LEAF_AUTO(Compiled, makeRoute(Path, Document));
+                    parseValue(Path, Value, routeSchema(), this->Options.Mode));
+    BOOST_LEAF_AUTO(Compiled,
+                    makeRoute(Path, Document, this->defaultMatch(Path)));
     Entry.Spec = std::make_shared<const RouteSpec>(std::move(Compiled));
   }
   RouteTable::RouteShard &Shard = this->ownShard(Path);
@@ -259,7 +292,7 @@
 leaf::result<void> RouteTableBuilder::putLimits(const std::string &Path,
                                                 std::string_view Value) {
   BOOST_LEAF_AUTO(Document,
-                  parseValue(Path, Value, limitsSchema(), this->Mode));
+                  parseValue(Path, Value, limitsSchema(), this->Options.Mode));
   CallerLimits Limits;
   Limits.MaxHeaderBytes =
       Document.value("maxHeaderBytes", Limits.MaxHeaderBytes);
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -42,10 +42,17 @@
   int Weight = 1;
 };
 
+/// How a path prefix is compared with the path of a request. Segments: /a and
+/// /a/ match /a, /a/ and /a/b. Text: the prefix ends with a slash and must
+/// begin the path literally; /a/ matches /a/ and /a/b, not /a.
+enum class PathMatch { Segments, Text };
+
 /// Maps the requests of a job under a path prefix to one or more services.
 struct RouteSpec {
   std::string Path;
   std::string Job;
+  /// Ends with a slash if it is a text prefix or "/", and without one if it
+  /// consists of segments. Unique within the job.
   std::string PathPrefix = "/";
   /// At least one; the sum of the weights is above 0.
   std::vector<SplitPart> Parts;
@@ -61,6 +68,18 @@
 /// schemas. Committed ones were validated before the commit.
 enum class Validation { Required, Skip };
 
+/// How the settings of a configuration are compiled.
+struct CompileOptions {
+  CompileOptions(Validation TheMode, std::string TheTextPrefixTeam = {})
+      : Mode(TheMode), TextPrefixTeam(std::move(TheTextPrefixTeam)) {}
+
+  Validation Mode;
+  /// Team whose prefixes that end with a slash are text prefixes where a route
+  /// has no pathMatch; empty for none. Documents of this team were stored
+  /// without it by version 0.2.0 and earlier.
+  std::string TextPrefixTeam;
+};
+
 class RouteTableBuilder;
 
 /// A configuration compiled for lookups. Every service that a route refers to
@@ -73,9 +92,10 @@
   /// ReferenceMissing, MatchTaken, with the path of the setting.
   static leaf::result<std::shared_ptr<const RouteTable>>
   build(const SettingsMap &Settings, const RouteTable *Previous,
-        Validation Mode);
+        CompileOptions Options);
 
   /// Returns the route with the longest matching path prefix, or nullptr.
+  /// \p Path starts with a slash and may include a query, which is ignored.
   const RouteSpec *match(std::string_view Job, std::string_view Path) const;
 
   /// Returns the service, or nullptr.
@@ -124,7 +144,7 @@
   /// the same value are taken from there instead of being compiled again; it
   /// may be null.
   RouteTableBuilder(std::shared_ptr<const RouteTable> Base,
-                    const RouteTable *Reused, Validation Mode);
+                    const RouteTable *Reused, CompileOptions Options);
 
   /// Compiles the new value of the setting at \p Path. Errors: ValueInvalid.
   leaf::result<void> put(const std::string &Path, std::string_view Value);
@@ -140,6 +160,7 @@
   leaf::result<void> putService(const std::string &Path,
                                 std::string_view Value);
   leaf::result<void> putRoute(const std::string &Path, std::string_view Value);
+  PathMatch defaultMatch(std::string_view Path) const;
   leaf::result<void> putLimits(const std::string &Path, std::string_view Value);
   RouteTable::RouteShard &ownShard(std::string_view Path);
   RouteTable::JobRoutes &ownJob(const std::string &Job);
@@ -148,7 +169,7 @@
 
   std::shared_ptr<const RouteTable> Base;
   const RouteTable *Reused;
-  Validation Mode;
+  CompileOptions Options;
   std::shared_ptr<RouteTable> Result;
   std::map<std::size_t, std::shared_ptr<RouteTable::RouteShard>> OwnShards;
   std::map<std::string, std::shared_ptr<RouteTable::JobRoutes>, std::less<>>
--- a/src/libpersimmon/settingsstore.cpp
+++ b/src/libpersimmon/settingsstore.cpp
@@ -72,7 +72,8 @@
     return std::nullopt;
   if (!this->Running->Steps)
     this->Running->Steps.emplace(this->Settings, this->Table,
-                                 *this->Running->Candidate);
+                                 *this->Running->Candidate,
+                                 this->TextPrefixTeam);
   this->CompiledSettings +=
       std::min(MaxEdits, this->Running->Candidate->Edits.size());
   auto Result = this->Running->Steps->advance(MaxEdits);
@@ -91,7 +92,9 @@
     return true;
   if (!this->Draft)
     this->Draft.emplace(
-        TableDraft{RouteTableBuilder(nullptr, nullptr, Validation::Skip), {}});
+        TableDraft{RouteTableBuilder(nullptr, nullptr,
+                                     {Validation::Skip, this->TextPrefixTeam}),
+                   {}});
   auto Item = this->Settings.lower_bound(this->Draft->NextPath);
   for (std::size_t I = 0; I < MaxSettings && Item != this->Settings.end();
        ++I, ++Item) {
@@ -223,7 +226,7 @@
 }
 
 leaf::result<void> SettingsStore::restore(const wire::StoreSnapshot &Snapshot) {
-  SettingsStore RestoredStore;
+  SettingsStore RestoredStore(this->TextPrefixTeam);
   for (const wire::Setting &Entry : Snapshot.Settings) {
     BOOST_LEAF_CHECK(parseSettingPath(Entry.Path));
     RestoredStore.Settings.emplace(Entry.Path, Entry);
--- a/src/libpersimmon/settingsstore.h
+++ b/src/libpersimmon/settingsstore.h
@@ -24,6 +24,9 @@
 class SettingsStore {
 public:
   SettingsStore() = default;
+  /// \p TheTextPrefixTeam as in CompileOptions.
+  explicit SettingsStore(std::string TheTextPrefixTeam)
+      : TextPrefixTeam(std::move(TheTextPrefixTeam)) {}
   SettingsStore(SettingsStore &&) = default;
   SettingsStore &operator=(SettingsStore &&) = default;
 
@@ -94,6 +97,7 @@
     std::string NextPath;
   };
 
+  std::string TextPrefixTeam;
   SettingsMap Settings;
   /// The compiled settings, against which changes are checked; null if they
   /// are not compiled. Only a leader needs it.
--- a/tests/support/platformroutes.cpp
+++ b/tests/support/platformroutes.cpp
@@ -43,6 +43,7 @@
 json routeValue(int Number, std::mt19937 &Random) {
   json Out{{"job", serviceName(Number / RoutesPerHost) + ".example"},
            {"pathPrefix", "/" + hexDigits(Random) + "/"},
+           {"pathMatch", "text"},
            {"repeatable", Random() % 2 == 0 ? "always" : "never"},
            {"deadlineMs", 100 + 50 * (Random() % 40)},
            {"targetLatencyMs", 50 + 10 * (Random() % 40)},
