Accept request targets in absolute form

A request for http://host/path was answered 400 (313), although RFC 9112, 3.2.2 requires servers to accept it.

Cause: the target was taken for a path.

Change: takeJob() replaces the target by its path and query, and the Host header by the target's host, before anything compares either of them.

--- a/src/libhost/httpserver.cpp
+++ b/src/libhost/httpserver.cpp
@@ -70,6 +70,12 @@
                     [](char A, char B) { return toLower(A) == toLower(B); });
 }
 
+std::string toLowerCase(std::string_view Text) {
+  std::string Out(Text);
+  std::transform(Out.begin(), Out.end(), Out.begin(), toLower);
+  return Out;
+}
+
 std::string_view HttpRequest::header(std::string_view Name) const {
   const auto Found = std::find_if(
       this->Headers.begin(), this->Headers.end(),
--- a/src/libhost/httpserver.h
+++ b/src/libhost/httpserver.h
@@ -36,6 +36,9 @@
 /// Compares two header names case-insensitively.
 bool sameHeaderName(std::string_view Left, std::string_view Right);
 
+/// Returns \p Text with the letters A to Z in lower case.
+std::string toLowerCase(std::string_view Text);
+
 /// Receives the requests of an HTTP server.
 class HttpHandler {
 public:
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -3,6 +3,7 @@
 #include "logging.h"
 #include "memoryshares.h"
 #include "operatorapi.h"
+#include "requesttarget.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,17 +37,6 @@
   return TotalBytes;
 }
 
-/// Returns the job of a request: the Host header without the port, in lower
-/// case.
-std::string jobOf(const HttpRequest &Request) {
-  const std::string_view Host = Request.header("Host");
-  std::string Job(Host.substr(0, Host.find(':')));
-  std::transform(Job.begin(), Job.end(), Job.begin(), [](char C) {
-    return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
-  });
-  return Job;
-}
-
 /// Returns whether a result code guarantees that the call did not run.
 bool provesNotRun(ResultCode Code) {
   switch (Code) {
@@ -140,8 +130,7 @@
   return Out;
 }
 
-Failure ProxyApi::checkCall(const HttpRequest &Request,
-                            const std::string &Job) const {
+Failure ProxyApi::checkSize(const HttpRequest &Request) const {
   const Distribution &Config = this->Sink.node().distribution();
   const auto &Table = Config.table();
   const CallerLimits Limits = Table ? Table->limits() : CallerLimits();
@@ -156,22 +145,18 @@
     return {ResultCode::HeadersTooLarge, {}, {}};
   if (BodyTooLarge)
     return {ResultCode::BodyTooLarge, {}, {}};
-  if (Job.empty())
-    return {ResultCode::RequestMalformed, "Host",
-            "the header is missing or empty"};
-  if (!Request.Url.starts_with('/') || !isVisibleAscii(Request.Url) ||
-      !isVisibleAscii(Job))
-    return {ResultCode::RequestMalformed, "URL",
-            "expected a path of printable characters"};
   return {};
 }
 
 void ProxyApi::handleCall(HttpRequest Request) {
   const Time Now = std::chrono::steady_clock::now();
   this->ArrivedAt.emplace(Request.Id, Now);
-  const std::string Job = jobOf(Request);
+  std::string Job;
   CallMetadata Metadata;
-  Failure Error = this->checkCall(Request, Job);
+  Failure Error = this->checkSize(Request);
+  if (!Error.failed())
+    Error = handleResult([&] { return takeJob(Request); },
+                         [&](std::string Taken) { Job = std::move(Taken); });
   if (!Error.failed())
     Error = handleResult(
         [&] {
@@ -186,7 +171,7 @@
   Call.CallId = std::move(Metadata.CallId);
   if (Call.CallId.empty() || !isVisibleAscii(Call.CallId))
     Call.CallId = this->IdPrefix + "-" + std::to_string(Request.Id);
-  Call.Job = Job;
+  Call.Job = std::move(Job);
   Call.Method = Request.Method;
   Call.Url = Request.Url;
   Call.Headers = std::move(Metadata.Headers);
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -67,7 +67,7 @@
   HttpResponse execute(const TargetAnnouncement &Announcement);
   HttpResponse execute(const TargetLeaving &Leave);
   HttpResponse execute(const ReadinessQuery &Query);
-  Failure checkCall(const HttpRequest &Request, const std::string &Job) const;
+  Failure checkSize(const HttpRequest &Request) const;
   void applyConnectionLimit();
   void onTargetFinished(const wire::AttemptId &Id, const std::string &TargetRun,
                         TargetResponse Answer);
--- a/tests/routes/test_routes.cpp
+++ b/tests/routes/test_routes.cpp
@@ -1,3 +1,4 @@
+#include "libhost/requesttarget.h"
 #include "platform/configuration.h"
 
 #include <nlohmann/json.hpp>
@@ -310,3 +311,55 @@
   CHECK(serviceAt(Store, "/a/b") == 1);
   CHECK(serviceAt(Store, "/ab") == 2);
 }
+
+namespace {
+
+struct TargetCase {
+  const char *Target;
+  const char *Host;
+  /// Empty if the request is refused.
+  std::string Job;
+  std::string Url;
+};
+
+} // namespace
+
+// Guards against a request target in absolute form that is refused.
+TEST_CASE("the job and the path are read from every form of request target") {
+  const std::vector<TargetCase> Cases = {
+      {"/x/?a=b", "A.example:80", "a.example", "/x/?a=b"},
+      {"http://b.example/x/1?y=/z", "a.example", "b.example", "/x/1?y=/z"},
+      {"HTTP://B.Example:8080/x/", "", "b.example", "/x/"},
+      {"https://b.example/x", "a.example", "b.example", "/x"},
+      {"http://b.example", "a.example", "b.example", "/"},
+      {"http://b.example?y=1", "a.example", "b.example", "/?y=1"},
+      {"//x/", "a.example", "a.example", "//x/"},
+      {"http:///x", "a.example", "", ""},
+      {"http://u@b.example/x", "a.example", "", ""},
+      {"ftp://b.example/x", "a.example", "", ""},
+      {"b.example:80", "a.example", "", ""},
+      {"*", "a.example", "", ""},
+      {"/x", "", "", ""},
+      {"/x\xc3\xa4", "a.example", "", ""},
+      {"/x", "a\xe4.example", "", ""}};
+  for (const TargetCase &Item : Cases) {
+    HttpRequest Request;
+    Request.Url = Item.Target;
+    if (*Item.Host != '\0')
+      Request.Headers = {makeHeader("host", Item.Host)};
+    std::string Job;
+    const Failure Error =
+        handleResult([&] { return takeJob(Request); },
+                     [&](std::string Taken) { Job = std::move(Taken); });
+    INFO(Item.Target << " " << Item.Host << " " << describe(Error));
+    CHECK(Job == Item.Job);
+    CHECK(Error.Code ==
+          (Item.Job.empty() ? ResultCode::RequestMalformed : ResultCode::Ok));
+    if (Error.failed())
+      continue;
+    CHECK(Request.Url == Item.Url);
+    // What the target is told agrees with what was asked for.
+    CHECK(toLowerCase(Request.header("Host")).starts_with(Job));
+    CHECK(Request.Headers.size() == 1);
+  }
+}
