Keep file descriptors free for accepting connections

Cause: RESTinio does not accept again after an error of accept, and the peers' port accepted again at once.

Further HTTP connections wait; those of peers are closed at once. The peers' port pauses for 100 ms after an error.

Evidence: tests/startup, a daemon with 64 descriptors and 128 connections to each port.

--- a/src/libhost/httpserver.cpp
+++ b/src/libhost/httpserver.cpp
@@ -55,6 +55,9 @@
                                               restinio::null_logger_t,
                                               RequestHandler> {
   using connection_state_listener_t = ConnectionStateListener;
+  // RESTinio never accepts again once accepting has failed for want of a file
+  // descriptor.
+  static constexpr bool use_connection_count_limiter = true;
 };
 
 using RestinioServer = restinio::http_server_t<Traits>;
@@ -94,7 +97,8 @@
       this->Server->close_async([] {}, [](const std::exception_ptr &) {});
   }
 
-  leaf::result<void> listen(asio::io_context &Io, const Endpoint &Listen) {
+  leaf::result<void> listen(asio::io_context &Io, const Endpoint &Listen,
+                            std::size_t MaxConnections) {
     auto Limits = restinio::incoming_http_msg_limits_t{}
                       .max_url_size(MaxUrlBytes)
                       .max_field_name_size(MaxFieldNameBytes)
@@ -107,6 +111,7 @@
               .port(Listen.Port)
               .incoming_http_msg_limits(Limits)
               .max_pipelined_requests(MaxPipelinedRequests)
+              .max_parallel_connections(MaxConnections)
               .read_next_http_message_timelimit(ReadTimeout)
               .handle_request_timeout(HandleTimeout)
               .write_http_response_timelimit(WriteTimeout)
@@ -256,9 +261,9 @@
 
 leaf::result<std::unique_ptr<HttpServer>>
 HttpServer::open(asio::io_context &Io, const Endpoint &Listen,
-                 HttpHandler &Handler) {
+                 HttpHandler &Handler, std::size_t MaxConnections) {
   auto NewImplementation = std::make_unique<Impl>(Handler);
-  BOOST_LEAF_CHECK(NewImplementation->listen(Io, Listen));
+  BOOST_LEAF_CHECK(NewImplementation->listen(Io, Listen, MaxConnections));
   return std::unique_ptr<HttpServer>(
       new HttpServer(std::move(NewImplementation)));
 }
--- a/src/libhost/httpserver.h
+++ b/src/libhost/httpserver.h
@@ -53,12 +53,16 @@
 /// owner, which must run on a single thread.
 class HttpServer {
 public:
-  /// Listens on \p Listen. \p Handler must outlive the server. Errors:
-  /// PortInUse.
+  /// Listens on \p Listen. \p Handler must outlive the server. Has at most
+  /// \p MaxConnections connections; further ones wait until one is closed.
+  /// Errors: PortInUse.
   static leaf::result<std::unique_ptr<HttpServer>>
-  open(asio::io_context &Io, const Endpoint &Listen, HttpHandler &Handler);
+  open(asio::io_context &Io, const Endpoint &Listen, HttpHandler &Handler,
+       std::size_t MaxConnections = DefaultMaxConnections);
 
   ~HttpServer();
+  static constexpr std::size_t DefaultMaxConnections = 1000;
+
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -1,5 +1,6 @@
 #include "operatorapi.h"
 
+#include "descriptorshares.h"
 #include "logging.h"
 
 #include <asio/post.hpp>
@@ -132,8 +133,10 @@
                   const OperatorProtocol *ExternalProtocol, EventSink &Sink) {
   std::unique_ptr<OperatorApi> Out(
       new OperatorApi(Io, Settings, ExternalProtocol, Sink));
-  BOOST_LEAF_ASSIGN(Out->Server,
-                    HttpServer::open(Io, *Settings.Operators, *Out));
+  BOOST_LEAF_ASSIGN(
+      Out->Server,
+      HttpServer::open(Io, *Settings.Operators, *Out,
+                       DescriptorShares::ofProcess().maxCallerConnections()));
   return Out;
 }
 
--- a/src/libhost/peernetwork.cpp
+++ b/src/libhost/peernetwork.cpp
@@ -1,5 +1,6 @@
 #include "peernetwork.h"
 
+#include "descriptorshares.h"
 #include "peerconnection.h"
 
 #include <asio/buffer.hpp>
@@ -8,6 +9,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 #include <set>
@@ -26,6 +28,9 @@
 constexpr std::int64_t PacketHeaderBytes = 66;
 constexpr std::chrono::seconds IdleTimeout{60};
 constexpr std::chrono::seconds IdleCheckInterval{10};
+/// Time until another connection is accepted after accepting has failed, as for
+/// want of a file descriptor.
+constexpr std::chrono::milliseconds AcceptRetryInterval{100};
 /// Maximum time that a deferred message waits to be sent with another one.
 constexpr std::chrono::milliseconds FlushDelay{100};
 
@@ -58,7 +63,9 @@
 public:
   Impl(asio::io_context &Context, PeerListener &TheListener)
       : Io(Context), Acceptor(Context), DatagramSocket(Context),
-        IdleTimer(Context), FlushTimer(Context), Listener(TheListener) {}
+        AcceptTimer(Context), IdleTimer(Context), FlushTimer(Context),
+        MaxAccepted(DescriptorShares::ofProcess().maxPeerConnections()),
+        Listener(TheListener) {}
 
   ~Impl() override {
     for (auto &[Name, Connection] : this->Connections)
@@ -209,7 +216,9 @@
                                        tcp::socket Socket) {
       if (Error == asio::error::operation_aborted)
         return;
-      if (!Error) {
+      if (Error)
+        return this->acceptLater();
+      if (this->acceptedCount() < this->MaxAccepted) {
         const std::string Path =
             "#" + std::to_string(++this->LastConnectionNumber);
         std::error_code Ignored;
@@ -227,6 +236,20 @@
     });
   }
 
+  void acceptLater() {
+    this->AcceptTimer.expires_after(AcceptRetryInterval);
+    this->AcceptTimer.async_wait([this](std::error_code Error) {
+      if (!Error)
+        this->accept();
+    });
+  }
+
+  std::size_t acceptedCount() const {
+    return static_cast<std::size_t>(std::count_if(
+        this->Connections.begin(), this->Connections.end(),
+        [](const auto &Item) { return isAcceptedConnection(Item.first); }));
+  }
+
   void receiveDatagram() {
     this->DatagramSocket.async_receive_from(
         asio::buffer(this->DatagramBuffer), this->DatagramSender,
@@ -311,8 +334,10 @@
   asio::io_context &Io;
   tcp::acceptor Acceptor;
   udp::socket DatagramSocket;
+  asio::steady_timer AcceptTimer;
   asio::steady_timer IdleTimer;
   asio::steady_timer FlushTimer;
+  std::size_t MaxAccepted;
   bool FlushScheduled = false;
   PeerListener &Listener;
   ConnectionMap Connections;
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -1,5 +1,6 @@
 #include "proxyapi.h"
 
+#include "descriptorshares.h"
 #include "logging.h"
 #include "memoryshares.h"
 #include "operatorapi.h"
@@ -113,15 +114,20 @@
   const MemoryShares Shares = MemoryShares::fromSettings(Settings.MemoryMb);
   Out->Client.setMaxHeldBytes(Shares.maxResponseBytes());
   Required.Bodies.setMaxCallerBytes(Shares.maxCallerBodyBytes());
-  BOOST_LEAF_ASSIGN(
-      Out->CallerServer,
-      HttpServer::open(Io, *Settings.Callers, *Out->CallerHttpHandler));
-  BOOST_LEAF_ASSIGN(Out->LocalServer, HttpServer::open(Io, *Settings.Local,
-                                                       *Out->LocalHttpHandler));
+  const DescriptorShares Descriptors = DescriptorShares::ofProcess();
+  BOOST_LEAF_ASSIGN(Out->CallerServer,
+                    HttpServer::open(Io, *Settings.Callers,
+                                     *Out->CallerHttpHandler,
+                                     Descriptors.maxCallerConnections()));
+  BOOST_LEAF_ASSIGN(Out->LocalServer,
+                    HttpServer::open(Io, *Settings.Local,
+                                     *Out->LocalHttpHandler,
+                                     Descriptors.maxLocalConnections()));
   if (Settings.Readiness) {
-    BOOST_LEAF_ASSIGN(
-        Out->ReadinessServer,
-        HttpServer::open(Io, *Settings.Readiness, *Out->ReadinessHttpHandler));
+    BOOST_LEAF_ASSIGN(Out->ReadinessServer,
+                      HttpServer::open(Io, *Settings.Readiness,
+                                       *Out->ReadinessHttpHandler,
+                                       Descriptors.maxLocalConnections()));
   }
   if (Out->ProbeInterval.count() > 0)
     Out->scheduleProbe();
--- a/tests/startup/test_startup.cpp
+++ b/tests/startup/test_startup.cpp
@@ -3,6 +3,8 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
@@ -14,6 +16,8 @@
 #include <functional>
 #include <optional>
 #include <thread>
+#include <unistd.h>
+#include <vector>
 
 using namespace persimmon;
 using asio::ip::tcp;
@@ -45,6 +49,15 @@
                          this->Folder.file("log")));
   }
 
+  /// Starts the daemon with a limit of \p Descriptors file descriptors.
+  void startLimited(Process &Daemon, int Descriptors) const {
+    REQUIRE(Daemon.start(
+        {"/bin/sh", "-c",
+         "ulimit -n " + std::to_string(Descriptors) + "; exec \"$0\" \"$@\"",
+         DAEMON_PROGRAM, "--settings", this->settings()},
+        this->Folder.file("log")));
+  }
+
 private:
   TemporaryFolder Folder;
 };
@@ -57,6 +70,37 @@
   return !Error;
 }
 
+/// Returns the processor time that a process has used, in clock ticks.
+long processorTicks(pid_t Id) {
+  std::ifstream In("/proc/" + std::to_string(Id) + "/stat");
+  std::string Field;
+  // The fields 14 and 15 are the times in user and in system mode.
+  constexpr int UserTimeField = 14;
+  for (int I = 1; I < UserTimeField; ++I)
+    In >> Field;
+  long User = 0;
+  long System = 0;
+  In >> User >> System;
+  return User + System;
+}
+
+/// Returns the status line of an answer to a request to the operators' port;
+/// empty if none comes.
+std::string statusLine(const std::string &Ip) {
+  asio::io_context Io;
+  tcp::socket Socket(Io);
+  std::error_code Error;
+  Socket.connect({asio::ip::make_address(Ip), OperatorPort}, Error);
+  const std::string Request =
+      "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  asio::write(Socket, asio::buffer(Request), Error);
+  std::string Out;
+  asio::async_read_until(Socket, asio::dynamic_buffer(Out), "\r\n",
+                         [](std::error_code, std::size_t) {});
+  Io.run_for(StartTimeout);
+  return Out.substr(0, Out.find("\r\n"));
+}
+
 /// Returns whether \p Daemon accepts connections before the start timeout.
 bool starts(Process &Daemon, const std::string &Ip) {
   const auto Deadline = std::chrono::steady_clock::now() + StartTimeout;
@@ -119,3 +163,33 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
   CHECK(!Daemon.running());
 }
+
+// Guards against a daemon that accepts without a pause while it has no file
+// descriptors left, which takes the processor from its other work.
+TEST_CASE("a daemon without free file descriptors waits and serves again") {
+  const std::string Ip = "127.64.0.4";
+  constexpr int Descriptors = 64;
+  constexpr std::chrono::seconds Observed{2};
+  const ControlFolder Folder(Ip);
+  Process Daemon;
+  Folder.startLimited(Daemon, Descriptors);
+  REQUIRE(starts(Daemon, Ip));
+  for (const unsigned short Port : {OperatorPort, PeerPort}) {
+    asio::io_context Io;
+    std::vector<tcp::socket> Clients;
+    for (int I = 0; I < 2 * Descriptors; ++I) {
+      Clients.emplace_back(Io);
+      Clients.back().connect({asio::ip::make_address(Ip), Port});
+    }
+    const long Before = processorTicks(Daemon.id());
+    std::this_thread::sleep_for(Observed);
+    const double Used =
+        static_cast<double>(processorTicks(Daemon.id()) - Before) /
+        static_cast<double>(::sysconf(_SC_CLK_TCK));
+    INFO("port " << Port);
+    // Without work it uses next to nothing; a tenth of the time is a bound.
+    CHECK(Used < 0.1 * static_cast<double>(Observed.count()));
+    CHECK(Daemon.running());
+  }
+  CHECK(statusLine(Ip).starts_with("HTTP/1.1 200"));
+}
