--- a/tests/routes/test_routes.cpp
+++ b/tests/routes/test_routes.cpp
@@ -237,6 +237,25 @@
   }
 }
 
+// Guards against a valid document that is refused because its host has
+// capitals.
+TEST_CASE("the host of a platform route matches in any case") {
+  SettingsStore Store;
+  json Document = documentOf({"/x/"});
+  Document["routes"][0]["host"] = "A.Example";
+  const Failure Error = submitDocument(Document, Store);
+  INFO(describe(Error));
+  REQUIRE(!Error.failed());
+  // Requests arrive with their host in lower case.
+  CHECK(serviceAt(Store, "/x/1") == 0);
+  CHECK(platform::writeConfiguration(Store.settings())["routes"][0]["host"] ==
+        "A.Example");
+  json Twice = documentOf({"/x/", "/x/"});
+  Twice["routes"][0]["host"] = "A.Example";
+  SettingsStore Empty;
+  CHECK(submitDocument(Twice, Empty).Code == ResultCode::MatchTaken);
+}
+
 // Stored settings and peers of version 0.2.0 have no pathMatch.
 TEST_CASE("a stored platform route without pathMatch has a text prefix") {
   SettingsStore Written;
