Satisfy the linter in the new tests

Names that RESTinio prescribes, a widening multiplication, a copy and a vector without reserve. No behaviour changes; test_routes and test_powerloss pass.

--- a/src/libhost/httpserver.cpp
+++ b/src/libhost/httpserver.cpp
@@ -57,6 +57,7 @@
   using connection_state_listener_t = ConnectionStateListener;
   // RESTinio never accepts again once accepting has failed for want of a file
   // descriptor.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/tests/powerloss/test_powerloss.cpp
+++ b/tests/powerloss/test_powerloss.cpp
@@ -127,8 +127,9 @@
 TEST_CASE("a deployment serves nine in ten calls soon after a loss of power") {
   const std::uint64_t Seed = GENERATE(range(1u, 6u));
   // A third of the slots' capacity.
+  constexpr int RunsPerSlot = static_cast<int>(WindowLength / RunTime);
   constexpr int CallsPerWindow =
-      Zones * ProxiesPerZone * Slots * (WindowLength / RunTime) / 3;
+      Zones * ProxiesPerZone * Slots * RunsPerSlot / 3;
   constexpr int WindowsBefore = 10;
   Deployment Given(Seed);
   for (int I = 0; I < WindowsBefore; ++I)
--- a/tests/routes/test_routes.cpp
+++ b/tests/routes/test_routes.cpp
@@ -41,9 +41,9 @@
   wire::LogEntry Entry;
   Entry.Kind = wire::EntryKind::Change;
   Entry.Index = 1;
-  Failure Error =
-      handleResult([&] { return replaceSubtree(Store.settings(), Wanted); },
-                   [&](wire::Change Made) { Entry.TheChange = Made; });
+  Failure Error = handleResult(
+      [&] { return replaceSubtree(Store.settings(), Wanted); },
+      [&](wire::Change Made) { Entry.TheChange = std::move(Made); });
   if (!Error.failed())
     Error = Store.check(Entry.TheChange);
   if (!Error.failed())
@@ -223,6 +223,7 @@
     for (const std::string &Prefix : Generator.prefixes())
       Stripped.insert(withoutLastSlashes(Prefix));
     std::vector<std::string> Prefixes;
+    Prefixes.reserve(Stripped.size());
     for (const std::string &Prefix : Stripped)
       Prefixes.push_back(Prefix + (Prefix.empty() || I % 2 == 0 ? "/" : ""));
     SettingsStore Store;
