--- a/tests/suspects/test_suspects.cpp
+++ b/tests/suspects/test_suspects.cpp
@@ -134,10 +134,12 @@
 TEST_CASE("ends in which nobody is guilty hold nothing back") {
   SuspectRequests Suspects;
   Time Now{std::chrono::hours(1)};
+  constexpr std::size_t Slots = 18;
   RequestForm Next = 0;
   for (int I = 0; I < 100; ++I) {
     std::vector<RequestForm> Running;
-    for (int J = 0; J < 18; ++J)
+    Running.reserve(Slots);
+    for (std::size_t J = 0; J < Slots; ++J)
       Running.push_back(++Next);
     Now += milliseconds(200);
     Suspects.targetEnded("run-" + std::to_string(I), Running, Now);
@@ -199,6 +201,7 @@
   Suspects.targetEnded("b", std::vector<RequestForm>{1}, Now);
   for (RequestForm Form = 1000; Form < 11'000; Form += 100) {
     std::vector<RequestForm> Running;
+    Running.reserve(100);
     for (RequestForm I = 0; I < 100; ++I)
       Running.push_back(Form + I);
     Now += milliseconds(1);
