--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -57,20 +57,6 @@
   return Out;
 }
 
-std::string serialize(const std::string &Ip, const HttpRequest &Request) {
-  std::string Out = Request.Method + " " + Request.Path + " HTTP/1.1\r\n";
-  bool HasHost = false;
-  for (const Header &Item : Request.Headers) {
-    Out += Item.Name + ": " + Item.Value + "\r\n";
-    HasHost = HasHost || sameName(Item.Name, "Host");
-  }
-  if (!HasHost)
-    Out += "Host: " + Ip + "\r\n";
-  if (!Request.Body.empty() || Request.Method != "GET")
-    Out += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
-  return Out + "\r\n" + Request.Body;
-}
-
 } // namespace
 
 Socket &Socket::operator=(Socket &&Other) noexcept {
@@ -193,6 +179,20 @@
   return ReadResult::Complete;
 }
 
+std::string serialize(const std::string &Ip, const HttpRequest &Request) {
+  std::string Out = Request.Method + " " + Request.Path + " HTTP/1.1\r\n";
+  bool HasHost = false;
+  for (const Header &Item : Request.Headers) {
+    Out += Item.Name + ": " + Item.Value + "\r\n";
+    HasHost = HasHost || sameName(Item.Name, "Host");
+  }
+  if (!HasHost)
+    Out += "Host: " + Ip + "\r\n";
+  if (!Request.Body.empty() || Request.Method != "GET")
+    Out += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  return Out + "\r\n" + Request.Body;
+}
+
 HttpAnswer send(const std::string &Ip, int Port, const HttpRequest &Request,
                 milliseconds Timeout) {
   HttpAnswer Out;
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -88,6 +88,9 @@
   std::string Body;
 };
 
+/// Returns the bytes of a request.
+std::string serialize(const std::string &Ip, const HttpRequest &Request);
+
 /// Sends a request on a new connection and waits for its answer.
 HttpAnswer send(const std::string &Ip, int Port, const HttpRequest &Request,
                 milliseconds Timeout);
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -12,6 +12,7 @@
   using review::Verdict;
   const std::map<std::string, Verdict (*)(review::Record &, bool)> Cases = {
       {"reused-address", review::runReusedAddress},
+      {"stale-leader", review::runStaleLeader},
       {"forgotten-leave", review::runForgottenLeave},
       {"large-uploads", review::runLargeUploads},
       {"unreadable-configuration", review::runUnreadableConfiguration}};
