--- a/review/standins-2/reusedaddress.cpp
+++ b/review/standins-2/reusedaddress.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// From PROTOCOL.md and the settings: an address is used again after this time.
-constexpr milliseconds AddressReuse{2000};
+/// Above addressReuseS, which is two seconds, counted from the complete end of
+/// the backend.
+constexpr milliseconds AddressReuse{2100};
 /// After the end of the backend; the daemon is back a short delay later.
 constexpr milliseconds KillAfter{1000};
 constexpr milliseconds RestartDelay{300};
@@ -52,8 +53,8 @@
   std::this_thread::sleep_for(Steady);
 
   Deployment::Machine &Reused = Site.sidecars()[0];
-  const Time EndedAt = Clock::now();
   Backends[0]->stop();
+  const Time EndedAt = Clock::now();
   std::this_thread::sleep_until(EndedAt + KillAfter);
   if (Trouble) {
     Out.line("platform: kills the daemon of " + Reused.Name);
