Use a found target only if a member names its service

Cause: the health response names a run but no service; the service was the one in the settings.

A member record now names the target's run, members answer a restarted daemon with its last record from before, and TargetConfirmation uses a found run only if that record names it for the same service. An announcement of another service at the address, a 421 and a probe that another run answers end the run in use. This works because whoever announced the run before the restart told members that kept running, and an unknown run has to announce itself.

--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -61,6 +61,14 @@
   /// the request.
   virtual bool isNotRunResponse(const TargetResponse &Answer) const = 0;
 
+  /// Returns whether the target's response states that the request names a run
+  /// other than the one that received it.
+  virtual bool isOtherRunResponse(const TargetResponse &Answer) const = 0;
+
+  /// Returns the run that sent the response of a health endpoint, healthy or
+  /// not; empty if it names none.
+  virtual std::string readRun(const TargetResponse &Answer) const = 0;
+
   /// Returns what the target says of itself in any of its responses.
   virtual TargetNotice readNotice(const TargetResponse &Answer) const = 0;
 
--- a/src/libhost/nativeprotocol.cpp
+++ b/src/libhost/nativeprotocol.cpp
@@ -96,6 +96,13 @@
     return Answer.Status == Unavailable && !Answer.header(NotRunHeader).empty();
   }
 
+  bool isOtherRunResponse(const TargetResponse &) const override {
+    // Requests of the native protocol name no run.
+    return false;
+  }
+
+  std::string readRun(const TargetResponse &) const override { return {}; }
+
   TargetNotice readNotice(const TargetResponse &Answer) const override {
     return noticeOf(Answer, LimitHeader, LeavingHeader);
   }
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -281,6 +281,8 @@
   if (Answer.End == RunEnd::Answered)
     Event.Notice = this->Protocols.Calls->readNotice(Answer);
   Event.TargetRun = TargetRun;
+  Event.IsOtherRun = Answer.End == RunEnd::Answered &&
+                     this->Protocols.Calls->isOtherRunResponse(Answer);
   Event.AnswerBytes = static_cast<std::int64_t>(Answer.Body.size());
   if (Event.End == RunEnd::Answered)
     this->Bodies.storeResponse(
@@ -342,9 +344,14 @@
     return this->execute(Error);
   if (!this->ConfiguredAddress.empty() &&
       (Address != this->ConfiguredAddress ||
-       Announcement.Announced.Service != this->ConfiguredService))
+       Announcement.Announced.Service != this->ConfiguredService)) {
+    if (Address == this->ConfiguredAddress)
+      this->Sink.submit(TargetDisowned{Announcement.Announced.InstanceId,
+                                       Announcement.Announced.Service,
+                                       Announcement.Announced.Born});
     return this->execute(Failure{ResultCode::NotOwnTarget, Address,
                                  "service " + Announcement.Announced.Service});
+  }
   if (this->TargetAddress != Address || this->Sink.node().target().InstanceId !=
                                             Announcement.Announced.InstanceId)
     this->Client.closeIdleConnections();
@@ -394,6 +401,7 @@
   this->DiscoveryTimer.async_wait([this](std::error_code Error) {
     const Node &LocalNode = this->Sink.node();
     if (Error || LocalNode.target().State != wire::TargetState::None ||
+        !LocalNode.needsTargetHealth() ||
         std::chrono::steady_clock::now() >= this->DiscoveryDeadline)
       return;
     const auto &Table = LocalNode.distribution().table();
@@ -421,16 +429,21 @@
     if (Error)
       return;
     if (!this->TargetAddress.empty()) {
-      this->requestHealth("/health", [this](const TargetResponse &Answer) {
-        TargetProbed Event;
-        Event.Reachable =
-            Answer.End != RunEnd::NotConnected && Answer.End != RunEnd::NotSent;
-        Event.Healthy =
-            Answer.End == RunEnd::Answered && Answer.Status == StatusOk;
-        if (Answer.End == RunEnd::Answered)
-          Event.Notice = this->Protocols.Calls->readNotice(Answer);
-        this->Sink.submit(Event);
-      });
+      this->requestHealth(
+          "/health", [this, Expected = this->Sink.node().target().InstanceId](
+                         const TargetResponse &Answer) {
+            TargetProbed Event;
+            Event.ExpectedRun = Expected;
+            if (Answer.End == RunEnd::Answered)
+              Event.RespondedRun = this->Protocols.Calls->readRun(Answer);
+            Event.Reachable = Answer.End != RunEnd::NotConnected &&
+                              Answer.End != RunEnd::NotSent;
+            Event.Healthy =
+                Answer.End == RunEnd::Answered && Answer.Status == StatusOk;
+            if (Answer.End == RunEnd::Answered)
+              Event.Notice = this->Protocols.Calls->readNotice(Answer);
+            this->Sink.submit(Event);
+          });
     }
     this->scheduleProbe();
   });
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -141,7 +141,8 @@
 };
 
 /// A target that has not yet announced itself to this run of the daemon was
-/// found healthy at the address given in the settings.
+/// found healthy at the address given in the settings. Service is the one in
+/// the settings: the response does not tell to which service the run belongs.
 struct TargetFound {
   std::string Service;
   std::string InstanceId;
@@ -149,11 +150,23 @@
   TargetNotice Notice = {};
 };
 
+/// A target announced itself at the address of this daemon's target as one of
+/// another service.
+struct TargetDisowned {
+  std::string InstanceId;
+  std::string Service;
+  std::int64_t Born = 0;
+};
+
 /// Result of a request to the target's health endpoint.
 struct TargetProbed {
   bool Reachable = false;
   bool Healthy = false;
   TargetNotice Notice;
+  /// The run that was expected to respond, and the one that did; empty if the
+  /// response names none.
+  std::string ExpectedRun = {};
+  std::string RespondedRun = {};
 };
 
 /// How a call on this daemon's target ended. NotConnected: nothing listens
@@ -170,6 +183,8 @@
   TargetNotice Notice;
   /// The run of the target that the request was sent to.
   std::string TargetRun;
+  /// Another run listens at the target's address.
+  bool IsOtherRun = false;
 };
 
 /// An operator submits a change, authorized by the team's token.
@@ -238,7 +253,7 @@
                  InitRequested, RecoverRequested, StopRequested,
                  ReplaceRequested, BootstrapRequested, TargetLeaving,
                  SettingsChanged, StreamAlive, BodyArrived, BodyLost,
-                 BodyProgress, StreamSlow, WorkContinued>;
+                 BodyProgress, StreamSlow, WorkContinued, TargetDisowned>;
 
 /// An input of the reducer with its time. WallMs is the wall clock in
 /// milliseconds since 1970, used for retention only.
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -15,7 +15,7 @@
 /// Targets that are only silent are tried this long if a service has no others.
 constexpr milliseconds SilentTryTime{10'000};
 /// Longer than a target that leaves goes on serving.
-constexpr milliseconds LeavingRunTimeout{120'000};
+constexpr milliseconds FormerRecordTimeout{120'000};
 constexpr milliseconds PushInterval{100};
 constexpr milliseconds SyncInterval{10'000};
 constexpr milliseconds ShortSyncInterval{1000};
@@ -44,6 +44,18 @@
   return New.State > Old.State;
 }
 
+bool tellsOfTarget(const wire::MemberRecord &Record) {
+  return Record.__isset.Run || Record.__isset.LeavingRun;
+}
+
+/// Returns \p Record with the leaving run of \p Earlier if it names none.
+wire::MemberRecord withLeavingRun(wire::MemberRecord Record,
+                                  const wire::MemberRecord &Earlier) {
+  if (!Record.__isset.LeavingRun && Earlier.__isset.LeavingRun)
+    Record.__set_LeavingRun(Earlier.LeavingRun);
+  return Record;
+}
+
 } // namespace
 
 Membership::Membership(wire::MemberRecord OwnRecord,
@@ -75,6 +87,7 @@
 void Membership::refute(const wire::MemberRecord &Record) {
   if (Record.Incarnation > this->Self.Incarnation) {
     // The clock was set back since an earlier run of this daemon.
+    this->storeOwnFormer(Record);
     this->Self.Incarnation = Record.Incarnation + 1;
     this->OwnIncarnations.insert(this->Self.Incarnation);
   }
@@ -88,20 +101,26 @@
   if (Record.Name == this->Self.Name) {
     if (supersedes(Record, this->Self))
       this->refute(Record);
+    else if (!this->hadIncarnation(Record.Incarnation))
+      this->storeOwnFormer(Record);
     return false;
   }
   const auto Found = this->Records.find(Record.Name);
-  if (Found != this->Records.end() && !supersedes(Record, Found->second))
+  if (Found != this->Records.end() && !supersedes(Record, Found->second)) {
+    if (Record.Incarnation < Found->second.Incarnation)
+      this->storeFormer(Record, Now);
     return false;
+  }
   this->store(Record, Now);
   return true;
 }
 
 void Membership::store(const wire::MemberRecord &Record, Time Now) {
+  const auto Known = this->Records.find(Record.Name);
+  if (Known != this->Records.end() &&
+      Known->second.Incarnation < Record.Incarnation)
+    this->storeFormer(Known->second, Now);
   this->Records[Record.Name] = Record;
-  if (Record.__isset.LeavingRun)
-    this->LeavingRuns[Record.Name] = {Record.LeavingRun, Record.Incarnation,
-                                      Now + LeavingRunTimeout};
   this->Revision += 1;
   this->SuspectUntil.erase(Record.Name);
   this->ForgetAt.erase(Record.Name);
@@ -115,13 +134,49 @@
   this->queueUpdate(Record.Name);
 }
 
-const wire::TargetRun *
-Membership::leavingRunBefore(const wire::MemberRecord &Record) const {
-  const auto Found = this->LeavingRuns.find(Record.Name);
-  return Found == this->LeavingRuns.end() ||
-                 Found->second.Incarnation >= Record.Incarnation
-             ? nullptr
-             : &Found->second.Run;
+void Membership::storeFormer(const wire::MemberRecord &Record, Time Now) {
+  if (!tellsOfTarget(Record))
+    return;
+  const auto Found = this->FormerRecords.find(Record.Name);
+  if (Found == this->FormerRecords.end()) {
+    this->FormerRecords[Record.Name] = {Record, Now + FormerRecordTimeout};
+    return;
+  }
+  if (supersedes(Record, Found->second.Record))
+    Found->second = {withLeavingRun(Record, Found->second.Record),
+                     Now + FormerRecordTimeout};
+}
+
+void Membership::storeOwnFormer(const wire::MemberRecord &Record) {
+  if (!tellsOfTarget(Record) ||
+      (this->OwnFormer && !supersedes(Record, *this->OwnFormer)))
+    return;
+  this->OwnFormer =
+      this->OwnFormer ? withLeavingRun(Record, *this->OwnFormer) : Record;
+  this->OwnFormerChanged = true;
+}
+
+const wire::MemberRecord *
+Membership::formerRecord(std::string_view Name) const {
+  const auto Found = this->FormerRecords.find(Name);
+  return Found == this->FormerRecords.end() ? nullptr : &Found->second.Record;
+}
+
+void Membership::sendFormerRecord(std::string_view Name,
+                                  std::string_view Address, Effects &Out) {
+  const wire::MemberRecord *Former = this->formerRecord(Name);
+  if (Former == nullptr)
+    return;
+  wire::Announce Message;
+  Message.Head = this->makeGossip();
+  Message.Head.Updates.push_back(*Former);
+  send(Out, Address, std::move(Message), Channel::Datagram);
+}
+
+std::optional<wire::MemberRecord> Membership::takeOwnFormerRecord() {
+  if (!std::exchange(this->OwnFormerChanged, false))
+    return std::nullopt;
+  return this->OwnFormer;
 }
 
 void Membership::suspect(const std::string &Name, Time Now) {
@@ -153,7 +208,7 @@
     this->Revision += 1;
     return true;
   });
-  std::erase_if(this->LeavingRuns,
+  std::erase_if(this->FormerRecords,
                 [&](const auto &Item) { return Now >= Item.second.ForgetAt; });
   std::erase_if(this->TryUntil,
                 [&](const auto &Item) { return Now >= Item.second; });
@@ -326,6 +381,8 @@
   Reply.Number = Message.Number;
   if (SendsItsRecord)
     Reply.Head.Updates.push_back(*this->find(Message.Head.From));
+  if (const auto *Former = this->formerRecord(Message.Head.From))
+    Reply.Head.Updates.push_back(*Former);
   Reply.WantsRecord = !Known;
   if (!Known) {
     // Sends a new member the records of a few others, so that its first sync
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -83,10 +83,18 @@
   std::vector<std::string> silentTargetsOf(std::string_view Service,
                                            Time Now) const;
 
-  /// Returns the run of its target that the daemon of \p Record announced as
-  /// leaving before it restarted; null if there is none.
-  const wire::TargetRun *
-  leavingRunBefore(const wire::MemberRecord &Record) const;
+  /// Returns the last record that tells of the target of the daemon \p Name and
+  /// that is from before its restart; null if there is none.
+  const wire::MemberRecord *formerRecord(std::string_view Name) const;
+
+  /// Sends the daemon \p Name at \p Address its record from before its restart,
+  /// if there is one.
+  void sendFormerRecord(std::string_view Name, std::string_view Address,
+                        Effects &Out);
+
+  /// Returns this daemon's own record from before its start, if a newer one was
+  /// received since the previous call.
+  std::optional<wire::MemberRecord> takeOwnFormerRecord();
 
   /// Replaces the addresses used to join.
   void setSeeds(std::vector<std::string> Addresses);
@@ -129,6 +137,8 @@
   bool merge(const wire::MemberRecord &Record, Time Now);
   void refute(const wire::MemberRecord &Record);
   void store(const wire::MemberRecord &Record, Time Now);
+  void storeFormer(const wire::MemberRecord &Record, Time Now);
+  void storeOwnFormer(const wire::MemberRecord &Record);
   void queueUpdate(const std::string &Name);
   void suspect(const std::string &Name, Time Now);
   wire::Gossip makeGossip();
@@ -147,13 +157,14 @@
   std::map<std::string, wire::MemberRecord, std::less<>> Records;
   std::map<std::string, Time, std::less<>> SuspectUntil;
   std::map<std::string, Time, std::less<>> ForgetAt;
-  /// The run that a daemon last announced as leaving.
-  struct LeavingRecord {
-    wire::TargetRun Run;
-    std::int64_t Incarnation = 0;
+  /// A record of a daemon from before its restart.
+  struct FormerRecord {
+    wire::MemberRecord Record;
     Time ForgetAt;
   };
-  std::map<std::string, LeavingRecord, std::less<>> LeavingRuns;
+  std::map<std::string, FormerRecord, std::less<>> FormerRecords;
+  std::optional<wire::MemberRecord> OwnFormer;
+  bool OwnFormerChanged = false;
   /// Until when members that stopped responding are tried if there are no
   /// others.
   std::map<std::string, Time, std::less<>> TryUntil;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -94,7 +94,7 @@
   Effects Out;
   std::visit([&](const auto &Body) { this->on(Body, TheEvent, Out); },
              TheEvent.Body);
-  this->propagateChanges(TheEvent.At, Out);
+  this->propagateChanges(TheEvent, Out);
   return Out;
 }
 
@@ -103,7 +103,10 @@
                          Out);
 }
 
-void Node::propagateChanges(Time Now, Effects &Out) {
+void Node::propagateChanges(const Event &TheEvent, Effects &Out) {
+  const Time Now = TheEvent.At;
+  if (const auto Former = this->Members.takeOwnFormerRecord())
+    this->applyFormerRecord(*Former, TheEvent, Out);
   if (this->Router) {
     for (const NestedOutcome &Outcome : this->Router->takeNestedOutcomes())
       this->Scheduler.nestedEnded(Outcome, Now);
@@ -334,6 +337,9 @@
     if (this->Draining)
       return;
     Record.Service = Announcement.Service;
+    Record.Run.InstanceId = Announcement.InstanceId;
+    Record.Run.Born = Announcement.Born;
+    Record.__isset.Run = !Announcement.InstanceId.empty();
     Record.Target = Announcement.State;
     Record.Slots = Announcement.Slots;
     Record.ColdMs = static_cast<std::int32_t>(Announcement.ColdFor.count());
@@ -344,6 +350,7 @@
 void Node::on(const TargetAnnounced &Body, const Event &TheEvent,
               Effects &Out) {
   this->MissedProbes = 0;
+  this->Evidence.end();
   const AnnouncementResult Result = this->Target.announce(Body);
   if (Result == AnnouncementResult::Accepted)
     return this->targetChanged(TheEvent.At, Out);
@@ -388,16 +395,65 @@
 void Node::on(const TargetFound &Body, const Event &TheEvent, Effects &Out) {
   if (this->Target.current().State != wire::TargetState::None)
     return;
-  TargetAnnounced Announcement;
-  Announcement.Service = Body.Service;
-  Announcement.State = wire::TargetState::Serving;
-  Announcement.Slots = Body.Slots;
-  Announcement.InstanceId = Body.InstanceId;
-  this->Target.find(Announcement, TheEvent.WallMs);
   if (Body.Notice.Leaving)
-    this->Target.leave(Body.InstanceId, 0, TheEvent.WallMs);
+    this->on(TargetLeaving{Body.InstanceId}, TheEvent, Out);
+  Out.emplace_back(LogDecision{"event=target-found id=" + Body.InstanceId});
+  TargetAnnounced Found;
+  Found.Service = Body.Service;
+  Found.State = wire::TargetState::Serving;
+  Found.Slots = Body.Slots;
+  Found.InstanceId = Body.InstanceId;
+  if (this->Target.hasLeft(Found)) {
+    this->Target.find(Found, TheEvent.WallMs);
+    return this->targetChanged(TheEvent.At, Out);
+  }
+  this->Evidence.find(Body, TheEvent.At);
+  this->useConfirmedTarget(TheEvent, Out);
+}
+
+void Node::applyFormerRecord(const wire::MemberRecord &Former,
+                             const Event &TheEvent, Effects &Out) {
+  Out.emplace_back(LogDecision{
+      "event=former-target service=" + Former.Service + " id=" +
+      Former.Run.InstanceId + " born=" + std::to_string(Former.Run.Born) +
+      " leaving=" + Former.LeavingRun.InstanceId +
+      " incarnation=" + std::to_string(Former.Incarnation)});
+  if (Former.__isset.LeavingRun)
+    this->on(
+        TargetLeaving{Former.LeavingRun.InstanceId, Former.LeavingRun.Born},
+        TheEvent, Out);
+  this->Evidence.receive(Former);
+  this->useConfirmedTarget(TheEvent, Out);
+}
+
+void Node::useConfirmedTarget(const Event &TheEvent, Effects &Out) {
+  const auto Confirmed = this->Evidence.confirmed();
+  if (!Confirmed || this->Target.current().State != wire::TargetState::None)
+    return;
+  this->Evidence.end();
+  this->Target.find(Confirmed->Target, TheEvent.WallMs);
   this->targetChanged(TheEvent.At, Out);
-  this->Scheduler.noticed(Body.Notice, TheEvent.At, TheEvent.At, Out);
+  this->Scheduler.noticed(Confirmed->Notice, Confirmed->FoundAt, TheEvent.At,
+                          Out);
+}
+
+void Node::on(const TargetDisowned &Body, const Event &TheEvent, Effects &Out) {
+  const auto &Table = this->Config.table();
+  // An announcement that names no service may come from any writer.
+  if (Table && Table->service(Body.Service) == nullptr)
+    return;
+  this->Evidence.disown(Body.InstanceId);
+  if (!Table)
+    return;
+  const TargetAnnounced &Current = this->Target.current();
+  const bool StartedLater = Current.Born != 0 && Body.Born > Current.Born;
+  if (Body.InstanceId == Current.InstanceId || StartedLater)
+    this->targetGone(TheEvent.At, Out);
+}
+
+void Node::targetGone(Time Now, Effects &Out) {
+  if (this->Target.markGone())
+    this->targetChanged(Now, Out);
 }
 
 void Node::on(const TargetProbed &Body, const Event &TheEvent, Effects &Out) {
@@ -407,11 +463,11 @@
   const wire::TargetState::type State = this->Target.current().State;
   const bool Present =
       State != wire::TargetState::None && State != wire::TargetState::Gone;
-  if (Present && this->MissedProbes >= MissedProbesUntilGone) {
-    if (this->Target.markGone())
-      this->targetChanged(TheEvent.At, Out);
-    return;
-  }
+  const bool OtherRun = !Body.RespondedRun.empty() &&
+                        Body.RespondedRun != Body.ExpectedRun &&
+                        Body.ExpectedRun == this->Target.current().InstanceId;
+  if (Present && (OtherRun || this->MissedProbes >= MissedProbesUntilGone))
+    return this->targetGone(TheEvent.At, Out);
   if (!Present || !Body.Reachable || this->Stopping ||
       this->Members.self().Unwell == !Body.Healthy)
     return;
@@ -423,8 +479,9 @@
   // Before the next call starts.
   this->noticeLeaving(Body.Notice, Body.TargetRun, TheEvent, Out);
   this->Scheduler.finished(Body, TheEvent.At, Out);
-  if (Body.End == RunEnd::NotConnected && this->Target.markGone())
-    this->targetChanged(TheEvent.At, Out);
+  const bool OfCurrentRun = Body.TargetRun == this->Target.current().InstanceId;
+  if (OfCurrentRun && (Body.IsOtherRun || Body.End == RunEnd::NotConnected))
+    this->targetGone(TheEvent.At, Out);
 }
 
 void Node::on(const StreamAlive &Body, const Event &, Effects &) {
@@ -530,11 +587,7 @@
   wire::Gossip SenderUpdate;
   SenderUpdate.Updates.push_back(Request.Who);
   this->Members.mergeGossip(SenderUpdate, Now);
-  if (const auto *Run = this->Members.leavingRunBefore(Request.Who)) {
-    wire::LeavingTarget Reply;
-    Reply.Run = *Run;
-    send(Out, From, std::move(Reply), Channel::Datagram);
-  }
+  this->Members.sendFormerRecord(Request.Who.Name, From, Out);
   if (this->Control)
     return this->Control->receive(Request, From, Now, Out);
   this->Confirmation.receive(Request, From, Now);
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -9,6 +9,7 @@
 #include "nestedroutedetector.h"
 #include "reporttree.h"
 #include "servinggate.h"
+#include "targetconfirmation.h"
 #include "targetwatch.h"
 #include "topology.h"
 #include "versionconfirmation.h"
@@ -96,6 +97,9 @@
   bool stopping() const { return this->Stopping; }
   /// Returns the last accepted announcement of this daemon's target.
   const TargetAnnounced &target() const { return this->Target.current(); }
+  /// Returns whether a health response of the target is needed before it can be
+  /// used.
+  bool needsTargetHealth() const { return this->Evidence.needsHealth(); }
 
 private:
   Node(const NodeIdentity &Identity, bool IsControl,
@@ -114,6 +118,7 @@
   void on(const TargetAnnounced &Body, const Event &TheEvent, Effects &Out);
   void on(const TargetLeaving &Body, const Event &TheEvent, Effects &Out);
   void on(const TargetFound &Body, const Event &TheEvent, Effects &Out);
+  void on(const TargetDisowned &Body, const Event &TheEvent, Effects &Out);
   void on(const TargetProbed &Body, const Event &TheEvent, Effects &Out);
   void on(const RunFinished &Body, const Event &TheEvent, Effects &Out);
   void on(const SettingsChanged &Body, const Event &TheEvent, Effects &Out);
@@ -126,8 +131,15 @@
   void receive(const MessageT &Body, const std::string &From, Time Now,
                Effects &Out);
   void receiveStamp(const wire::StampReply &Reply, Time Now, Effects &Out);
-  void propagateChanges(Time Now, Effects &Out);
+  void propagateChanges(const Event &TheEvent, Effects &Out);
   void targetChanged(Time Now, Effects &Out);
+  /// Marks the target as gone until its next announcement.
+  void targetGone(Time Now, Effects &Out);
+  /// Handles what members tell of this daemon's target from before its start.
+  void applyFormerRecord(const wire::MemberRecord &Former,
+                         const Event &TheEvent, Effects &Out);
+  /// Uses the target if there is enough evidence that it may get calls.
+  void useConfirmedTarget(const Event &TheEvent, Effects &Out);
   /// Stops sending calls to a target that says that it leaves.
   void noticeLeaving(const TargetNotice &Notice, const std::string &InstanceId,
                      const Event &TheEvent, Effects &Out);
@@ -168,6 +180,7 @@
   std::optional<ControlService> Control;
   std::optional<CallRouter> Router;
   TargetWatch Target;
+  TargetConfirmation Evidence;
   std::vector<std::string> Seeds;
   std::vector<std::string> ControlAddresses;
   Time NextControlRefresh;
--- a/src/libpersimmon/targetwatch.h
+++ b/src/libpersimmon/targetwatch.h
@@ -41,6 +41,11 @@
 
   const TargetAnnounced &current() const { return this->Current; }
 
+  /// Returns whether the announced run leaves or has left.
+  bool hasLeft(const TargetAnnounced &Announcement) const {
+    return this->findLeft(Announcement) != nullptr;
+  }
+
   /// Returns the run that leaves or has left, if it is the last one known.
   std::optional<wire::TargetRun> leavingRun() const;
 
@@ -54,10 +59,6 @@
   bool isSameRun(const TargetAnnounced &Announcement) const;
   bool startedLater(const TargetAnnounced &Announcement) const;
   const LeftRun *findLeft(const TargetAnnounced &Announcement) const;
-  bool hasLeft(const TargetAnnounced &Announcement) const {
-    return this->findLeft(Announcement) != nullptr;
-  }
-
   TargetAnnounced Current;
   /// When the current run was found, if its start is unknown.
   std::int64_t FoundAtMs = 0;
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -3823,6 +3823,11 @@
   this->LeavingRun = val;
 __isset.LeavingRun = true;
 }
+
+void MemberRecord::__set_Run(const TargetRun& val) {
+  this->Run = val;
+__isset.Run = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -3959,6 +3964,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Run.read(iprot);
+          this->__isset.Run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4029,6 +4042,11 @@
     xfer += this->LeavingRun.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Run) {
+    xfer += oprot->writeFieldBegin("Run", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->Run.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4049,6 +4067,7 @@
   swap(a.Unwell, b.Unwell);
   swap(a.ColdMs, b.ColdMs);
   swap(a.LeavingRun, b.LeavingRun);
+  swap(a.Run, b.Run);
   swap(a.__isset, b.__isset);
 }
 
@@ -4066,6 +4085,7 @@
   Unwell = other145.Unwell;
   ColdMs = other145.ColdMs;
   LeavingRun = other145.LeavingRun;
+  Run = other145.Run;
   __isset = other145.__isset;
 }
 MemberRecord::MemberRecord(MemberRecord&& other146) noexcept {
@@ -4082,6 +4102,7 @@
   Unwell = other146.Unwell;
   ColdMs = other146.ColdMs;
   LeavingRun = std::move(other146.LeavingRun);
+  Run = std::move(other146.Run);
   __isset = other146.__isset;
 }
 MemberRecord& MemberRecord::operator=(const MemberRecord& other147) {
@@ -4098,6 +4119,7 @@
   Unwell = other147.Unwell;
   ColdMs = other147.ColdMs;
   LeavingRun = other147.LeavingRun;
+  Run = other147.Run;
   __isset = other147.__isset;
   return *this;
 }
@@ -4115,6 +4137,7 @@
   Unwell = other148.Unwell;
   ColdMs = other148.ColdMs;
   LeavingRun = std::move(other148.LeavingRun);
+  Run = std::move(other148.Run);
   __isset = other148.__isset;
   return *this;
 }
@@ -4134,6 +4157,7 @@
   out << ", " << "Unwell=" << to_string(Unwell);
   out << ", " << "ColdMs=" << to_string(ColdMs);
   out << ", " << "LeavingRun="; (__isset.LeavingRun ? (out << to_string(LeavingRun)) : (out << "<null>"));
+  out << ", " << "Run="; (__isset.Run ? (out << to_string(Run)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -1529,7 +1529,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetRun& obj);
 
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true), LeavingRun(false) {}
+  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true), LeavingRun(false), Run(false) {}
   bool Name :1;
   bool Address :1;
   bool Zone :1;
@@ -1543,6 +1543,7 @@
   bool Unwell :1;
   bool ColdMs :1;
   bool LeavingRun :1;
+  bool Run :1;
 } _MemberRecord__isset;
 
 /**
@@ -1594,6 +1595,7 @@
   bool Unwell;
   int32_t ColdMs;
   TargetRun LeavingRun;
+  TargetRun Run;
 
   _MemberRecord__isset __isset;
 
@@ -1623,6 +1625,8 @@
 
   void __set_LeavingRun(const TargetRun& val);
 
+  void __set_Run(const TargetRun& val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(Name == rhs.Name))
@@ -1653,6 +1657,10 @@
       return false;
     else if (__isset.LeavingRun && !(LeavingRun == rhs.LeavingRun))
       return false;
+    if (__isset.Run != rhs.__isset.Run)
+      return false;
+    else if (__isset.Run && !(Run == rhs.Run))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -182,7 +182,7 @@
   Gone = 4
 }
 
-/** A run of a target that leaves. Born is its start in ms since 1970, 0 if unknown. */
+/** A run of a target. Born is its start in ms since 1970, 0 if unknown. */
 struct TargetRun {
   1: string InstanceId
   2: i64 Born = 0
@@ -191,7 +191,8 @@
 /**
  * A daemon and the target beside it. Only that daemon raises Incarnation and
  * Sequence. ColdMs is how long the target stays slow after its start. LeavingRun
- * is set while the target is leaving.
+ * is set while the target is leaving. Run is the target's run, if it has an id:
+ * the daemon was told that it is one of Service.
  */
 struct MemberRecord {
   1: string Name
@@ -207,6 +208,7 @@
   11: bool Unwell
   12: i32 ColdMs = 0
   13: optional TargetRun LeavingRun
+  14: optional TargetRun Run
 }
 
 struct Gossip {
--- a/tests/calls/test_calls.cpp
+++ b/tests/calls/test_calls.cpp
@@ -450,6 +450,16 @@
 TEST_CASE("a discovered target serves until it announces itself") {
   ProxyFixture P;
   P.submit(TargetFound{"team/work", "run-1", 4});
+  CHECK(P.Daemon->members().self().Target == wire::TargetState::None);
+  // What a member heard before this daemon started.
+  wire::MemberRecord Former = P.Daemon->members().self();
+  Former.Incarnation -= 1;
+  Former.Service = "team/work";
+  Former.Run.InstanceId = "run-1";
+  Former.__isset.Run = true;
+  wire::Announce Told;
+  Told.Head.Updates = {Former};
+  P.submit(MessageReceived{"c1:1", Told});
   CHECK(P.Daemon->members().self().Target == wire::TargetState::Serving);
   CHECK(P.Daemon->members().self().Slots == 4);
   TargetAnnounced Announcement;
--- a/tests/targetruns/test_targetruns.cpp
+++ b/tests/targetruns/test_targetruns.cpp
@@ -11,6 +11,7 @@
 
 const std::string ControlAddress = "127.0.0.1:7380";
 const std::string ProxyAddress = "127.0.0.2:7380";
+const std::string OtherAddress = "127.0.0.3:7380";
 constexpr std::int64_t StartMs = 1'700'000'000'000;
 
 TargetAnnounced announcement(const std::string &Id, std::int64_t Born,
@@ -28,25 +29,27 @@
 
 TargetFound found(const std::string &Id) { return {"team/work", Id, 8}; }
 
-/// A proxy and the only control instance. Messages between them arrive at
-/// once.
-class Pair {
+/// A proxy, another one and the only control instance. Messages between them
+/// arrive at once.
+class Trio {
 public:
-  Pair() {
-    this->Control =
-        makeLoneControl(ControlAddress, {}, this->policies(), this->Now);
+  Trio() {
+    this->restartControl();
     this->restartProxy();
-    this->send(*this->Control, BootstrapRequested{{ControlAddress}});
+    this->Other = this->makeProxy("other", OtherAddress, 1);
+    this->replaceSettings();
     this->run(milliseconds(4000));
   }
 
   void restartProxy() {
-    NodeIdentity Identity;
-    Identity.Name = "proxy";
-    Identity.Address = ProxyAddress;
-    Identity.Incarnation = ++this->Incarnation;
-    Identity.Seeds = {ControlAddress};
-    this->Proxy = Node::makeProxy(Identity, this->policies());
+    this->Proxy = this->makeProxy("proxy", ProxyAddress, ++this->Incarnation);
+  }
+
+  /// Restarts the control instance, which then knows no member.
+  void restartControl() {
+    this->Control =
+        makeLoneControl(ControlAddress, {}, this->policies(), this->Now);
+    this->send(*this->Control, BootstrapRequested{{ControlAddress}});
   }
 
   void tell(EventBody Body) { this->send(*this->Proxy, std::move(Body)); }
@@ -56,6 +59,7 @@
       this->Now += milliseconds(20);
       this->send(*this->Control, Tick());
       this->send(*this->Proxy, Tick());
+      this->send(*this->Other, Tick());
     }
   }
 
@@ -73,28 +77,59 @@
   }
 
 private:
+  std::unique_ptr<Node> makeProxy(const std::string &Name,
+                                  const std::string &Address,
+                                  std::int64_t Incarnation) {
+    NodeIdentity Identity;
+    Identity.Name = Name;
+    Identity.Address = Address;
+    Identity.Incarnation = Incarnation;
+    Identity.Seeds = {ControlAddress};
+    return Node::makeProxy(Identity, this->policies());
+  }
+
+  /// Puts settings with the services "work" and "rest" in force.
+  void replaceSettings() {
+    ReplaceRequested Request;
+    Request.Trusted = true;
+    Request.Document.Team = "team";
+    Request.Document.Number = 1;
+    Request.Document.Digest = "digest";
+    Request.Document.Values = {{"team/services/work", "{}"},
+                               {"team/services/rest", "{}"}};
+    this->run(milliseconds(3000));
+    this->send(*this->Control, Request);
+  }
+
   NodePolicies policies() { return {this->Choice, this->VersionTopology}; }
 
   void send(Node &To, EventBody Body) {
     const Effects Out = To.reduce({this->Now, this->wallMs(), std::move(Body)});
-    const bool FromControl = &To == this->Control.get();
+    const std::string From = To.members().self().Address;
     for (const Effect &Item : Out) {
       const auto *Sent = std::get_if<SendMessage>(&Item);
-      if (Sent == nullptr)
-        continue;
-      if (Sent->Address == ProxyAddress && FromControl)
-        this->send(*this->Proxy, MessageReceived{ControlAddress, Sent->Body});
-      else if (Sent->Address == ControlAddress && !FromControl)
-        this->send(*this->Control, MessageReceived{ProxyAddress, Sent->Body});
+      Node *Receiver = Sent == nullptr ? nullptr : this->at(Sent->Address);
+      if (Receiver != nullptr && Receiver != &To)
+        this->send(*Receiver, MessageReceived{From, Sent->Body});
     }
   }
 
+  Node *at(const std::string &Address) {
+    for (Node *Item :
+         {this->Control.get(), this->Proxy.get(), this->Other.get()}) {
+      if (Item != nullptr && Item->members().self().Address == Address)
+        return Item;
+    }
+    return nullptr;
+  }
+
   LeastOfTwo Choice;
   PeerTopology VersionTopology;
   Time Now = Time() + std::chrono::hours(1);
   std::int64_t Incarnation = 0;
   std::unique_ptr<Node> Control;
   std::unique_ptr<Node> Proxy;
+  std::unique_ptr<Node> Other;
 };
 
 } // namespace
@@ -102,8 +137,10 @@
 // Guards against calls to a target that left, after its daemon restarted
 // (DRAIN).
 TEST_CASE("a late announcement does not return a target that was found") {
-  Pair Case;
+  Trio Case;
   const std::int64_t Born = Case.wallMs();
+  Case.tell(announcement("i-1", Born, 1));
+  Case.restartProxy();
   Case.run(milliseconds(1000));
   Case.tell(found("i-1"));
   REQUIRE(Case.state() == State::Serving);
@@ -119,20 +156,20 @@
 }
 
 TEST_CASE("the leave of a target that is not known yet is kept") {
-  Pair Case;
+  Trio Case;
   const std::int64_t Born = Case.wallMs();
   Case.run(milliseconds(1000));
   Case.tell(TargetLeaving{"i-1"});
   Case.tell(announcement("i-1", Born, 7));
   CHECK(Case.state() == State::Draining);
-  Pair Other;
+  Trio Other;
   Other.tell(TargetLeaving{"i-1"});
   Other.tell(found("i-1"));
   CHECK(Other.state() == State::Draining);
 }
 
 TEST_CASE("an announcement of a run before the one that was found is ignored") {
-  Pair Case;
+  Trio Case;
   const std::int64_t Born = Case.wallMs();
   Case.run(milliseconds(1000));
   Case.tell(found("i-2"));
@@ -143,7 +180,7 @@
 
 // Guards against a health check that returns a target after the restart.
 TEST_CASE("a restarted daemon knows which target has left") {
-  Pair Case;
+  Trio Case;
   const std::int64_t Born = Case.wallMs();
   Case.tell(announcement("i-1", Born, 1));
   Case.run(milliseconds(500));
@@ -159,7 +196,7 @@
 
 // Guards against a gossip of its own for each repetition of a leave.
 TEST_CASE("a leave that is repeated is announced once") {
-  Pair Case;
+  Trio Case;
   Case.tell(TargetLeaving{"i-1", Case.wallMs()});
   const auto Sequence = Case.record().Sequence;
   for (int I = 0; I < 20; ++I)
@@ -169,7 +206,7 @@
 
 // Guards against repetitions that displace the leave of another run.
 TEST_CASE("a leave is kept beside repeated leaves of another run") {
-  Pair Case;
+  Trio Case;
   Case.tell(TargetLeaving{"i-1", Case.wallMs()});
   for (int I = 0; I < 20; ++I)
     Case.tell(TargetLeaving{"i-2", Case.wallMs()});
@@ -178,7 +215,7 @@
 }
 
 TEST_CASE("a restarted daemon knows which target said that it drains") {
-  Pair Case;
+  Trio Case;
   const std::int64_t Born = Case.wallMs();
   Case.tell(announcement("i-1", Born, 1));
   Case.tell(announcement("i-1", Born, 3, State::Draining));
@@ -188,3 +225,119 @@
   Case.tell(announcement("i-1", Born, 2));
   CHECK(Case.state() == State::Draining);
 }
+
+// Guards against calls to another service that listens at the target's address
+// when its daemon starts (ROUTE).
+TEST_CASE("a run that the health check finds is not used by that alone") {
+  Trio Case;
+  Case.tell(announcement("i-1", Case.wallMs(), 1));
+  Case.run(milliseconds(500));
+  Case.restartProxy();
+  Case.tell(found("i-9"));
+  Case.run(milliseconds(3000));
+  CHECK(Case.state() == State::None);
+  CHECK(Case.record().Target == State::None);
+  Case.tell(announcement("i-9", Case.wallMs(), 1));
+  CHECK(Case.state() == State::Serving);
+}
+
+TEST_CASE("a run that was announced before a restart serves again at once") {
+  for (const bool FoundFirst : {true, false}) {
+    CAPTURE(FoundFirst);
+    Trio Case;
+    const std::int64_t Born = Case.wallMs();
+    Case.tell(announcement("i-1", Born, 1));
+    Case.run(milliseconds(500));
+    Case.restartProxy();
+    if (FoundFirst)
+      Case.tell(found("i-1"));
+    Case.run(milliseconds(100));
+    if (!FoundFirst)
+      Case.tell(found("i-1"));
+    CHECK(Case.state() == State::Serving);
+    CHECK(Case.record().Run.Born == Born);
+  }
+}
+
+// Guards against the loss of what members know when a daemon restarts again
+// before it has heard it.
+TEST_CASE("a run is known over two restarts in short succession") {
+  Trio Case;
+  Case.tell(announcement("i-1", Case.wallMs(), 1));
+  Case.run(milliseconds(500));
+  Case.restartProxy();
+  Case.run(milliseconds(20));
+  Case.restartProxy();
+  Case.run(milliseconds(100));
+  Case.tell(found("i-1"));
+  CHECK(Case.state() == State::Serving);
+}
+
+TEST_CASE("a run of the daemon's former service is not used") {
+  Trio Case;
+  TargetAnnounced Before = announcement("i-1", Case.wallMs(), 1);
+  Before.Service = "team/rest";
+  Case.tell(Before);
+  Case.run(milliseconds(500));
+  Case.restartProxy();
+  Case.run(milliseconds(500));
+  Case.tell(found("i-1"));
+  CHECK(Case.state() == State::None);
+}
+
+// Guards against calls to a target whose address another service has taken.
+TEST_CASE("a run of another service at the address ends the target") {
+  Trio Case;
+  const std::int64_t Born = Case.wallMs();
+  Case.tell(announcement("i-1", Born, 1));
+  // An earlier run, and a service that does not exist.
+  Case.tell(TargetDisowned{"i-0", "team/rest", Born - 1});
+  Case.tell(TargetDisowned{"i-2", "team/odd", Born + 1});
+  CHECK(Case.state() == State::Serving);
+  Case.tell(TargetDisowned{"i-2", "team/rest", Born + 1});
+  CHECK(Case.state() == State::Gone);
+  CHECK(Case.record().Target == State::Gone);
+  Case.tell(announcement("i-3", Born + 2, 1));
+  CHECK(Case.state() == State::Serving);
+}
+
+TEST_CASE("a found run that announces another service is not used") {
+  for (const bool FoundFirst : {true, false}) {
+    CAPTURE(FoundFirst);
+    Trio Case;
+    Case.tell(announcement("i-1", Case.wallMs(), 1));
+    Case.run(milliseconds(500));
+    Case.restartProxy();
+    if (FoundFirst)
+      Case.tell(found("i-1"));
+    Case.tell(TargetDisowned{"i-1", "team/rest", 0});
+    if (!FoundFirst)
+      Case.tell(found("i-1"));
+    Case.run(milliseconds(500));
+    CHECK(Case.state() == State::None);
+  }
+}
+
+// Guards against calls that are sent on to an address whose owner has changed.
+TEST_CASE("a response of another run ends the target") {
+  Trio Case;
+  const std::int64_t Born = Case.wallMs();
+  Case.tell(announcement("i-1", Born, 1));
+  RunFinished Refused;
+  Refused.End = RunEnd::Shed;
+  Refused.IsOtherRun = true;
+  Refused.TargetRun = "i-0";
+  Case.tell(Refused);
+  CHECK(Case.state() == State::Serving);
+  Refused.TargetRun = "i-1";
+  Case.tell(Refused);
+  CHECK(Case.state() == State::Gone);
+  Case.tell(announcement("i-1", Born, 2));
+  CHECK(Case.state() == State::Serving);
+  TargetProbed Probed{true, true, {}, "i-1", "i-1"};
+  Case.tell(Probed);
+  CHECK(Case.state() == State::Serving);
+  Probed.RespondedRun = "i-2";
+  Case.tell(Probed);
+  CHECK(Case.state() == State::Gone);
+}
