Hold the first announcement until the target's health confirms it

Cause: only control instances told a restarted daemon of a leave, and they had been killed too, while members that kept running knew it. An announcement alone was enough for use, although a daemon that has just started cannot tell a late one.

Any member that hears from such a daemon now tells it, and the first announcement that takes calls is held until the health endpoint answers for that run, which it does not while the run leaves. The second works where every process was killed, the first where the health endpoint is wrong.

--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -359,6 +359,9 @@
   if (Announcement.Connections > 0)
     this->Client.setMaxConnections(Announcement.Connections);
   this->Sink.submit(Announcement.Announced);
+  if (!this->ConfiguredService.empty() &&
+      this->Sink.node().holdsAnnouncement(std::chrono::steady_clock::now()))
+    this->scheduleDiscovery(milliseconds(0));
   return this->Protocols.Locals->makeSuccessResponse();
 }
 
@@ -400,29 +403,34 @@
   this->DiscoveryTimer.expires_after(Pause);
   this->DiscoveryTimer.async_wait([this](std::error_code Error) {
     const Node &LocalNode = this->Sink.node();
-    if (Error || LocalNode.target().State != wire::TargetState::None ||
-        !LocalNode.needsTargetHealth() ||
-        std::chrono::steady_clock::now() >= this->DiscoveryDeadline)
+    const Time Now = std::chrono::steady_clock::now();
+    if (Error || this->HealthRequested || !LocalNode.needsTargetHealth(Now) ||
+        (Now >= this->DiscoveryDeadline && !LocalNode.holdsAnnouncement(Now)))
       return;
     const auto &Table = LocalNode.distribution().table();
     const ServiceSpec *Service =
         Table ? Table->service(this->ConfiguredService) : nullptr;
     if (Service == nullptr)
       return this->scheduleDiscovery(DiscoveryInterval);
-    this->requestHealth(Service->HealthPath, [this](
-                                                 const TargetResponse &Answer) {
-      const auto Health = Answer.End == RunEnd::Answered
-                              ? this->Protocols.Calls->readHealth(Answer)
-                              : std::nullopt;
-      if (!Health)
-        return this->scheduleDiscovery(DiscoveryRetryInterval);
-      this->Sink.submit(TargetFound{this->ConfiguredService, Health->InstanceId,
-                                    Health->Slots,
-                                    this->Protocols.Calls->readNotice(Answer)});
-    });
+    this->HealthRequested = true;
+    this->requestHealth(Service->HealthPath,
+                        [this](const TargetResponse &Answer) {
+                          this->HealthRequested = false;
+                          this->handleDiscovery(Answer);
+                        });
   });
 }
 
+void ProxyApi::handleDiscovery(const TargetResponse &Answer) {
+  const CallProtocol &Calls = *this->Protocols.Calls;
+  const auto Health =
+      Answer.End == RunEnd::Answered ? Calls.readHealth(Answer) : std::nullopt;
+  if (Health)
+    this->Sink.submit(TargetFound{this->ConfiguredService, Health->InstanceId,
+                                  Health->Slots, Calls.readNotice(Answer)});
+  this->scheduleDiscovery(DiscoveryRetryInterval);
+}
+
 void ProxyApi::scheduleProbe() {
   this->ProbeTimer.expires_after(this->ProbeInterval);
   this->ProbeTimer.async_wait([this](std::error_code Error) {
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -75,6 +75,7 @@
   /// Polls the health endpoint of a target that is already running, starting
   /// after \p Pause, until its state is known or the discovery period ends.
   void scheduleDiscovery(milliseconds Pause);
+  void handleDiscovery(const TargetResponse &Answer);
   void requestHealth(std::string_view Path,
                      std::function<void(const TargetResponse &)> OnResponse);
   void recordCall(std::int64_t CallNumber, ResultCode Code);
@@ -88,6 +89,8 @@
   asio::steady_timer ProbeTimer;
   asio::steady_timer DiscoveryTimer;
   Time DiscoveryDeadline;
+  /// A health request is outstanding.
+  bool HealthRequested = false;
   std::unique_ptr<CallerHandler> CallerHttpHandler;
   std::unique_ptr<LocalHandler> LocalHttpHandler;
   std::unique_ptr<LocalHandler> ReadinessHttpHandler;
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -173,6 +173,21 @@
   send(Out, Address, std::move(Message), Channel::Datagram);
 }
 
+void Membership::sendFormerLeave(std::string_view Name,
+                                 std::string_view Address, Effects &Out) {
+  const wire::MemberRecord *Former = this->formerRecord(Name);
+  const wire::MemberRecord *Current = this->find(Name);
+  if (Former == nullptr || Current == nullptr || !Former->__isset.LeavingRun ||
+      Current->__isset.LeavingRun)
+    return;
+  const wire::TargetRun &Left = Former->LeavingRun;
+  const bool UsesOther =
+      Current->__isset.Run && (Current->Run.InstanceId != Left.InstanceId ||
+                               Current->Run.Born > Left.Born);
+  if (!UsesOther)
+    this->sendFormerRecord(Name, Address, Out);
+}
+
 std::optional<wire::MemberRecord> Membership::takeOwnFormerRecord() {
   if (!std::exchange(this->OwnFormerChanged, false))
     return std::nullopt;
@@ -399,9 +414,16 @@
   send(Out, From, std::move(Reply), Channel::Datagram);
 }
 
-void Membership::receive(const wire::ProbeAck &Message, Time Now,
-                         Effects &Out) {
+void Membership::receive(const wire::Announce &Message, std::string_view From,
+                         Time Now, Effects &Out) {
+  this->mergeGossip(Message.Head, Now);
+  this->sendFormerLeave(Message.Head.From, From, Out);
+}
+
+void Membership::receive(const wire::ProbeAck &Message, std::string_view From,
+                         Time Now, Effects &Out) {
   this->mergeGossip(Message.Head, Now);
+  this->sendFormerLeave(Message.Head.From, From, Out);
   if (Message.WantsRecord)
     this->queueUpdate(this->Self.Name);
   const auto Relayed = this->RelayedProbes.find(Message.Number);
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -28,7 +28,10 @@
   /// Handles one message of the membership protocol.
   void receive(const wire::Probe &Message, std::string_view From, Time Now,
                Effects &Out);
-  void receive(const wire::ProbeAck &Message, Time Now, Effects &Out);
+  void receive(const wire::ProbeAck &Message, std::string_view From, Time Now,
+               Effects &Out);
+  void receive(const wire::Announce &Message, std::string_view From, Time Now,
+               Effects &Out);
   void receive(const wire::IndirectProbe &Message, Time Now, Effects &Out);
   void receive(const wire::SyncRequest &Message, std::string_view From,
                Effects &Out);
@@ -139,6 +142,10 @@
   void store(const wire::MemberRecord &Record, Time Now);
   void storeFormer(const wire::MemberRecord &Record, Time Now);
   void storeOwnFormer(const wire::MemberRecord &Record);
+  /// Tells the daemon \p Name which run of its target left before its restart,
+  /// unless its record shows that it knows.
+  void sendFormerLeave(std::string_view Name, std::string_view Address,
+                       Effects &Out);
   void queueUpdate(const std::string &Name);
   void suspect(const std::string &Name, Time Now);
   wire::Gossip makeGossip();
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -99,7 +99,12 @@
   const TargetAnnounced &target() const { return this->Target.current(); }
   /// Returns whether a health response of the target is needed before it can be
   /// used.
-  bool needsTargetHealth() const { return this->Evidence.needsHealth(); }
+  bool needsTargetHealth(Time Now) const {
+    return this->Evidence.needsHealth(Now);
+  }
+  /// Returns whether an announcement is held until a health response of the
+  /// target arrives.
+  bool holdsAnnouncement(Time Now) const { return this->Evidence.holds(Now); }
 
 private:
   Node(const NodeIdentity &Identity, bool IsControl,
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -293,6 +293,7 @@
     Target.InstanceId = "i-1";
     Target.Born = 1;
     Target.Sequence = 1;
+    Daemon->reduce({Start, 0, TargetFound{"team/work", "i-1", 2}});
     Daemon->reduce({Start, 0, Target});
     RunFinished Run;
     Run.End = End;
