Refuse by the state only as a confirmed leader

Cause: reads wait for a heartbeat round and acceptances for their commit, but refusals for nothing. A pause is one way there only: a leader that is cut off refused the same without one (tests/staleleader).

Conflicts, checks, tokens and claims of others now wait for a round that starts after the state was looked at; without it the answer is 503 within 800 ms, or that the instance does not lead. This works because a round that a quorum confirms proves that no later leader had accepted anything when the state was looked at.

--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -8,6 +8,8 @@
 
 constexpr milliseconds StampInterval{1000};
 constexpr milliseconds RequestTimeout{5000};
+/// Operators that wait for a second go on to another instance after it.
+constexpr milliseconds RefusalTimeout{800};
 constexpr milliseconds ClaimExpiryInterval{60'000};
 constexpr std::int64_t ClaimRetentionMs = 3'600'000;
 /// Exceeds the number of versions that the lost disks can have committed
@@ -20,6 +22,13 @@
 /// milliseconds for them.
 constexpr std::size_t EditsPerStep = 64;
 
+/// Returns whether the call that wants \p Wanted holds \p Existing.
+bool isHeldBy(const wire::Claim &Existing, const wire::Claim &Wanted) {
+  return Existing.Owner == Wanted.Owner &&
+         Existing.OwnerIncarnation == Wanted.OwnerIncarnation &&
+         Existing.CallNumber == Wanted.CallNumber;
+}
+
 } // namespace
 
 ControlService::ControlService(wire::Replica Self,
@@ -73,6 +82,13 @@
   this->applyAndPropose(Now, Out);
 }
 
+void ControlService::refuseConfirmed(std::int64_t RequestId, Failure Error,
+                                     Time Now, Effects &Out) {
+  this->Refusals.push_back({RequestId, std::move(Error),
+                            this->ConsensusModule.confirmLeadership(Now, Out),
+                            Now + RefusalTimeout});
+}
+
 bool ControlService::hasRoomFor(const PendingWrite &Write) const {
   if (this->Writes.size() >= MaxQueuedWrites)
     return false;
@@ -102,10 +118,10 @@
   if (this->refuseUnlessReady(Request.RequestId, Out))
     return;
   if (!this->Store.authorized(Request.TheChange.Team, Request.Token)) {
-    this->answer(Request.RequestId,
-                 {ResultCode::Unauthorized, Request.TheChange.Team, {}}, 0,
-                 Out);
-    return;
+    this->refuseConfirmed(
+        Request.RequestId,
+        {ResultCode::Unauthorized, Request.TheChange.Team, {}}, Now, Out);
+    return this->applyAndPropose(Now, Out);
   }
   PendingWrite Write;
   Write.RequestId = Request.RequestId;
@@ -120,9 +136,10 @@
     return;
   if (!Request.Trusted &&
       !this->Store.authorized(Request.Document.Team, Request.Token)) {
-    this->answer(Request.RequestId,
-                 {ResultCode::Unauthorized, Request.Document.Team, {}}, 0, Out);
-    return;
+    this->refuseConfirmed(Request.RequestId,
+                          {ResultCode::Unauthorized, Request.Document.Team, {}},
+                          Now, Out);
+    return this->applyAndPropose(Now, Out);
   }
   PendingWrite Write;
   Write.RequestId = Request.RequestId;
@@ -137,11 +154,11 @@
   if (this->refuseUnlessReady(Request.RequestId, Out))
     return;
   if (!this->Store.authorized("", Request.AdminToken)) {
-    this->answer(Request.RequestId,
-                 {ResultCode::Unauthorized, Request.Grant.Team,
-                  "the administrator token is required"},
-                 0, Out);
-    return;
+    this->refuseConfirmed(Request.RequestId,
+                          {ResultCode::Unauthorized, Request.Grant.Team,
+                           "the administrator token is required"},
+                          Now, Out);
+    return this->applyAndPropose(Now, Out);
   }
   PendingWrite Write;
   Write.RequestId = Request.RequestId;
@@ -253,8 +270,9 @@
 void ControlService::receive(const wire::ClaimRequest &Body,
                              std::string_view From, Time Now, Effects &Out) {
   PendingClaim Pending{std::string(From), Body.Wanted};
-  if (!this->ConsensusModule.ready() ||
-      this->QueuedClaims.size() >= MaxQueuedClaims ||
+  const std::size_t Waiting =
+      this->QueuedClaims.size() + this->DoubtfulClaims.size();
+  if (!this->ConsensusModule.ready() || Waiting >= MaxQueuedClaims ||
       (this->Store.claims().full() && !Body.Wanted.Release)) {
     wire::ClaimReply Reply;
     Reply.CallNumber = Body.Wanted.CallNumber;
@@ -267,8 +285,12 @@
   }
   const wire::Claim *ExistingClaim = this->Store.claims().find(Body.Wanted.Key);
   if (ExistingClaim != nullptr && !Body.Wanted.Release) {
-    this->answerClaim(Pending, Out);
-    return;
+    if (isHeldBy(*ExistingClaim, Body.Wanted))
+      return this->answerClaim(Pending, Out);
+    // A later leader may have released it.
+    Pending.Round = this->ConsensusModule.confirmLeadership(Now, Out);
+    this->DoubtfulClaims.push_back(std::move(Pending));
+    return this->applyAndPropose(Now, Out);
   }
   Pending.Wanted.GrantedAt = this->LastWallMs;
   this->QueuedClaims.push_back(std::move(Pending));
@@ -284,10 +306,7 @@
   wire::ClaimReply Reply;
   Reply.CallNumber = Pending.Wanted.CallNumber;
   const bool Own =
-      ExistingClaim != nullptr &&
-      ExistingClaim->Owner == Pending.Wanted.Owner &&
-      ExistingClaim->OwnerIncarnation == Pending.Wanted.OwnerIncarnation &&
-      ExistingClaim->CallNumber == Pending.Wanted.CallNumber;
+      ExistingClaim != nullptr && isHeldBy(*ExistingClaim, Pending.Wanted);
   Reply.Code =
       static_cast<std::int32_t>(Own ? ResultCode::Ok : ResultCode::KeyClaimed);
   if (ExistingClaim != nullptr)
@@ -307,7 +326,7 @@
     if (this->ConsensusModule.ready())
       this->proposeQueued(Now, Out);
   }
-  this->answerConfirmedRequests(Out);
+  this->answerConfirmedRequests(Now, Out);
   this->takeSnapshot(Out);
 }
 
@@ -364,8 +383,13 @@
 }
 
 bool ControlService::answerFirstWrite(Failure Result, std::int64_t Version,
-                                      Effects &Out) {
-  this->answer(this->Writes.front().RequestId, std::move(Result), Version, Out);
+                                      Time Now, Effects &Out) {
+  const std::int64_t RequestId = this->Writes.front().RequestId;
+  // A change that was committed once stays so, whoever leads now.
+  if (Result.failed())
+    this->refuseConfirmed(RequestId, std::move(Result), Now, Out);
+  else
+    this->answer(RequestId, {}, Version, Out);
   this->Writes.pop_front();
   return true;
 }
@@ -382,7 +406,7 @@
     std::int64_t Version = 0;
     if (!this->Store.checking()) {
       if (auto Early = this->prepareWrite(Write, Version))
-        return this->answerFirstWrite(std::move(*Early), Version, Out);
+        return this->answerFirstWrite(std::move(*Early), Version, Now, Out);
     }
     auto Checked = this->Store.advanceCheck(EditsPerStep);
     if (!Checked) {
@@ -390,7 +414,7 @@
       return false;
     }
     if (Checked->failed())
-      return this->answerFirstWrite(std::move(*Checked), 0, Out);
+      return this->answerFirstWrite(std::move(*Checked), 0, Now, Out);
   }
   // The index is known before the effects are executed, because only the
   // leader appends entries.
@@ -459,7 +483,7 @@
   }
 }
 
-void ControlService::answerConfirmedRequests(Effects &Out) {
+void ControlService::answerConfirmedRequests(Time Now, Effects &Out) {
   if (!this->ConsensusModule.ready()) {
     this->StampRequests.clear();
     this->StampRound = 0;
@@ -489,6 +513,32 @@
     this->answer(Item.RequestId, {}, this->Store.version(), Out);
     return true;
   });
+  std::erase_if(this->Refusals, [&](PendingRefusal &Item) {
+    if (Item.Round > Confirmed)
+      return false;
+    this->answer(Item.RequestId, std::move(Item.Error), 0, Out);
+    return true;
+  });
+  this->answerConfirmedClaims(Confirmed, Now, Out);
+}
+
+void ControlService::answerConfirmedClaims(std::int64_t Confirmed, Time Now,
+                                           Effects &Out) {
+  bool Released = false;
+  std::erase_if(this->DoubtfulClaims, [&](PendingClaim &Item) {
+    if (Item.Round > Confirmed)
+      return false;
+    if (this->Store.claims().find(Item.Wanted.Key) != nullptr) {
+      this->answerClaim(Item, Out);
+      return true;
+    }
+    Item.Wanted.GrantedAt = this->LastWallMs;
+    this->QueuedClaims.push_back(std::move(Item));
+    Released = true;
+    return true;
+  });
+  if (Released)
+    this->proposeClaims(Now, Out);
 }
 
 void ControlService::expireRequests(Time Now, Effects &Out) {
@@ -507,12 +557,14 @@
   // The check in progress refers to a write that may have moved.
   if (this->Writes.size() != Before)
     this->Store.cancelCheck();
-  std::erase_if(this->Reads, [&](const PendingRead &Item) {
+  const auto Expire = [&](const auto &Item) {
     if (Now < Item.Deadline)
       return false;
     this->answer(Item.RequestId, {ResultCode::NoQuorum, {}, {}}, 0, Out);
     return true;
-  });
+  };
+  std::erase_if(this->Reads, Expire);
+  std::erase_if(this->Refusals, Expire);
 }
 
 void ControlService::failPendingRequests(Effects &Out) {
@@ -525,10 +577,14 @@
         0, Out);
   for (const PendingRead &Item : this->Reads)
     this->answer(Item.RequestId, {ResultCode::NotLeader, {}, {}}, 0, Out);
+  for (const PendingRefusal &Item : this->Refusals)
+    this->answer(Item.RequestId, {ResultCode::NotLeader, {}, {}}, 0, Out);
   this->Store.cancelCheck();
   this->Writes.clear();
   this->Reads.clear();
+  this->Refusals.clear();
   this->QueuedClaims.clear();
+  this->DoubtfulClaims.clear();
   this->InFlightClaims.clear();
   this->InFlightClaimsIndex = 0;
   this->InFlightWriteIndex = 0;
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -104,6 +104,14 @@
     std::int64_t Round = 0;
     Time Deadline;
   };
+  /// A refusal by the state of this replica, which may be outdated until its
+  /// leadership is confirmed for a time after the state was looked at.
+  struct PendingRefusal {
+    std::int64_t RequestId = 0;
+    Failure Error;
+    std::int64_t Round = 0;
+    Time Deadline;
+  };
   struct PendingStamp {
     std::string From;
     std::int64_t Nonce = 0;
@@ -112,11 +120,16 @@
   struct PendingClaim {
     std::string From;
     wire::Claim Wanted;
+    /// The round that confirms that the key is claimed, if it seems to be.
+    std::int64_t Round = 0;
   };
 
   bool refuseUnlessReady(std::int64_t RequestId, Effects &Out) const;
   void answer(std::int64_t RequestId, Failure Error, std::int64_t Version,
               Effects &Out) const;
+  /// Refuses a request once leadership is confirmed.
+  void refuseConfirmed(std::int64_t RequestId, Failure Error, Time Now,
+                       Effects &Out);
   bool hasRoomFor(const PendingWrite &Write) const;
   void enqueue(PendingWrite Write, Time Now, Effects &Out);
   /// Prepares the check of \p Write. Returns its result if it needs none,
@@ -126,8 +139,10 @@
   /// Advances the check of the first write, and answers or proposes it at the
   /// end. Returns whether the next write can be looked at.
   bool advanceFirstWrite(Time Now, Effects &Out);
-  /// Answers the first write and removes it; returns true.
-  bool answerFirstWrite(Failure Result, std::int64_t Version, Effects &Out);
+  /// Answers the first write, if \p Result is a success, or refuses it once
+  /// leadership is confirmed, and removes it; returns true.
+  bool answerFirstWrite(Failure Result, std::int64_t Version, Time Now,
+                        Effects &Out);
   void requestWork(Effects &Out);
   void proposeClaims(Time Now, Effects &Out);
   void applyAndPropose(Time Now, Effects &Out);
@@ -137,7 +152,8 @@
   void startLeadershipConfirmation(Time Now, Effects &Out);
   /// Returns a reply with the newest committed version.
   wire::StampReply makeStampReply(std::int64_t Nonce) const;
-  void answerConfirmedRequests(Effects &Out);
+  void answerConfirmedRequests(Time Now, Effects &Out);
+  void answerConfirmedClaims(std::int64_t Confirmed, Time Now, Effects &Out);
   void expireRequests(Time Now, Effects &Out);
   void failPendingRequests(Effects &Out);
   void takeSnapshot(Effects &Out);
@@ -155,8 +171,11 @@
   /// A WorkContinued event is on its way.
   bool WorkRequested = false;
   std::vector<PendingRead> Reads;
+  std::vector<PendingRefusal> Refusals;
   std::vector<PendingStamp> StampRequests;
   std::deque<PendingClaim> QueuedClaims;
+  /// Claims of keys that seem to be claimed by others.
+  std::vector<PendingClaim> DoubtfulClaims;
   std::vector<PendingClaim> InFlightClaims;
   std::int64_t InFlightClaimsIndex = 0;
   std::vector<AppliedChange> AppliedChanges;
