Use a later run under the id of one that left

Cause: the run that the health check found had no known start, so it counted as the one that left, and the announcements of the later run as those of another run. A found run under such an id now has the start of the run that left, so a later start supersedes it; a held announcement of the later run is used once the health check confirms its id.

--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -414,12 +414,13 @@
   Found.State = wire::TargetState::Serving;
   Found.Slots = Body.Slots;
   Found.InstanceId = Body.InstanceId;
-  // A later run under the same id may be the one that responded.
-  if (!Body.Notice.Leaving)
+  // A later run under the id of one that left may be the one that responded.
+  if (!Body.Notice.Leaving) {
     this->Evidence.find(Body, TheEvent.At);
-  if (!this->Target.hasLeft(Found))
-    return this->useConfirmedTarget(TheEvent, Out);
-  if (this->Target.current().State != wire::TargetState::None)
+    this->useConfirmedTarget(TheEvent, Out);
+  }
+  if (this->Target.current().State != wire::TargetState::None ||
+      !this->Target.hasLeft(Found))
     return;
   this->Target.find(Found, TheEvent.WallMs);
   this->targetChanged(TheEvent.At, Out);
@@ -442,7 +443,7 @@
 
 void Node::useConfirmedTarget(const Event &TheEvent, Effects &Out) {
   const auto Confirmed = this->Evidence.confirmed();
-  if (!Confirmed)
+  if (!Confirmed || this->Target.hasLeft(Confirmed->Target))
     return;
   if (this->Target.current().State == wire::TargetState::None)
     this->Target.find(Confirmed->Target, TheEvent.WallMs);
--- a/src/libpersimmon/targetwatch.cpp
+++ b/src/libpersimmon/targetwatch.cpp
@@ -66,7 +66,11 @@
   if (this->Current.State != wire::TargetState::None)
     return;
   this->FoundAtMs = WallMs;
-  this->announce(Found);
+  TargetAnnounced Known = Found;
+  // Whatever is announced under this id with a later start has not left.
+  if (const LeftRun *Run = this->findLeft(Found))
+    Known.Born = Run->BornUntil;
+  this->announce(Known);
 }
 
 bool TargetWatch::leave(const std::string &InstanceId, std::int64_t Born,
--- a/tests/targetruns/test_targetruns.cpp
+++ b/tests/targetruns/test_targetruns.cpp
@@ -473,3 +473,45 @@
   Case.tell(announcement("i-1", Born, 6));
   CHECK(Case.state() == State::Serving);
 }
+
+// Guards against a target that starts again under the id with which it left,
+// and whose daemon restarts meanwhile: it got no calls any more.
+TEST_CASE("a later run under the id of one that left serves again") {
+  for (const bool FoundFirst : {true, false}) {
+    CAPTURE(FoundFirst);
+    Trio Case;
+    const std::int64_t Born = Case.wallMs();
+    Case.use(announcement("i-1", Born, 1));
+    Case.run(milliseconds(500));
+    Case.tell(TargetLeaving{"i-1"});
+    Case.run(milliseconds(500));
+    const TargetAnnounced Later = announcement("i-1", Case.wallMs(), 1);
+    Case.run(milliseconds(500));
+    Case.restartProxy();
+    Case.run(milliseconds(500));
+    // A late one of the run that left.
+    Case.tell(announcement("i-1", Born, 2));
+    CHECK(Case.state() != State::Serving);
+    if (FoundFirst)
+      Case.tell(found("i-1"));
+    Case.tell(Later);
+    if (!FoundFirst)
+      Case.tell(found("i-1"));
+    CHECK(Case.state() == State::Serving);
+    Case.tell(announcement("i-1", Born, 3));
+    CHECK(Case.state() == State::Serving);
+  }
+}
+
+TEST_CASE("a later run serves again if members only know which one left") {
+  Trio Case;
+  const std::int64_t Born = Case.wallMs();
+  Case.tell(TargetLeaving{"i-1", Born});
+  Case.run(milliseconds(500));
+  Case.restartProxy();
+  Case.run(milliseconds(500));
+  Case.tell(found("i-1"));
+  CHECK(Case.state() == State::Draining);
+  Case.tell(announcement("i-1", Born + 100, 1));
+  CHECK(Case.state() == State::Serving);
+}
