--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -22,7 +22,7 @@
 /// longer because a target that is leaving stays unhealthy.
 constexpr milliseconds DiscoveryRetryInterval{400};
 /// A target that is already running announces itself within this time after
-/// the start of the daemon. Later its address may belong to another target.
+/// the start of the daemon, so that later polls have no use.
 constexpr milliseconds DiscoveryDuration{1500};
 /// Short, as calls end continually and release the memory of their bodies.
 constexpr milliseconds BodyMemoryRetryAfter{200};
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -72,8 +72,9 @@
   void onTargetFinished(const wire::AttemptId &Id, const std::string &TargetRun,
                         TargetResponse Answer);
   void scheduleProbe();
-  /// Polls the health endpoint of a target that is already running, starting
-  /// after \p Pause, until its state is known or the discovery period ends.
+  /// Polls the health endpoint of the target, starting after \p Pause, while a
+  /// response is needed to use it: in the discovery period after the start, and
+  /// as long as an announcement is held.
   void scheduleDiscovery(milliseconds Pause);
   void handleDiscovery(const TargetResponse &Answer);
   void requestHealth(std::string_view Path,
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -170,6 +170,7 @@
     Time ForgetAt;
   };
   std::map<std::string, FormerRecord, std::less<>> FormerRecords;
+  /// The record of this daemon from before its start, as members know it.
   std::optional<wire::MemberRecord> OwnFormer;
   bool OwnFormerChanged = false;
   /// Until when members that stopped responding are tried if there are no
