--- a/tests/staleleader/test_staleleader.cpp
+++ b/tests/staleleader/test_staleleader.cpp
@@ -22,12 +22,13 @@
 class Voters {
 public:
   Voters() {
+    std::uint64_t Seed = 0;
     for (const std::string &Address : this->Addresses) {
       NodeIdentity Identity;
       Identity.Name = Address;
       Identity.Address = Address;
       Identity.Incarnation = 1;
-      Identity.Seed = Identity.Address.back();
+      Identity.Seed = ++Seed;
       Identity.Seeds = this->Addresses;
       Identity.Voters.Count = this->Addresses.size();
       const Failure Error = handleResult(
