Say once which states take calls and how former records are merged

Found on reading the change again; behaviour is as before. takesCalls() stood in targetwatch.cpp, in noticeLeaving() and anew in on(TargetAnnounced); the announcement of a found target was made in two places; the members' and the own former records were merged by two functions of the same logic. Each has one piece now, formerRecord() is private, and a comment says that only earlier versions send LeavingTarget.

--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -133,6 +133,12 @@
   milliseconds ColdFor{0};
 };
 
+/// Returns whether a target in this state gets new calls.
+inline bool takesCalls(wire::TargetState::type State) {
+  return State == wire::TargetState::Serving ||
+         State == wire::TargetState::Starting;
+}
+
 /// This daemon's target announced that it is shutting down.
 struct TargetLeaving {
   std::string InstanceId;
@@ -150,6 +156,17 @@
   TargetNotice Notice = {};
 };
 
+/// Returns what the announcement of a found target would say, as far as it is
+/// known.
+inline TargetAnnounced announcementOf(const TargetFound &Found) {
+  TargetAnnounced Out;
+  Out.Service = Found.Service;
+  Out.State = wire::TargetState::Serving;
+  Out.Slots = Found.Slots;
+  Out.InstanceId = Found.InstanceId;
+  return Out;
+}
+
 /// A target announced itself at the address of this daemon's target as one of
 /// another service.
 struct TargetDisowned {
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -48,12 +48,17 @@
   return Record.__isset.Run || Record.__isset.LeavingRun;
 }
 
-/// Returns \p Record with the leaving run of \p Earlier if it names none.
-wire::MemberRecord withLeavingRun(wire::MemberRecord Record,
-                                  const wire::MemberRecord &Earlier) {
-  if (!Record.__isset.LeavingRun && Earlier.__isset.LeavingRun)
-    Record.__set_LeavingRun(Earlier.LeavingRun);
-  return Record;
+/// Replaces \p Held by \p Record if that tells of a target and is newer; a
+/// leaving run that it does not name is kept. Returns whether it was replaced.
+bool updateFormer(std::optional<wire::MemberRecord> &Held,
+                  const wire::MemberRecord &Record) {
+  if (!tellsOfTarget(Record) || (Held && !supersedes(Record, *Held)))
+    return false;
+  wire::MemberRecord Next = Record;
+  if (Held && Held->__isset.LeavingRun && !Next.__isset.LeavingRun)
+    Next.__set_LeavingRun(Held->LeavingRun);
+  Held = std::move(Next);
+  return true;
 }
 
 } // namespace
@@ -135,25 +140,17 @@
 }
 
 void Membership::storeFormer(const wire::MemberRecord &Record, Time Now) {
-  if (!tellsOfTarget(Record))
-    return;
   const auto Found = this->FormerRecords.find(Record.Name);
-  if (Found == this->FormerRecords.end()) {
-    this->FormerRecords[Record.Name] = {Record, Now + FormerRecordTimeout};
-    return;
-  }
-  if (supersedes(Record, Found->second.Record))
-    Found->second = {withLeavingRun(Record, Found->second.Record),
-                     Now + FormerRecordTimeout};
+  std::optional<wire::MemberRecord> Held;
+  if (Found != this->FormerRecords.end())
+    Held = Found->second.Record;
+  if (updateFormer(Held, Record))
+    this->FormerRecords[Record.Name] = {*Held, Now + FormerRecordTimeout};
 }
 
 void Membership::storeOwnFormer(const wire::MemberRecord &Record) {
-  if (!tellsOfTarget(Record) ||
-      (this->OwnFormer && !supersedes(Record, *this->OwnFormer)))
-    return;
-  this->OwnFormer =
-      this->OwnFormer ? withLeavingRun(Record, *this->OwnFormer) : Record;
-  this->OwnFormerChanged = true;
+  if (updateFormer(this->OwnFormer, Record))
+    this->OwnFormerChanged = true;
 }
 
 const wire::MemberRecord *
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -86,10 +86,6 @@
   std::vector<std::string> silentTargetsOf(std::string_view Service,
                                            Time Now) const;
 
-  /// Returns the last record that tells of the target of the daemon \p Name and
-  /// that is from before its restart; null if there is none.
-  const wire::MemberRecord *formerRecord(std::string_view Name) const;
-
   /// Sends the daemon \p Name at \p Address its record from before its restart,
   /// if there is one.
   void sendFormerRecord(std::string_view Name, std::string_view Address,
@@ -140,6 +136,9 @@
   bool merge(const wire::MemberRecord &Record, Time Now);
   void refute(const wire::MemberRecord &Record);
   void store(const wire::MemberRecord &Record, Time Now);
+  /// Returns the last record that tells of the target of the daemon \p Name and
+  /// that is from before its restart; null if there is none.
+  const wire::MemberRecord *formerRecord(std::string_view Name) const;
   void storeFormer(const wire::MemberRecord &Record, Time Now);
   void storeOwnFormer(const wire::MemberRecord &Record);
   /// Tells the daemon \p Name which run of its target left before its restart,
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -350,9 +350,7 @@
 void Node::on(const TargetAnnounced &Body, const Event &TheEvent,
               Effects &Out) {
   this->MissedProbes = 0;
-  const bool TakesCalls = Body.State == wire::TargetState::Serving ||
-                          Body.State == wire::TargetState::Starting;
-  if (TakesCalls && !this->Target.hasLeft(Body)) {
+  if (takesCalls(Body.State) && !this->Target.hasLeft(Body)) {
     if (!this->Evidence.admits(Body, TheEvent.At)) {
       Out.emplace_back(
           LogDecision{"event=announcement-held id=" + Body.InstanceId +
@@ -395,9 +393,7 @@
 void Node::noticeLeaving(const TargetNotice &Notice,
                          const std::string &InstanceId, const Event &TheEvent,
                          Effects &Out) {
-  const bool Serving =
-      this->Target.current().State == wire::TargetState::Serving ||
-      this->Target.current().State == wire::TargetState::Starting;
+  const bool Serving = takesCalls(this->Target.current().State);
   if (Notice.Leaving && Serving &&
       this->Target.leave(InstanceId, 0, TheEvent.WallMs))
     this->targetChanged(TheEvent.At, Out);
@@ -409,11 +405,7 @@
   if (Body.Notice.Leaving)
     this->on(TargetLeaving{Body.InstanceId}, TheEvent, Out);
   Out.emplace_back(LogDecision{"event=target-found id=" + Body.InstanceId});
-  TargetAnnounced Found;
-  Found.Service = Body.Service;
-  Found.State = wire::TargetState::Serving;
-  Found.Slots = Body.Slots;
-  Found.InstanceId = Body.InstanceId;
+  const TargetAnnounced Found = announcementOf(Body);
   // A later run under the id of one that left may be the one that responded.
   if (!Body.Notice.Leaving) {
     this->Evidence.find(Body, TheEvent.At);
@@ -580,6 +572,7 @@
 
 void Node::on(const MessageReceived &Body, const Event &TheEvent,
               Effects &Out) {
+  // Only control instances of earlier versions send this.
   if (const auto *Target = std::get_if<wire::LeavingTarget>(&Body.Body))
     return this->on(TargetLeaving{Target->Run.InstanceId, Target->Run.Born},
                     TheEvent, Out);
--- a/src/libpersimmon/targetconfirmation.cpp
+++ b/src/libpersimmon/targetconfirmation.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+/// An address changes hands rarely while a daemon starts.
 constexpr std::size_t MaxForeignRuns = 8;
 /// Announcements may arrive seconds late. A run that is announced anew after
 /// this time is used although no health response has confirmed it.
@@ -89,10 +90,7 @@
       this->Former->Run.InstanceId != this->Healthy->InstanceId ||
       this->Former->Service != this->Healthy->Service)
     return std::nullopt;
-  Out.Target.Service = this->Healthy->Service;
-  Out.Target.State = wire::TargetState::Serving;
-  Out.Target.Slots = this->Healthy->Slots;
-  Out.Target.InstanceId = this->Healthy->InstanceId;
+  Out.Target = announcementOf(*this->Healthy);
   Out.Target.Born = this->Former->Run.Born;
   return Out;
 }
--- a/src/libpersimmon/targetwatch.cpp
+++ b/src/libpersimmon/targetwatch.cpp
@@ -9,11 +9,6 @@
 /// Later messages of earlier runs are rare.
 constexpr std::size_t MaxLeftRuns = 8;
 
-bool takesCalls(wire::TargetState::type State) {
-  return State == wire::TargetState::Serving ||
-         State == wire::TargetState::Starting;
-}
-
 } // namespace
 
 const TargetWatch::LeftRun *
--- a/src/libpersimmon/targetwatch.h
+++ b/src/libpersimmon/targetwatch.h
@@ -59,6 +59,7 @@
   bool isSameRun(const TargetAnnounced &Announcement) const;
   bool startedLater(const TargetAnnounced &Announcement) const;
   const LeftRun *findLeft(const TargetAnnounced &Announcement) const;
+
   TargetAnnounced Current;
   /// When the current run was found, if its start is unknown.
   std::int64_t FoundAtMs = 0;
