Log what a control instance finds on its disk, and who leads

The metrics tell the same: persimmon_disk_lost, persimmon_disk_cut_bytes, persimmon_term, persimmon_log_last_index, persimmon_log_commit_index, persimmon_voters, persimmon_voter, persimmon_leading. No decision is changed.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -104,9 +104,7 @@
   BOOST_LEAF_ASSIGN(this->Disk,
                     DiskStore::open(this->Settings.DataFolder,
                                     diskIdFrom(randomNumber()), InitialDiskId));
-  if (this->Disk->damage().failed())
-    logError("event=disk-lost disk=" + std::to_string(this->Disk->diskId()) +
-             " " + describe(this->Disk->damage()));
+  this->logDisk();
   BOOST_LEAF_ASSIGN(
       this->LocalNode,
       Node::makeControl(Identity, this->Disk->diskId(), this->Disk->state(),
@@ -116,6 +114,32 @@
   return {};
 }
 
+void DaemonHost::logDisk() {
+  const DurableState &State = this->Disk->state();
+  const std::string Id = std::to_string(this->Disk->diskId());
+  if (this->Disk->damage().failed())
+    logError("event=disk-lost disk=" + Id + " " +
+             describe(this->Disk->damage()));
+  const auto &Entries = State.Entries;
+  logInfo("event=disk-opened disk=" + Id +
+          " new=" + (this->Disk->isNew() ? "yes" : "no") +
+          " term=" + std::to_string(State.HardState.Term) +
+          " votedFor=" + std::to_string(State.HardState.VotedFor) +
+          " snapshot=" + std::to_string(State.Snapshot.LastIndex) +
+          " entries=" + std::to_string(Entries.size()) + " lastIndex=" +
+          std::to_string(Entries.empty() ? State.Snapshot.LastIndex
+                                         : Entries.back().Index) +
+          " lastTerm=" +
+          std::to_string(Entries.empty() ? State.Snapshot.LastTerm
+                                         : Entries.back().Term) +
+          " journalBytes=" + std::to_string(this->Disk->journalBytes()) +
+          " cutBytes=" + std::to_string(this->Disk->cutBytes()));
+  this->DaemonMetrics.setGauge("persimmon_disk_lost",
+                               this->Disk->damage().failed() ? 1 : 0);
+  this->DaemonMetrics.setGauge("persimmon_disk_cut_bytes",
+                               static_cast<double>(this->Disk->cutBytes()));
+}
+
 leaf::result<void> DaemonHost::openPorts() {
   BOOST_LEAF_ASSIGN(this->Network,
                     PeerNetwork::open(this->Io, this->Settings.Listen, *this));
@@ -488,6 +512,18 @@
       [this, Timer](std::error_code) { this->stopWhenResponsesWritten(); });
 }
 
+void DaemonHost::setConsensusGauges(const Consensus &Source) {
+  const auto Set = [this](std::string_view Name, auto Value) {
+    this->DaemonMetrics.setGauge(Name, static_cast<double>(Value));
+  };
+  Set("persimmon_term", Source.term());
+  Set("persimmon_log_last_index", Source.lastIndex());
+  Set("persimmon_log_commit_index", Source.commitIndex());
+  Set("persimmon_voters", Source.voters().size());
+  Set("persimmon_voter", Source.voter() ? 1 : 0);
+  Set("persimmon_leading", Source.leader() ? 1 : 0);
+}
+
 std::string DaemonHost::metricsText() {
   const Time Now = std::chrono::steady_clock::now();
   const Membership &Members = this->LocalNode->members();
@@ -501,6 +537,8 @@
           this->LocalNode->distribution().newestKnownVersion()));
   this->DaemonMetrics.setGauge("persimmon_serving",
                                this->LocalNode->serving() ? 1 : 0);
+  if (const ControlService *Control = this->LocalNode->control())
+    this->setConsensusGauges(Control->consensus());
   const OutgoingLink &Link = this->LocalNode->scheduler().link();
   this->DaemonMetrics.setGauge("persimmon_link_backlog_ms",
                                static_cast<double>(Link.backlog(Now).count()));
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -45,6 +45,9 @@
   DaemonHost(const DaemonSettings &Settings, const EdgeProtocols &Protocols);
 
   leaf::result<void> openNode();
+  /// Logs what was found on the disk.
+  void logDisk();
+  void setConsensusGauges(const Consensus &Source);
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
   /// this start as the first one.
--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -133,6 +133,8 @@
   std::swap(this->DiskId, Other.DiskId);
   std::swap(this->State, Other.State);
   std::swap(this->Damage, Other.Damage);
+  std::swap(this->New, Other.New);
+  std::swap(this->CutBytes, Other.CutBytes);
   std::swap(this->JournalDescriptor, Other.JournalDescriptor);
   std::swap(this->FolderDescriptor, Other.FolderDescriptor);
   std::swap(this->Hard, Other.Hard);
@@ -159,6 +161,7 @@
   Out.Folder = Folder;
   BOOST_LEAF_CHECK(Out.openFolder());
   if (!fs::exists(Out.path("disk-id"))) {
+    Out.New = true;
     BOOST_LEAF_CHECK(Out.initializeEmpty(InitialDiskId.value_or(NewDiskId)));
   } else {
     Out.Damage = handleResult([&] { return Out.readAll(); }, [] {});
@@ -239,7 +242,9 @@
     if (!Record.Valid) {
       if (!isTornWrite(Rest, Record))
         return fail(ResultCode::DiskDamaged, this->path("journal"),
-                    "invalid record at byte " + std::to_string(Offset));
+                    "invalid record at byte " + std::to_string(Offset) +
+                        " of " + std::to_string(Text.size()));
+      this->CutBytes = Rest.size();
       std::error_code Error;
       fs::resize_file(this->path("journal"), Offset, Error);
       if (Error)
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -36,6 +36,14 @@
   /// Returns the damage that made open() move the files away, or Ok.
   const Failure &damage() const { return this->Damage; }
 
+  /// Returns whether open() found no store in the folder.
+  bool isNew() const { return this->New; }
+
+  /// Returns the bytes of an unfinished write that open() cut off the journal.
+  std::uint64_t cutBytes() const { return this->CutBytes; }
+
+  std::uint64_t journalBytes() const { return this->JournalBytes; }
+
   /// Frees the state read by open() after the caller has copied it.
   void releaseState() { this->State = DurableState(); }
 
@@ -68,6 +76,8 @@
   std::int64_t DiskId = 0;
   DurableState State;
   Failure Damage;
+  bool New = false;
+  std::uint64_t CutBytes = 0;
   int JournalDescriptor = -1;
   int FolderDescriptor = -1;
   wire::HardState Hard;
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -22,6 +22,7 @@
 /// are read only after the tick.
 constexpr milliseconds PauseThreshold{100};
 constexpr milliseconds JoinInterval{300};
+constexpr milliseconds JoinLogInterval{5000};
 constexpr milliseconds LearnerTimeout{5000};
 /// A quarter of the learner timeout, so that lost datagrams are made up for.
 constexpr milliseconds JoinRenewalInterval{1250};
@@ -33,6 +34,15 @@
 /// A larger message would delay the heartbeats behind it on a slow link.
 constexpr std::size_t BytesPerMessage = 1u << 20;
 
+/// Returns the instances and disk ids of \p Voters, for the log.
+std::string describeVoters(std::span<const wire::Replica> Voters) {
+  std::string Out;
+  for (const wire::Replica &Voter : Voters)
+    Out += (Out.empty() ? "" : ",") + Voter.Instance + "/" +
+           std::to_string(Voter.DiskId);
+  return Out;
+}
+
 } // namespace
 
 Consensus::Consensus(wire::Replica Self, std::vector<ControlPeer> Peers,
@@ -87,6 +97,8 @@
   Entry.Voters = std::move(InitialVoters);
   Entry.Index = 1;
   Entry.Term = 1;
+  Out.emplace_back(
+      LogDecision{"event=bootstrapped voters=" + describeVoters(Entry.Voters)});
   this->appendLocally({std::move(Entry)}, Out);
   this->resetElection(Now);
 }
@@ -129,6 +141,11 @@
     this->HardState.VotedFor = 0;
     Out.emplace_back(PersistHardState{this->HardState});
   }
+  if (this->leader())
+    Out.emplace_back(
+        LogDecision{"event=leader-ended term=" + std::to_string(Term) +
+                    " lastIndex=" + std::to_string(this->Log.lastIndex()) +
+                    " commitIndex=" + std::to_string(this->CommitIndex)});
   if (this->CurrentRole != Role::Follower)
     this->resetElection(Now);
   this->CurrentRole = Role::Follower;
@@ -178,9 +195,22 @@
   this->startPreVote(Now, Out);
 }
 
+void Consensus::logJoining(Time Now, Effects &Out) {
+  if (Now < this->NextJoinLog)
+    return;
+  this->NextJoinLog = Now + JoinLogInterval;
+  Out.emplace_back(LogDecision{
+      "event=joining disk=" + std::to_string(this->Self.DiskId) +
+      " voter=" + (this->voter() ? "yes" : "no") +
+      " term=" + std::to_string(this->HardState.Term) +
+      " lastIndex=" + std::to_string(this->Log.lastIndex()) + " leader=" +
+      this->leaderAddress() + " voters=" + describeVoters(this->Log.voters())});
+}
+
 void Consensus::sendJoinRequests(Time Now, Effects &Out) {
   if (this->Leaving || Now < this->NextJoin)
     return;
+  this->logJoining(Now, Out);
   wire::JoinRequest Request;
   Request.Joiner = this->Self;
   if (this->CurrentLeader) {
@@ -309,6 +339,11 @@
                        Effects &Out) {
   if (Term > this->HardState.Term || this->CurrentRole != Role::Follower)
     this->stepDown(Term, Now, Out);
+  if (!this->CurrentLeader || this->CurrentLeader->DiskId != Leader.DiskId)
+    Out.emplace_back(
+        LogDecision{"event=leader-followed leader=" + Leader.Instance +
+                    " term=" + std::to_string(Term) +
+                    " lastIndex=" + std::to_string(this->Log.lastIndex())});
   this->CurrentLeader = Leader;
   this->PreviousLeader = Leader.DiskId;
   this->PreviousLeaderReplaceableAt = Now + UnresponsiveVoterTimeout;
@@ -387,6 +422,11 @@
   this->Log.restore(Request.Snapshot);
   this->CommitIndex = Request.Snapshot.LastIndex;
   this->DeliveredIndex = this->CommitIndex;
+  Out.emplace_back(
+      LogDecision{"event=snapshot-installed index=" +
+                  std::to_string(Request.Snapshot.LastIndex) +
+                  " term=" + std::to_string(Request.Snapshot.LastTerm) +
+                  " voters=" + describeVoters(this->Log.voters())});
   Out.emplace_back(PersistSnapshot{Request.Snapshot});
   this->sendAppendReply(From, true, Request.Round, Request.Snapshot.LastIndex,
                         Out);
@@ -399,6 +439,10 @@
 void Consensus::becomeLeader(Time Now, Effects &Out) {
   this->CurrentRole = Role::Leader;
   this->CurrentLeader = this->Self;
+  Out.emplace_back(LogDecision{
+      "event=leader-started term=" + std::to_string(this->HardState.Term) +
+      " lastIndex=" + std::to_string(this->Log.lastIndex()) +
+      " voters=" + describeVoters(this->Log.voters())});
   this->Followers.clear();
   this->trackVoters(Now);
   wire::LogEntry Entry;
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -128,6 +128,9 @@
   bool formed() const { return !this->Log.voters().empty(); }
   bool leader() const { return this->CurrentRole == Role::Leader; }
 
+  /// Returns whether the log names this replica as a voter.
+  bool voter() const { return this->isVoter(this->Self.DiskId); }
+
   /// Returns whether this replica leads and has committed an entry of its own
   /// term, and therefore every entry that was committed in earlier terms.
   bool ready() const;
@@ -203,6 +206,8 @@
   void follow(const wire::Replica &Leader, std::int64_t Term, Time Now,
               Effects &Out);
   void sendJoinRequests(Time Now, Effects &Out);
+  /// Logs at intervals that this replica asks to join.
+  void logJoining(Time Now, Effects &Out);
   void sendAppendReply(std::string_view To, bool Success, std::int64_t Round,
                        std::int64_t Match, Effects &Out);
   void appendLocally(std::vector<wire::LogEntry> Entries, Effects &Out);
@@ -232,6 +237,7 @@
   Time PreviousLeaderReplaceableAt;
   Time NextHeartbeat;
   Time NextJoin;
+  Time NextJoinLog;
   std::int64_t TermStart = 0;
   std::int64_t Round = 0;
 };
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -335,8 +335,13 @@
     auto Change = this->Store.apply(Entry);
     if (Change)
       this->AppliedChanges.push_back(std::move(*Change));
-    if (Entry.Kind == wire::EntryKind::Voters)
+    if (Entry.Kind == wire::EntryKind::Voters) {
       this->CommittedVoters = Entry.Voters;
+      Out.emplace_back(LogDecision{
+          "event=voters-committed index=" + std::to_string(Entry.Index) +
+          " count=" + std::to_string(Entry.Voters.size()) +
+          " voter=" + (this->ConsensusModule.voter() ? "yes" : "no")});
+    }
     this->AppliedIndex = Entry.Index;
     this->AppliedTerm = Entry.Term;
     this->answerWrite(Entry, Out);
