Keep the disk when reading or cutting a file fails

A disk that hangs, is full or refuses an operation once is not a lost one.

The store now works through StorageFolder, an interface of the few file operations that it needs. A failed operation ends the start (110 DiskReadFailed, 109 DiskWriteFailed), and no file is moved; only content that was read and is invalid is damage.

--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -1,55 +1,21 @@
 #include "diskstore.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <fcntl.h>
-#include <filesystem>
-#include <fstream>
-#include <sys/file.h>
-#include <unistd.h>
 #include <utility>
 
 namespace persimmon {
 
 namespace {
 
-namespace fs = std::filesystem;
-
 constexpr std::size_t RecordHeaderBytes = 9;
 constexpr std::size_t SectorBytes = 512;
+const std::string DiskIdFile = "disk-id";
+const std::string SnapshotFile = "snapshot";
+const std::string JournalFile = "journal";
 constexpr char HardStateRecord = 'h';
 constexpr char EntryRecord = 'e';
 constexpr char SnapshotRecord = 's';
 
-std::string systemError() { return std::strerror(errno); }
-
-leaf::result<std::string> readFile(const std::string &Path) {
-  std::ifstream In(Path, std::ios::binary | std::ios::ate);
-  const std::streamoff Size = In ? static_cast<std::streamoff>(In.tellg()) : 0;
-  // No file of the store is empty after its first use.
-  if (Size <= 0)
-    return fail(ResultCode::DiskDamaged, Path, "cannot read the file");
-  std::string Text(static_cast<std::size_t>(Size), '\0');
-  In.seekg(0);
-  if (!In.read(Text.data(), Size))
-    return fail(ResultCode::DiskDamaged, Path, "cannot read the file");
-  return Text;
-}
-
-leaf::result<void> writeAll(int Descriptor, std::string_view Bytes,
-                            const std::string &Path) {
-  while (!Bytes.empty()) {
-    const ssize_t Written = ::write(Descriptor, Bytes.data(), Bytes.size());
-    if (Written < 0 && errno == EINTR)
-      continue;
-    if (Written <= 0)
-      return fail(ResultCode::DiskWriteFailed, Path, systemError());
-    Bytes.remove_prefix(static_cast<std::size_t>(Written));
-  }
-  return {};
-}
-
 void appendUint32(std::string &Out, std::uint32_t Value) {
   for (int Shift = 0; Shift < 32; Shift += 8)
     Out += static_cast<char>((Value >> Shift) & 0xffU);
@@ -126,82 +92,51 @@
   return Out;
 }
 
-DiskStore::DiskStore(DiskStore &&Other) noexcept { *this = std::move(Other); }
-
-DiskStore &DiskStore::operator=(DiskStore &&Other) noexcept {
-  std::swap(this->Folder, Other.Folder);
-  std::swap(this->DiskId, Other.DiskId);
-  std::swap(this->State, Other.State);
-  std::swap(this->Damage, Other.Damage);
-  std::swap(this->New, Other.New);
-  std::swap(this->CutBytes, Other.CutBytes);
-  std::swap(this->JournalDescriptor, Other.JournalDescriptor);
-  std::swap(this->FolderDescriptor, Other.FolderDescriptor);
-  std::swap(this->Hard, Other.Hard);
-  std::swap(this->Tail, Other.Tail);
-  std::swap(this->JournalBytes, Other.JournalBytes);
-  return *this;
-}
-
-DiskStore::~DiskStore() {
-  if (this->JournalDescriptor >= 0)
-    ::close(this->JournalDescriptor);
-  if (this->FolderDescriptor >= 0)
-    ::close(this->FolderDescriptor);
-}
-
-std::string DiskStore::path(std::string_view Name) const {
-  return this->Folder + "/" + std::string(Name);
+leaf::result<DiskStore>
+DiskStore::open(const std::string &Folder, std::int64_t NewDiskId,
+                std::optional<std::int64_t> InitialDiskId) {
+  BOOST_LEAF_AUTO(Files, openStorageFolder(Folder));
+  return DiskStore::open(std::move(Files), NewDiskId, InitialDiskId);
 }
 
 leaf::result<DiskStore>
-DiskStore::open(const std::string &Folder, std::int64_t NewDiskId,
+DiskStore::open(std::unique_ptr<StorageFolder> Files, std::int64_t NewDiskId,
                 std::optional<std::int64_t> InitialDiskId) {
   DiskStore Out;
-  Out.Folder = Folder;
-  BOOST_LEAF_CHECK(Out.openFolder());
-  if (!fs::exists(Out.path("disk-id"))) {
-    Out.New = true;
+  Out.Folder = std::move(Files);
+  BOOST_LEAF_AUTO(HasDiskId, Out.Folder->contains(DiskIdFile));
+  Out.New = !HasDiskId;
+  if (Out.New) {
     BOOST_LEAF_CHECK(Out.initializeEmpty(InitialDiskId.value_or(NewDiskId)));
   } else {
     Out.Damage = handleResult([&] { return Out.readAll(); }, [] {});
+    if (Out.Damage.failed() && Out.Damage.Code != ResultCode::DiskDamaged)
+      return fail(Out.Damage.Code, Out.Damage.Where, Out.Damage.What);
     if (Out.Damage.failed())
       BOOST_LEAF_CHECK(Out.initializeEmpty(NewDiskId));
   }
-  BOOST_LEAF_CHECK(Out.openJournal());
   Out.Hard = Out.State.HardState;
   return Out;
 }
 
-leaf::result<void> DiskStore::openFolder() {
-  std::error_code Error;
-  fs::create_directories(this->Folder, Error);
-  this->FolderDescriptor = ::open(this->Folder.c_str(), O_RDONLY | O_DIRECTORY);
-  if (this->FolderDescriptor < 0 || ::access(this->Folder.c_str(), W_OK) != 0)
-    return fail(ResultCode::DataFolderUnwritable, this->Folder, systemError());
-  if (::flock(this->FolderDescriptor, LOCK_EX | LOCK_NB) != 0)
-    return fail(ResultCode::DataFolderUnwritable, this->Folder,
-                "the folder is locked by another process");
-  return {};
-}
-
 leaf::result<void> DiskStore::readAll() {
-  BOOST_LEAF_AUTO(Text, readFile(this->path("disk-id")));
+  BOOST_LEAF_AUTO(Text, this->Folder->read(DiskIdFile));
   const ParsedRecord Record = parseRecord(Text);
   if (!Record.Valid)
-    return fail(ResultCode::DiskDamaged, this->path("disk-id"));
+    return fail(ResultCode::DiskDamaged, this->Folder->path(DiskIdFile));
   this->DiskId = std::stoll(std::string(Record.Payload));
   BOOST_LEAF_CHECK(this->readSnapshot());
   return this->readJournal();
 }
 
 leaf::result<void> DiskStore::readSnapshot() {
-  if (!fs::exists(this->path("snapshot")))
+  BOOST_LEAF_AUTO(HasSnapshot, this->Folder->contains(SnapshotFile));
+  if (!HasSnapshot)
     return {};
-  BOOST_LEAF_AUTO(Text, readFile(this->path("snapshot")));
+  BOOST_LEAF_AUTO(Text, this->Folder->read(SnapshotFile));
   const ParsedRecord Record = parseRecord(Text);
   if (!Record.Valid || Record.Kind != SnapshotRecord)
-    return fail(ResultCode::DiskDamaged, this->path("snapshot"));
+    return fail(ResultCode::DiskDamaged, this->Folder->path(SnapshotFile));
   BOOST_LEAF_ASSIGN(this->State.Snapshot, decodeSnapshot(Record.Payload));
   return {};
 }
@@ -221,7 +156,7 @@
   const std::int64_t Expected =
       Base + static_cast<std::int64_t>(Entries.size()) + 1;
   if (Entry.Index > Expected)
-    return fail(ResultCode::DiskDamaged, this->path("journal"),
+    return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
                 "the journal lacks an entry before index " +
                     std::to_string(Entry.Index));
   const auto Kept = static_cast<std::size_t>(Entry.Index - Base - 1);
@@ -233,7 +168,14 @@
 }
 
 leaf::result<void> DiskStore::readJournal() {
-  BOOST_LEAF_AUTO(Text, readFile(this->path("journal")));
+  BOOST_LEAF_AUTO(HasJournal, this->Folder->contains(JournalFile));
+  if (!HasJournal)
+    return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
+                "the file is missing");
+  BOOST_LEAF_AUTO(Text, this->Folder->read(JournalFile));
+  if (Text.empty())
+    return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
+                "the file is empty");
   std::string_view Rest = Text;
   while (!Rest.empty()) {
     const std::size_t Offset = Text.size() - Rest.size();
@@ -241,16 +183,11 @@
     const ParsedRecord Record = parseRecord(Rest);
     if (!Record.Valid) {
       if (!isTornWrite(Rest, Record))
-        return fail(ResultCode::DiskDamaged, this->path("journal"),
+        return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
                     "invalid record at byte " + std::to_string(Offset) +
                         " of " + std::to_string(Text.size()));
       this->CutBytes = Rest.size();
-      std::error_code Error;
-      fs::resize_file(this->path("journal"), Offset, Error);
-      if (Error)
-        return fail(ResultCode::DiskDamaged, this->path("journal"),
-                    Error.message());
-      return {};
+      return this->Folder->truncate(JournalFile, Offset);
     }
     BOOST_LEAF_CHECK(
         this->applyRecord(Record.Kind, Record.Payload, Offset, Record.Size));
@@ -261,59 +198,25 @@
 }
 
 leaf::result<void> DiskStore::initializeEmpty(std::int64_t NewDiskId) {
-  std::error_code Error;
-  const std::string DamagedFolder = this->path(
-      "lost-" + std::to_string(this->DiskId) + "-" + std::to_string(NewDiskId));
-  for (const char *Name : {"disk-id", "snapshot", "journal"}) {
-    if (!fs::exists(this->path(Name)))
-      continue;
-    fs::create_directories(DamagedFolder, Error);
-    fs::rename(this->path(Name), DamagedFolder + "/" + Name, Error);
+  const std::string LostFolder =
+      "lost-" + std::to_string(this->DiskId) + "-" + std::to_string(NewDiskId);
+  for (const std::string &Name : {DiskIdFile, SnapshotFile, JournalFile}) {
+    BOOST_LEAF_AUTO(Exists, this->Folder->contains(Name));
+    if (Exists)
+      BOOST_LEAF_CHECK(this->Folder->moveAside(Name, LostFolder));
   }
   this->State = DurableState();
   this->Tail.clear();
   this->JournalBytes = 0;
   this->DiskId = NewDiskId;
-  BOOST_LEAF_CHECK(this->replaceFile("journal", ""));
-  return this->replaceFile("disk-id",
-                           makeRecord('h', std::to_string(this->DiskId)));
-}
-
-leaf::result<void> DiskStore::replaceFile(const std::string &Name,
-                                          std::string_view Bytes) {
-  const std::string TemporaryPath = this->path(Name + ".new");
-  const int Descriptor = ::open(TemporaryPath.c_str(),
-                                O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (Descriptor < 0)
-    return fail(ResultCode::DataFolderUnwritable, TemporaryPath, systemError());
-  const Failure Error = handleResult(
-      [&] { return writeAll(Descriptor, Bytes, TemporaryPath); }, [] {});
-  const bool Synced = !Error.failed() && ::fsync(Descriptor) == 0;
-  ::close(Descriptor);
-  if (!Synced ||
-      ::rename(TemporaryPath.c_str(), this->path(Name).c_str()) != 0 ||
-      ::fsync(this->FolderDescriptor) != 0)
-    return fail(ResultCode::DiskWriteFailed, this->path(Name), systemError());
-  return {};
-}
-
-leaf::result<void> DiskStore::openJournal() {
-  if (this->JournalDescriptor >= 0)
-    ::close(this->JournalDescriptor);
-  this->JournalDescriptor =
-      ::open(this->path("journal").c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  if (this->JournalDescriptor < 0)
-    return fail(ResultCode::DataFolderUnwritable, this->path("journal"),
-                systemError());
-  return {};
+  BOOST_LEAF_CHECK(this->Folder->replace(JournalFile, ""));
+  return this->Folder->replace(DiskIdFile,
+                               makeRecord('h', std::to_string(this->DiskId)));
 }
 
 leaf::result<void> DiskStore::append(std::string_view Bytes) {
-  BOOST_LEAF_CHECK(
-      writeAll(this->JournalDescriptor, Bytes, this->path("journal")));
-  if (::fdatasync(this->JournalDescriptor) != 0)
-    return fail(ResultCode::DiskWriteFailed, this->path("journal"),
-                systemError());
+  BOOST_LEAF_CHECK(this->Folder->append(JournalFile, Bytes));
+  BOOST_LEAF_CHECK(this->Folder->sync(JournalFile));
   this->JournalBytes += Bytes.size();
   return {};
 }
@@ -338,23 +241,19 @@
 }
 
 leaf::result<std::string> DiskStore::readTail() const {
-  std::ifstream In(this->path("journal"), std::ios::binary);
   std::string Out;
   for (const JournalEntry &Entry : this->Tail) {
-    const std::size_t Begin = Out.size();
-    Out.resize(Begin + Entry.Size);
-    In.seekg(static_cast<std::streamoff>(Entry.Offset));
-    if (!In.read(Out.data() + Begin, static_cast<std::streamsize>(Entry.Size)))
-      return fail(ResultCode::DiskWriteFailed, this->path("journal"),
-                  "cannot read an entry again");
+    BOOST_LEAF_AUTO(Bytes,
+                    this->Folder->read(JournalFile, Entry.Offset, Entry.Size));
+    Out += Bytes;
   }
   return Out;
 }
 
 leaf::result<void> DiskStore::write(const PersistSnapshot &Record) {
   const wire::StoreSnapshot &Snapshot = Record.Snapshot;
-  BOOST_LEAF_CHECK(this->replaceFile(
-      "snapshot", makeRecord(SnapshotRecord, encodeRecord(Snapshot))));
+  BOOST_LEAF_CHECK(this->Folder->replace(
+      SnapshotFile, makeRecord(SnapshotRecord, encodeRecord(Snapshot))));
   // A snapshot installed from the leader replaces the journal's entries unless
   // they continue it.
   const auto Last = std::find_if(this->Tail.begin(), this->Tail.end(),
@@ -368,13 +267,13 @@
   BOOST_LEAF_AUTO(TailRecords, this->readTail());
   const std::string Hard =
       makeRecord(HardStateRecord, encodeRecord(this->Hard));
-  BOOST_LEAF_CHECK(this->replaceFile("journal", Hard + TailRecords));
+  BOOST_LEAF_CHECK(this->Folder->replace(JournalFile, Hard + TailRecords));
   this->JournalBytes = Hard.size();
   for (JournalEntry &Entry : this->Tail) {
     Entry.Offset = this->JournalBytes;
     this->JournalBytes += Entry.Size;
   }
-  return this->openJournal();
+  return {};
 }
 
 } // namespace persimmon
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "storagefolder.h"
+
 #include "libpersimmon/libpersimmon.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,24 +14,21 @@
 
 /// Persistent storage of one control instance: the identity of its disk, a
 /// snapshot, and a journal of log entries and hard states. Every write is
-/// synced before it returns. Owns the file descriptors of the journal and the
-/// folder.
+/// synced before it returns.
 class DiskStore {
 public:
   /// Opens the folder, creates it if it is missing, and reads its content.
   /// Damaged files are moved to a subfolder and the disk gets \p NewDiskId, so
   /// that the replica restarts as a non-voter. A folder without a disk id gets
   /// \p InitialDiskId if that is given, else \p NewDiskId. Errors:
-  /// DataFolderUnwritable, DiskWriteFailed.
+  /// DataFolderUnwritable, DiskReadFailed, DiskWriteFailed; no file is moved
+  /// then.
   static leaf::result<DiskStore>
   open(const std::string &Folder, std::int64_t NewDiskId,
        std::optional<std::int64_t> InitialDiskId = std::nullopt);
-
-  DiskStore(DiskStore &&Other) noexcept;
-  DiskStore &operator=(DiskStore &&Other) noexcept;
-  DiskStore(const DiskStore &) = delete;
-  DiskStore &operator=(const DiskStore &) = delete;
-  ~DiskStore();
+  static leaf::result<DiskStore>
+  open(std::unique_ptr<StorageFolder> Files, std::int64_t NewDiskId,
+       std::optional<std::int64_t> InitialDiskId = std::nullopt);
 
   std::int64_t diskId() const { return this->DiskId; }
   const DurableState &state() const { return this->State; }
@@ -47,7 +47,7 @@
   /// Frees the state read by open() after the caller has copied it.
   void releaseState() { this->State = DurableState(); }
 
-  /// Write and sync one record. Errors: DiskWriteFailed, DataFolderUnwritable;
+  /// Write and sync one record. Errors: DiskWriteFailed, DiskReadFailed;
   /// after an error the process must exit, because the content of the disk is
   /// unknown.
   leaf::result<void> write(const PersistHardState &Record);
@@ -57,7 +57,6 @@
 private:
   DiskStore() = default;
 
-  leaf::result<void> openFolder();
   leaf::result<void> readAll();
   leaf::result<void> readSnapshot();
   leaf::result<void> readJournal();
@@ -66,20 +65,14 @@
   /// Returns the records of the entries in Tail, read from the journal.
   leaf::result<std::string> readTail() const;
   leaf::result<void> initializeEmpty(std::int64_t NewDiskId);
-  leaf::result<void> openJournal();
   leaf::result<void> append(std::string_view Bytes);
-  leaf::result<void> replaceFile(const std::string &Name,
-                                 std::string_view Bytes);
-  std::string path(std::string_view Name) const;
 
-  std::string Folder;
+  std::unique_ptr<StorageFolder> Folder;
   std::int64_t DiskId = 0;
   DurableState State;
   Failure Damage;
   bool New = false;
   std::uint64_t CutBytes = 0;
-  int JournalDescriptor = -1;
-  int FolderDescriptor = -1;
   wire::HardState Hard;
   /// Where the journal holds an entry that may be needed again. The entries
   /// themselves are not kept a second time.
