Tell an unfinished append from damage, whatever is left of it

Seen: after a loss of power in the middle of a series of changes, four of six control instances had no log, though two disks may be lost at once and a quorum had put the newest version in force. The configuration did not come back.

Cause: a loss of power may leave an unsynced append whole, not at all, or with any of its sectors missing. The store allowed only a record cut short or one that ends in zeros; anything else, and each append of several records that lacks an early one, counted as damage of synced data, and the whole disk was given up. With a change on its way several followers are in the same append when power goes, so several disks were lost beside the ones that the fault takes.

An invalid record is damage if and only if a later append lies behind it; otherwise it was never acknowledged and is cut. Journals of the former format are read by the former rule and replaced.

--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -1,6 +1,8 @@
 #include "diskstore.h"
 
 #include <algorithm>
+#include <random>
+#include <sstream>
 #include <utility>
 
 namespace persimmon {
@@ -8,24 +10,29 @@
 namespace {
 
 constexpr std::size_t RecordHeaderBytes = 9;
+constexpr std::size_t AppendNumberBytes = 8;
+constexpr int JournalFormat = 2;
 constexpr std::size_t SectorBytes = 512;
 const std::string DiskIdFile = "disk-id";
 const std::string SnapshotFile = "snapshot";
 const std::string JournalFile = "journal";
+constexpr char JournalHeaderRecord = 'j';
+constexpr char AppendRecord = 'a';
 constexpr char HardStateRecord = 'h';
 constexpr char EntryRecord = 'e';
 constexpr char SnapshotRecord = 's';
 
-void appendUint32(std::string &Out, std::uint32_t Value) {
-  for (int Shift = 0; Shift < 32; Shift += 8)
-    Out += static_cast<char>((Value >> Shift) & 0xffU);
+/// Writes \p Value at \p Begin of \p Out, least significant byte first.
+template <typename NumberT>
+void putNumber(std::string &Out, std::size_t Begin, NumberT Value) {
+  for (std::size_t I = 0; I < sizeof(NumberT); ++I)
+    Out[Begin + I] = static_cast<char>((Value >> (8 * I)) & 0xffU);
 }
 
-std::uint32_t readUint32(std::string_view Bytes) {
-  std::uint32_t Value = 0;
-  for (int I = 3; I >= 0; --I)
-    Value = (Value << 8) |
-            static_cast<std::uint8_t>(Bytes[static_cast<std::size_t>(I)]);
+template <typename NumberT> NumberT getNumber(std::string_view Bytes) {
+  NumberT Value = 0;
+  for (std::size_t I = sizeof(NumberT); I-- > 0;)
+    Value = (Value << 8U) | static_cast<std::uint8_t>(Bytes[I]);
   return Value;
 }
 
@@ -39,25 +46,59 @@
   bool Valid = false;
 };
 
-ParsedRecord parseRecord(std::string_view Bytes) {
+ParsedRecord parseRecord(std::string_view Bytes, std::uint32_t Salt = 0) {
   ParsedRecord Out;
   if (Bytes.size() < RecordHeaderBytes)
     return Out;
   Out.Kind = Bytes[0];
-  const std::size_t Length = readUint32(Bytes.substr(1));
-  const std::uint32_t Checksum = readUint32(Bytes.substr(5));
+  const std::size_t Length = getNumber<std::uint32_t>(Bytes.substr(1));
+  const auto Checksum = getNumber<std::uint32_t>(Bytes.substr(5));
   Out.Size = RecordHeaderBytes + Length;
   if (Out.Size > Bytes.size())
     return Out;
   Out.Complete = true;
   Out.Payload = Bytes.substr(RecordHeaderBytes, Length);
-  const bool KnownKind = Out.Kind == HardStateRecord ||
+  const bool KnownKind = Out.Kind == JournalHeaderRecord ||
+                         Out.Kind == AppendRecord ||
+                         Out.Kind == HardStateRecord ||
                          Out.Kind == EntryRecord || Out.Kind == SnapshotRecord;
-  Out.Valid = KnownKind && checksumOf(Out.Payload) == Checksum;
+  Out.Valid = KnownKind && (checksumOf(Out.Payload) ^ Salt) == Checksum;
   return Out;
 }
 
-/// Returns whether a valid record starts at any offset of \p Bytes.
+/// Fills in the header of the record that \p Out holds from \p Begin on, for
+/// which RecordHeaderBytes were left free.
+void finishRecord(std::string &Out, std::size_t Begin, char Kind,
+                  std::uint32_t Salt = 0) {
+  const std::string_view Payload =
+      std::string_view(Out).substr(Begin + RecordHeaderBytes);
+  const std::uint32_t Checksum = checksumOf(Payload) ^ Salt;
+  Out[Begin] = Kind;
+  putNumber(Out, Begin + 1, static_cast<std::uint32_t>(Payload.size()));
+  putNumber(Out, Begin + 1 + sizeof(std::uint32_t), Checksum);
+}
+
+/// Returns whether a valid append with a number above \p Number starts
+/// anywhere in \p Bytes.
+bool containsLaterAppend(std::string_view Bytes, std::uint64_t Number,
+                         std::uint32_t Salt) {
+  constexpr std::size_t Smallest = RecordHeaderBytes + AppendNumberBytes;
+  for (std::size_t I = Bytes.find(AppendRecord);
+       I != std::string_view::npos && I + Smallest <= Bytes.size();
+       I = Bytes.find(AppendRecord, I + 1)) {
+    const std::string_view Candidate = Bytes.substr(I);
+    const auto Found =
+        getNumber<std::uint64_t>(Candidate.substr(RecordHeaderBytes));
+    // Checked first, because it costs less than the checksum.
+    if (Found > Number && Found - Number <= Bytes.size() &&
+        parseRecord(Candidate, Salt).Valid)
+      return true;
+  }
+  return false;
+}
+
+/// Returns whether a valid record starts at any offset of \p Bytes. For
+/// journals of format 1.
 bool containsValidRecord(std::string_view Bytes) {
   for (std::size_t I = 0; I + RecordHeaderBytes < Bytes.size(); ++I) {
     const ParsedRecord Record = parseRecord(Bytes.substr(I));
@@ -67,9 +108,10 @@
   return false;
 }
 
-/// Returns whether an invalid record at the start of \p Rest is a torn write.
-/// An interrupted write leaves the last record truncated, or with unwritten
-/// blocks that read as zeros. Anything else is damage to synced data.
+/// Returns whether an invalid record at the start of \p Rest is a torn write
+/// to a journal of format 1, which does not tell the records of one write. An
+/// interrupted write leaves the last record truncated, or with unwritten blocks
+/// that read as zeros. Anything else is damage to synced data.
 bool isTornWrite(std::string_view Rest, const ParsedRecord &Record) {
   if (containsValidRecord(Rest.substr(1)))
     return false;
@@ -85,10 +127,9 @@
 } // namespace
 
 std::string makeRecord(char Kind, std::string_view Payload) {
-  std::string Out(1, Kind);
-  appendUint32(Out, static_cast<std::uint32_t>(Payload.size()));
-  appendUint32(Out, checksumOf(Payload));
+  std::string Out(RecordHeaderBytes, '\0');
   Out += Payload;
+  finishRecord(Out, 0, Kind);
   return Out;
 }
 
@@ -115,7 +156,7 @@
     if (Out.Damage.failed())
       BOOST_LEAF_CHECK(Out.initializeEmpty(NewDiskId));
   }
-  Out.Hard = Out.State.HardState;
+  Out.State.HardState = Out.Hard;
   return Out;
 }
 
@@ -145,7 +186,7 @@
                                           std::uint64_t Offset,
                                           std::size_t Size) {
   if (Kind == HardStateRecord) {
-    BOOST_LEAF_ASSIGN(this->State.HardState, decodeHardState(Payload));
+    BOOST_LEAF_ASSIGN(this->Hard, decodeHardState(Payload));
     return {};
   }
   BOOST_LEAF_AUTO(Entry, decodeLogEntry(Payload));
@@ -176,24 +217,108 @@
   if (Text.empty())
     return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
                 "the file is empty");
+  if (Text[0] == HardStateRecord || Text[0] == EntryRecord)
+    return this->readFormat1(Text);
+  return this->readAppends(Text);
+}
+
+leaf::result<void> DiskStore::readFormat1(std::string_view Text) {
   std::string_view Rest = Text;
   while (!Rest.empty()) {
     const std::size_t Offset = Text.size() - Rest.size();
-    this->JournalBytes = Offset;
     const ParsedRecord Record = parseRecord(Rest);
     if (!Record.Valid) {
       if (!isTornWrite(Rest, Record))
-        return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
-                    "invalid record at byte " + std::to_string(Offset) +
-                        " of " + std::to_string(Text.size()));
+        return this->damagedAt(Offset, Text.size());
       this->CutBytes = Rest.size();
-      return this->Folder->truncate(JournalFile, Offset);
+      break;
     }
     BOOST_LEAF_CHECK(
         this->applyRecord(Record.Kind, Record.Payload, Offset, Record.Size));
     Rest.remove_prefix(Record.Size);
   }
-  this->JournalBytes = Text.size();
+  return this->replaceJournal();
+}
+
+leaf::result<void> DiskStore::readAppends(std::string_view Text) {
+  const ParsedRecord Header = parseRecord(Text);
+  if (!Header.Valid || Header.Kind != JournalHeaderRecord ||
+      !this->readHeader(Header.Payload))
+    return this->damagedAt(0, Text.size());
+  std::size_t Offset = Header.Size;
+  for (this->AppendNumber = 1; Offset < Text.size(); ++this->AppendNumber) {
+    const std::string_view Rest = Text.substr(Offset);
+    const ParsedRecord Record = parseRecord(Rest, this->Salt);
+    const bool Valid =
+        Record.Valid && Record.Kind == AppendRecord &&
+        Record.Payload.size() >= AppendNumberBytes &&
+        getNumber<std::uint64_t>(Record.Payload) == this->AppendNumber;
+    if (!Valid) {
+      // An append starts only after the one before it was synced, so the last
+      // one is the only one that a loss of power may leave in part.
+      if (containsLaterAppend(Rest.substr(1), this->AppendNumber, this->Salt))
+        return this->damagedAt(Offset, Text.size());
+      this->CutBytes = Rest.size();
+      this->JournalBytes = Offset;
+      return this->Folder->truncate(JournalFile, Offset);
+    }
+    BOOST_LEAF_CHECK(
+        this->applyAppend(Record.Payload.substr(AppendNumberBytes),
+                          Offset + RecordHeaderBytes + AppendNumberBytes));
+    Offset += Record.Size;
+  }
+  this->JournalBytes = Offset;
+  return {};
+}
+
+leaf::result<void> DiskStore::applyAppend(std::string_view Records,
+                                          std::uint64_t Offset) {
+  while (!Records.empty()) {
+    const ParsedRecord Record = parseRecord(Records);
+    if (!Record.Valid)
+      return this->damagedAt(Offset, Offset + Records.size());
+    BOOST_LEAF_CHECK(
+        this->applyRecord(Record.Kind, Record.Payload, Offset, Record.Size));
+    Offset += Record.Size;
+    Records.remove_prefix(Record.Size);
+  }
+  return {};
+}
+
+leaf::result<void> DiskStore::damagedAt(std::uint64_t Offset,
+                                        std::uint64_t Size) const {
+  return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
+              "invalid record at byte " + std::to_string(Offset) + " of " +
+                  std::to_string(Size));
+}
+
+bool DiskStore::readHeader(std::string_view Payload) {
+  std::istringstream In{std::string(Payload)};
+  int Format = 0;
+  In >> Format >> this->Salt;
+  return !In.fail() && Format == JournalFormat;
+}
+
+leaf::result<void> DiskStore::replaceJournal() {
+  BOOST_LEAF_AUTO(TailRecords, this->readTail());
+  this->Salt = std::random_device()() | 1U;
+  std::string Bytes =
+      makeRecord(JournalHeaderRecord, std::to_string(JournalFormat) + " " +
+                                          std::to_string(this->Salt));
+  const std::size_t Begin = Bytes.size();
+  this->AppendNumber = 1;
+  Bytes += this->startAppend();
+  Bytes += makeRecord(HardStateRecord, encodeRecord(this->Hard));
+  std::uint64_t Offset = Bytes.size();
+  Bytes += TailRecords;
+  finishRecord(Bytes, Begin, AppendRecord, this->Salt);
+  BOOST_LEAF_CHECK(this->Folder->replace(JournalFile, Bytes));
+  this->JournalBytes = Bytes.size();
+  this->AppendNumber = 2;
+  for (JournalEntry &Entry : this->Tail) {
+    Entry.Offset = Offset;
+    Offset += Entry.Size;
+  }
   return {};
 }
 
@@ -206,38 +331,47 @@
       BOOST_LEAF_CHECK(this->Folder->moveAside(Name, LostFolder));
   }
   this->State = DurableState();
+  this->Hard = wire::HardState();
   this->Tail.clear();
-  this->JournalBytes = 0;
   this->DiskId = NewDiskId;
-  BOOST_LEAF_CHECK(this->Folder->replace(JournalFile, ""));
+  BOOST_LEAF_CHECK(this->replaceJournal());
   return this->Folder->replace(DiskIdFile,
                                makeRecord('h', std::to_string(this->DiskId)));
 }
 
-leaf::result<void> DiskStore::append(std::string_view Bytes) {
+std::string DiskStore::startAppend() const {
+  std::string Out(RecordHeaderBytes + AppendNumberBytes, '\0');
+  putNumber(Out, RecordHeaderBytes, this->AppendNumber);
+  return Out;
+}
+
+leaf::result<void> DiskStore::append(std::string Bytes) {
+  finishRecord(Bytes, 0, AppendRecord, this->Salt);
   BOOST_LEAF_CHECK(this->Folder->append(JournalFile, Bytes));
   BOOST_LEAF_CHECK(this->Folder->sync(JournalFile));
   this->JournalBytes += Bytes.size();
+  this->AppendNumber += 1;
   return {};
 }
 
 leaf::result<void> DiskStore::write(const PersistHardState &Record) {
   this->Hard = Record.State;
-  return this->append(makeRecord(HardStateRecord, encodeRecord(Record.State)));
+  return this->append(this->startAppend() +
+                      makeRecord(HardStateRecord, encodeRecord(Record.State)));
 }
 
 leaf::result<void> DiskStore::write(const PersistEntries &Record) {
   std::erase_if(this->Tail, [&](const JournalEntry &Entry) {
     return Entry.Index >= Record.Entries.front().Index;
   });
-  std::string Bytes;
+  std::string Bytes = this->startAppend();
   for (const wire::LogEntry &Entry : Record.Entries) {
     const std::uint64_t Offset = this->JournalBytes + Bytes.size();
     const std::string Encoded = makeRecord(EntryRecord, encodeRecord(Entry));
     this->Tail.push_back({Entry.Index, Entry.Term, Offset, Encoded.size()});
     Bytes += Encoded;
   }
-  return this->append(Bytes);
+  return this->append(std::move(Bytes));
 }
 
 leaf::result<std::string> DiskStore::readTail() const {
@@ -264,16 +398,7 @@
     this->Tail.clear();
   else
     this->Tail.erase(this->Tail.begin(), Last + 1);
-  BOOST_LEAF_AUTO(TailRecords, this->readTail());
-  const std::string Hard =
-      makeRecord(HardStateRecord, encodeRecord(this->Hard));
-  BOOST_LEAF_CHECK(this->Folder->replace(JournalFile, Hard + TailRecords));
-  this->JournalBytes = Hard.size();
-  for (JournalEntry &Entry : this->Tail) {
-    Entry.Offset = this->JournalBytes;
-    this->JournalBytes += Entry.Size;
-  }
-  return {};
+  return this->replaceJournal();
 }
 
 } // namespace persimmon
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -60,12 +60,25 @@
   leaf::result<void> readAll();
   leaf::result<void> readSnapshot();
   leaf::result<void> readJournal();
+  /// Reads a journal without a header, whose records are the entries and hard
+  /// states themselves, and replaces it.
+  leaf::result<void> readFormat1(std::string_view Text);
+  leaf::result<void> readAppends(std::string_view Text);
+  bool readHeader(std::string_view Payload);
+  leaf::result<void> applyAppend(std::string_view Records,
+                                 std::uint64_t Offset);
   leaf::result<void> applyRecord(char Kind, std::string_view Payload,
                                  std::uint64_t Offset, std::size_t Size);
   /// Returns the records of the entries in Tail, read from the journal.
   leaf::result<std::string> readTail() const;
+  /// Returns the failure for an invalid record at \p Offset of \p Size bytes.
+  leaf::result<void> damagedAt(std::uint64_t Offset, std::uint64_t Size) const;
   leaf::result<void> initializeEmpty(std::int64_t NewDiskId);
-  leaf::result<void> append(std::string_view Bytes);
+  /// Writes a journal with the hard state and the entries in Tail.
+  leaf::result<void> replaceJournal();
+  /// Returns the head of the next append, which is filled in by append().
+  std::string startAppend() const;
+  leaf::result<void> append(std::string Bytes);
 
   std::unique_ptr<StorageFolder> Folder;
   std::int64_t DiskId = 0;
@@ -84,6 +97,11 @@
   };
   std::vector<JournalEntry> Tail;
   std::uint64_t JournalBytes = 0;
+  /// Part of the checksum of each append, so that no bytes of a setting read
+  /// as one. Drawn for each journal.
+  std::uint32_t Salt = 0;
+  /// Number of the next append to this journal.
+  std::uint64_t AppendNumber = 1;
 };
 
 /// Encodes a journal record: kind, payload length, checksum and payload.
--- a/tests/diskstore/test_powerloss.cpp
+++ b/tests/diskstore/test_powerloss.cpp
@@ -103,6 +103,60 @@
   CHECK(Disk->state().Entries.size() >= SyncedEntries);
 }
 
+TEST_CASE("a setting that holds bytes of a journal costs no disk") {
+  const TemporaryFolder Other;
+  std::string Look;
+  {
+    auto Disk = open(Other, 200);
+    for (std::int64_t I = 1; I <= SyncedEntries; ++I)
+      write(*Disk, PersistEntries{{entry(I, 10)}});
+    Look = readBytes(Other.file("journal"));
+  }
+  const TemporaryFolder Folder;
+  std::size_t SyncedBytes = 0;
+  {
+    auto Disk = open(Folder, 200);
+    write(*Disk, PersistEntries{{entry(1, 10)}});
+    SyncedBytes = readBytes(Folder.file("journal")).size();
+    wire::LogEntry Large = entry(2, 2000);
+    Large.TheChange.Edits[0].Value += Look;
+    write(*Disk, PersistEntries{{Large}});
+  }
+  std::string Torn = readBytes(Folder.file("journal"));
+  std::fill_n(Torn.begin() + static_cast<std::ptrdiff_t>(SyncedBytes), 600,
+              '\0');
+  overwrite(Folder.file("journal"), Torn);
+  const auto Disk = open(Folder, 200);
+  INFO(describe(Disk->damage()));
+  CHECK(!Disk->damage().failed());
+  CHECK(Disk->state().Entries.size() == 1);
+  CHECK(Disk->cutBytes() == Torn.size() - SyncedBytes);
+}
+
+TEST_CASE("a journal of format 1 is read and replaced") {
+  const TemporaryFolder Folder;
+  open(Folder, 200);
+  wire::HardState Hard;
+  Hard.Term = 2;
+  Hard.VotedFor = 7;
+  std::string Former = makeRecord('h', encodeRecord(Hard));
+  for (std::int64_t I = 1; I <= SyncedEntries; ++I)
+    Former += makeRecord('e', encodeRecord(entry(I, 10)));
+  const std::string Torn = makeRecord('e', encodeRecord(entry(6, 10)));
+  overwrite(Folder.file("journal"), Former + Torn.substr(0, Torn.size() / 2));
+  for (int I = 0; I < 2; ++I) {
+    auto Disk = open(Folder, 200);
+    INFO("open " << I << " " << describe(Disk->damage()));
+    CHECK(!Disk->damage().failed());
+    CHECK(Disk->diskId() == 100);
+    CHECK(Disk->cutBytes() == (I == 0 ? Torn.size() / 2 : 0));
+    CHECK(Disk->state().HardState.VotedFor == 7);
+    CHECK(Disk->state().Entries.back().Index == SyncedEntries + I);
+    write(*Disk, PersistEntries{{entry(SyncedEntries + 1 + I, 10)}});
+  }
+  CHECK(readBytes(Folder.file("journal")).front() == 'j');
+}
+
 TEST_CASE("an instance killed before its first record keeps its disk id") {
   const TemporaryFolder Folder;
   CHECK(open(Folder, 200)->diskId() == 100);
