Send a follower again what it lost of its stored entries

A replica whose last append was damaged and cut, or which kept less than it had acknowledged for any other reason, refused the leader's entries and was never sent the missing ones: the leader did not go back behind what had been acknowledged. It stayed without a part in any quorum until the next leader, and nothing said so.

A refusal of the newest round that names less than was acknowledged now sets the follower back to what it has, and is logged as event=follower-lost-entries. What has been committed stays committed. The new case of tests/consensus failed before.

--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -545,6 +545,15 @@
   if (!Reply.Success) {
     if (Reply.Round < From.ResetRound)
       return;
+    // Nothing later was acknowledged, so the follower no longer has what it
+    // stored before.
+    if (Reply.MatchIndex < From.Match && Reply.Round == From.Round) {
+      Out.emplace_back(LogWarning{
+          "event=follower-lost-entries instance=" + From.Replica.Instance +
+          " stored=" + std::to_string(From.Match) +
+          " has=" + std::to_string(Reply.MatchIndex)});
+      From.Match = Reply.MatchIndex;
+    }
     From.ResetRound = this->Round;
     From.Next = std::clamp<std::int64_t>(Reply.MatchIndex + 1, From.Match + 1,
                                          this->Log.lastIndex() + 1);
--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -321,3 +321,27 @@
   CHECK(Known["c2:1"] <= 9);
   CHECK(Known["c3:1"] == 0);
 }
+
+TEST_CASE("a follower that lost stored entries is sent them again") {
+  // Its last append was damaged and cut while the leader went on.
+  Fixture F(1, {1, 1, 1});
+  F.lead();
+  F.acknowledge(3, 5);
+  F.acknowledge(2, 5);
+  wire::AppendReply Lost;
+  Lost.Term = F.Subject.term();
+  Lost.FromDisk = 2;
+  Lost.MatchIndex = 4;
+  F.tickFor(milliseconds(200));
+  for (const auto &Request : F.sent<wire::AppendRequest>())
+    Lost.Round = std::max(Lost.Round, Request.Round);
+  F.Out.clear();
+  F.Subject.receive(Lost, F.Now, F.Out);
+  F.tickFor(milliseconds(200));
+  bool SentAgain = false;
+  for (const auto &Request : F.sent<wire::AppendRequest>())
+    SentAgain = SentAgain || (Request.ToDisk == 2 && Request.PrevIndex == 4 &&
+                              !Request.Entries.empty() &&
+                              Request.Entries.front().Index == 5);
+  CHECK(SentAgain);
+}
