Sync what the store read before the replica answers for it

Cause: a process that is killed between a write and its sync, or between a rename and the sync of the folder, leaves entries and names in the page cache. Its successor reads them and acknowledges them to a leader without a sync; a loss of power then takes them.

The names come first, because a file may be replaced for what another one holds. A cut is covered by the same sync.

--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -161,13 +161,18 @@
 }
 
 leaf::result<void> DiskStore::readAll() {
+  // Before a file is replaced for what the others hold.
+  BOOST_LEAF_CHECK(this->Folder->syncNames());
   BOOST_LEAF_AUTO(Text, this->Folder->read(DiskIdFile));
   const ParsedRecord Record = parseRecord(Text);
   if (!Record.Valid)
     return fail(ResultCode::DiskDamaged, this->Folder->path(DiskIdFile));
   this->DiskId = std::stoll(std::string(Record.Payload));
   BOOST_LEAF_CHECK(this->readSnapshot());
-  return this->readJournal();
+  BOOST_LEAF_CHECK(this->readJournal());
+  // A process that was killed between write and sync left what was read here
+  // without a sync, but the replica answers for it.
+  return this->Folder->sync(JournalFile);
 }
 
 leaf::result<void> DiskStore::readSnapshot() {
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -81,3 +81,32 @@
   CHECK(Store.state().HardState.VotedFor == 7);
   CHECK(Store.state().Entries.size() == 2);
 }
+
+TEST_CASE("what a killed process did not sync outlasts a loss of power") {
+  const bool IsSnapshot = GENERATE(false, true);
+  for (std::uint64_t Steps = 1;; ++Steps) {
+    SimulatedDisk Disk;
+    fill(Disk);
+    {
+      DiskStore Store = open(Disk);
+      Disk.endProcessAfter(Steps);
+      wire::StoreSnapshot Snapshot;
+      Snapshot.LastIndex = 8;
+      Snapshot.LastTerm = 3;
+      const Failure Ended = IsSnapshot
+                                ? write(Store, PersistSnapshot{Snapshot})
+                                : write(Store, PersistEntries{{entry(11, 3)}});
+      if (!Ended.failed())
+        break;
+    }
+    Disk.restart();
+    const DurableState Answered = open(Disk).state();
+    Disk.losePowerAndAllUnsynced();
+    const DiskStore Store = open(Disk);
+    INFO("killed at step " << Steps);
+    CHECK(Store.diskId() == 100);
+    CHECK(Store.state().HardState.VotedFor == 7);
+    CHECK(Store.state().Snapshot.LastIndex == Answered.Snapshot.LastIndex);
+    CHECK(Store.state().Entries.size() == Answered.Entries.size());
+  }
+}
