--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t AppendNumberBytes = 8;
 constexpr int JournalFormat = 2;
 constexpr std::size_t SectorBytes = 512;
+/// The term of the entry before a journal that does not name it.
+constexpr std::int64_t UnknownTerm = -1;
 const std::string DiskIdFile = "disk-id";
 const std::string SnapshotFile = "snapshot";
 const std::string JournalFile = "journal";
@@ -184,6 +186,8 @@
   if (!Record.Valid || Record.Kind != SnapshotRecord)
     return fail(ResultCode::DiskDamaged, this->Folder->path(SnapshotFile));
   BOOST_LEAF_ASSIGN(this->State.Snapshot, decodeSnapshot(Record.Payload));
+  this->Snapshot = {this->State.Snapshot.LastIndex,
+                    this->State.Snapshot.LastTerm};
   return {};
 }
 
@@ -196,7 +200,13 @@
   }
   BOOST_LEAF_AUTO(Entry, decodeLogEntry(Payload));
   auto &Entries = this->State.Entries;
-  const std::int64_t Base = this->State.Snapshot.LastIndex;
+  // Former builds did not name the snapshot. A journal that was shortened for
+  // it has no entry that it covers.
+  if (!this->JournalBase)
+    this->JournalBase = Entry.Index > this->Snapshot.Index
+                            ? this->Snapshot
+                            : LogPosition{Entry.Index - 1, UnknownTerm};
+  const std::int64_t Base = this->JournalBase->Index;
   if (Entry.Index <= Base)
     return {};
   const std::int64_t Expected =
@@ -242,9 +252,29 @@
         this->applyRecord(Record.Kind, Record.Payload, Offset, Record.Size));
     Rest.remove_prefix(Record.Size);
   }
+  this->dropCoveredEntries();
   return this->replaceJournal();
 }
 
+std::vector<DiskStore::JournalEntry>::const_iterator
+DiskStore::firstUncovered() const {
+  if (this->JournalBase == this->Snapshot)
+    return this->Tail.begin();
+  const auto Last = std::find_if(this->Tail.begin(), this->Tail.end(),
+                                 [&](const JournalEntry &Entry) {
+                                   return Entry.Index == this->Snapshot.Index &&
+                                          Entry.Term == this->Snapshot.Term;
+                                 });
+  return Last == this->Tail.end() ? Last : std::next(Last);
+}
+
+void DiskStore::dropCoveredEntries() {
+  const auto End = this->firstUncovered();
+  auto &Entries = this->State.Entries;
+  Entries.erase(Entries.begin(), Entries.begin() + (End - this->Tail.begin()));
+  this->Tail.erase(this->Tail.begin(), End);
+}
+
 leaf::result<void> DiskStore::readAppends(std::string_view Text) {
   const ParsedRecord Header = parseRecord(Text);
   if (!Header.Valid || Header.Kind != JournalHeaderRecord ||
@@ -264,8 +294,8 @@
       if (containsLaterAppend(Rest.substr(1), this->AppendNumber, this->Salt))
         return this->damagedAt(Offset, Text.size());
       this->CutBytes = Rest.size();
-      this->JournalBytes = Offset;
-      return this->Folder->truncate(JournalFile, Offset);
+      BOOST_LEAF_CHECK(this->Folder->truncate(JournalFile, Offset));
+      break;
     }
     BOOST_LEAF_CHECK(
         this->applyAppend(Record.Payload.substr(AppendNumberBytes),
@@ -273,7 +303,18 @@
     Offset += Record.Size;
   }
   this->JournalBytes = Offset;
-  return {};
+  return this->matchSnapshot();
+}
+
+leaf::result<void> DiskStore::matchSnapshot() {
+  if (!this->JournalBase || this->JournalBase == this->Snapshot)
+    return {};
+  // A snapshot is stored before the journal that continues it.
+  if (this->JournalBase->Index > this->Snapshot.Index)
+    return fail(ResultCode::DiskDamaged, this->Folder->path(SnapshotFile),
+                "the journal continues a later snapshot");
+  this->dropCoveredEntries();
+  return this->replaceJournal();
 }
 
 leaf::result<void> DiskStore::applyAppend(std::string_view Records,
@@ -301,15 +342,22 @@
   std::istringstream In{std::string(Payload)};
   int Format = 0;
   In >> Format >> this->Salt;
-  return !In.fail() && Format == JournalFormat;
+  if (In.fail() || Format != JournalFormat)
+    return false;
+  LogPosition Base;
+  if (In >> Base.Index >> Base.Term)
+    this->JournalBase = Base;
+  return true;
 }
 
 leaf::result<void> DiskStore::replaceJournal() {
   BOOST_LEAF_AUTO(TailRecords, this->readTail());
   this->Salt = std::random_device()() | 1U;
-  std::string Bytes =
-      makeRecord(JournalHeaderRecord, std::to_string(JournalFormat) + " " +
-                                          std::to_string(this->Salt));
+  this->JournalBase = this->Snapshot;
+  std::ostringstream Header;
+  Header << JournalFormat << ' ' << this->Salt << ' ' << this->Snapshot.Index
+         << ' ' << this->Snapshot.Term;
+  std::string Bytes = makeRecord(JournalHeaderRecord, Header.str());
   const std::size_t Begin = Bytes.size();
   this->AppendNumber = 1;
   Bytes += this->startAppend();
@@ -337,6 +385,7 @@
   }
   this->State = DurableState();
   this->Hard = wire::HardState();
+  this->Snapshot = {};
   this->Tail.clear();
   this->DiskId = NewDiskId;
   BOOST_LEAF_CHECK(this->replaceJournal());
@@ -390,19 +439,10 @@
 }
 
 leaf::result<void> DiskStore::write(const PersistSnapshot &Record) {
-  const wire::StoreSnapshot &Snapshot = Record.Snapshot;
   BOOST_LEAF_CHECK(this->Folder->replace(
-      SnapshotFile, makeRecord(SnapshotRecord, encodeRecord(Snapshot))));
-  // A snapshot installed from the leader replaces the journal's entries unless
-  // they continue it.
-  const auto Last = std::find_if(this->Tail.begin(), this->Tail.end(),
-                                 [&](const JournalEntry &Entry) {
-                                   return Entry.Index == Snapshot.LastIndex;
-                                 });
-  if (Last == this->Tail.end() || Last->Term != Snapshot.LastTerm)
-    this->Tail.clear();
-  else
-    this->Tail.erase(this->Tail.begin(), Last + 1);
+      SnapshotFile, makeRecord(SnapshotRecord, encodeRecord(Record.Snapshot))));
+  this->Snapshot = {Record.Snapshot.LastIndex, Record.Snapshot.LastTerm};
+  this->Tail.erase(this->Tail.begin(), this->firstUncovered());
   return this->replaceJournal();
 }
 
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,20 @@
   leaf::result<void> write(const PersistSnapshot &Record);
 
 private:
+  struct LogPosition {
+    std::int64_t Index = 0;
+    std::int64_t Term = 0;
+    bool operator==(const LogPosition &) const = default;
+  };
+  /// Where the journal holds an entry that may be needed again. The entries
+  /// themselves are not kept a second time.
+  struct JournalEntry {
+    std::int64_t Index = 0;
+    std::int64_t Term = 0;
+    std::uint64_t Offset = 0;
+    std::size_t Size = 0;
+  };
+
   DiskStore() = default;
 
   leaf::result<void> readAll();
@@ -64,6 +79,11 @@
   /// states themselves, and replaces it.
   leaf::result<void> readFormat1(std::string_view Text);
   leaf::result<void> readAppends(std::string_view Text);
+  /// Finishes the replacement of the journal that a stored snapshot demands.
+  leaf::result<void> matchSnapshot();
+  /// Drops what was read of entries that the snapshot covers, and all entries
+  /// if they do not continue it.
+  void dropCoveredEntries();
   bool readHeader(std::string_view Payload);
   leaf::result<void> applyAppend(std::string_view Records,
                                  std::uint64_t Offset);
@@ -71,6 +91,9 @@
                                  std::uint64_t Offset, std::size_t Size);
   /// Returns the records of the entries in Tail, read from the journal.
   leaf::result<std::string> readTail() const;
+  /// Returns the first entry in Tail that the snapshot does not cover; the end
+  /// if the entries do not continue the snapshot.
+  std::vector<JournalEntry>::const_iterator firstUncovered() const;
   /// Returns the failure for an invalid record at \p Offset of \p Size bytes.
   leaf::result<void> damagedAt(std::uint64_t Offset, std::uint64_t Size) const;
   leaf::result<void> initializeEmpty(std::int64_t NewDiskId);
@@ -87,14 +110,11 @@
   bool New = false;
   std::uint64_t CutBytes = 0;
   wire::HardState Hard;
-  /// Where the journal holds an entry that may be needed again. The entries
-  /// themselves are not kept a second time.
-  struct JournalEntry {
-    std::int64_t Index = 0;
-    std::int64_t Term = 0;
-    std::uint64_t Offset = 0;
-    std::size_t Size = 0;
-  };
+  /// Last entry that the stored snapshot covers.
+  LogPosition Snapshot;
+  /// Last entry that the snapshot covers for which the journal was written;
+  /// nothing if the journal does not name it and holds no entry.
+  std::optional<LogPosition> JournalBase;
   std::vector<JournalEntry> Tail;
   std::uint64_t JournalBytes = 0;
   /// Part of the checksum of each append, so that no bytes of a setting read
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <random>
 
 using namespace persimmon;
 
@@ -110,3 +111,113 @@
     CHECK(Store.state().Entries.size() == Answered.Entries.size());
   }
 }
+
+TEST_CASE("no entry of an older term stays behind a newer snapshot") {
+  // Only a snapshot of term 3 is continued by the entries 9 and 10.
+  const std::int64_t SnapshotTerm = GENERATE(3, 5);
+  const bool LosesPower = GENERATE(false, true);
+  for (std::uint64_t Steps = 1;; ++Steps) {
+    SimulatedDisk Disk;
+    fill(Disk);
+    {
+      DiskStore Store = open(Disk);
+      Disk.endProcessAfter(Steps);
+      wire::StoreSnapshot Snapshot;
+      Snapshot.LastIndex = 8;
+      Snapshot.LastTerm = SnapshotTerm;
+      if (!write(Store, PersistSnapshot{Snapshot}).failed())
+        break;
+    }
+    if (LosesPower)
+      Disk.losePowerAndAllUnsynced();
+    else
+      Disk.restart();
+    for (int Open = 0; Open < 2; ++Open) {
+      INFO("ended at step " << Steps << ", open " << Open);
+      DiskStore Store = open(Disk);
+      CHECK(!Store.damage().failed());
+      CHECK(Store.diskId() == 100);
+      CHECK(Store.state().HardState.VotedFor == 7);
+      const bool IsReplaced = Store.state().Snapshot.LastIndex == 8;
+      const std::size_t Kept = SnapshotTerm == 3 ? 2 : 0;
+      CHECK(Store.state().Entries.size() == (IsReplaced ? Kept : 10));
+    }
+    DiskStore Store = open(Disk);
+    const DurableState Before = Store.state();
+    const std::int64_t Next = Before.Snapshot.LastIndex +
+                              static_cast<std::int64_t>(Before.Entries.size()) +
+                              1;
+    REQUIRE(!write(Store, PersistEntries{{entry(Next, 5)}}).failed());
+    CHECK(open(Disk).state().Entries.size() == Before.Entries.size() + 1);
+  }
+}
+
+TEST_CASE("an end while the store opens loses nothing") {
+  for (std::uint64_t Written = 1;; ++Written) {
+    bool Finished = false;
+    for (std::uint64_t Opening = 1;; ++Opening) {
+      SimulatedDisk Disk;
+      fill(Disk);
+      {
+        DiskStore Store = open(Disk);
+        Disk.endProcessAfter(Written);
+        wire::StoreSnapshot Snapshot;
+        Snapshot.LastIndex = 8;
+        Snapshot.LastTerm = 5;
+        Finished = !write(Store, PersistSnapshot{Snapshot}).failed();
+      }
+      Disk.restart();
+      Disk.endProcessAfter(Opening);
+      std::optional<DiskStore> Interrupted;
+      const bool Opened = !tryOpen(Disk, Interrupted).failed();
+      std::mt19937_64 Random(Written * 100 + Opening);
+      Disk.losePower(Random);
+      const DiskStore Store = open(Disk);
+      INFO("ended at step " << Written << " and " << Opening << ", "
+                            << describe(Store.damage()));
+      CHECK(!Store.damage().failed());
+      CHECK(Store.diskId() == 100);
+      CHECK(Store.state().HardState.VotedFor == 7);
+      CHECK(Store.state().Entries.size() ==
+            (Store.state().Snapshot.LastIndex == 8 ? 0 : 10));
+      if (Opened)
+        break;
+    }
+    if (Finished)
+      break;
+  }
+}
+
+TEST_CASE("a journal that does not name its snapshot costs no disk") {
+  const std::int64_t SnapshotTerm = GENERATE(0, 3, 5);
+  // Only a journal that was shortened for the snapshot continues any of them.
+  const std::int64_t First = GENERATE(1, 9);
+  if (SnapshotTerm == 0 && First == 9)
+    return;
+  SimulatedDisk Disk;
+  open(Disk);
+  std::string Journal = makeRecord('j', "2 0");
+  for (std::int64_t I = First; I <= 10; ++I) {
+    std::string Number(8, '\0');
+    Number[0] = static_cast<char>(I - First + 1);
+    Journal +=
+        makeRecord('a', Number + makeRecord('e', encodeRecord(entry(I, 3))));
+  }
+  Disk.setContent("journal", Journal);
+  if (SnapshotTerm != 0) {
+    wire::StoreSnapshot Snapshot;
+    Snapshot.LastIndex = 8;
+    Snapshot.LastTerm = SnapshotTerm;
+    Disk.setContent("snapshot", makeRecord('s', encodeRecord(Snapshot)));
+  }
+  const std::size_t Kept = SnapshotTerm == 0 ? 10 : 2;
+  const bool Continues = SnapshotTerm != 5 || First == 9;
+  for (int I = 0; I < 2; ++I) {
+    const DiskStore Store = open(Disk);
+    INFO("open " << I << ", snapshot of term " << SnapshotTerm << ", first "
+                 << First << ", " << describe(Store.damage()));
+    CHECK(!Store.damage().failed());
+    CHECK(Store.diskId() == 100);
+    CHECK(Store.state().Entries.size() == (Continues ? Kept : 0));
+  }
+}
