--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -229,10 +229,12 @@
     return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
                 "the file is missing");
   BOOST_LEAF_AUTO(Text, this->Folder->read(JournalFile));
-  if (Text.empty())
+  // Former builds created an empty journal, which had a hard state before there
+  // was a snapshot.
+  if (Text.empty() && this->Snapshot.Index > 0)
     return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
                 "the file is empty");
-  if (Text[0] == HardStateRecord || Text[0] == EntryRecord)
+  if (Text.empty() || Text[0] == HardStateRecord || Text[0] == EntryRecord)
     return this->readFormat1(Text);
   return this->readAppends(Text);
 }
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -221,3 +221,31 @@
     CHECK(Store.state().Entries.size() == (Continues ? Kept : 0));
   }
 }
+
+TEST_CASE("an empty journal of an instance that was killed at its first start "
+          "costs no disk") {
+  SimulatedDisk Disk;
+  open(Disk);
+  Disk.setContent("journal", "");
+  for (int I = 0; I < 2; ++I) {
+    const DiskStore Store = open(Disk);
+    INFO("open " << I << " " << describe(Store.damage()));
+    CHECK(!Store.damage().failed());
+    CHECK(Store.diskId() == 100);
+    CHECK(Store.state().Entries.empty());
+  }
+}
+
+TEST_CASE("an empty journal beside a snapshot is a lost disk") {
+  SimulatedDisk Disk;
+  fill(Disk);
+  {
+    DiskStore Store = open(Disk);
+    wire::StoreSnapshot Snapshot;
+    Snapshot.LastIndex = 8;
+    Snapshot.LastTerm = 3;
+    REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+  }
+  Disk.setContent("journal", "");
+  CHECK(open(Disk).damage().Code == ResultCode::DiskDamaged);
+}
