Take no part of an answer for the whole when an upload is reset

Seen: a target answered a long upload with a 200 without a length, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a socket's error once. The pending write took it, and the read then saw an ordinary end of stream, which completes an answer without a length. TargetConnection dropped the error of the write.

A failed write is now remembered, and at the end of the stream the socket is asked whether it is hung up, so the order of the two handlers does not matter. After an end of stream alone it is not: the connection can still send.

--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <poll.h>
 #include <utility>
 
 namespace persimmon {
@@ -77,6 +78,7 @@
   this->WhenDone = std::move(Handler);
   this->SendStarted = false;
   this->RequestWritten = false;
+  this->WriteFailed = false;
   this->Requests += 1;
   this->Reader.begin(Request.Method);
   if (this->Connected)
@@ -136,10 +138,11 @@
       [Self = this->shared_from_this()](std::error_code Error, std::size_t) {
         if (Self->Closed)
           return;
-        // Errors are reported by the read, which also returns what the target
-        // sent before the connection ended.
-        if (!Error)
-          Self->RequestWritten = true;
+        // The read returns what the target sent before the connection ended,
+        // and then its end. If this write took the socket's error, the read
+        // reports an ordinary end of stream.
+        Self->RequestWritten = !Error;
+        Self->WriteFailed = static_cast<bool>(Error);
       });
 }
 
@@ -156,7 +159,7 @@
   if (Error) {
     // A response without a length ends with its connection, but it is
     // incomplete if the connection was reset.
-    if (Error == asio::error::eof && this->busy() &&
+    if (Error == asio::error::eof && this->busy() && !this->brokenOff() &&
         this->Reader.endOfStream() == ResponseReader::State::Complete) {
       this->Reusable = false;
       return this->onResponseComplete();
@@ -174,6 +177,15 @@
     this->read();
 }
 
+bool TargetConnection::brokenOff() {
+  // The handler of a write that took the socket's error may still be waiting.
+  // After an end of stream alone the socket can still send, so it is not hung
+  // up.
+  pollfd Item{this->Socket.native_handle(), 0, 0};
+  return this->WriteFailed || ::poll(&Item, 1, 0) < 0 ||
+         (Item.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 bool TargetConnection::parseResponses() {
   while (this->busy() && this->Reader.hasMore()) {
     const ResponseReader::State State = this->Reader.read();
--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -62,6 +62,9 @@
   void send();
   void read();
   void onRead(std::error_code Error, std::size_t Size);
+  /// Returns whether the connection was reset or failed in another way, and not
+  /// just ended by the target.
+  bool brokenOff();
   /// Returns whether reading can continue.
   bool parseResponses();
   void onResponseComplete();
@@ -85,6 +88,7 @@
   bool Connected = false;
   bool SendStarted = false;
   bool RequestWritten = false;
+  bool WriteFailed = false;
   bool Closed = false;
   bool Reusable = true;
   /// Requests that this connection was used for.
--- /dev/null
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -0,0 +1,169 @@
+#include "libhost/targetclient.h"
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace persimmon;
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr int Repeats = 20;
+constexpr milliseconds RequestTimeout{5000};
+
+/// How a target continues once the head of a request has arrived.
+struct Answer {
+  std::string Bytes;
+  enum class Ending { Reset, EndOfStream } End = Ending::EndOfStream;
+  /// Waits before and after the bytes are sent.
+  milliseconds Before{0};
+  milliseconds After{0};
+};
+
+/// A target with a thread of its own, which answers one request.
+class ThreadedTarget {
+public:
+  explicit ThreadedTarget(Answer TheAnswer)
+      : Acceptor(Io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        Planned(std::move(TheAnswer)),
+        Address("127.0.0.1:" +
+                std::to_string(this->Acceptor.local_endpoint().port())),
+        Thread([this] { this->serve(); }) {}
+  ~ThreadedTarget() { this->Thread.join(); }
+  ThreadedTarget(const ThreadedTarget &) = delete;
+  ThreadedTarget &operator=(const ThreadedTarget &) = delete;
+
+  const std::string &address() const { return this->Address; }
+
+private:
+  void serve() {
+    std::error_code Error;
+    tcp::socket Peer(this->Io);
+    this->Acceptor.accept(Peer, Error);
+    std::string Head;
+    asio::read_until(Peer, asio::dynamic_buffer(Head, 65536), "\r\n\r\n",
+                     Error);
+    std::this_thread::sleep_for(this->Planned.Before);
+    asio::write(Peer, asio::buffer(this->Planned.Bytes), Error);
+    std::this_thread::sleep_for(this->Planned.After);
+    if (this->Planned.End == Answer::Ending::Reset) {
+      Peer.set_option(asio::socket_base::linger(true, 0), Error);
+      Peer.close(Error);
+      return;
+    }
+    Peer.shutdown(tcp::socket::shutdown_send, Error);
+    std::string Rest(65536, '\0');
+    while (!Error)
+      Peer.read_some(asio::buffer(Rest), Error);
+  }
+
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  Answer Planned;
+  std::string Address;
+  std::thread Thread;
+};
+
+struct Request {
+  std::string Method = "GET";
+  std::string Body;
+  /// Does not run the client's event loop for this time once the request has
+  /// been started and its connection has been opened.
+  milliseconds HoldLoop{0};
+};
+
+TargetResponse run(const Request &What, Answer How) {
+  ThreadedTarget Target(std::move(How));
+  asio::io_context Io;
+  TargetClient Client(Io);
+  TargetRequest Out;
+  Out.Address = Target.address();
+  Out.Method = What.Method;
+  Out.Url = "/x";
+  Out.Body = What.Body;
+  Out.Deadline = std::chrono::steady_clock::now() + RequestTimeout;
+  std::optional<TargetResponse> Got;
+  Client.start(Out, [&](TargetResponse Response) { Got = Response; });
+  if (What.HoldLoop.count() > 0) {
+    Io.run_one(); // Connects and starts to write.
+    std::this_thread::sleep_for(What.HoldLoop);
+  }
+  while (!Got && Io.run_one() > 0)
+    ;
+  REQUIRE(Got);
+  CHECK(std::chrono::steady_clock::now() < Out.Deadline);
+  return *Got;
+}
+
+int countEnds(const Request &What, const Answer &How, RunEnd End) {
+  int Count = 0;
+  for (int I = 0; I < Repeats; ++I)
+    Count += run(What, How).End == End ? 1 : 0;
+  return Count;
+}
+
+const std::string PartWithoutLength = "HTTP/1.1 200 OK\r\n\r\nsome of it";
+
+/// More than the buffers of both sockets hold.
+Request longUpload() { return {"POST", std::string(16u << 20, 'x'), {}}; }
+
+} // namespace
+
+TEST_CASE("a part of an answer is not complete if the upload is reset later") {
+  CHECK(countEnds(
+            longUpload(),
+            {PartWithoutLength, Answer::Ending::Reset, {}, milliseconds(30)},
+            RunEnd::Broken) == Repeats);
+}
+
+TEST_CASE("a part of an answer is not complete if the upload is reset at "
+          "once") {
+  CHECK(countEnds(longUpload(), {PartWithoutLength, Answer::Ending::Reset},
+                  RunEnd::Broken) == Repeats);
+}
+
+TEST_CASE("a part of an answer is not complete if a blocked upload is reset") {
+  CHECK(countEnds(longUpload(),
+                  {PartWithoutLength, Answer::Ending::Reset, milliseconds(50)},
+                  RunEnd::Broken) == Repeats);
+}
+
+TEST_CASE("a part of an answer is not complete if the reset comes before the "
+          "client reads") {
+  Request What = longUpload();
+  What.HoldLoop = milliseconds(30);
+  CHECK(countEnds(What, {PartWithoutLength, Answer::Ending::Reset},
+                  RunEnd::Broken) == Repeats);
+}
+
+TEST_CASE("a part of an answer is not complete if the read takes the reset") {
+  // The whole request fits into the socket's buffer, so that only the read is
+  // pending.
+  const Request What{"POST", std::string(20'000, 'x'), {}};
+  CHECK(countEnds(
+            What,
+            {PartWithoutLength, Answer::Ending::Reset, {}, milliseconds(10)},
+            RunEnd::Broken) == Repeats);
+}
+
+TEST_CASE("an answer that ends its stream during an upload is complete") {
+  for (const milliseconds After : {milliseconds(0), milliseconds(30)}) {
+    int Whole = 0;
+    for (int I = 0; I < Repeats; ++I) {
+      const TargetResponse Got =
+          run(longUpload(),
+              {PartWithoutLength, Answer::Ending::EndOfStream, {}, After});
+      Whole += Got.End == RunEnd::Answered && Got.Body == "some of it" ? 1 : 0;
+    }
+    CHECK(Whole == Repeats);
+  }
+}
