Take no status outside 100 to 599 for an answer

Seen: a target in trouble sent an answer whose status was 000; the caller got it as an answer, or what followed it on the connection (MIXED).

Cause: the parser accepts any three digits. ResponseReader::read() took every status below 200 for an informational one and skipped its head and body, so that the bytes behind them became the answer; a status from 600 to 999 was passed on.

Statuses that are not three digits were refused before.

A head with such a status is now refused as soon as it is complete, and the attempt ends as Broken, for calls and health checks alike.

Result: all 9 statuses are Broken in all 3 forms; 200, 404 and 599 are Answered.

--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -14,7 +14,9 @@
 /// Bytes of memory for each byte of a head. The shortest field has 4 bytes and
 /// takes a node of about 100 bytes.
 constexpr std::size_t MemoryPerHeadByte = 32;
+constexpr int FirstStatus = 100;
 constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
 /// Chunk framing allowed for each byte of the body. A chunk of one byte whose
 /// size has eight digits takes 13 bytes with its line ends.
 constexpr std::size_t FramingPerBodyByte = 16;
@@ -66,6 +68,8 @@
       this->FramingBytes += Used - (this->bodyBytes() - BodyBefore);
     if (!this->withinLimits())
       return State::Invalid;
+    if (InHead && this->Incoming->is_header_done() && !this->acceptsHead())
+      return State::Invalid;
     // The remaining bytes belong to a head, a chunk header or trailers.
     if (NeedsMore)
       return this->Unparsed.size() <= MaxHeadBytes ? State::NeedsMore
@@ -81,6 +85,11 @@
   return State::NeedsMore;
 }
 
+bool ResponseReader::acceptsHead() const {
+  const auto Status = static_cast<int>(this->Incoming->get().result_int());
+  return Status >= FirstStatus && Status <= LastStatus;
+}
+
 bool ResponseReader::withinLimits() const {
   const bool InHead = !this->Incoming->is_header_done();
   if (InHead)
--- a/src/libhost/responsereader.h
+++ b/src/libhost/responsereader.h
@@ -55,6 +55,8 @@
 
   void startParser();
   std::size_t bodyBytes() const { return this->Incoming->get().body().size(); }
+  /// Returns whether a complete head is the head of a response.
+  bool acceptsHead() const;
   bool withinLimits() const;
   /// Skips an informational response. Returns whether another one may follow.
   bool skipInformational();
--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -167,3 +167,34 @@
     CHECK(Whole == Repeats);
   }
 }
+
+namespace {
+
+/// Returns how an answer to a GET ends.
+RunEnd endOf(const std::string &Bytes) { return run({}, {Bytes}).End; }
+
+std::string withStatus(const std::string &Status) {
+  return "HTTP/1.1 " + Status + " X\r\nContent-Length: 2\r\n\r\nno";
+}
+
+const std::string WholeAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("a status outside 100 to 599 is not an answer") {
+  for (const std::string Status :
+       {"000", "001", "099", "600", "999", "20", "2000", "-20", "2x0"}) {
+    INFO(Status);
+    CHECK(endOf(withStatus(Status)) == RunEnd::Broken);
+    CHECK(endOf(withStatus(Status) + WholeAnswer) == RunEnd::Broken);
+    CHECK(endOf("HTTP/1.1 " + Status + " X\r\n\r\n" + WholeAnswer) ==
+          RunEnd::Broken);
+  }
+  for (const std::string Status : {"200", "404", "599"}) {
+    INFO(Status);
+    const TargetResponse Got = run({}, {withStatus(Status)});
+    CHECK(Got.End == RunEnd::Answered);
+    CHECK(std::to_string(Got.Status) == Status);
+  }
+}
