Test that damaged fields of an answer are not passed on

Operators saw on other systems of this kind that a caller got an answer in whose head the name of a field held a blank or a control byte. Here the parser refuses such names (blank, tab, control byte, DEL, a byte above 0x7f, line end, none, blank before the colon) and values with control bytes, DEL or a bare CR or LF, so the answer is Broken. A folded line is passed on as one value without its line end (RFC 9112, 5.2).

--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -173,6 +173,10 @@
 /// Returns how an answer to a GET ends.
 RunEnd endOf(const std::string &Bytes) { return run({}, {Bytes}).End; }
 
+std::string withField(const std::string &Field) {
+  return "HTTP/1.1 200 OK\r\n" + Field + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
 std::string withStatus(const std::string &Status) {
   return "HTTP/1.1 " + Status + " X\r\nContent-Length: 2\r\n\r\nno";
 }
@@ -198,3 +202,49 @@
     CHECK(std::to_string(Got.Status) == Status);
   }
 }
+
+TEST_CASE("a damaged field name is not passed on") {
+  for (const std::string &Name :
+       {std::string("X A"), std::string("X\tA"),
+        std::string("X\x01"
+                    "A"),
+        std::string("X\x1f"
+                    "A"),
+        std::string("X\x7f"
+                    "A"),
+        std::string("X\x80"
+                    "A"),
+        std::string("X\xff"
+                    "A"),
+        std::string("X\0A", 3), std::string("X\rA"), std::string("X\nA"),
+        std::string("X\r\nA"), std::string(""), std::string("X-A "),
+        std::string("X-A\t"), std::string("X(A"), std::string("X/A")}) {
+    INFO(Name);
+    CHECK(endOf(withField(Name + ": 1")) == RunEnd::Broken);
+  }
+  CHECK(endOf(withField("no colon")) == RunEnd::Broken);
+  CHECK(endOf(withField(" X-A: 1")) == RunEnd::Broken);
+}
+
+TEST_CASE("a damaged field value is not passed on") {
+  for (const std::string &Value :
+       {std::string("a\x01z"), std::string("a\x08z"), std::string("a\x1fz"),
+        std::string("a\x7fz"), std::string("a\0z", 3), std::string("a\rz"),
+        std::string("a\nz"), std::string("a\rX-B: 1"),
+        std::string("a\nX-B: 1")}) {
+    INFO(Value);
+    CHECK(endOf(withField("X-A: " + Value)) == RunEnd::Broken);
+  }
+}
+
+TEST_CASE("a folded line is passed on without its line end") {
+  for (const std::string Fold : {"\r\n ", "\r\n\t", " \r\n  \t"}) {
+    const TargetResponse Got = run({}, {withField("X-A: one" + Fold + "two")});
+    REQUIRE(Got.End == RunEnd::Answered);
+    const std::string_view Value = Got.header("X-A");
+    CHECK(Value.find_first_of("\r\n") == std::string_view::npos);
+    CHECK(Value.starts_with("one "));
+    CHECK(Value.ends_with("two"));
+    CHECK(Value.find_first_not_of(" \t", 3) == Value.size() - 3);
+  }
+}
