Refuse a switch of protocols that no request asked for

Seen: after a 101 of a target the bytes that followed were taken for its answer, though after a 101 they are in another protocol.

Cause: ResponseReader skipped every status below 200 as informational. Requests ask for no upgrade (the field is hop-by-hop), so a 101 answers none.

The head is refused and the attempt ends as Broken.

Result: both forms are Broken; 100, 102 and 103 are skipped as before.

--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -15,6 +15,7 @@
 /// takes a node of about 100 bytes.
 constexpr std::size_t MemoryPerHeadByte = 32;
 constexpr int FirstStatus = 100;
+constexpr int SwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
 constexpr int LastStatus = 599;
 /// Chunk framing allowed for each byte of the body. A chunk of one byte whose
@@ -87,7 +88,9 @@
 
 bool ResponseReader::acceptsHead() const {
   const auto Status = static_cast<int>(this->Incoming->get().result_int());
-  return Status >= FirstStatus && Status <= LastStatus;
+  // No request asks for another protocol.
+  return Status >= FirstStatus && Status <= LastStatus &&
+         Status != SwitchingProtocols;
 }
 
 bool ResponseReader::withinLimits() const {
--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -203,6 +203,13 @@
   }
 }
 
+TEST_CASE("a switch of protocols that was not asked for is not an answer") {
+  const std::string Head = "HTTP/1.1 101 Switching Protocols\r\n";
+  CHECK(endOf(Head + "\r\n" + WholeAnswer) == RunEnd::Broken);
+  CHECK(endOf(Head + "Connection: upgrade\r\nUpgrade: x\r\n\r\n" +
+              WholeAnswer) == RunEnd::Broken);
+}
+
 TEST_CASE("a damaged field name is not passed on") {
   for (const std::string &Name :
        {std::string("X A"), std::string("X\tA"),
