Refuse an answer in an unknown transfer coding

Seen: an answer with `Transfer-Encoding: gzip` or `gzip, chunked` reached the caller with bytes that are not the target's own body.

Cause: the parser knows only chunked and ignores the rest of the field; the field itself is hop-by-hop and not passed on, so nothing told the caller of the coding.

The parser itself refused chunked beside a length and a second field after chunked.

An answer has either no such field or exactly one that says chunked, in HTTP/1.1; anything else is Broken.

Result: all 12 fields are Broken; chunked is Answered in each way of writing it.

--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -1,6 +1,9 @@
 #include "responsereader.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace persimmon {
@@ -18,6 +21,8 @@
 constexpr int SwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
 constexpr int LastStatus = 599;
+/// HTTP/1.1 as Boost.Beast numbers it.
+constexpr unsigned Http11 = 11;
 /// Chunk framing allowed for each byte of the body. A chunk of one byte whose
 /// size has eight digits takes 13 bytes with its line ends.
 constexpr std::size_t FramingPerBodyByte = 16;
@@ -89,8 +94,16 @@
 bool ResponseReader::acceptsHead() const {
   const auto Status = static_cast<int>(this->Incoming->get().result_int());
   // No request asks for another protocol.
-  return Status >= FirstStatus && Status <= LastStatus &&
-         Status != SwitchingProtocols;
+  if (Status < FirstStatus || Status > LastStatus ||
+      Status == SwitchingProtocols)
+    return false;
+  // The parser ignores a transfer coding that it does not know. A response
+  // before HTTP/1.1 has none.
+  const auto &Head = this->Incoming->get();
+  const auto [First, Last] = Head.equal_range(http::field::transfer_encoding);
+  return First == Last ||
+         (std::next(First) == Last && Head.version() >= Http11 &&
+          boost::beast::iequals(First->value(), "chunked"));
 }
 
 bool ResponseReader::withinLimits() const {
--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -255,3 +255,26 @@
     CHECK(Value.find_first_not_of(" \t", 3) == Value.size() - 3);
   }
 }
+
+TEST_CASE("a body in an unknown transfer coding is not an answer") {
+  const std::string Chunks = "2\r\nok\r\n0\r\n\r\n";
+  for (const std::string Coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "identity", "",
+        "chunked, chunked", "xchunked", "chunked;a=b",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip", "chunked\r\nContent-Length: 2",
+        "gzip\r\nContent-Length: 12"}) {
+    INFO(Coding);
+    CHECK(endOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding + "\r\n\r\n" +
+                Chunks) == RunEnd::Broken);
+  }
+  CHECK(endOf("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              Chunks) == RunEnd::Broken);
+  for (const std::string Coding : {"chunked", "Chunked", " chunked "}) {
+    const TargetResponse Got =
+        run({}, {"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding +
+                 "\r\n\r\n" + Chunks});
+    CHECK(Got.End == RunEnd::Answered);
+    CHECK(Got.Body == "ok");
+  }
+}
