Take fields of an answer from its head only

Seen: a field in the trailers of a chunked body counted as if it had stood in the head: a seal or the id of a request, which decide whose answer it is and whether it is a success, and Keep-Alive and Connection, which decide how long the connection is used.

Cause: the parser adds the fields of trailers to those of the head, and they were taken once the body was complete.

Evidence: the test failed before for 5 of 5 fields (X-Response-Seal, X-Request-Id, Keep-Alive and Connection had a value, X-Head stood there twice).

The fields and the reuse of the connection are taken when the head is complete. The fields are moved out of the parser then, so they are not held twice.

Result: only the field of the head is left, and the body is unchanged.

--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -46,6 +46,8 @@
 void ResponseReader::startParser() {
   this->HeadBytes = 0;
   this->FramingBytes = 0;
+  this->Headers.clear();
+  this->KeepAlive = false;
   this->Incoming.emplace();
   this->Incoming->body_limit(MaxBodyBytes);
   this->Incoming->header_limit(MaxHeadBytes);
@@ -74,8 +76,11 @@
       this->FramingBytes += Used - (this->bodyBytes() - BodyBefore);
     if (!this->withinLimits())
       return State::Invalid;
-    if (InHead && this->Incoming->is_header_done() && !this->acceptsHead())
-      return State::Invalid;
+    if (InHead && this->Incoming->is_header_done()) {
+      if (!this->acceptsHead())
+        return State::Invalid;
+      this->storeHead();
+    }
     // The remaining bytes belong to a head, a chunk header or trailers.
     if (NeedsMore)
       return this->Unparsed.size() <= MaxHeadBytes ? State::NeedsMore
@@ -106,6 +111,20 @@
           boost::beast::iequals(First->value(), "chunked"));
 }
 
+void ResponseReader::storeHead() {
+  this->KeepAlive = this->Incoming->keep_alive();
+  auto &Fields = this->Incoming->get().base();
+  this->Headers.reserve(
+      static_cast<std::size_t>(std::distance(Fields.begin(), Fields.end())));
+  for (const auto &Field : Fields) {
+    wire::Header Item;
+    Item.Name = std::string(Field.name_string());
+    Item.Value = std::string(Field.value());
+    this->Headers.push_back(std::move(Item));
+  }
+  Fields.clear();
+}
+
 bool ResponseReader::withinLimits() const {
   const bool InHead = !this->Incoming->is_header_done();
   if (InHead)
@@ -141,12 +160,7 @@
   TargetResponse Out;
   Out.End = RunEnd::Answered;
   Out.Status = static_cast<int>(Message.result_int());
-  for (const auto &Field : Message) {
-    wire::Header Item;
-    Item.Name = std::string(Field.name_string());
-    Item.Value = std::string(Field.value());
-    Out.Headers.push_back(std::move(Item));
-  }
+  Out.Headers = std::move(this->Headers);
   Out.Body = std::move(Message.body());
   return Out;
 }
--- a/src/libhost/responsereader.h
+++ b/src/libhost/responsereader.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace persimmon {
 
@@ -34,7 +35,7 @@
 
   /// Returns whether the target keeps the connection open. The response must be
   /// complete.
-  bool keepAlive() const { return this->Incoming->keep_alive(); }
+  bool keepAlive() const { return this->KeepAlive; }
 
   /// Moves out the complete response.
   TargetResponse take();
@@ -57,6 +58,8 @@
   std::size_t bodyBytes() const { return this->Incoming->get().body().size(); }
   /// Returns whether a complete head is the head of a response.
   bool acceptsHead() const;
+  /// Moves the fields out of the parser, which adds those of trailers to them.
+  void storeHead();
   bool withinLimits() const;
   /// Skips an informational response. Returns whether another one may follow.
   bool skipInformational();
@@ -65,6 +68,8 @@
   std::optional<Parser> Incoming;
   /// True for a HEAD request, whose response has no body.
   bool NoBody = false;
+  std::vector<wire::Header> Headers;
+  bool KeepAlive = false;
   std::size_t HeadBytes = 0;
   /// Bytes of chunk headers, line ends and trailers.
   std::size_t FramingBytes = 0;
--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <thread>
@@ -184,6 +185,12 @@
 const std::string WholeAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+int countFields(const TargetResponse &Got, std::string_view Name) {
+  return static_cast<int>(std::count_if(
+      Got.Headers.begin(), Got.Headers.end(),
+      [&](const wire::Header &Item) { return Item.Name == Name; }));
+}
+
 } // namespace
 
 TEST_CASE("a status outside 100 to 599 is not an answer") {
@@ -278,3 +285,18 @@
     CHECK(Got.Body == "ok");
   }
 }
+
+TEST_CASE("trailers do not count as fields of the head") {
+  const TargetResponse Got =
+      run({}, {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+               "X-Head: 1\r\n\r\n2\r\nok\r\n0\r\n"
+               "X-Response-Seal: a\r\nX-Request-Id: b\r\nX-Head: 2\r\n"
+               "Keep-Alive: timeout=9\r\nConnection: close\r\n\r\n"});
+  REQUIRE(Got.End == RunEnd::Answered);
+  CHECK(Got.Body == "ok");
+  CHECK(Got.header("X-Head") == "1");
+  CHECK(countFields(Got, "X-Head") == 1);
+  for (const std::string_view Name :
+       {"X-Response-Seal", "X-Request-Id", "Keep-Alive", "Connection"})
+    CHECK(Got.header(Name).empty());
+}
