Pass the length of an answer on once

Seen: a target's answer with two equal Content-Length fields, or with `2, 2`, went on with both fields or the list, which a reader may refuse or take for two lengths.

Cause: the parser accepts equal lengths, and all fields were passed on.

One field with the one value is passed on.

--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -116,10 +116,17 @@
   auto &Fields = this->Incoming->get().base();
   this->Headers.reserve(
       static_cast<std::size_t>(std::distance(Fields.begin(), Fields.end())));
+  bool LengthStored = false;
   for (const auto &Field : Fields) {
     wire::Header Item;
     Item.Name = std::string(Field.name_string());
     Item.Value = std::string(Field.value());
+    if (Field.name() == http::field::content_length) {
+      // The parser has checked that repeated lengths are equal.
+      if (std::exchange(LengthStored, true))
+        continue;
+      Item.Value = Item.Value.substr(0, Item.Value.find_first_of(", \t"));
+    }
     this->Headers.push_back(std::move(Item));
   }
   Fields.clear();
--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -300,3 +300,24 @@
        {"X-Response-Seal", "X-Request-Id", "Keep-Alive", "Connection"})
     CHECK(Got.header(Name).empty());
 }
+
+TEST_CASE("a length that is given twice is passed on once or not at all") {
+  for (const std::string Fields :
+       {"Content-Length: 2\r\nContent-Length: 3", "Content-Length: 2, 3",
+        "Content-Length: 3\r\nX: 1\r\ncontent-length: 2"}) {
+    INFO(Fields);
+    CHECK(endOf("HTTP/1.1 200 OK\r\n" + Fields + "\r\n\r\noko") ==
+          RunEnd::Broken);
+  }
+  for (const std::string Fields :
+       {"Content-Length: 2\r\nContent-Length: 2", "Content-Length: 2, 2",
+        "Content-Length: 2\r\nX: 1\r\nContent-Length: 2"}) {
+    INFO(Fields);
+    const TargetResponse Got =
+        run({}, {"HTTP/1.1 200 OK\r\n" + Fields + "\r\n\r\nok"});
+    REQUIRE(Got.End == RunEnd::Answered);
+    CHECK(Got.Body == "ok");
+    CHECK(countFields(Got, "Content-Length") == 1);
+    CHECK(Got.header("Content-Length") == "2");
+  }
+}
