Check the head of an answer that another daemon sends

Seen: nothing checked the status and the fields of an answer that came from another daemon. One of an earlier version, which takes status 000 for an answer or passes on what this one refuses, or a damaged one, could have its caller's daemon write a status of any number, or a field that ends its line and begins another.

Cause: heads were checked only where a target's answer is read. BodyStore, which takes the answers of daemons, and HttpServer, which writes them, trust them.

A finished answer whose status is not a final one, whose field has a name that is no token, or a value with a control byte is taken as one of unknown outcome with code 309 TargetBroke: the caller gets 502, and a call that may run again is tried elsewhere.

Result: 52 of 52 heads are refused, with and without a body; every proper status and field is passed on unchanged.

--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -1,5 +1,7 @@
 #include "bodystore.h"
 
+#include "responsehead.h"
+
 #include <algorithm>
 
 namespace persimmon {
@@ -60,6 +62,14 @@
   if (Header.Outcome != wire::CallOutcome::Finished)
     return Header;
   const wire::AttemptId Id = Header.Id;
+  if (!isFinalResponseHead(Header.Status, Header.Headers)) {
+    this->IncomingResponses.erase(Id);
+    Header.Outcome = wire::CallOutcome::Unknown;
+    Header.Code = static_cast<std::int32_t>(ResultCode::TargetBroke);
+    Header.Headers.clear();
+    Header.Body.clear();
+    return Header;
+  }
   IncomingResponse Item;
   Item.Body = std::move(Header.Body);
   Header.Body.clear();
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -53,7 +53,8 @@
                                          std::string Path);
 
   /// Adds the first message of a response. Returns it if the response is
-  /// complete.
+  /// complete. A response that cannot be written to a caller, as a damaged or
+  /// older daemon may send it, is returned as one of unknown outcome.
   std::optional<wire::CallReply> begin(wire::CallReply Header);
 
   /// The request or response that a part completed, or the body that was
--- a/tests/bodies/test_bodies.cpp
+++ b/tests/bodies/test_bodies.cpp
@@ -26,6 +26,13 @@
   return Out;
 }
 
+wire::Header field(const std::string &Name, const std::string &Value) {
+  wire::Header Out;
+  Out.Name = Name;
+  Out.Value = Value;
+  return Out;
+}
+
 std::string largeBody(char Fill) { return std::string(200'000, Fill); }
 
 bool isAnswer(const BodyStore::PartResult &Result) {
@@ -223,3 +230,71 @@
   CHECK(std::holds_alternative<wire::CallRequest>(Complete));
   CHECK(Store.request(attempt(1))->Body == largeBody('a'));
 }
+
+TEST_CASE("a damaged answer of another daemon is not passed on") {
+  const auto CheckRefused = [](const wire::CallReply &Reply) {
+    BodyStore Store;
+    const auto Got = Store.begin(Reply);
+    REQUIRE(Got);
+    CHECK(Got->Outcome == wire::CallOutcome::Unknown);
+    CHECK(Got->Code == static_cast<std::int32_t>(ResultCode::TargetBroke));
+    CHECK(Got->Headers.empty());
+    CHECK(!Store.takeReceivedResponse(attempt(1)));
+    for (const wire::BodyPart &Part :
+         splitBody(attempt(1), true, largeBody('a')))
+      CHECK(!isAnswer(Store.addPart(Part, Start)));
+  };
+  for (const std::size_t Size : {std::size_t(0), std::size_t(200'000)}) {
+    for (const int Status : {-200, 0, 99, 100, 101, 199, 600, 999, 65736}) {
+      INFO(Status);
+      wire::CallReply Reply = answer(1, Size);
+      Reply.Status = Status;
+      CheckRefused(Reply);
+    }
+    for (const std::string &Name :
+         {std::string(), std::string("X A"), std::string("X-A "),
+          std::string("X\tA"), std::string("X\rA"), std::string("X\nA"),
+          std::string("X\0A", 3), std::string("X\x7f"), std::string("X\x80"),
+          std::string("X:A")}) {
+      INFO(Name);
+      wire::CallReply Reply = answer(1, Size);
+      Reply.Headers.push_back(field(Name, "1"));
+      CheckRefused(Reply);
+    }
+    for (const std::string &Value :
+         {std::string("a\r\nX-B: 1"), std::string("a\r"), std::string("a\n"),
+          std::string("a\0", 2), std::string("a\x01"), std::string("a\x1f"),
+          std::string("a\x7f")}) {
+      INFO(Value);
+      wire::CallReply Reply = answer(1, Size);
+      Reply.Headers.push_back(field("X-A", Value));
+      CheckRefused(Reply);
+    }
+  }
+}
+
+TEST_CASE("a damaged answer replaces an incomplete one") {
+  BodyStore Store;
+  const std::string Body = largeBody('a');
+  CHECK(!Store.begin(answer(1, Body.size())));
+  wire::CallReply Damaged = answer(1, Body.size());
+  Damaged.Status = 0;
+  CHECK(Store.begin(Damaged));
+  for (const wire::BodyPart &Part : splitBody(attempt(1), true, Body))
+    CHECK(!isAnswer(Store.addPart(Part, Start)));
+  CHECK(!Store.takeReceivedResponse(attempt(1)));
+}
+
+TEST_CASE("an answer with any proper field and status is passed on") {
+  for (const int Status : {200, 204, 404, 599}) {
+    BodyStore Store;
+    wire::CallReply Reply = answer(1, 0);
+    Reply.Status = Status;
+    Reply.Headers = {field("x!#$%&'*+-.^_`|~9Z", ""),
+                     field("X-A", "\ta b\x80\xff~")};
+    const auto Got = Store.begin(Reply);
+    REQUIRE(Got);
+    CHECK(Got->Outcome == wire::CallOutcome::Finished);
+    CHECK(Store.takeReceivedResponse(attempt(1))->Headers == Reply.Headers);
+  }
+}
