--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -1,6 +1,9 @@
 #include "responsereader.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace persimmon {
@@ -14,7 +17,12 @@
 /// Bytes of memory for each byte of a head. The shortest field has 4 bytes and
 /// takes a node of about 100 bytes.
 constexpr std::size_t MemoryPerHeadByte = 32;
+constexpr int FirstStatus = 100;
+constexpr int SwitchingProtocols = 101;
 constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
+/// HTTP/1.1 as Boost.Beast numbers it.
+constexpr unsigned Http11 = 11;
 /// Chunk framing allowed for each byte of the body. A chunk of one byte whose
 /// size has eight digits takes 13 bytes with its line ends.
 constexpr std::size_t FramingPerBodyByte = 16;
@@ -38,6 +46,8 @@
 void ResponseReader::startParser() {
   this->HeadBytes = 0;
   this->FramingBytes = 0;
+  this->Headers.clear();
+  this->KeepAlive = false;
   this->Incoming.emplace();
   this->Incoming->body_limit(MaxBodyBytes);
   this->Incoming->header_limit(MaxHeadBytes);
@@ -66,6 +76,11 @@
       this->FramingBytes += Used - (this->bodyBytes() - BodyBefore);
     if (!this->withinLimits())
       return State::Invalid;
+    if (InHead && this->Incoming->is_header_done()) {
+      if (!this->acceptsHead())
+        return State::Invalid;
+      this->storeHead();
+    }
     // The remaining bytes belong to a head, a chunk header or trailers.
     if (NeedsMore)
       return this->Unparsed.size() <= MaxHeadBytes ? State::NeedsMore
@@ -81,6 +96,42 @@
   return State::NeedsMore;
 }
 
+bool ResponseReader::acceptsHead() const {
+  const auto Status = static_cast<int>(this->Incoming->get().result_int());
+  // No request asks for another protocol.
+  if (Status < FirstStatus || Status > LastStatus ||
+      Status == SwitchingProtocols)
+    return false;
+  // The parser ignores a transfer coding that it does not know. A response
+  // before HTTP/1.1 has none.
+  const auto &Head = this->Incoming->get();
+  const auto [First, Last] = Head.equal_range(http::field::transfer_encoding);
+  return First == Last ||
+         (std::next(First) == Last && Head.version() >= Http11 &&
+          boost::beast::iequals(First->value(), "chunked"));
+}
+
+void ResponseReader::storeHead() {
+  this->KeepAlive = this->Incoming->keep_alive();
+  auto &Fields = this->Incoming->get().base();
+  this->Headers.reserve(
+      static_cast<std::size_t>(std::distance(Fields.begin(), Fields.end())));
+  bool LengthStored = false;
+  for (const auto &Field : Fields) {
+    wire::Header Item;
+    Item.Name = std::string(Field.name_string());
+    Item.Value = std::string(Field.value());
+    if (Field.name() == http::field::content_length) {
+      // The parser has checked that repeated lengths are equal.
+      if (std::exchange(LengthStored, true))
+        continue;
+      Item.Value = Item.Value.substr(0, Item.Value.find_first_of(", \t"));
+    }
+    this->Headers.push_back(std::move(Item));
+  }
+  Fields.clear();
+}
+
 bool ResponseReader::withinLimits() const {
   const bool InHead = !this->Incoming->is_header_done();
   if (InHead)
@@ -116,12 +167,7 @@
   TargetResponse Out;
   Out.End = RunEnd::Answered;
   Out.Status = static_cast<int>(Message.result_int());
-  for (const auto &Field : Message) {
-    wire::Header Item;
-    Item.Name = std::string(Field.name_string());
-    Item.Value = std::string(Field.value());
-    Out.Headers.push_back(std::move(Item));
-  }
+  Out.Headers = std::move(this->Headers);
   Out.Body = std::move(Message.body());
   return Out;
 }
