Never return under the former disk id after giving a store up

Possible before: an initial voter whose store was damaged came back under its former id with an empty log, and could vote a second time in a term or for a candidate without the committed entries.

Cause: a damaged store was moved aside beginning with its disk id, and the new id was written last. A folder without a disk id counts as new, and an initial voter then takes the id that follows from its address. A kill in between, or a loss of power that kept some of the renames, was enough.

Any state in between is a store of the new replica. The test ends the process or the power at each step of giving a store up, for each damaged file; with the former order it fails from the first moved file on.

--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -156,7 +156,7 @@
     if (Out.Damage.failed() && Out.Damage.Code != ResultCode::DiskDamaged)
       return fail(Out.Damage.Code, Out.Damage.Where, Out.Damage.What);
     if (Out.Damage.failed())
-      BOOST_LEAF_CHECK(Out.initializeEmpty(NewDiskId));
+      BOOST_LEAF_CHECK(Out.giveUp(NewDiskId));
   }
   Out.State.HardState = Out.Hard;
   return Out;
@@ -377,18 +377,29 @@
   return {};
 }
 
-leaf::result<void> DiskStore::initializeEmpty(std::int64_t NewDiskId) {
+leaf::result<void> DiskStore::giveUp(std::int64_t NewDiskId) {
   const std::string LostFolder =
       "lost-" + std::to_string(this->DiskId) + "-" + std::to_string(NewDiskId);
-  for (const std::string &Name : {DiskIdFile, SnapshotFile, JournalFile}) {
+  // There is a disk id at any time, and never the former one with an empty
+  // journal: without one, the next start would take the folder for a new one
+  // and the replica for an initial voter that never voted.
+  BOOST_LEAF_CHECK(this->Folder->replace(
+      DiskIdFile, makeRecord('h', std::to_string(NewDiskId))));
+  for (const std::string &Name : {SnapshotFile, JournalFile}) {
     BOOST_LEAF_AUTO(Exists, this->Folder->contains(Name));
     if (Exists)
       BOOST_LEAF_CHECK(this->Folder->moveAside(Name, LostFolder));
   }
+  BOOST_LEAF_CHECK(this->Folder->syncNames());
+  return this->initializeEmpty(NewDiskId);
+}
+
+leaf::result<void> DiskStore::initializeEmpty(std::int64_t NewDiskId) {
   this->State = DurableState();
   this->Hard = wire::HardState();
   this->Snapshot = {};
   this->Tail.clear();
+  this->CutBytes = 0;
   this->DiskId = NewDiskId;
   BOOST_LEAF_CHECK(this->replaceJournal());
   return this->Folder->replace(DiskIdFile,
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -96,6 +96,8 @@
   std::vector<JournalEntry>::const_iterator firstUncovered() const;
   /// Returns the failure for an invalid record at \p Offset of \p Size bytes.
   leaf::result<void> damagedAt(std::uint64_t Offset, std::uint64_t Size) const;
+  /// Moves a damaged store aside and starts an empty one as another replica.
+  leaf::result<void> giveUp(std::int64_t NewDiskId);
   leaf::result<void> initializeEmpty(std::int64_t NewDiskId);
   /// Writes a journal with the hard state and the entries in Tail.
   leaf::result<void> replaceJournal();
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -249,3 +249,34 @@
   Disk.setContent("journal", "");
   CHECK(open(Disk).damage().Code == ResultCode::DiskDamaged);
 }
+
+TEST_CASE("a store that was given up never returns under its former id") {
+  const std::string Damaged = GENERATE("disk-id", "snapshot", "journal");
+  const bool LosesPower = GENERATE(false, true);
+  std::mt19937_64 Random(1);
+  for (std::uint64_t Steps = 1;; ++Steps) {
+    SimulatedDisk Disk;
+    fill(Disk);
+    {
+      DiskStore Store = open(Disk);
+      wire::StoreSnapshot Snapshot;
+      Snapshot.LastIndex = 8;
+      Snapshot.LastTerm = 3;
+      REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+    }
+    std::string Bytes = *Disk.content(Damaged);
+    Bytes[10] = static_cast<char>(Bytes[10] ^ 0x5a);
+    Disk.setContent(Damaged, Bytes);
+    Disk.endProcessAfter(Steps);
+    std::optional<DiskStore> Interrupted;
+    const bool Opened = !tryOpen(Disk, Interrupted).failed();
+    if (LosesPower)
+      Disk.losePower(Random);
+    else
+      Disk.restart();
+    INFO(Damaged << ", ended at step " << Steps);
+    CHECK(open(Disk).diskId() == 200);
+    if (Opened)
+      break;
+  }
+}
