--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -234,7 +234,7 @@
   if (Text.empty() && this->Snapshot.Index > 0)
     return fail(ResultCode::DiskDamaged, this->Folder->path(JournalFile),
                 "the file is empty");
-  if (Text.empty() || Text[0] == HardStateRecord || Text[0] == EntryRecord)
+  if (Text.empty() || Text[0] != JournalHeaderRecord)
     return this->readFormat1(Text);
   return this->readAppends(Text);
 }
@@ -292,8 +292,10 @@
         getNumber<std::uint64_t>(Record.Payload) == this->AppendNumber;
     if (!Valid) {
       // An append starts only after the one before it was synced, so the last
-      // one is the only one that a loss of power may leave in part.
-      if (containsLaterAppend(Rest.substr(1), this->AppendNumber, this->Salt))
+      // one is the only one that a loss of power may leave in part. The first
+      // one was synced before the journal got its name.
+      if (this->AppendNumber == 1 ||
+          containsLaterAppend(Rest.substr(1), this->AppendNumber, this->Salt))
         return this->damagedAt(Offset, Text.size());
       this->CutBytes = Rest.size();
       BOOST_LEAF_CHECK(this->Folder->truncate(JournalFile, Offset));
@@ -304,6 +306,8 @@
                           Offset + RecordHeaderBytes + AppendNumberBytes));
     Offset += Record.Size;
   }
+  if (this->AppendNumber == 1)
+    return this->damagedAt(Offset, Text.size());
   this->JournalBytes = Offset;
   return this->matchSnapshot();
 }
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -280,3 +280,28 @@
       break;
   }
 }
+
+TEST_CASE("a journal without its first append is damage") {
+  // The first append was synced before the journal got its name.
+  const bool OnlyHeader = GENERATE(false, true);
+  SimulatedDisk Disk;
+  fill(Disk);
+  { open(Disk); }
+  {
+    DiskStore Store = open(Disk);
+    wire::StoreSnapshot Snapshot;
+    Snapshot.LastIndex = 8;
+    Snapshot.LastTerm = 3;
+    REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+  }
+  std::string Bytes = *Disk.content("journal");
+  const std::size_t FirstAppend = Bytes.find('a', 9);
+  if (OnlyHeader)
+    Bytes.resize(FirstAppend);
+  else
+    Bytes.back() = static_cast<char>(Bytes.back() ^ 1);
+  Disk.setContent("journal", Bytes);
+  const DiskStore Store = open(Disk);
+  CHECK(Store.damage().Code == ResultCode::DiskDamaged);
+  CHECK(Store.diskId() == 200);
+}
