--- a/src/libhost/storagefolder.cpp
+++ b/src/libhost/storagefolder.cpp
@@ -78,6 +78,18 @@
   return Out;
 }
 
+/// Writes and syncs a new file.
+leaf::result<void> writeNew(const std::string &Path, std::string_view Bytes) {
+  const Descriptor File(
+      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+  if (!File.valid())
+    return fail(ResultCode::DiskWriteFailed, Path, systemError());
+  BOOST_LEAF_CHECK(writeAll(File, Bytes, Path));
+  if (::fsync(File.number()) != 0)
+    return fail(ResultCode::DiskWriteFailed, Path, systemError());
+  return {};
+}
+
 class PosixFolder : public StorageFolder {
 public:
   PosixFolder(std::string Path, Descriptor Self)
@@ -105,10 +117,14 @@
 
   leaf::result<std::string> read(const std::string &Name, std::uint64_t Offset,
                                  std::size_t Size) const override {
-    BOOST_LEAF_AUTO(File, this->openToRead(Name));
-    if (::lseek(File.number(), static_cast<off_t>(Offset), SEEK_SET) < 0)
+    // Small parts of one file are read one after the other.
+    if (this->PartsName != Name) {
+      BOOST_LEAF_ASSIGN(this->Parts, this->openToRead(Name));
+      this->PartsName = Name;
+    }
+    if (::lseek(this->Parts.number(), static_cast<off_t>(Offset), SEEK_SET) < 0)
       return fail(ResultCode::DiskReadFailed, this->path(Name), systemError());
-    BOOST_LEAF_AUTO(Out, readFrom(File, Size, this->path(Name)));
+    BOOST_LEAF_AUTO(Out, readFrom(this->Parts, Size, this->path(Name)));
     if (Out.size() < Size)
       return fail(ResultCode::DiskReadFailed, this->path(Name),
                   "the file is shorter than before");
@@ -147,17 +163,14 @@
   leaf::result<void> replace(const std::string &Name,
                              std::string_view Bytes) override {
     const std::string Temporary = this->path(Name + ".new");
-    {
-      const Descriptor File(::open(
-          Temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-      if (!File.valid())
-        return fail(ResultCode::DiskWriteFailed, Temporary, systemError());
-      BOOST_LEAF_CHECK(writeAll(File, Bytes, Temporary));
-      if (::fsync(File.number()) != 0)
-        return fail(ResultCode::DiskWriteFailed, Temporary, systemError());
+    const Failure Error =
+        handleResult([&] { return writeNew(Temporary, Bytes); }, [] {});
+    if (Error.failed()) {
+      // What it has written so far may be what fills the disk.
+      ::unlink(Temporary.c_str());
+      return fail(Error.Code, Error.Where, Error.What);
     }
-    if (this->AppendedName == Name)
-      this->closeAppended();
+    this->closeFile(Name);
     if (::rename(Temporary.c_str(), this->path(Name).c_str()) != 0)
       return fail(ResultCode::DiskWriteFailed, this->path(Name), systemError());
     return this->syncNames();
@@ -165,8 +178,7 @@
 
   leaf::result<void> moveAside(const std::string &Name,
                                const std::string &Subfolder) override {
-    if (this->AppendedName == Name)
-      this->closeAppended();
+    this->closeFile(Name);
     std::error_code Error;
     fs::create_directories(this->path(Subfolder), Error);
     if (!Error)
@@ -197,15 +209,23 @@
     return {};
   }
 
-  void closeAppended() {
-    this->Appended = Descriptor();
-    this->AppendedName.clear();
+  void closeFile(const std::string &Name) {
+    if (this->AppendedName == Name) {
+      this->Appended = Descriptor();
+      this->AppendedName.clear();
+    }
+    if (this->PartsName == Name) {
+      this->Parts = Descriptor();
+      this->PartsName.clear();
+    }
   }
 
   std::string Path;
   Descriptor Self;
   Descriptor Appended;
   std::string AppendedName;
+  mutable Descriptor Parts;
+  mutable std::string PartsName;
 };
 
 } // namespace
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -545,8 +545,8 @@
   if (!Reply.Success) {
     if (Reply.Round < From.ResetRound)
       return;
-    // Nothing later was acknowledged, so the follower no longer has what it
-    // stored before.
+    // The follower no longer has what it stored before. A refusal that was
+    // overtaken by an acknowledgement of its round only costs a resend.
     if (Reply.MatchIndex < From.Match && Reply.Round == From.Round) {
       Out.emplace_back(LogWarning{
           "event=follower-lost-entries instance=" + From.Replica.Instance +
