--- a/tests/targetclient/test_brokenanswers.cpp
+++ b/tests/targetclient/test_brokenanswers.cpp
@@ -93,7 +93,7 @@
   Out.Body = What.Body;
   Out.Deadline = std::chrono::steady_clock::now() + RequestTimeout;
   std::optional<TargetResponse> Got;
-  Client.start(Out, [&](TargetResponse Response) { Got = Response; });
+  Client.start(Out, [&](const TargetResponse &Response) { Got = Response; });
   if (What.HoldLoop.count() > 0) {
     Io.run_one(); // Connects and starts to write.
     std::this_thread::sleep_for(What.HoldLoop);
@@ -182,6 +182,17 @@
   return "HTTP/1.1 " + Status + " X\r\nContent-Length: 2\r\n\r\nno";
 }
 
+std::string withoutLength(const std::string &Status) {
+  return "HTTP/1.1 " + Status + " X\r\n\r\n";
+}
+
+const std::string Chunks = "2\r\nok\r\n0\r\n\r\n";
+
+std::string inCoding(const std::string &Coding) {
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding + "\r\n\r\n" +
+         Chunks;
+}
+
 const std::string WholeAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -199,8 +210,7 @@
     INFO(Status);
     CHECK(endOf(withStatus(Status)) == RunEnd::Broken);
     CHECK(endOf(withStatus(Status) + WholeAnswer) == RunEnd::Broken);
-    CHECK(endOf("HTTP/1.1 " + Status + " X\r\n\r\n" + WholeAnswer) ==
-          RunEnd::Broken);
+    CHECK(endOf(withoutLength(Status) + WholeAnswer) == RunEnd::Broken);
   }
   for (const std::string Status : {"200", "404", "599"}) {
     INFO(Status);
@@ -264,7 +274,6 @@
 }
 
 TEST_CASE("a body in an unknown transfer coding is not an answer") {
-  const std::string Chunks = "2\r\nok\r\n0\r\n\r\n";
   for (const std::string Coding :
        {"gzip", "gzip, chunked", "chunked, gzip", "identity", "",
         "chunked, chunked", "xchunked", "chunked;a=b",
@@ -272,15 +281,12 @@
         "chunked\r\nTransfer-Encoding: gzip", "chunked\r\nContent-Length: 2",
         "gzip\r\nContent-Length: 12"}) {
     INFO(Coding);
-    CHECK(endOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding + "\r\n\r\n" +
-                Chunks) == RunEnd::Broken);
+    CHECK(endOf(inCoding(Coding)) == RunEnd::Broken);
   }
   CHECK(endOf("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
               Chunks) == RunEnd::Broken);
   for (const std::string Coding : {"chunked", "Chunked", " chunked "}) {
-    const TargetResponse Got =
-        run({}, {"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Coding +
-                 "\r\n\r\n" + Chunks});
+    const TargetResponse Got = run({}, {inCoding(Coding)});
     CHECK(Got.End == RunEnd::Answered);
     CHECK(Got.Body == "ok");
   }
