Check what an interrupted start shows, and refusals that were overtaken

An end while the store opens must leave what was answered before, not only one of the two states. A refusal that is older than an acknowledgement sets no follower back and takes back no commit.

--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -345,3 +345,30 @@
                               Request.Entries.front().Index == 5);
   CHECK(SentAgain);
 }
+
+TEST_CASE("a refusal that an acknowledgement overtook sets nothing back") {
+  Fixture F(1, {1, 1, 1});
+  F.lead();
+  F.tickFor(milliseconds(200));
+  std::int64_t Newest = 0;
+  for (const auto &Request : F.sent<wire::AppendRequest>())
+    Newest = std::max(Newest, Request.Round);
+  REQUIRE(Newest > 1);
+  wire::AppendReply Reply;
+  Reply.Term = F.Subject.term();
+  Reply.FromDisk = 2;
+  Reply.Success = true;
+  Reply.MatchIndex = 5;
+  Reply.Round = Newest;
+  F.Subject.receive(Reply, F.Now, F.Out);
+  CHECK(F.Subject.commitIndex() == 5);
+  Reply.Success = false;
+  Reply.MatchIndex = 3;
+  Reply.Round = Newest - 1;
+  F.Out.clear();
+  F.Subject.receive(Reply, F.Now, F.Out);
+  F.tickFor(milliseconds(200));
+  for (const auto &Request : F.sent<wire::AppendRequest>())
+    CHECK((Request.ToDisk != 2 || Request.PrevIndex == 5));
+  CHECK(F.Subject.commitIndex() == 5);
+}
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -178,10 +178,14 @@
       CHECK(!Store.damage().failed());
       CHECK(Store.diskId() == 100);
       CHECK(Store.state().HardState.VotedFor == 7);
-      CHECK(Store.state().Entries.size() ==
-            (Store.state().Snapshot.LastIndex == 8 ? 0 : 10));
-      if (Opened)
-        break;
+      const std::int64_t Snapshot = Store.state().Snapshot.LastIndex;
+      CHECK(Store.state().Entries.size() == (Snapshot == 8 ? 0 : 10));
+      if (Finished)
+        CHECK(Snapshot == 8);
+      if (!Opened)
+        continue;
+      CHECK(Snapshot == Interrupted->state().Snapshot.LastIndex);
+      break;
     }
     if (Finished)
       break;
