--- a/src/libhost/responsehead.cpp
+++ b/src/libhost/responsehead.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-constexpr int FirstFinalStatus = 200;
-constexpr int LastStatus = 599;
-
 bool isAlphanumeric(char C) {
   return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
          (C >= 'A' && C <= 'Z');
--- a/src/libhost/responsereader.cpp
+++ b/src/libhost/responsereader.cpp
@@ -1,5 +1,7 @@
 #include "responsereader.h"
 
+#include "responsehead.h"
+
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
@@ -19,8 +21,6 @@
 constexpr std::size_t MemoryPerHeadByte = 32;
 constexpr int FirstStatus = 100;
 constexpr int SwitchingProtocols = 101;
-constexpr int FirstFinalStatus = 200;
-constexpr int LastStatus = 599;
 /// HTTP/1.1 as Boost.Beast numbers it.
 constexpr unsigned Http11 = 11;
 /// Chunk framing allowed for each byte of the body. A chunk of one byte whose
