--- a/src/libhost/diskstore.cpp
+++ b/src/libhost/diskstore.cpp
@@ -200,8 +200,8 @@
   }
   BOOST_LEAF_AUTO(Entry, decodeLogEntry(Payload));
   auto &Entries = this->State.Entries;
-  // Former builds did not name the snapshot. A journal that was shortened for
-  // it has no entry that it covers.
+  // A journal of format 1 does not name its snapshot. One that was shortened
+  // for it has no entry that it covers.
   if (!this->JournalBase)
     this->JournalBase = Entry.Index > this->Snapshot.Index
                             ? this->Snapshot
@@ -313,7 +313,7 @@
 }
 
 leaf::result<void> DiskStore::matchSnapshot() {
-  if (!this->JournalBase || this->JournalBase == this->Snapshot)
+  if (this->JournalBase == this->Snapshot)
     return {};
   // A snapshot is stored before the journal that continues it.
   if (this->JournalBase->Index > this->Snapshot.Index)
@@ -347,13 +347,10 @@
 bool DiskStore::readHeader(std::string_view Payload) {
   std::istringstream In{std::string(Payload)};
   int Format = 0;
-  In >> Format >> this->Salt;
-  if (In.fail() || Format != JournalFormat)
-    return false;
   LogPosition Base;
-  if (In >> Base.Index >> Base.Term)
-    this->JournalBase = Base;
-  return true;
+  In >> Format >> this->Salt >> Base.Index >> Base.Term;
+  this->JournalBase = Base;
+  return !In.fail() && Format == JournalFormat;
 }
 
 leaf::result<void> DiskStore::replaceJournal() {
--- a/src/libhost/diskstore.h
+++ b/src/libhost/diskstore.h
@@ -22,8 +22,9 @@
   /// Damaged files are moved to a subfolder and the disk gets \p NewDiskId, so
   /// that the replica restarts as a non-voter. A folder without a disk id gets
   /// \p InitialDiskId if that is given, else \p NewDiskId. Errors:
-  /// DataFolderUnwritable, DiskReadFailed, DiskWriteFailed; no file is moved
-  /// then.
+  /// DataFolderUnwritable, DiskReadFailed, DiskWriteFailed, and those of the
+  /// decoders for a sound record that this build cannot decode. None of them
+  /// counts as damage.
   static leaf::result<DiskStore>
   open(const std::string &Folder, std::int64_t NewDiskId,
        std::optional<std::int64_t> InitialDiskId = std::nullopt);
@@ -115,7 +116,7 @@
   /// Last entry that the stored snapshot covers.
   LogPosition Snapshot;
   /// Last entry that the snapshot covers for which the journal was written;
-  /// nothing if the journal does not name it and holds no entry.
+  /// nothing for a journal of format 1 that holds no entry.
   std::optional<LogPosition> JournalBase;
   std::vector<JournalEntry> Tail;
   std::uint64_t JournalBytes = 0;
--- a/tests/diskstore/test_diskfaults.cpp
+++ b/tests/diskstore/test_diskfaults.cpp
@@ -1,24 +1,12 @@
-#include "libhost/diskstore.h"
+#include "storefiles.h"
 #include "support/simulateddisk.h"
 
-#include <catch2/catch.hpp>
-
-#include <optional>
 #include <random>
 
 using namespace persimmon;
 
 namespace {
 
-wire::LogEntry entry(std::int64_t Index, std::int64_t Term) {
-  wire::LogEntry Out;
-  Out.Index = Index;
-  Out.Term = Term;
-  Out.Kind = wire::EntryKind::Change;
-  Out.TheChange.ChangeId = "change-" + std::to_string(Index);
-  return Out;
-}
-
 Failure tryOpen(SimulatedDisk &Disk, std::optional<DiskStore> &Out) {
   return handleResult(
       [&] { return DiskStore::open(Disk.openFolder(), 200, 100); },
@@ -33,7 +21,8 @@
   return std::move(*Out);
 }
 
-template <typename RecordT> Failure write(DiskStore &Store, const RecordT &R) {
+template <typename RecordT>
+Failure tryWrite(DiskStore &Store, const RecordT &R) {
   return handleResult([&] { return Store.write(R); }, [] {});
 }
 
@@ -43,9 +32,16 @@
   wire::HardState Hard;
   Hard.Term = 3;
   Hard.VotedFor = 7;
-  REQUIRE(!write(Store, PersistHardState{Hard}).failed());
+  REQUIRE(!tryWrite(Store, PersistHardState{Hard}).failed());
   for (std::int64_t I = 1; I <= 10; ++I)
-    REQUIRE(!write(Store, PersistEntries{{entry(I, 3)}}).failed());
+    REQUIRE(!tryWrite(Store, PersistEntries{{entry(I, 3)}}).failed());
+}
+
+PersistSnapshot snapshotOfEight(std::int64_t Term) {
+  PersistSnapshot Out;
+  Out.Snapshot.LastIndex = 8;
+  Out.Snapshot.LastTerm = Term;
+  return Out;
 }
 
 } // namespace
@@ -57,10 +53,7 @@
   fill(Disk);
   {
     DiskStore Store = open(Disk);
-    wire::StoreSnapshot Snapshot;
-    Snapshot.LastIndex = 8;
-    Snapshot.LastTerm = 3;
-    REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+    REQUIRE(!tryWrite(Store, snapshotOfEight(3)).failed());
   }
   Disk.setContent("journal", Disk.content("journal").value() + "torn");
   Disk.refuse([&](std::string_view Done, const std::string &File) {
@@ -91,12 +84,9 @@
     {
       DiskStore Store = open(Disk);
       Disk.endProcessAfter(Steps);
-      wire::StoreSnapshot Snapshot;
-      Snapshot.LastIndex = 8;
-      Snapshot.LastTerm = 3;
-      const Failure Ended = IsSnapshot
-                                ? write(Store, PersistSnapshot{Snapshot})
-                                : write(Store, PersistEntries{{entry(11, 3)}});
+      const Failure Ended =
+          IsSnapshot ? tryWrite(Store, snapshotOfEight(3))
+                     : tryWrite(Store, PersistEntries{{entry(11, 3)}});
       if (!Ended.failed())
         break;
     }
@@ -122,10 +112,7 @@
     {
       DiskStore Store = open(Disk);
       Disk.endProcessAfter(Steps);
-      wire::StoreSnapshot Snapshot;
-      Snapshot.LastIndex = 8;
-      Snapshot.LastTerm = SnapshotTerm;
-      if (!write(Store, PersistSnapshot{Snapshot}).failed())
+      if (!tryWrite(Store, snapshotOfEight(SnapshotTerm)).failed())
         break;
     }
     if (LosesPower)
@@ -147,7 +134,7 @@
     const std::int64_t Next = Before.Snapshot.LastIndex +
                               static_cast<std::int64_t>(Before.Entries.size()) +
                               1;
-    REQUIRE(!write(Store, PersistEntries{{entry(Next, 5)}}).failed());
+    REQUIRE(!tryWrite(Store, PersistEntries{{entry(Next, 5)}}).failed());
     CHECK(open(Disk).state().Entries.size() == Before.Entries.size() + 1);
   }
 }
@@ -161,10 +148,7 @@
       {
         DiskStore Store = open(Disk);
         Disk.endProcessAfter(Written);
-        wire::StoreSnapshot Snapshot;
-        Snapshot.LastIndex = 8;
-        Snapshot.LastTerm = 5;
-        Finished = !write(Store, PersistSnapshot{Snapshot}).failed();
+        Finished = !tryWrite(Store, snapshotOfEight(5)).failed();
       }
       Disk.restart();
       Disk.endProcessAfter(Opening);
@@ -200,19 +184,14 @@
     return;
   SimulatedDisk Disk;
   open(Disk);
-  std::string Journal = makeRecord('j', "2 0");
-  for (std::int64_t I = First; I <= 10; ++I) {
-    std::string Number(8, '\0');
-    Number[0] = static_cast<char>(I - First + 1);
-    Journal +=
-        makeRecord('a', Number + makeRecord('e', encodeRecord(entry(I, 3))));
-  }
+  std::string Journal;
+  for (std::int64_t I = First; I <= 10; ++I)
+    Journal += makeRecord('e', encodeRecord(entry(I, 3)));
   Disk.setContent("journal", Journal);
   if (SnapshotTerm != 0) {
-    wire::StoreSnapshot Snapshot;
-    Snapshot.LastIndex = 8;
-    Snapshot.LastTerm = SnapshotTerm;
-    Disk.setContent("snapshot", makeRecord('s', encodeRecord(Snapshot)));
+    Disk.setContent(
+        "snapshot",
+        makeRecord('s', encodeRecord(snapshotOfEight(SnapshotTerm).Snapshot)));
   }
   const std::size_t Kept = SnapshotTerm == 0 ? 10 : 2;
   const bool Continues = SnapshotTerm != 5 || First == 9;
@@ -245,10 +224,7 @@
   fill(Disk);
   {
     DiskStore Store = open(Disk);
-    wire::StoreSnapshot Snapshot;
-    Snapshot.LastIndex = 8;
-    Snapshot.LastTerm = 3;
-    REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+    REQUIRE(!tryWrite(Store, snapshotOfEight(3)).failed());
   }
   Disk.setContent("journal", "");
   CHECK(open(Disk).damage().Code == ResultCode::DiskDamaged);
@@ -263,10 +239,7 @@
     fill(Disk);
     {
       DiskStore Store = open(Disk);
-      wire::StoreSnapshot Snapshot;
-      Snapshot.LastIndex = 8;
-      Snapshot.LastTerm = 3;
-      REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+      REQUIRE(!tryWrite(Store, snapshotOfEight(3)).failed());
     }
     std::string Bytes = *Disk.content(Damaged);
     Bytes[10] = static_cast<char>(Bytes[10] ^ 0x5a);
@@ -293,10 +266,7 @@
   { open(Disk); }
   {
     DiskStore Store = open(Disk);
-    wire::StoreSnapshot Snapshot;
-    Snapshot.LastIndex = 8;
-    Snapshot.LastTerm = 3;
-    REQUIRE(!write(Store, PersistSnapshot{Snapshot}).failed());
+    REQUIRE(!tryWrite(Store, snapshotOfEight(3)).failed());
   }
   std::string Bytes = *Disk.content("journal");
   const std::size_t FirstAppend = Bytes.find('a', 9);
--- a/tests/diskstore/test_diskstore.cpp
+++ b/tests/diskstore/test_diskstore.cpp
@@ -1,46 +1,16 @@
-#include "libhost/diskstore.h"
-#include "support/temporaryfolder.h"
-
 #define CATCH_CONFIG_MAIN
-#include <catch2/catch.hpp>
+#include "storefiles.h"
 
 #include <filesystem>
-#include <fstream>
-#include <optional>
 
 using namespace persimmon;
 namespace fs = std::filesystem;
 
 namespace {
 
-wire::LogEntry entry(std::int64_t Index, std::int64_t Term) {
-  wire::LogEntry Out;
-  Out.Index = Index;
-  Out.Term = Term;
-  Out.Kind = wire::EntryKind::Change;
-  Out.TheChange.ChangeId = "change-" + std::to_string(Index);
-  return Out;
-}
-
-std::optional<DiskStore> open(const TemporaryFolder &Folder,
-                              std::int64_t NewId) {
-  std::optional<DiskStore> Out;
-  const Failure Error =
-      handleResult([&] { return DiskStore::open(Folder.path(), NewId); },
-                   [&](DiskStore Opened) { Out.emplace(std::move(Opened)); });
-  INFO(describe(Error));
-  REQUIRE(Out);
-  return Out;
-}
-
-template <typename RecordT> void write(DiskStore &Disk, const RecordT &Record) {
-  const Failure Error = handleResult([&] { return Disk.write(Record); }, [] {});
-  REQUIRE(!Error.failed());
-}
-
 /// Writes a vote and ten entries to a new store and closes it.
 std::int64_t fillStore(const TemporaryFolder &Folder) {
-  auto Disk = open(Folder, 100);
+  auto Disk = openStore(Folder, 100);
   wire::HardState Hard;
   Hard.Term = 3;
   Hard.VotedFor = 7;
@@ -50,21 +20,12 @@
   return Disk->diskId();
 }
 
-std::string readBytes(const std::string &File) {
-  std::ifstream In(File, std::ios::binary);
-  return {std::istreambuf_iterator<char>(In), {}};
-}
-
-void overwrite(const std::string &File, const std::string &Bytes) {
-  std::ofstream(File, std::ios::binary | std::ios::trunc) << Bytes;
-}
-
 } // namespace
 
 TEST_CASE("what was written is read again") {
   const TemporaryFolder Folder;
   const std::int64_t Id = fillStore(Folder);
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   CHECK(!Disk->damage().failed());
   CHECK(Disk->diskId() == Id);
   CHECK(Disk->state().HardState.Term == 3);
@@ -77,10 +38,10 @@
   const TemporaryFolder Folder;
   fillStore(Folder);
   {
-    auto Disk = open(Folder, 200);
+    auto Disk = openStore(Folder, 200);
     write(*Disk, PersistEntries{{entry(8, 4), entry(9, 4)}});
   }
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   REQUIRE(Disk->state().Entries.size() == 9);
   CHECK(Disk->state().Entries[7].Term == 4);
 }
@@ -93,7 +54,7 @@
       Journal.size() - makeRecord('e', encodeRecord(entry(10, 3))).size();
   for (std::size_t Size = LastRecordOffset; Size < Journal.size(); ++Size) {
     overwrite(Folder.file("journal"), Journal.substr(0, Size));
-    const auto Disk = open(Folder, 200);
+    const auto Disk = openStore(Folder, 200);
     CHECK(!Disk->damage().failed());
     CHECK(Disk->state().Entries.size() == 9);
   }
@@ -109,7 +70,7 @@
   std::string Record = makeRecord('e', encodeRecord(Large));
   std::fill(Record.begin() + 1000, Record.end(), '\0');
   overwrite(Folder.file("journal"), Journal + Record);
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   CHECK(!Disk->damage().failed());
   CHECK(Disk->state().Entries.size() == 10);
 }
@@ -126,7 +87,8 @@
     fs::create_directories(Copy.path());
     fs::copy(Folder.file("disk-id"), Copy.file("disk-id"));
     overwrite(Copy.file("journal"), Damaged);
-    const auto Disk = open(Copy, static_cast<std::int64_t>(300 + Offset * 2));
+    const auto Disk =
+        openStore(Copy, static_cast<std::int64_t>(300 + Offset * 2));
     INFO("byte " << Offset << " of " << Journal.size());
     if (!Disk->damage().failed()) {
       // A length beyond the end of the file looks like a torn write, which is
@@ -147,7 +109,7 @@
   std::string Damaged = readBytes(Folder.file("journal"));
   Damaged[40] = static_cast<char>(Damaged[40] ^ 1);
   overwrite(Folder.file("journal"), Damaged);
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   CHECK(Disk->damage().failed());
   bool Kept = false;
   for (const auto &Item : fs::directory_iterator(Folder.path()))
@@ -159,7 +121,7 @@
   const TemporaryFolder Folder;
   const std::int64_t Id = fillStore(Folder);
   fs::remove(Folder.file("journal"));
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   CHECK(Disk->damage().Code == ResultCode::DiskDamaged);
   CHECK(Disk->diskId() != Id);
 }
@@ -168,7 +130,7 @@
   const TemporaryFolder Folder;
   fillStore(Folder);
   {
-    auto Disk = open(Folder, 200);
+    auto Disk = openStore(Folder, 200);
     wire::StoreSnapshot Snapshot;
     Snapshot.LastIndex = 8;
     Snapshot.LastTerm = 3;
@@ -176,7 +138,7 @@
     write(*Disk, PersistSnapshot{Snapshot});
     write(*Disk, PersistEntries{{entry(11, 3)}});
   }
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   CHECK(Disk->state().Snapshot.ConfigurationVersion == 8);
   CHECK(Disk->state().HardState.Term == 3);
   REQUIRE(Disk->state().Entries.size() == 3);
@@ -188,21 +150,21 @@
   fillStore(Folder);
   const std::string OldJournal = readBytes(Folder.file("journal"));
   {
-    auto Disk = open(Folder, 200);
+    auto Disk = openStore(Folder, 200);
     wire::StoreSnapshot Snapshot;
     Snapshot.LastIndex = 8;
     Snapshot.LastTerm = 3;
     write(*Disk, PersistSnapshot{Snapshot});
   }
   overwrite(Folder.file("journal"), OldJournal);
-  const auto Disk = open(Folder, 200);
+  const auto Disk = openStore(Folder, 200);
   CHECK(!Disk->damage().failed());
   CHECK(Disk->state().Entries.size() == 2);
 }
 
 TEST_CASE("two processes do not share a folder") {
   const TemporaryFolder Folder;
-  const auto First = open(Folder, 100);
+  const auto First = openStore(Folder, 100);
   const Failure Error = handleResult(
       [&] { return DiskStore::open(Folder.path(), 200); }, [](DiskStore) {});
   CHECK(Error.Code == ResultCode::DataFolderUnwritable);
--- a/tests/diskstore/test_powerloss.cpp
+++ b/tests/diskstore/test_powerloss.cpp
@@ -1,10 +1,6 @@
-#include "libhost/diskstore.h"
-#include "support/temporaryfolder.h"
+#include "storefiles.h"
 
-#include <catch2/catch.hpp>
-
-#include <fstream>
-#include <optional>
+#include <algorithm>
 #include <random>
 
 using namespace persimmon;
@@ -14,40 +10,16 @@
 constexpr std::size_t SectorBytes = 512;
 constexpr std::int64_t SyncedEntries = 5;
 
-wire::LogEntry entry(std::int64_t Index, std::size_t ValueBytes) {
-  wire::LogEntry Out;
-  Out.Index = Index;
-  Out.Term = 2;
-  Out.Kind = wire::EntryKind::Change;
-  Out.TheChange.ChangeId = "change-" + std::to_string(Index);
+wire::LogEntry largeEntry(std::int64_t Index, std::size_t ValueBytes) {
+  wire::LogEntry Out = entry(Index, 2);
   Out.TheChange.Edits.resize(1);
   Out.TheChange.Edits[0].Value = std::string(ValueBytes, 'v');
   return Out;
 }
 
-std::string readBytes(const std::string &File) {
-  std::ifstream In(File, std::ios::binary);
-  return {std::istreambuf_iterator<char>(In), {}};
-}
-
-void overwrite(const std::string &File, const std::string &Bytes) {
-  std::ofstream(File, std::ios::binary | std::ios::trunc) << Bytes;
-}
-
 std::optional<DiskStore> open(const TemporaryFolder &Folder,
                               std::int64_t NewId) {
-  std::optional<DiskStore> Out;
-  const Failure Error =
-      handleResult([&] { return DiskStore::open(Folder.path(), NewId, 100); },
-                   [&](DiskStore Opened) { Out.emplace(std::move(Opened)); });
-  INFO(describe(Error));
-  REQUIRE(Out);
-  return Out;
-}
-
-template <typename RecordT> void write(DiskStore &Disk, const RecordT &Record) {
-  const Failure Error = handleResult([&] { return Disk.write(Record); }, [] {});
-  REQUIRE(!Error.failed());
+  return openStore(Folder, NewId, 100);
 }
 
 /// Returns what a loss of power may leave of a file of which only the first
@@ -84,12 +56,12 @@
     auto Disk = open(Folder, 200);
     write(*Disk, PersistHardState{Hard});
     for (std::int64_t I = 1; I <= SyncedEntries; ++I)
-      write(*Disk, PersistEntries{{entry(I, Random() % 900)}});
+      write(*Disk, PersistEntries{{largeEntry(I, Random() % 900)}});
     SyncedBytes = readBytes(Folder.file("journal")).size();
     std::vector<wire::LogEntry> Unsynced;
     const auto Count = static_cast<std::int64_t>(1 + Random() % 4);
     for (std::int64_t I = 1; I <= Count; ++I)
-      Unsynced.push_back(entry(SyncedEntries + I, Random() % 3000));
+      Unsynced.push_back(largeEntry(SyncedEntries + I, Random() % 3000));
     write(*Disk, PersistEntries{Unsynced});
   }
   const std::string Written = readBytes(Folder.file("journal"));
@@ -109,16 +81,16 @@
   {
     auto Disk = open(Other, 200);
     for (std::int64_t I = 1; I <= SyncedEntries; ++I)
-      write(*Disk, PersistEntries{{entry(I, 10)}});
+      write(*Disk, PersistEntries{{largeEntry(I, 10)}});
     Look = readBytes(Other.file("journal"));
   }
   const TemporaryFolder Folder;
   std::size_t SyncedBytes = 0;
   {
     auto Disk = open(Folder, 200);
-    write(*Disk, PersistEntries{{entry(1, 10)}});
+    write(*Disk, PersistEntries{{largeEntry(1, 10)}});
     SyncedBytes = readBytes(Folder.file("journal")).size();
-    wire::LogEntry Large = entry(2, 2000);
+    wire::LogEntry Large = largeEntry(2, 2000);
     Large.TheChange.Edits[0].Value += Look;
     write(*Disk, PersistEntries{{Large}});
   }
@@ -141,8 +113,8 @@
   Hard.VotedFor = 7;
   std::string Former = makeRecord('h', encodeRecord(Hard));
   for (std::int64_t I = 1; I <= SyncedEntries; ++I)
-    Former += makeRecord('e', encodeRecord(entry(I, 10)));
-  const std::string Torn = makeRecord('e', encodeRecord(entry(6, 10)));
+    Former += makeRecord('e', encodeRecord(largeEntry(I, 10)));
+  const std::string Torn = makeRecord('e', encodeRecord(largeEntry(6, 10)));
   overwrite(Folder.file("journal"), Former + Torn.substr(0, Torn.size() / 2));
   for (int I = 0; I < 2; ++I) {
     auto Disk = open(Folder, 200);
@@ -152,7 +124,7 @@
     CHECK(Disk->cutBytes() == (I == 0 ? Torn.size() / 2 : 0));
     CHECK(Disk->state().HardState.VotedFor == 7);
     CHECK(Disk->state().Entries.back().Index == SyncedEntries + I);
-    write(*Disk, PersistEntries{{entry(SyncedEntries + 1 + I, 10)}});
+    write(*Disk, PersistEntries{{largeEntry(SyncedEntries + 1 + I, 10)}});
   }
   CHECK(readBytes(Folder.file("journal")).front() == 'j');
 }
