--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -656,7 +656,9 @@
   else if constexpr (std::is_same_v<T, wire::AnswerAck>)
     this->Scheduler.receive(Body, Now, Out);
   else if constexpr (std::is_same_v<T, wire::BodyPart> ||
-                     std::is_same_v<T, wire::LeavingTarget>)
+                     std::is_same_v<T, wire::LeavingTarget> ||
+                     std::is_same_v<T, wire::AllowanceRequest> ||
+                     std::is_same_v<T, wire::AllowanceReply>)
     return; // The host reassembles bodies; parts never reach the reducer.
   else if constexpr (std::is_same_v<T, wire::CallReply> ||
                      std::is_same_v<T, wire::ClaimReply> ||
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -3828,6 +3828,11 @@
   this->Run = val;
 __isset.Run = true;
 }
+
+void MemberRecord::__set_TargetVersion(const std::string& val) {
+  this->TargetVersion = val;
+__isset.TargetVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -3972,6 +3977,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->TargetVersion);
+          this->__isset.TargetVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4047,6 +4060,11 @@
     xfer += this->Run.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.TargetVersion) {
+    xfer += oprot->writeFieldBegin("TargetVersion", ::apache::thrift::protocol::T_STRING, 15);
+    xfer += oprot->writeString(this->TargetVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4068,6 +4086,7 @@
   swap(a.ColdMs, b.ColdMs);
   swap(a.LeavingRun, b.LeavingRun);
   swap(a.Run, b.Run);
+  swap(a.TargetVersion, b.TargetVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -4086,6 +4105,7 @@
   ColdMs = other145.ColdMs;
   LeavingRun = other145.LeavingRun;
   Run = other145.Run;
+  TargetVersion = other145.TargetVersion;
   __isset = other145.__isset;
 }
 MemberRecord::MemberRecord(MemberRecord&& other146) noexcept {
@@ -4103,6 +4123,7 @@
   ColdMs = other146.ColdMs;
   LeavingRun = std::move(other146.LeavingRun);
   Run = std::move(other146.Run);
+  TargetVersion = std::move(other146.TargetVersion);
   __isset = other146.__isset;
 }
 MemberRecord& MemberRecord::operator=(const MemberRecord& other147) {
@@ -4120,6 +4141,7 @@
   ColdMs = other147.ColdMs;
   LeavingRun = other147.LeavingRun;
   Run = other147.Run;
+  TargetVersion = other147.TargetVersion;
   __isset = other147.__isset;
   return *this;
 }
@@ -4138,6 +4160,7 @@
   ColdMs = other148.ColdMs;
   LeavingRun = std::move(other148.LeavingRun);
   Run = std::move(other148.Run);
+  TargetVersion = std::move(other148.TargetVersion);
   __isset = other148.__isset;
   return *this;
 }
@@ -4158,6 +4181,7 @@
   out << ", " << "ColdMs=" << to_string(ColdMs);
   out << ", " << "LeavingRun="; (__isset.LeavingRun ? (out << to_string(LeavingRun)) : (out << "<null>"));
   out << ", " << "Run="; (__isset.Run ? (out << to_string(Run)) : (out << "<null>"));
+  out << ", " << "TargetVersion="; (__isset.TargetVersion ? (out << to_string(TargetVersion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5820,6 +5844,217 @@
 }
 
 
+VersionAnswers::~VersionAnswers() noexcept {
+}
+
+
+void VersionAnswers::__set_RolloutId(const std::string& val) {
+  this->RolloutId = val;
+}
+
+void VersionAnswers::__set_Version(const std::string& val) {
+  this->Version = val;
+}
+
+void VersionAnswers::__set_Route(const std::string& val) {
+  this->Route = val;
+}
+
+void VersionAnswers::__set_Answers(const int64_t val) {
+  this->Answers = val;
+}
+
+void VersionAnswers::__set_Failures(const int64_t val) {
+  this->Failures = val;
+}
+
+void VersionAnswers::__set_RunMs(const int64_t val) {
+  this->RunMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionAnswers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->RolloutId);
+          this->__isset.RolloutId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Version);
+          this->__isset.Version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Route);
+          this->__isset.Route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Answers);
+          this->__isset.Answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Failures);
+          this->__isset.Failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->RunMs);
+          this->__isset.RunMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionAnswers");
+
+  xfer += oprot->writeFieldBegin("RolloutId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->RolloutId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->Version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Route", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->Route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Answers", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->Answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Failures", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("RunMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->RunMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionAnswers &a, VersionAnswers &b) {
+  using ::std::swap;
+  swap(a.RolloutId, b.RolloutId);
+  swap(a.Version, b.Version);
+  swap(a.Route, b.Route);
+  swap(a.Answers, b.Answers);
+  swap(a.Failures, b.Failures);
+  swap(a.RunMs, b.RunMs);
+  swap(a.__isset, b.__isset);
+}
+
+VersionAnswers::VersionAnswers(const VersionAnswers& other225) {
+  RolloutId = other225.RolloutId;
+  Version = other225.Version;
+  Route = other225.Route;
+  Answers = other225.Answers;
+  Failures = other225.Failures;
+  RunMs = other225.RunMs;
+  __isset = other225.__isset;
+}
+VersionAnswers::VersionAnswers(VersionAnswers&& other226) noexcept {
+  RolloutId = std::move(other226.RolloutId);
+  Version = std::move(other226.Version);
+  Route = std::move(other226.Route);
+  Answers = other226.Answers;
+  Failures = other226.Failures;
+  RunMs = other226.RunMs;
+  __isset = other226.__isset;
+}
+VersionAnswers& VersionAnswers::operator=(const VersionAnswers& other227) {
+  RolloutId = other227.RolloutId;
+  Version = other227.Version;
+  Route = other227.Route;
+  Answers = other227.Answers;
+  Failures = other227.Failures;
+  RunMs = other227.RunMs;
+  __isset = other227.__isset;
+  return *this;
+}
+VersionAnswers& VersionAnswers::operator=(VersionAnswers&& other228) noexcept {
+  RolloutId = std::move(other228.RolloutId);
+  Version = std::move(other228.Version);
+  Route = std::move(other228.Route);
+  Answers = other228.Answers;
+  Failures = other228.Failures;
+  RunMs = other228.RunMs;
+  __isset = other228.__isset;
+  return *this;
+}
+void VersionAnswers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionAnswers(";
+  out << "RolloutId=" << to_string(RolloutId);
+  out << ", " << "Version=" << to_string(Version);
+  out << ", " << "Route=" << to_string(Route);
+  out << ", " << "Answers=" << to_string(Answers);
+  out << ", " << "Failures=" << to_string(Failures);
+  out << ", " << "RunMs=" << to_string(RunMs);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -5843,6 +6078,10 @@
 void Report::__set_Laggards(const std::vector<Laggard> & val) {
   this->Laggards = val;
 }
+
+void Report::__set_Versions(const std::vector<VersionAnswers> & val) {
+  this->Versions = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -5907,14 +6146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Laggards.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->Laggards.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->Laggards.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
             {
-              xfer += this->Laggards[_i229].read(iprot);
+              xfer += this->Laggards[_i233].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5923,6 +6162,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Versions.clear();
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->Versions.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
+            {
+              xfer += this->Versions[_i238].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5959,10 +6218,22 @@
   xfer += oprot->writeFieldBegin("Laggards", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Laggards.size()));
-    std::vector<Laggard> ::const_iterator _iter230;
-    for (_iter230 = this->Laggards.begin(); _iter230 != this->Laggards.end(); ++_iter230)
+    std::vector<Laggard> ::const_iterator _iter239;
+    for (_iter239 = this->Laggards.begin(); _iter239 != this->Laggards.end(); ++_iter239)
+    {
+      xfer += (*_iter239).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Versions", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Versions.size()));
+    std::vector<VersionAnswers> ::const_iterator _iter240;
+    for (_iter240 = this->Versions.begin(); _iter240 != this->Versions.end(); ++_iter240)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter240).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5980,41 +6251,46 @@
   swap(a.Count, b.Count);
   swap(a.NamesSum, b.NamesSum);
   swap(a.Laggards, b.Laggards);
+  swap(a.Versions, b.Versions);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other231) {
-  From = other231.From;
-  LeastVersion = other231.LeastVersion;
-  Count = other231.Count;
-  NamesSum = other231.NamesSum;
-  Laggards = other231.Laggards;
-  __isset = other231.__isset;
-}
-Report::Report(Report&& other232) noexcept {
-  From = std::move(other232.From);
-  LeastVersion = other232.LeastVersion;
-  Count = other232.Count;
-  NamesSum = other232.NamesSum;
-  Laggards = std::move(other232.Laggards);
-  __isset = other232.__isset;
-}
-Report& Report::operator=(const Report& other233) {
-  From = other233.From;
-  LeastVersion = other233.LeastVersion;
-  Count = other233.Count;
-  NamesSum = other233.NamesSum;
-  Laggards = other233.Laggards;
-  __isset = other233.__isset;
+Report::Report(const Report& other241) {
+  From = other241.From;
+  LeastVersion = other241.LeastVersion;
+  Count = other241.Count;
+  NamesSum = other241.NamesSum;
+  Laggards = other241.Laggards;
+  Versions = other241.Versions;
+  __isset = other241.__isset;
+}
+Report::Report(Report&& other242) noexcept {
+  From = std::move(other242.From);
+  LeastVersion = other242.LeastVersion;
+  Count = other242.Count;
+  NamesSum = other242.NamesSum;
+  Laggards = std::move(other242.Laggards);
+  Versions = std::move(other242.Versions);
+  __isset = other242.__isset;
+}
+Report& Report::operator=(const Report& other243) {
+  From = other243.From;
+  LeastVersion = other243.LeastVersion;
+  Count = other243.Count;
+  NamesSum = other243.NamesSum;
+  Laggards = other243.Laggards;
+  Versions = other243.Versions;
+  __isset = other243.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other234) noexcept {
-  From = std::move(other234.From);
-  LeastVersion = other234.LeastVersion;
-  Count = other234.Count;
-  NamesSum = other234.NamesSum;
-  Laggards = std::move(other234.Laggards);
-  __isset = other234.__isset;
+Report& Report::operator=(Report&& other244) noexcept {
+  From = std::move(other244.From);
+  LeastVersion = other244.LeastVersion;
+  Count = other244.Count;
+  NamesSum = other244.NamesSum;
+  Laggards = std::move(other244.Laggards);
+  Versions = std::move(other244.Versions);
+  __isset = other244.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -6025,6 +6301,7 @@
   out << ", " << "Count=" << to_string(Count);
   out << ", " << "NamesSum=" << to_string(NamesSum);
   out << ", " << "Laggards=" << to_string(Laggards);
+  out << ", " << "Versions=" << to_string(Versions);
   out << ")";
 }
 
@@ -6138,30 +6415,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StampRequest::StampRequest(const StampRequest& other235) {
-  Nonce = other235.Nonce;
-  Who = other235.Who;
-  MaxAgeMs = other235.MaxAgeMs;
-  __isset = other235.__isset;
+StampRequest::StampRequest(const StampRequest& other245) {
+  Nonce = other245.Nonce;
+  Who = other245.Who;
+  MaxAgeMs = other245.MaxAgeMs;
+  __isset = other245.__isset;
 }
-StampRequest::StampRequest(StampRequest&& other236) noexcept {
-  Nonce = other236.Nonce;
-  Who = std::move(other236.Who);
-  MaxAgeMs = other236.MaxAgeMs;
-  __isset = other236.__isset;
+StampRequest::StampRequest(StampRequest&& other246) noexcept {
+  Nonce = other246.Nonce;
+  Who = std::move(other246.Who);
+  MaxAgeMs = other246.MaxAgeMs;
+  __isset = other246.__isset;
 }
-StampRequest& StampRequest::operator=(const StampRequest& other237) {
-  Nonce = other237.Nonce;
-  Who = other237.Who;
-  MaxAgeMs = other237.MaxAgeMs;
-  __isset = other237.__isset;
+StampRequest& StampRequest::operator=(const StampRequest& other247) {
+  Nonce = other247.Nonce;
+  Who = other247.Who;
+  MaxAgeMs = other247.MaxAgeMs;
+  __isset = other247.__isset;
   return *this;
 }
-StampRequest& StampRequest::operator=(StampRequest&& other238) noexcept {
-  Nonce = other238.Nonce;
-  Who = std::move(other238.Who);
-  MaxAgeMs = other238.MaxAgeMs;
-  __isset = other238.__isset;
+StampRequest& StampRequest::operator=(StampRequest&& other248) noexcept {
+  Nonce = other248.Nonce;
+  Who = std::move(other248.Who);
+  MaxAgeMs = other248.MaxAgeMs;
+  __isset = other248.__isset;
   return *this;
 }
 void StampRequest::printTo(std::ostream& out) const {
@@ -6300,34 +6577,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StampReply::StampReply(const StampReply& other239) {
-  Nonce = other239.Nonce;
-  Confirmed = other239.Confirmed;
-  AgeMs = other239.AgeMs;
-  Source = other239.Source;
-  __isset = other239.__isset;
-}
-StampReply::StampReply(StampReply&& other240) noexcept {
-  Nonce = other240.Nonce;
-  Confirmed = std::move(other240.Confirmed);
-  AgeMs = other240.AgeMs;
-  Source = std::move(other240.Source);
-  __isset = other240.__isset;
-}
-StampReply& StampReply::operator=(const StampReply& other241) {
-  Nonce = other241.Nonce;
-  Confirmed = other241.Confirmed;
-  AgeMs = other241.AgeMs;
-  Source = other241.Source;
-  __isset = other241.__isset;
+StampReply::StampReply(const StampReply& other249) {
+  Nonce = other249.Nonce;
+  Confirmed = other249.Confirmed;
+  AgeMs = other249.AgeMs;
+  Source = other249.Source;
+  __isset = other249.__isset;
+}
+StampReply::StampReply(StampReply&& other250) noexcept {
+  Nonce = other250.Nonce;
+  Confirmed = std::move(other250.Confirmed);
+  AgeMs = other250.AgeMs;
+  Source = std::move(other250.Source);
+  __isset = other250.__isset;
+}
+StampReply& StampReply::operator=(const StampReply& other251) {
+  Nonce = other251.Nonce;
+  Confirmed = other251.Confirmed;
+  AgeMs = other251.AgeMs;
+  Source = other251.Source;
+  __isset = other251.__isset;
   return *this;
 }
-StampReply& StampReply::operator=(StampReply&& other242) noexcept {
-  Nonce = other242.Nonce;
-  Confirmed = std::move(other242.Confirmed);
-  AgeMs = other242.AgeMs;
-  Source = std::move(other242.Source);
-  __isset = other242.__isset;
+StampReply& StampReply::operator=(StampReply&& other252) noexcept {
+  Nonce = other252.Nonce;
+  Confirmed = std::move(other252.Confirmed);
+  AgeMs = other252.AgeMs;
+  Source = std::move(other252.Source);
+  __isset = other252.__isset;
   return *this;
 }
 void StampReply::printTo(std::ostream& out) const {
@@ -6450,30 +6727,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AttemptId::AttemptId(const AttemptId& other243) {
-  Sender = other243.Sender;
-  SenderIncarnation = other243.SenderIncarnation;
-  Number = other243.Number;
-  __isset = other243.__isset;
+AttemptId::AttemptId(const AttemptId& other253) {
+  Sender = other253.Sender;
+  SenderIncarnation = other253.SenderIncarnation;
+  Number = other253.Number;
+  __isset = other253.__isset;
 }
-AttemptId::AttemptId(AttemptId&& other244) noexcept {
-  Sender = std::move(other244.Sender);
-  SenderIncarnation = other244.SenderIncarnation;
-  Number = other244.Number;
-  __isset = other244.__isset;
+AttemptId::AttemptId(AttemptId&& other254) noexcept {
+  Sender = std::move(other254.Sender);
+  SenderIncarnation = other254.SenderIncarnation;
+  Number = other254.Number;
+  __isset = other254.__isset;
 }
-AttemptId& AttemptId::operator=(const AttemptId& other245) {
-  Sender = other245.Sender;
-  SenderIncarnation = other245.SenderIncarnation;
-  Number = other245.Number;
-  __isset = other245.__isset;
+AttemptId& AttemptId::operator=(const AttemptId& other255) {
+  Sender = other255.Sender;
+  SenderIncarnation = other255.SenderIncarnation;
+  Number = other255.Number;
+  __isset = other255.__isset;
   return *this;
 }
-AttemptId& AttemptId::operator=(AttemptId&& other246) noexcept {
-  Sender = std::move(other246.Sender);
-  SenderIncarnation = other246.SenderIncarnation;
-  Number = other246.Number;
-  __isset = other246.__isset;
+AttemptId& AttemptId::operator=(AttemptId&& other256) noexcept {
+  Sender = std::move(other256.Sender);
+  SenderIncarnation = other256.SenderIncarnation;
+  Number = other256.Number;
+  __isset = other256.__isset;
   return *this;
 }
 void AttemptId::printTo(std::ostream& out) const {
@@ -6578,26 +6855,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other247) {
-  Name = other247.Name;
-  Value = other247.Value;
-  __isset = other247.__isset;
+Header::Header(const Header& other257) {
+  Name = other257.Name;
+  Value = other257.Value;
+  __isset = other257.__isset;
 }
-Header::Header(Header&& other248) noexcept {
-  Name = std::move(other248.Name);
-  Value = std::move(other248.Value);
-  __isset = other248.__isset;
+Header::Header(Header&& other258) noexcept {
+  Name = std::move(other258.Name);
+  Value = std::move(other258.Value);
+  __isset = other258.__isset;
 }
-Header& Header::operator=(const Header& other249) {
-  Name = other249.Name;
-  Value = other249.Value;
-  __isset = other249.__isset;
+Header& Header::operator=(const Header& other259) {
+  Name = other259.Name;
+  Value = other259.Value;
+  __isset = other259.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other250) noexcept {
-  Name = std::move(other250.Name);
-  Value = std::move(other250.Value);
-  __isset = other250.__isset;
+Header& Header::operator=(Header&& other260) noexcept {
+  Name = std::move(other260.Name);
+  Value = std::move(other260.Value);
+  __isset = other260.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -6676,6 +6953,10 @@
 void CallRequest::__set_BodyFollows(const bool val) {
   this->BodyFollows = val;
 }
+
+void CallRequest::__set_Account(const std::string& val) {
+  this->Account = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -6748,14 +7029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Headers.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->Headers.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->Headers.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->Headers[_i255].read(iprot);
+              xfer += this->Headers[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6844,6 +7125,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Account);
+          this->__isset.Account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6884,10 +7173,10 @@
   xfer += oprot->writeFieldBegin("Headers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Headers.size()));
-    std::vector<Header> ::const_iterator _iter256;
-    for (_iter256 = this->Headers.begin(); _iter256 != this->Headers.end(); ++_iter256)
+    std::vector<Header> ::const_iterator _iter266;
+    for (_iter266 = this->Headers.begin(); _iter266 != this->Headers.end(); ++_iter266)
     {
-      xfer += (*_iter256).write(oprot);
+      xfer += (*_iter266).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6933,6 +7222,10 @@
   xfer += oprot->writeBool(this->BodyFollows);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Account", ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeString(this->Account);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6956,85 +7249,90 @@
   swap(a.Route, b.Route);
   swap(a.Late, b.Late);
   swap(a.BodyFollows, b.BodyFollows);
+  swap(a.Account, b.Account);
   swap(a.__isset, b.__isset);
 }
 
-CallRequest::CallRequest(const CallRequest& other257) {
-  Id = other257.Id;
-  ReceiverIncarnation = other257.ReceiverIncarnation;
-  Service = other257.Service;
-  Method = other257.Method;
-  Url = other257.Url;
-  Headers = other257.Headers;
-  BodySize = other257.BodySize;
-  Body = other257.Body;
-  RemainingMs = other257.RemainingMs;
-  Priority = other257.Priority;
-  CallId = other257.CallId;
-  MayRepeat = other257.MayRepeat;
-  UsefulMs = other257.UsefulMs;
-  Route = other257.Route;
-  Late = other257.Late;
-  BodyFollows = other257.BodyFollows;
-  __isset = other257.__isset;
+CallRequest::CallRequest(const CallRequest& other267) {
+  Id = other267.Id;
+  ReceiverIncarnation = other267.ReceiverIncarnation;
+  Service = other267.Service;
+  Method = other267.Method;
+  Url = other267.Url;
+  Headers = other267.Headers;
+  BodySize = other267.BodySize;
+  Body = other267.Body;
+  RemainingMs = other267.RemainingMs;
+  Priority = other267.Priority;
+  CallId = other267.CallId;
+  MayRepeat = other267.MayRepeat;
+  UsefulMs = other267.UsefulMs;
+  Route = other267.Route;
+  Late = other267.Late;
+  BodyFollows = other267.BodyFollows;
+  Account = other267.Account;
+  __isset = other267.__isset;
 }
-CallRequest::CallRequest(CallRequest&& other258) noexcept {
-  Id = std::move(other258.Id);
-  ReceiverIncarnation = other258.ReceiverIncarnation;
-  Service = std::move(other258.Service);
-  Method = std::move(other258.Method);
-  Url = std::move(other258.Url);
-  Headers = std::move(other258.Headers);
-  BodySize = other258.BodySize;
-  Body = std::move(other258.Body);
-  RemainingMs = other258.RemainingMs;
-  Priority = other258.Priority;
-  CallId = std::move(other258.CallId);
-  MayRepeat = other258.MayRepeat;
-  UsefulMs = other258.UsefulMs;
-  Route = std::move(other258.Route);
-  Late = other258.Late;
-  BodyFollows = other258.BodyFollows;
-  __isset = other258.__isset;
+CallRequest::CallRequest(CallRequest&& other268) noexcept {
+  Id = std::move(other268.Id);
+  ReceiverIncarnation = other268.ReceiverIncarnation;
+  Service = std::move(other268.Service);
+  Method = std::move(other268.Method);
+  Url = std::move(other268.Url);
+  Headers = std::move(other268.Headers);
+  BodySize = other268.BodySize;
+  Body = std::move(other268.Body);
+  RemainingMs = other268.RemainingMs;
+  Priority = other268.Priority;
+  CallId = std::move(other268.CallId);
+  MayRepeat = other268.MayRepeat;
+  UsefulMs = other268.UsefulMs;
+  Route = std::move(other268.Route);
+  Late = other268.Late;
+  BodyFollows = other268.BodyFollows;
+  Account = std::move(other268.Account);
+  __isset = other268.__isset;
 }
-CallRequest& CallRequest::operator=(const CallRequest& other259) {
-  Id = other259.Id;
-  ReceiverIncarnation = other259.ReceiverIncarnation;
-  Service = other259.Service;
-  Method = other259.Method;
-  Url = other259.Url;
-  Headers = other259.Headers;
-  BodySize = other259.BodySize;
-  Body = other259.Body;
-  RemainingMs = other259.RemainingMs;
-  Priority = other259.Priority;
-  CallId = other259.CallId;
-  MayRepeat = other259.MayRepeat;
-  UsefulMs = other259.UsefulMs;
-  Route = other259.Route;
-  Late = other259.Late;
-  BodyFollows = other259.BodyFollows;
-  __isset = other259.__isset;
+CallRequest& CallRequest::operator=(const CallRequest& other269) {
+  Id = other269.Id;
+  ReceiverIncarnation = other269.ReceiverIncarnation;
+  Service = other269.Service;
+  Method = other269.Method;
+  Url = other269.Url;
+  Headers = other269.Headers;
+  BodySize = other269.BodySize;
+  Body = other269.Body;
+  RemainingMs = other269.RemainingMs;
+  Priority = other269.Priority;
+  CallId = other269.CallId;
+  MayRepeat = other269.MayRepeat;
+  UsefulMs = other269.UsefulMs;
+  Route = other269.Route;
+  Late = other269.Late;
+  BodyFollows = other269.BodyFollows;
+  Account = other269.Account;
+  __isset = other269.__isset;
   return *this;
 }
-CallRequest& CallRequest::operator=(CallRequest&& other260) noexcept {
-  Id = std::move(other260.Id);
-  ReceiverIncarnation = other260.ReceiverIncarnation;
-  Service = std::move(other260.Service);
-  Method = std::move(other260.Method);
-  Url = std::move(other260.Url);
-  Headers = std::move(other260.Headers);
-  BodySize = other260.BodySize;
-  Body = std::move(other260.Body);
-  RemainingMs = other260.RemainingMs;
-  Priority = other260.Priority;
-  CallId = std::move(other260.CallId);
-  MayRepeat = other260.MayRepeat;
-  UsefulMs = other260.UsefulMs;
-  Route = std::move(other260.Route);
-  Late = other260.Late;
-  BodyFollows = other260.BodyFollows;
-  __isset = other260.__isset;
+CallRequest& CallRequest::operator=(CallRequest&& other270) noexcept {
+  Id = std::move(other270.Id);
+  ReceiverIncarnation = other270.ReceiverIncarnation;
+  Service = std::move(other270.Service);
+  Method = std::move(other270.Method);
+  Url = std::move(other270.Url);
+  Headers = std::move(other270.Headers);
+  BodySize = other270.BodySize;
+  Body = std::move(other270.Body);
+  RemainingMs = other270.RemainingMs;
+  Priority = other270.Priority;
+  CallId = std::move(other270.CallId);
+  MayRepeat = other270.MayRepeat;
+  UsefulMs = other270.UsefulMs;
+  Route = std::move(other270.Route);
+  Late = other270.Late;
+  BodyFollows = other270.BodyFollows;
+  Account = std::move(other270.Account);
+  __isset = other270.__isset;
   return *this;
 }
 void CallRequest::printTo(std::ostream& out) const {
@@ -7056,6 +7354,7 @@
   out << ", " << "Route=" << to_string(Route);
   out << ", " << "Late=" << to_string(Late);
   out << ", " << "BodyFollows=" << to_string(BodyFollows);
+  out << ", " << "Account=" << to_string(Account);
   out << ")";
 }
 
@@ -7203,38 +7502,38 @@
   swap(a.__isset, b.__isset);
 }
 
-BodyPart::BodyPart(const BodyPart& other261) {
-  Id = other261.Id;
-  OfAnswer = other261.OfAnswer;
-  Offset = other261.Offset;
-  Data = other261.Data;
-  RemainingMs = other261.RemainingMs;
-  __isset = other261.__isset;
-}
-BodyPart::BodyPart(BodyPart&& other262) noexcept {
-  Id = std::move(other262.Id);
-  OfAnswer = other262.OfAnswer;
-  Offset = other262.Offset;
-  Data = std::move(other262.Data);
-  RemainingMs = other262.RemainingMs;
-  __isset = other262.__isset;
-}
-BodyPart& BodyPart::operator=(const BodyPart& other263) {
-  Id = other263.Id;
-  OfAnswer = other263.OfAnswer;
-  Offset = other263.Offset;
-  Data = other263.Data;
-  RemainingMs = other263.RemainingMs;
-  __isset = other263.__isset;
+BodyPart::BodyPart(const BodyPart& other271) {
+  Id = other271.Id;
+  OfAnswer = other271.OfAnswer;
+  Offset = other271.Offset;
+  Data = other271.Data;
+  RemainingMs = other271.RemainingMs;
+  __isset = other271.__isset;
+}
+BodyPart::BodyPart(BodyPart&& other272) noexcept {
+  Id = std::move(other272.Id);
+  OfAnswer = other272.OfAnswer;
+  Offset = other272.Offset;
+  Data = std::move(other272.Data);
+  RemainingMs = other272.RemainingMs;
+  __isset = other272.__isset;
+}
+BodyPart& BodyPart::operator=(const BodyPart& other273) {
+  Id = other273.Id;
+  OfAnswer = other273.OfAnswer;
+  Offset = other273.Offset;
+  Data = other273.Data;
+  RemainingMs = other273.RemainingMs;
+  __isset = other273.__isset;
   return *this;
 }
-BodyPart& BodyPart::operator=(BodyPart&& other264) noexcept {
-  Id = std::move(other264.Id);
-  OfAnswer = other264.OfAnswer;
-  Offset = other264.Offset;
-  Data = std::move(other264.Data);
-  RemainingMs = other264.RemainingMs;
-  __isset = other264.__isset;
+BodyPart& BodyPart::operator=(BodyPart&& other274) noexcept {
+  Id = std::move(other274.Id);
+  OfAnswer = other274.OfAnswer;
+  Offset = other274.Offset;
+  Data = std::move(other274.Data);
+  RemainingMs = other274.RemainingMs;
+  __isset = other274.__isset;
   return *this;
 }
 void BodyPart::printTo(std::ostream& out) const {
@@ -7268,6 +7567,10 @@
 void Load::__set_LinkMs(const int32_t val) {
   this->LinkMs = val;
 }
+
+void Load::__set_PacePercent(const int32_t val) {
+  this->PacePercent = val;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -7328,6 +7631,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->PacePercent);
+          this->__isset.PacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7361,6 +7672,10 @@
   xfer += oprot->writeI32(this->LinkMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("PacePercent", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->PacePercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7372,37 +7687,42 @@
   swap(a.Queued, b.Queued);
   swap(a.Slots, b.Slots);
   swap(a.LinkMs, b.LinkMs);
+  swap(a.PacePercent, b.PacePercent);
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other265) noexcept {
-  Running = other265.Running;
-  Queued = other265.Queued;
-  Slots = other265.Slots;
-  LinkMs = other265.LinkMs;
-  __isset = other265.__isset;
-}
-Load::Load(Load&& other266) noexcept {
-  Running = other266.Running;
-  Queued = other266.Queued;
-  Slots = other266.Slots;
-  LinkMs = other266.LinkMs;
-  __isset = other266.__isset;
-}
-Load& Load::operator=(const Load& other267) noexcept {
-  Running = other267.Running;
-  Queued = other267.Queued;
-  Slots = other267.Slots;
-  LinkMs = other267.LinkMs;
-  __isset = other267.__isset;
+Load::Load(const Load& other275) noexcept {
+  Running = other275.Running;
+  Queued = other275.Queued;
+  Slots = other275.Slots;
+  LinkMs = other275.LinkMs;
+  PacePercent = other275.PacePercent;
+  __isset = other275.__isset;
+}
+Load::Load(Load&& other276) noexcept {
+  Running = other276.Running;
+  Queued = other276.Queued;
+  Slots = other276.Slots;
+  LinkMs = other276.LinkMs;
+  PacePercent = other276.PacePercent;
+  __isset = other276.__isset;
+}
+Load& Load::operator=(const Load& other277) noexcept {
+  Running = other277.Running;
+  Queued = other277.Queued;
+  Slots = other277.Slots;
+  LinkMs = other277.LinkMs;
+  PacePercent = other277.PacePercent;
+  __isset = other277.__isset;
   return *this;
 }
-Load& Load::operator=(Load&& other268) noexcept {
-  Running = other268.Running;
-  Queued = other268.Queued;
-  Slots = other268.Slots;
-  LinkMs = other268.LinkMs;
-  __isset = other268.__isset;
+Load& Load::operator=(Load&& other278) noexcept {
+  Running = other278.Running;
+  Queued = other278.Queued;
+  Slots = other278.Slots;
+  LinkMs = other278.LinkMs;
+  PacePercent = other278.PacePercent;
+  __isset = other278.__isset;
   return *this;
 }
 void Load::printTo(std::ostream& out) const {
@@ -7412,6 +7732,7 @@
   out << ", " << "Queued=" << to_string(Queued);
   out << ", " << "Slots=" << to_string(Slots);
   out << ", " << "LinkMs=" << to_string(LinkMs);
+  out << ", " << "PacePercent=" << to_string(PacePercent);
   out << ")";
 }
 
@@ -7508,26 +7829,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ShedLoad::ShedLoad(const ShedLoad& other269) noexcept {
-  Priority = other269.Priority;
-  PerMille = other269.PerMille;
-  __isset = other269.__isset;
+ShedLoad::ShedLoad(const ShedLoad& other279) noexcept {
+  Priority = other279.Priority;
+  PerMille = other279.PerMille;
+  __isset = other279.__isset;
 }
-ShedLoad::ShedLoad(ShedLoad&& other270) noexcept {
-  Priority = other270.Priority;
-  PerMille = other270.PerMille;
-  __isset = other270.__isset;
+ShedLoad::ShedLoad(ShedLoad&& other280) noexcept {
+  Priority = other280.Priority;
+  PerMille = other280.PerMille;
+  __isset = other280.__isset;
 }
-ShedLoad& ShedLoad::operator=(const ShedLoad& other271) noexcept {
-  Priority = other271.Priority;
-  PerMille = other271.PerMille;
-  __isset = other271.__isset;
+ShedLoad& ShedLoad::operator=(const ShedLoad& other281) noexcept {
+  Priority = other281.Priority;
+  PerMille = other281.PerMille;
+  __isset = other281.__isset;
   return *this;
 }
-ShedLoad& ShedLoad::operator=(ShedLoad&& other272) noexcept {
-  Priority = other272.Priority;
-  PerMille = other272.PerMille;
-  __isset = other272.__isset;
+ShedLoad& ShedLoad::operator=(ShedLoad&& other282) noexcept {
+  Priority = other282.Priority;
+  PerMille = other282.PerMille;
+  __isset = other282.__isset;
   return *this;
 }
 void ShedLoad::printTo(std::ostream& out) const {
@@ -7628,9 +7949,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast273;
-          xfer += iprot->readI32(ecast273);
-          this->Outcome = static_cast<CallOutcome::type>(ecast273);
+          int32_t ecast283;
+          xfer += iprot->readI32(ecast283);
+          this->Outcome = static_cast<CallOutcome::type>(ecast283);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7656,14 +7977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Headers.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->Headers.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->Headers.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += this->Headers[_i278].read(iprot);
+              xfer += this->Headers[_i288].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7764,10 +8085,10 @@
   xfer += oprot->writeFieldBegin("Headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Headers.size()));
-    std::vector<Header> ::const_iterator _iter279;
-    for (_iter279 = this->Headers.begin(); _iter279 != this->Headers.end(); ++_iter279)
+    std::vector<Header> ::const_iterator _iter289;
+    for (_iter289 = this->Headers.begin(); _iter289 != this->Headers.end(); ++_iter289)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter289).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7823,66 +8144,66 @@
   swap(a.__isset, b.__isset);
 }
 
-CallReply::CallReply(const CallReply& other280) {
-  Id = other280.Id;
-  Outcome = other280.Outcome;
-  Code = other280.Code;
-  Status = other280.Status;
-  Headers = other280.Headers;
-  BodySize = other280.BodySize;
-  Body = other280.Body;
-  TargetLoad = other280.TargetLoad;
-  Nested = other280.Nested;
-  Shed = other280.Shed;
-  BodyGranted = other280.BodyGranted;
-  RetryAfterMs = other280.RetryAfterMs;
-  __isset = other280.__isset;
+CallReply::CallReply(const CallReply& other290) {
+  Id = other290.Id;
+  Outcome = other290.Outcome;
+  Code = other290.Code;
+  Status = other290.Status;
+  Headers = other290.Headers;
+  BodySize = other290.BodySize;
+  Body = other290.Body;
+  TargetLoad = other290.TargetLoad;
+  Nested = other290.Nested;
+  Shed = other290.Shed;
+  BodyGranted = other290.BodyGranted;
+  RetryAfterMs = other290.RetryAfterMs;
+  __isset = other290.__isset;
 }
-CallReply::CallReply(CallReply&& other281) noexcept {
-  Id = std::move(other281.Id);
-  Outcome = other281.Outcome;
-  Code = other281.Code;
-  Status = other281.Status;
-  Headers = std::move(other281.Headers);
-  BodySize = other281.BodySize;
-  Body = std::move(other281.Body);
-  TargetLoad = std::move(other281.TargetLoad);
-  Nested = other281.Nested;
-  Shed = std::move(other281.Shed);
-  BodyGranted = other281.BodyGranted;
-  RetryAfterMs = other281.RetryAfterMs;
-  __isset = other281.__isset;
+CallReply::CallReply(CallReply&& other291) noexcept {
+  Id = std::move(other291.Id);
+  Outcome = other291.Outcome;
+  Code = other291.Code;
+  Status = other291.Status;
+  Headers = std::move(other291.Headers);
+  BodySize = other291.BodySize;
+  Body = std::move(other291.Body);
+  TargetLoad = std::move(other291.TargetLoad);
+  Nested = other291.Nested;
+  Shed = std::move(other291.Shed);
+  BodyGranted = other291.BodyGranted;
+  RetryAfterMs = other291.RetryAfterMs;
+  __isset = other291.__isset;
 }
-CallReply& CallReply::operator=(const CallReply& other282) {
-  Id = other282.Id;
-  Outcome = other282.Outcome;
-  Code = other282.Code;
-  Status = other282.Status;
-  Headers = other282.Headers;
-  BodySize = other282.BodySize;
-  Body = other282.Body;
-  TargetLoad = other282.TargetLoad;
-  Nested = other282.Nested;
-  Shed = other282.Shed;
-  BodyGranted = other282.BodyGranted;
-  RetryAfterMs = other282.RetryAfterMs;
-  __isset = other282.__isset;
+CallReply& CallReply::operator=(const CallReply& other292) {
+  Id = other292.Id;
+  Outcome = other292.Outcome;
+  Code = other292.Code;
+  Status = other292.Status;
+  Headers = other292.Headers;
+  BodySize = other292.BodySize;
+  Body = other292.Body;
+  TargetLoad = other292.TargetLoad;
+  Nested = other292.Nested;
+  Shed = other292.Shed;
+  BodyGranted = other292.BodyGranted;
+  RetryAfterMs = other292.RetryAfterMs;
+  __isset = other292.__isset;
   return *this;
 }
-CallReply& CallReply::operator=(CallReply&& other283) noexcept {
-  Id = std::move(other283.Id);
-  Outcome = other283.Outcome;
-  Code = other283.Code;
-  Status = other283.Status;
-  Headers = std::move(other283.Headers);
-  BodySize = other283.BodySize;
-  Body = std::move(other283.Body);
-  TargetLoad = std::move(other283.TargetLoad);
-  Nested = other283.Nested;
-  Shed = std::move(other283.Shed);
-  BodyGranted = other283.BodyGranted;
-  RetryAfterMs = other283.RetryAfterMs;
-  __isset = other283.__isset;
+CallReply& CallReply::operator=(CallReply&& other293) noexcept {
+  Id = std::move(other293.Id);
+  Outcome = other293.Outcome;
+  Code = other293.Code;
+  Status = other293.Status;
+  Headers = std::move(other293.Headers);
+  BodySize = other293.BodySize;
+  Body = std::move(other293.Body);
+  TargetLoad = std::move(other293.TargetLoad);
+  Nested = other293.Nested;
+  Shed = std::move(other293.Shed);
+  BodyGranted = other293.BodyGranted;
+  RetryAfterMs = other293.RetryAfterMs;
+  __isset = other293.__isset;
   return *this;
 }
 void CallReply::printTo(std::ostream& out) const {
@@ -7996,26 +8317,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other284) {
-  Id = other284.Id;
-  ReceiverIncarnation = other284.ReceiverIncarnation;
-  __isset = other284.__isset;
+CallQuery::CallQuery(const CallQuery& other294) {
+  Id = other294.Id;
+  ReceiverIncarnation = other294.ReceiverIncarnation;
+  __isset = other294.__isset;
 }
-CallQuery::CallQuery(CallQuery&& other285) noexcept {
-  Id = std::move(other285.Id);
-  ReceiverIncarnation = other285.ReceiverIncarnation;
-  __isset = other285.__isset;
+CallQuery::CallQuery(CallQuery&& other295) noexcept {
+  Id = std::move(other295.Id);
+  ReceiverIncarnation = other295.ReceiverIncarnation;
+  __isset = other295.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other286) {
-  Id = other286.Id;
-  ReceiverIncarnation = other286.ReceiverIncarnation;
-  __isset = other286.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other296) {
+  Id = other296.Id;
+  ReceiverIncarnation = other296.ReceiverIncarnation;
+  __isset = other296.__isset;
   return *this;
 }
-CallQuery& CallQuery::operator=(CallQuery&& other287) noexcept {
-  Id = std::move(other287.Id);
-  ReceiverIncarnation = other287.ReceiverIncarnation;
-  __isset = other287.__isset;
+CallQuery& CallQuery::operator=(CallQuery&& other297) noexcept {
+  Id = std::move(other297.Id);
+  ReceiverIncarnation = other297.ReceiverIncarnation;
+  __isset = other297.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -8102,22 +8423,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other288) {
-  Id = other288.Id;
-  __isset = other288.__isset;
+CallCancel::CallCancel(const CallCancel& other298) {
+  Id = other298.Id;
+  __isset = other298.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other289) noexcept {
-  Id = std::move(other289.Id);
-  __isset = other289.__isset;
+CallCancel::CallCancel(CallCancel&& other299) noexcept {
+  Id = std::move(other299.Id);
+  __isset = other299.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other290) {
-  Id = other290.Id;
-  __isset = other290.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other300) {
+  Id = other300.Id;
+  __isset = other300.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other291) noexcept {
-  Id = std::move(other291.Id);
-  __isset = other291.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other301) noexcept {
+  Id = std::move(other301.Id);
+  __isset = other301.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -8203,22 +8524,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerAck::AnswerAck(const AnswerAck& other292) {
-  Id = other292.Id;
-  __isset = other292.__isset;
+AnswerAck::AnswerAck(const AnswerAck& other302) {
+  Id = other302.Id;
+  __isset = other302.__isset;
 }
-AnswerAck::AnswerAck(AnswerAck&& other293) noexcept {
-  Id = std::move(other293.Id);
-  __isset = other293.__isset;
+AnswerAck::AnswerAck(AnswerAck&& other303) noexcept {
+  Id = std::move(other303.Id);
+  __isset = other303.__isset;
 }
-AnswerAck& AnswerAck::operator=(const AnswerAck& other294) {
-  Id = other294.Id;
-  __isset = other294.__isset;
+AnswerAck& AnswerAck::operator=(const AnswerAck& other304) {
+  Id = other304.Id;
+  __isset = other304.__isset;
   return *this;
 }
-AnswerAck& AnswerAck::operator=(AnswerAck&& other295) noexcept {
-  Id = std::move(other295.Id);
-  __isset = other295.__isset;
+AnswerAck& AnswerAck::operator=(AnswerAck&& other305) noexcept {
+  Id = std::move(other305.Id);
+  __isset = other305.__isset;
   return *this;
 }
 void AnswerAck::printTo(std::ostream& out) const {
@@ -8304,22 +8625,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other296) noexcept {
-  IsReply = other296.IsReply;
-  __isset = other296.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other306) noexcept {
+  IsReply = other306.IsReply;
+  __isset = other306.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other297) noexcept {
-  IsReply = other297.IsReply;
-  __isset = other297.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other307) noexcept {
+  IsReply = other307.IsReply;
+  __isset = other307.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other298) noexcept {
-  IsReply = other298.IsReply;
-  __isset = other298.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other308) noexcept {
+  IsReply = other308.IsReply;
+  __isset = other308.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other299) noexcept {
-  IsReply = other299.IsReply;
-  __isset = other299.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other309) noexcept {
+  IsReply = other309.IsReply;
+  __isset = other309.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -8405,22 +8726,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other300) {
-  Wanted = other300.Wanted;
-  __isset = other300.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other310) {
+  Wanted = other310.Wanted;
+  __isset = other310.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other301) noexcept {
-  Wanted = std::move(other301.Wanted);
-  __isset = other301.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other311) noexcept {
+  Wanted = std::move(other311.Wanted);
+  __isset = other311.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other302) {
-  Wanted = other302.Wanted;
-  __isset = other302.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other312) {
+  Wanted = other312.Wanted;
+  __isset = other312.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other303) noexcept {
-  Wanted = std::move(other303.Wanted);
-  __isset = other303.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other313) noexcept {
+  Wanted = std::move(other313.Wanted);
+  __isset = other313.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -8557,34 +8878,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other304) {
-  CallNumber = other304.CallNumber;
-  Code = other304.Code;
-  Holder = other304.Holder;
-  LeaderAddress = other304.LeaderAddress;
-  __isset = other304.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other314) {
+  CallNumber = other314.CallNumber;
+  Code = other314.Code;
+  Holder = other314.Holder;
+  LeaderAddress = other314.LeaderAddress;
+  __isset = other314.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other305) noexcept {
-  CallNumber = other305.CallNumber;
-  Code = other305.Code;
-  Holder = std::move(other305.Holder);
-  LeaderAddress = std::move(other305.LeaderAddress);
-  __isset = other305.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other315) noexcept {
+  CallNumber = other315.CallNumber;
+  Code = other315.Code;
+  Holder = std::move(other315.Holder);
+  LeaderAddress = std::move(other315.LeaderAddress);
+  __isset = other315.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other306) {
-  CallNumber = other306.CallNumber;
-  Code = other306.Code;
-  Holder = other306.Holder;
-  LeaderAddress = other306.LeaderAddress;
-  __isset = other306.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other316) {
+  CallNumber = other316.CallNumber;
+  Code = other316.Code;
+  Holder = other316.Holder;
+  LeaderAddress = other316.LeaderAddress;
+  __isset = other316.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other307) noexcept {
-  CallNumber = other307.CallNumber;
-  Code = other307.Code;
-  Holder = std::move(other307.Holder);
-  LeaderAddress = std::move(other307.LeaderAddress);
-  __isset = other307.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other317) noexcept {
+  CallNumber = other317.CallNumber;
+  Code = other317.Code;
+  Holder = std::move(other317.Holder);
+  LeaderAddress = std::move(other317.LeaderAddress);
+  __isset = other317.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -8707,30 +9028,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeQuery::OutcomeQuery(const OutcomeQuery& other308) noexcept {
-  RequestId = other308.RequestId;
-  OwnerIncarnation = other308.OwnerIncarnation;
-  CallNumber = other308.CallNumber;
-  __isset = other308.__isset;
+OutcomeQuery::OutcomeQuery(const OutcomeQuery& other318) noexcept {
+  RequestId = other318.RequestId;
+  OwnerIncarnation = other318.OwnerIncarnation;
+  CallNumber = other318.CallNumber;
+  __isset = other318.__isset;
 }
-OutcomeQuery::OutcomeQuery(OutcomeQuery&& other309) noexcept {
-  RequestId = other309.RequestId;
-  OwnerIncarnation = other309.OwnerIncarnation;
-  CallNumber = other309.CallNumber;
-  __isset = other309.__isset;
+OutcomeQuery::OutcomeQuery(OutcomeQuery&& other319) noexcept {
+  RequestId = other319.RequestId;
+  OwnerIncarnation = other319.OwnerIncarnation;
+  CallNumber = other319.CallNumber;
+  __isset = other319.__isset;
 }
-OutcomeQuery& OutcomeQuery::operator=(const OutcomeQuery& other310) noexcept {
-  RequestId = other310.RequestId;
-  OwnerIncarnation = other310.OwnerIncarnation;
-  CallNumber = other310.CallNumber;
-  __isset = other310.__isset;
+OutcomeQuery& OutcomeQuery::operator=(const OutcomeQuery& other320) noexcept {
+  RequestId = other320.RequestId;
+  OwnerIncarnation = other320.OwnerIncarnation;
+  CallNumber = other320.CallNumber;
+  __isset = other320.__isset;
   return *this;
 }
-OutcomeQuery& OutcomeQuery::operator=(OutcomeQuery&& other311) noexcept {
-  RequestId = other311.RequestId;
-  OwnerIncarnation = other311.OwnerIncarnation;
-  CallNumber = other311.CallNumber;
-  __isset = other311.__isset;
+OutcomeQuery& OutcomeQuery::operator=(OutcomeQuery&& other321) noexcept {
+  RequestId = other321.RequestId;
+  OwnerIncarnation = other321.OwnerIncarnation;
+  CallNumber = other321.CallNumber;
+  __isset = other321.__isset;
   return *this;
 }
 void OutcomeQuery::printTo(std::ostream& out) const {
@@ -8792,9 +9113,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast312;
-          xfer += iprot->readI32(ecast312);
-          this->Outcome = static_cast<CallOutcome::type>(ecast312);
+          int32_t ecast322;
+          xfer += iprot->readI32(ecast322);
+          this->Outcome = static_cast<CallOutcome::type>(ecast322);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8837,26 +9158,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other313) noexcept {
-  RequestId = other313.RequestId;
-  Outcome = other313.Outcome;
-  __isset = other313.__isset;
+OutcomeReply::OutcomeReply(const OutcomeReply& other323) noexcept {
+  RequestId = other323.RequestId;
+  Outcome = other323.Outcome;
+  __isset = other323.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other314) noexcept {
-  RequestId = other314.RequestId;
-  Outcome = other314.Outcome;
-  __isset = other314.__isset;
+OutcomeReply::OutcomeReply(OutcomeReply&& other324) noexcept {
+  RequestId = other324.RequestId;
+  Outcome = other324.Outcome;
+  __isset = other324.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other315) noexcept {
-  RequestId = other315.RequestId;
-  Outcome = other315.Outcome;
-  __isset = other315.__isset;
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other325) noexcept {
+  RequestId = other325.RequestId;
+  Outcome = other325.Outcome;
+  __isset = other325.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other316) noexcept {
-  RequestId = other316.RequestId;
-  Outcome = other316.Outcome;
-  __isset = other316.__isset;
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other326) noexcept {
+  RequestId = other326.RequestId;
+  Outcome = other326.Outcome;
+  __isset = other326.__isset;
   return *this;
 }
 void OutcomeReply::printTo(std::ostream& out) const {
@@ -8943,22 +9264,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingTarget::LeavingTarget(const LeavingTarget& other317) {
-  Run = other317.Run;
-  __isset = other317.__isset;
+LeavingTarget::LeavingTarget(const LeavingTarget& other327) {
+  Run = other327.Run;
+  __isset = other327.__isset;
 }
-LeavingTarget::LeavingTarget(LeavingTarget&& other318) noexcept {
-  Run = std::move(other318.Run);
-  __isset = other318.__isset;
+LeavingTarget::LeavingTarget(LeavingTarget&& other328) noexcept {
+  Run = std::move(other328.Run);
+  __isset = other328.__isset;
 }
-LeavingTarget& LeavingTarget::operator=(const LeavingTarget& other319) {
-  Run = other319.Run;
-  __isset = other319.__isset;
+LeavingTarget& LeavingTarget::operator=(const LeavingTarget& other329) {
+  Run = other329.Run;
+  __isset = other329.__isset;
   return *this;
 }
-LeavingTarget& LeavingTarget::operator=(LeavingTarget&& other320) noexcept {
-  Run = std::move(other320.Run);
-  __isset = other320.__isset;
+LeavingTarget& LeavingTarget::operator=(LeavingTarget&& other330) noexcept {
+  Run = std::move(other330.Run);
+  __isset = other330.__isset;
   return *this;
 }
 void LeavingTarget::printTo(std::ostream& out) const {
@@ -9012,14 +9333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Deltas.clear();
-            uint32_t _size321;
-            ::apache::thrift::protocol::TType _etype324;
-            xfer += iprot->readListBegin(_etype324, _size321);
-            this->Deltas.resize(_size321);
-            uint32_t _i325;
-            for (_i325 = 0; _i325 < _size321; ++_i325)
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->Deltas.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
             {
-              xfer += this->Deltas[_i325].read(iprot);
+              xfer += this->Deltas[_i335].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9032,14 +9353,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Settings.clear();
-            uint32_t _size326;
-            ::apache::thrift::protocol::TType _etype329;
-            xfer += iprot->readListBegin(_etype329, _size326);
-            this->Settings.resize(_size326);
-            uint32_t _i330;
-            for (_i330 = 0; _i330 < _size326; ++_i330)
+            uint32_t _size336;
+            ::apache::thrift::protocol::TType _etype339;
+            xfer += iprot->readListBegin(_etype339, _size336);
+            this->Settings.resize(_size336);
+            uint32_t _i340;
+            for (_i340 = 0; _i340 < _size336; ++_i340)
             {
-              xfer += this->Settings[_i330].read(iprot);
+              xfer += this->Settings[_i340].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9068,10 +9389,10 @@
   xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
-    std::vector<Delta> ::const_iterator _iter331;
-    for (_iter331 = this->Deltas.begin(); _iter331 != this->Deltas.end(); ++_iter331)
+    std::vector<Delta> ::const_iterator _iter341;
+    for (_iter341 = this->Deltas.begin(); _iter341 != this->Deltas.end(); ++_iter341)
     {
-      xfer += (*_iter331).write(oprot);
+      xfer += (*_iter341).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9080,10 +9401,10 @@
   xfer += oprot->writeFieldBegin("Settings", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Settings.size()));
-    std::vector<Setting> ::const_iterator _iter332;
-    for (_iter332 = this->Settings.begin(); _iter332 != this->Settings.end(); ++_iter332)
+    std::vector<Setting> ::const_iterator _iter342;
+    for (_iter342 = this->Settings.begin(); _iter342 != this->Settings.end(); ++_iter342)
     {
-      xfer += (*_iter332).write(oprot);
+      xfer += (*_iter342).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9101,26 +9422,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PullContent::PullContent(const PullContent& other333) {
-  Deltas = other333.Deltas;
-  Settings = other333.Settings;
-  __isset = other333.__isset;
+PullContent::PullContent(const PullContent& other343) {
+  Deltas = other343.Deltas;
+  Settings = other343.Settings;
+  __isset = other343.__isset;
 }
-PullContent::PullContent(PullContent&& other334) noexcept {
-  Deltas = std::move(other334.Deltas);
-  Settings = std::move(other334.Settings);
-  __isset = other334.__isset;
+PullContent::PullContent(PullContent&& other344) noexcept {
+  Deltas = std::move(other344.Deltas);
+  Settings = std::move(other344.Settings);
+  __isset = other344.__isset;
 }
-PullContent& PullContent::operator=(const PullContent& other335) {
-  Deltas = other335.Deltas;
-  Settings = other335.Settings;
-  __isset = other335.__isset;
+PullContent& PullContent::operator=(const PullContent& other345) {
+  Deltas = other345.Deltas;
+  Settings = other345.Settings;
+  __isset = other345.__isset;
   return *this;
 }
-PullContent& PullContent::operator=(PullContent&& other336) noexcept {
-  Deltas = std::move(other336.Deltas);
-  Settings = std::move(other336.Settings);
-  __isset = other336.__isset;
+PullContent& PullContent::operator=(PullContent&& other346) noexcept {
+  Deltas = std::move(other346.Deltas);
+  Settings = std::move(other346.Settings);
+  __isset = other346.__isset;
   return *this;
 }
 void PullContent::printTo(std::ostream& out) const {
@@ -9131,4 +9452,734 @@
   out << ")";
 }
 
+
+AllowanceShare::~AllowanceShare() noexcept {
+}
+
+
+void AllowanceShare::__set_Account(const int64_t val) {
+  this->Account = val;
+}
+
+void AllowanceShare::__set_MilliPerSecond(const int64_t val) {
+  this->MilliPerSecond = val;
+}
+
+void AllowanceShare::__set_MilliDepth(const int64_t val) {
+  this->MilliDepth = val;
+}
+
+void AllowanceShare::__set_Tokens(const int32_t val) {
+  this->Tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllowanceShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllowanceShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Account);
+          this->__isset.Account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->MilliPerSecond);
+          this->__isset.MilliPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->MilliDepth);
+          this->__isset.MilliDepth = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Tokens);
+          this->__isset.Tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AllowanceShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllowanceShare");
+
+  xfer += oprot->writeFieldBegin("Account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("MilliPerSecond", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->MilliPerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("MilliDepth", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->MilliDepth);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Tokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->Tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllowanceShare &a, AllowanceShare &b) {
+  using ::std::swap;
+  swap(a.Account, b.Account);
+  swap(a.MilliPerSecond, b.MilliPerSecond);
+  swap(a.MilliDepth, b.MilliDepth);
+  swap(a.Tokens, b.Tokens);
+  swap(a.__isset, b.__isset);
+}
+
+AllowanceShare::AllowanceShare(const AllowanceShare& other347) noexcept {
+  Account = other347.Account;
+  MilliPerSecond = other347.MilliPerSecond;
+  MilliDepth = other347.MilliDepth;
+  Tokens = other347.Tokens;
+  __isset = other347.__isset;
+}
+AllowanceShare::AllowanceShare(AllowanceShare&& other348) noexcept {
+  Account = other348.Account;
+  MilliPerSecond = other348.MilliPerSecond;
+  MilliDepth = other348.MilliDepth;
+  Tokens = other348.Tokens;
+  __isset = other348.__isset;
+}
+AllowanceShare& AllowanceShare::operator=(const AllowanceShare& other349) noexcept {
+  Account = other349.Account;
+  MilliPerSecond = other349.MilliPerSecond;
+  MilliDepth = other349.MilliDepth;
+  Tokens = other349.Tokens;
+  __isset = other349.__isset;
+  return *this;
+}
+AllowanceShare& AllowanceShare::operator=(AllowanceShare&& other350) noexcept {
+  Account = other350.Account;
+  MilliPerSecond = other350.MilliPerSecond;
+  MilliDepth = other350.MilliDepth;
+  Tokens = other350.Tokens;
+  __isset = other350.__isset;
+  return *this;
+}
+void AllowanceShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllowanceShare(";
+  out << "Account=" << to_string(Account);
+  out << ", " << "MilliPerSecond=" << to_string(MilliPerSecond);
+  out << ", " << "MilliDepth=" << to_string(MilliDepth);
+  out << ", " << "Tokens=" << to_string(Tokens);
+  out << ")";
+}
+
+
+AllowanceDemand::~AllowanceDemand() noexcept {
+}
+
+
+void AllowanceDemand::__set_Held(const AllowanceShare& val) {
+  this->Held = val;
+}
+
+void AllowanceDemand::__set_HeldMs(const int32_t val) {
+  this->HeldMs = val;
+}
+
+void AllowanceDemand::__set_WantedMilliPerSecond(const int64_t val) {
+  this->WantedMilliPerSecond = val;
+}
+
+void AllowanceDemand::__set_WaitingCalls(const int32_t val) {
+  this->WaitingCalls = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllowanceDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllowanceDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Held.read(iprot);
+          this->__isset.Held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->HeldMs);
+          this->__isset.HeldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WantedMilliPerSecond);
+          this->__isset.WantedMilliPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->WaitingCalls);
+          this->__isset.WaitingCalls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AllowanceDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllowanceDemand");
+
+  xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->Held.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("HeldMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->HeldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WantedMilliPerSecond", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->WantedMilliPerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WaitingCalls", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->WaitingCalls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllowanceDemand &a, AllowanceDemand &b) {
+  using ::std::swap;
+  swap(a.Held, b.Held);
+  swap(a.HeldMs, b.HeldMs);
+  swap(a.WantedMilliPerSecond, b.WantedMilliPerSecond);
+  swap(a.WaitingCalls, b.WaitingCalls);
+  swap(a.__isset, b.__isset);
+}
+
+AllowanceDemand::AllowanceDemand(const AllowanceDemand& other351) noexcept {
+  Held = other351.Held;
+  HeldMs = other351.HeldMs;
+  WantedMilliPerSecond = other351.WantedMilliPerSecond;
+  WaitingCalls = other351.WaitingCalls;
+  __isset = other351.__isset;
+}
+AllowanceDemand::AllowanceDemand(AllowanceDemand&& other352) noexcept {
+  Held = std::move(other352.Held);
+  HeldMs = other352.HeldMs;
+  WantedMilliPerSecond = other352.WantedMilliPerSecond;
+  WaitingCalls = other352.WaitingCalls;
+  __isset = other352.__isset;
+}
+AllowanceDemand& AllowanceDemand::operator=(const AllowanceDemand& other353) noexcept {
+  Held = other353.Held;
+  HeldMs = other353.HeldMs;
+  WantedMilliPerSecond = other353.WantedMilliPerSecond;
+  WaitingCalls = other353.WaitingCalls;
+  __isset = other353.__isset;
+  return *this;
+}
+AllowanceDemand& AllowanceDemand::operator=(AllowanceDemand&& other354) noexcept {
+  Held = std::move(other354.Held);
+  HeldMs = other354.HeldMs;
+  WantedMilliPerSecond = other354.WantedMilliPerSecond;
+  WaitingCalls = other354.WaitingCalls;
+  __isset = other354.__isset;
+  return *this;
+}
+void AllowanceDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllowanceDemand(";
+  out << "Held=" << to_string(Held);
+  out << ", " << "HeldMs=" << to_string(HeldMs);
+  out << ", " << "WantedMilliPerSecond=" << to_string(WantedMilliPerSecond);
+  out << ", " << "WaitingCalls=" << to_string(WaitingCalls);
+  out << ")";
+}
+
+
+AllowanceRequest::~AllowanceRequest() noexcept {
+}
+
+
+void AllowanceRequest::__set_Daemon(const std::string& val) {
+  this->Daemon = val;
+}
+
+void AllowanceRequest::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void AllowanceRequest::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void AllowanceRequest::__set_ConfigurationVersion(const int64_t val) {
+  this->ConfigurationVersion = val;
+}
+
+void AllowanceRequest::__set_Demands(const std::vector<AllowanceDemand> & val) {
+  this->Demands = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllowanceRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllowanceRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Daemon);
+          this->__isset.Daemon = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ConfigurationVersion);
+          this->__isset.ConfigurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Demands.clear();
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->Demands.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
+            {
+              xfer += this->Demands[_i359].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AllowanceRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllowanceRequest");
+
+  xfer += oprot->writeFieldBegin("Daemon", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Daemon);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ConfigurationVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ConfigurationVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Demands", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Demands.size()));
+    std::vector<AllowanceDemand> ::const_iterator _iter360;
+    for (_iter360 = this->Demands.begin(); _iter360 != this->Demands.end(); ++_iter360)
+    {
+      xfer += (*_iter360).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllowanceRequest &a, AllowanceRequest &b) {
+  using ::std::swap;
+  swap(a.Daemon, b.Daemon);
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Number, b.Number);
+  swap(a.ConfigurationVersion, b.ConfigurationVersion);
+  swap(a.Demands, b.Demands);
+  swap(a.__isset, b.__isset);
+}
+
+AllowanceRequest::AllowanceRequest(const AllowanceRequest& other361) {
+  Daemon = other361.Daemon;
+  Incarnation = other361.Incarnation;
+  Number = other361.Number;
+  ConfigurationVersion = other361.ConfigurationVersion;
+  Demands = other361.Demands;
+  __isset = other361.__isset;
+}
+AllowanceRequest::AllowanceRequest(AllowanceRequest&& other362) noexcept {
+  Daemon = std::move(other362.Daemon);
+  Incarnation = other362.Incarnation;
+  Number = other362.Number;
+  ConfigurationVersion = other362.ConfigurationVersion;
+  Demands = std::move(other362.Demands);
+  __isset = other362.__isset;
+}
+AllowanceRequest& AllowanceRequest::operator=(const AllowanceRequest& other363) {
+  Daemon = other363.Daemon;
+  Incarnation = other363.Incarnation;
+  Number = other363.Number;
+  ConfigurationVersion = other363.ConfigurationVersion;
+  Demands = other363.Demands;
+  __isset = other363.__isset;
+  return *this;
+}
+AllowanceRequest& AllowanceRequest::operator=(AllowanceRequest&& other364) noexcept {
+  Daemon = std::move(other364.Daemon);
+  Incarnation = other364.Incarnation;
+  Number = other364.Number;
+  ConfigurationVersion = other364.ConfigurationVersion;
+  Demands = std::move(other364.Demands);
+  __isset = other364.__isset;
+  return *this;
+}
+void AllowanceRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllowanceRequest(";
+  out << "Daemon=" << to_string(Daemon);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Number=" << to_string(Number);
+  out << ", " << "ConfigurationVersion=" << to_string(ConfigurationVersion);
+  out << ", " << "Demands=" << to_string(Demands);
+  out << ")";
+}
+
+
+AllowanceReply::~AllowanceReply() noexcept {
+}
+
+
+void AllowanceReply::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void AllowanceReply::__set_ValidMs(const int32_t val) {
+  this->ValidMs = val;
+}
+
+void AllowanceReply::__set_Shares(const std::vector<AllowanceShare> & val) {
+  this->Shares = val;
+}
+
+void AllowanceReply::__set_LeaderAddress(const std::string& val) {
+  this->LeaderAddress = val;
+}
+std::ostream& operator<<(std::ostream& out, const AllowanceReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AllowanceReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ValidMs);
+          this->__isset.ValidMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Shares.clear();
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->Shares.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
+            {
+              xfer += this->Shares[_i369].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->LeaderAddress);
+          this->__isset.LeaderAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AllowanceReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AllowanceReply");
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ValidMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ValidMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Shares", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Shares.size()));
+    std::vector<AllowanceShare> ::const_iterator _iter370;
+    for (_iter370 = this->Shares.begin(); _iter370 != this->Shares.end(); ++_iter370)
+    {
+      xfer += (*_iter370).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LeaderAddress", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->LeaderAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AllowanceReply &a, AllowanceReply &b) {
+  using ::std::swap;
+  swap(a.Number, b.Number);
+  swap(a.ValidMs, b.ValidMs);
+  swap(a.Shares, b.Shares);
+  swap(a.LeaderAddress, b.LeaderAddress);
+  swap(a.__isset, b.__isset);
+}
+
+AllowanceReply::AllowanceReply(const AllowanceReply& other371) {
+  Number = other371.Number;
+  ValidMs = other371.ValidMs;
+  Shares = other371.Shares;
+  LeaderAddress = other371.LeaderAddress;
+  __isset = other371.__isset;
+}
+AllowanceReply::AllowanceReply(AllowanceReply&& other372) noexcept {
+  Number = other372.Number;
+  ValidMs = other372.ValidMs;
+  Shares = std::move(other372.Shares);
+  LeaderAddress = std::move(other372.LeaderAddress);
+  __isset = other372.__isset;
+}
+AllowanceReply& AllowanceReply::operator=(const AllowanceReply& other373) {
+  Number = other373.Number;
+  ValidMs = other373.ValidMs;
+  Shares = other373.Shares;
+  LeaderAddress = other373.LeaderAddress;
+  __isset = other373.__isset;
+  return *this;
+}
+AllowanceReply& AllowanceReply::operator=(AllowanceReply&& other374) noexcept {
+  Number = other374.Number;
+  ValidMs = other374.ValidMs;
+  Shares = std::move(other374.Shares);
+  LeaderAddress = std::move(other374.LeaderAddress);
+  __isset = other374.__isset;
+  return *this;
+}
+void AllowanceReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AllowanceReply(";
+  out << "Number=" << to_string(Number);
+  out << ", " << "ValidMs=" << to_string(ValidMs);
+  out << ", " << "Shares=" << to_string(Shares);
+  out << ", " << "LeaderAddress=" << to_string(LeaderAddress);
+  out << ")";
+}
+
 }} // namespace
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -147,6 +147,8 @@
 
 class Laggard;
 
+class VersionAnswers;
+
 class Report;
 
 class StampRequest;
@@ -187,6 +189,14 @@
 
 class PullContent;
 
+class AllowanceShare;
+
+class AllowanceDemand;
+
+class AllowanceRequest;
+
+class AllowanceReply;
+
 typedef struct _Replica__isset {
   _Replica__isset() : Instance(false), DiskId(false), Address(false) {}
   bool Instance :1;
@@ -1480,7 +1490,7 @@
 } _TargetRun__isset;
 
 /**
- * A run of a target that leaves. Born is its start in ms since 1970, 0 if unknown.
+ * A run of a target. Born is its start in ms since 1970, 0 if unknown.
  */
 class TargetRun : public virtual ::apache::thrift::TBase {
  public:
@@ -1529,7 +1539,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetRun& obj);
 
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true), LeavingRun(false), Run(false) {}
+  _MemberRecord__isset() : Name(false), Address(false), Zone(false), Control(false), Incarnation(false), Sequence(false), State(false), Service(false), Target(false), Slots(false), Unwell(false), ColdMs(true), LeavingRun(false), Run(false), TargetVersion(false) {}
   bool Name :1;
   bool Address :1;
   bool Zone :1;
@@ -1544,12 +1554,15 @@
   bool ColdMs :1;
   bool LeavingRun :1;
   bool Run :1;
+  bool TargetVersion :1;
 } _MemberRecord__isset;
 
 /**
  * A daemon and the target beside it. Only that daemon raises Incarnation and
  * Sequence. ColdMs is how long the target stays slow after its start. LeavingRun
- * is set while the target is leaving.
+ * is set while the target is leaving. Run is the target's run, if it has an id:
+ * the daemon was told that it is one of Service. TargetVersion is the version of
+ * the target's software, if the target announced one.
  */
 class MemberRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -1570,7 +1583,8 @@
                  Target(static_cast<TargetState::type>(0)),
                  Slots(0),
                  Unwell(0),
-                 ColdMs(0) {
+                 ColdMs(0),
+                 TargetVersion() {
   }
 
   virtual ~MemberRecord() noexcept;
@@ -1596,6 +1610,7 @@
   int32_t ColdMs;
   TargetRun LeavingRun;
   TargetRun Run;
+  std::string TargetVersion;
 
   _MemberRecord__isset __isset;
 
@@ -1627,6 +1642,8 @@
 
   void __set_Run(const TargetRun& val);
 
+  void __set_TargetVersion(const std::string& val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(Name == rhs.Name))
@@ -1661,6 +1678,10 @@
       return false;
     else if (__isset.Run && !(Run == rhs.Run))
       return false;
+    if (__isset.TargetVersion != rhs.__isset.TargetVersion)
+      return false;
+    else if (__isset.TargetVersion && !(TargetVersion == rhs.TargetVersion))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
@@ -2302,19 +2323,106 @@
 
 std::ostream& operator<<(std::ostream& out, const Laggard& obj);
 
+typedef struct _VersionAnswers__isset {
+  _VersionAnswers__isset() : RolloutId(false), Version(false), Route(false), Answers(false), Failures(false), RunMs(false) {}
+  bool RolloutId :1;
+  bool Version :1;
+  bool Route :1;
+  bool Answers :1;
+  bool Failures :1;
+  bool RunMs :1;
+} _VersionAnswers__isset;
+
+/**
+ * Answers of the targets of a service with one software version on one route,
+ * summed over the daemons that are reported. RunMs is the sum of their run times.
+ * RolloutId names the roll-out during which they were counted.
+ */
+class VersionAnswers : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionAnswers(const VersionAnswers&);
+  VersionAnswers(VersionAnswers&&) noexcept;
+  VersionAnswers& operator=(const VersionAnswers&);
+  VersionAnswers& operator=(VersionAnswers&&) noexcept;
+  VersionAnswers() noexcept
+                 : RolloutId(),
+                   Version(),
+                   Route(),
+                   Answers(0),
+                   Failures(0),
+                   RunMs(0) {
+  }
+
+  virtual ~VersionAnswers() noexcept;
+  std::string RolloutId;
+  std::string Version;
+  std::string Route;
+  int64_t Answers;
+  int64_t Failures;
+  int64_t RunMs;
+
+  _VersionAnswers__isset __isset;
+
+  void __set_RolloutId(const std::string& val);
+
+  void __set_Version(const std::string& val);
+
+  void __set_Route(const std::string& val);
+
+  void __set_Answers(const int64_t val);
+
+  void __set_Failures(const int64_t val);
+
+  void __set_RunMs(const int64_t val);
+
+  bool operator == (const VersionAnswers & rhs) const
+  {
+    if (!(RolloutId == rhs.RolloutId))
+      return false;
+    if (!(Version == rhs.Version))
+      return false;
+    if (!(Route == rhs.Route))
+      return false;
+    if (!(Answers == rhs.Answers))
+      return false;
+    if (!(Failures == rhs.Failures))
+      return false;
+    if (!(RunMs == rhs.RunMs))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionAnswers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionAnswers & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionAnswers &a, VersionAnswers &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionAnswers& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : From(false), LeastVersion(false), Count(false), NamesSum(false), Laggards(false) {}
+  _Report__isset() : From(false), LeastVersion(false), Count(false), NamesSum(false), Laggards(false), Versions(false) {}
   bool From :1;
   bool LeastVersion :1;
   bool Count :1;
   bool NamesSum :1;
   bool Laggards :1;
+  bool Versions :1;
 } _Report__isset;
 
 /**
  * In-force versions of a daemon and of all daemons below it in the report tree.
  * NamesSum is the sum of the hashes of their names, so that a missing daemon is
- * detected even if another one is counted twice.
+ * detected even if another one is counted twice. Versions is filled while a
+ * roll-out runs.
  */
 class Report : public virtual ::apache::thrift::TBase {
  public:
@@ -2336,6 +2444,7 @@
   int32_t Count;
   int64_t NamesSum;
   std::vector<Laggard>  Laggards;
+  std::vector<VersionAnswers>  Versions;
 
   _Report__isset __isset;
 
@@ -2349,6 +2458,8 @@
 
   void __set_Laggards(const std::vector<Laggard> & val);
 
+  void __set_Versions(const std::vector<VersionAnswers> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(From == rhs.From))
@@ -2361,6 +2472,8 @@
       return false;
     if (!(Laggards == rhs.Laggards))
       return false;
+    if (!(Versions == rhs.Versions))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -2623,7 +2736,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : Id(false), ReceiverIncarnation(false), Service(false), Method(false), Url(false), Headers(false), BodySize(false), Body(false), RemainingMs(false), Priority(false), CallId(false), MayRepeat(false), UsefulMs(true), Route(false), Late(true), BodyFollows(true) {}
+  _CallRequest__isset() : Id(false), ReceiverIncarnation(false), Service(false), Method(false), Url(false), Headers(false), BodySize(false), Body(false), RemainingMs(false), Priority(false), CallId(false), MayRepeat(false), UsefulMs(true), Route(false), Late(true), BodyFollows(true), Account(false) {}
   bool Id :1;
   bool ReceiverIncarnation :1;
   bool Service :1;
@@ -2640,13 +2753,15 @@
   bool Route :1;
   bool Late :1;
   bool BodyFollows :1;
+  bool Account :1;
 } _CallRequest__isset;
 
 /**
  * RemainingMs is the time until the caller's deadline, UsefulMs the time until
  * an answer is worth less to the caller; 0 if that is the deadline. Late says
  * that the time of full value has passed. BodyFollows says that the body is
- * sent in parts once the receiver has answered Admitted.
+ * sent in parts once the receiver has answered Admitted. Account is the client
+ * account that the call belongs to; empty if there is none.
  */
 class CallRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -2669,7 +2784,8 @@
                 UsefulMs(0),
                 Route(),
                 Late(false),
-                BodyFollows(false) {
+                BodyFollows(false),
+                Account() {
   }
 
   virtual ~CallRequest() noexcept;
@@ -2689,6 +2805,7 @@
   std::string Route;
   bool Late;
   bool BodyFollows;
+  std::string Account;
 
   _CallRequest__isset __isset;
 
@@ -2724,6 +2841,8 @@
 
   void __set_BodyFollows(const bool val);
 
+  void __set_Account(const std::string& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -2758,6 +2877,8 @@
       return false;
     if (!(BodyFollows == rhs.BodyFollows))
       return false;
+    if (!(Account == rhs.Account))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -2854,15 +2975,18 @@
 std::ostream& operator<<(std::ostream& out, const BodyPart& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true) {}
+  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true), PacePercent(true) {}
   bool Running :1;
   bool Queued :1;
   bool Slots :1;
   bool LinkMs :1;
+  bool PacePercent :1;
 } _Load__isset;
 
 /**
- * LinkMs is the time that the daemon's link needs for the answers that wait or are expected.
+ * LinkMs is the time that the daemon's link needs for the answers that wait or are
+ * expected. PacePercent is how long work takes on the target's machine, 100 as
+ * usual; 0 if the target does not tell it.
  */
 class Load : public virtual ::apache::thrift::TBase {
  public:
@@ -2875,7 +2999,8 @@
        : Running(0),
          Queued(0),
          Slots(0),
-         LinkMs(0) {
+         LinkMs(0),
+         PacePercent(0) {
   }
 
   virtual ~Load() noexcept;
@@ -2883,6 +3008,7 @@
   int32_t Queued;
   int32_t Slots;
   int32_t LinkMs;
+  int32_t PacePercent;
 
   _Load__isset __isset;
 
@@ -2894,6 +3020,8 @@
 
   void __set_LinkMs(const int32_t val);
 
+  void __set_PacePercent(const int32_t val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(Running == rhs.Running))
@@ -2904,6 +3032,8 @@
       return false;
     if (!(LinkMs == rhs.LinkMs))
       return false;
+    if (!(PacePercent == rhs.PacePercent))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
@@ -3619,6 +3749,291 @@
 
 std::ostream& operator<<(std::ostream& out, const PullContent& obj);
 
+typedef struct _AllowanceShare__isset {
+  _AllowanceShare__isset() : Account(false), MilliPerSecond(false), MilliDepth(false), Tokens(true) {}
+  bool Account :1;
+  bool MilliPerSecond :1;
+  bool MilliDepth :1;
+  bool Tokens :1;
+} _AllowanceShare__isset;
+
+/**
+ * The part of an account's rate that one daemon may use. Account is a hash of the
+ * account's name. MilliPerSecond is the pace in thousandths of a call per second,
+ * MilliDepth the most thousandths of a call that may be saved up. Tokens are calls that
+ * may start at once beyond the pace; they are given once for each request.
+ */
+class AllowanceShare : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllowanceShare(const AllowanceShare&) noexcept;
+  AllowanceShare(AllowanceShare&&) noexcept;
+  AllowanceShare& operator=(const AllowanceShare&) noexcept;
+  AllowanceShare& operator=(AllowanceShare&&) noexcept;
+  AllowanceShare() noexcept
+                 : Account(0),
+                   MilliPerSecond(0),
+                   MilliDepth(0),
+                   Tokens(0) {
+  }
+
+  virtual ~AllowanceShare() noexcept;
+  int64_t Account;
+  int64_t MilliPerSecond;
+  int64_t MilliDepth;
+  int32_t Tokens;
+
+  _AllowanceShare__isset __isset;
+
+  void __set_Account(const int64_t val);
+
+  void __set_MilliPerSecond(const int64_t val);
+
+  void __set_MilliDepth(const int64_t val);
+
+  void __set_Tokens(const int32_t val);
+
+  bool operator == (const AllowanceShare & rhs) const
+  {
+    if (!(Account == rhs.Account))
+      return false;
+    if (!(MilliPerSecond == rhs.MilliPerSecond))
+      return false;
+    if (!(MilliDepth == rhs.MilliDepth))
+      return false;
+    if (!(Tokens == rhs.Tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const AllowanceShare &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllowanceShare & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllowanceShare &a, AllowanceShare &b);
+
+std::ostream& operator<<(std::ostream& out, const AllowanceShare& obj);
+
+typedef struct _AllowanceDemand__isset {
+  _AllowanceDemand__isset() : Held(false), HeldMs(true), WantedMilliPerSecond(false), WaitingCalls(true) {}
+  bool Held :1;
+  bool HeldMs :1;
+  bool WantedMilliPerSecond :1;
+  bool WaitingCalls :1;
+} _AllowanceDemand__isset;
+
+/**
+ * Demand for an account at a daemon, and the share that it holds for HeldMs more.
+ */
+class AllowanceDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllowanceDemand(const AllowanceDemand&) noexcept;
+  AllowanceDemand(AllowanceDemand&&) noexcept;
+  AllowanceDemand& operator=(const AllowanceDemand&) noexcept;
+  AllowanceDemand& operator=(AllowanceDemand&&) noexcept;
+  AllowanceDemand() noexcept
+                  : HeldMs(0),
+                    WantedMilliPerSecond(0),
+                    WaitingCalls(0) {
+  }
+
+  virtual ~AllowanceDemand() noexcept;
+  AllowanceShare Held;
+  int32_t HeldMs;
+  int64_t WantedMilliPerSecond;
+  int32_t WaitingCalls;
+
+  _AllowanceDemand__isset __isset;
+
+  void __set_Held(const AllowanceShare& val);
+
+  void __set_HeldMs(const int32_t val);
+
+  void __set_WantedMilliPerSecond(const int64_t val);
+
+  void __set_WaitingCalls(const int32_t val);
+
+  bool operator == (const AllowanceDemand & rhs) const
+  {
+    if (!(Held == rhs.Held))
+      return false;
+    if (!(HeldMs == rhs.HeldMs))
+      return false;
+    if (!(WantedMilliPerSecond == rhs.WantedMilliPerSecond))
+      return false;
+    if (!(WaitingCalls == rhs.WaitingCalls))
+      return false;
+    return true;
+  }
+  bool operator != (const AllowanceDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllowanceDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllowanceDemand &a, AllowanceDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const AllowanceDemand& obj);
+
+typedef struct _AllowanceRequest__isset {
+  _AllowanceRequest__isset() : Daemon(false), Incarnation(false), Number(false), ConfigurationVersion(false), Demands(false) {}
+  bool Daemon :1;
+  bool Incarnation :1;
+  bool Number :1;
+  bool ConfigurationVersion :1;
+  bool Demands :1;
+} _AllowanceRequest__isset;
+
+/**
+ * A proxy asks the leader for shares. Number grows with each request of one
+ * incarnation; it orders requests and names them in replies.
+ */
+class AllowanceRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllowanceRequest(const AllowanceRequest&);
+  AllowanceRequest(AllowanceRequest&&) noexcept;
+  AllowanceRequest& operator=(const AllowanceRequest&);
+  AllowanceRequest& operator=(AllowanceRequest&&) noexcept;
+  AllowanceRequest() noexcept
+                   : Daemon(),
+                     Incarnation(0),
+                     Number(0),
+                     ConfigurationVersion(0) {
+  }
+
+  virtual ~AllowanceRequest() noexcept;
+  std::string Daemon;
+  int64_t Incarnation;
+  int64_t Number;
+  int64_t ConfigurationVersion;
+  std::vector<AllowanceDemand>  Demands;
+
+  _AllowanceRequest__isset __isset;
+
+  void __set_Daemon(const std::string& val);
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Number(const int64_t val);
+
+  void __set_ConfigurationVersion(const int64_t val);
+
+  void __set_Demands(const std::vector<AllowanceDemand> & val);
+
+  bool operator == (const AllowanceRequest & rhs) const
+  {
+    if (!(Daemon == rhs.Daemon))
+      return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Number == rhs.Number))
+      return false;
+    if (!(ConfigurationVersion == rhs.ConfigurationVersion))
+      return false;
+    if (!(Demands == rhs.Demands))
+      return false;
+    return true;
+  }
+  bool operator != (const AllowanceRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllowanceRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllowanceRequest &a, AllowanceRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const AllowanceRequest& obj);
+
+typedef struct _AllowanceReply__isset {
+  _AllowanceReply__isset() : Number(false), ValidMs(true), Shares(false), LeaderAddress(false) {}
+  bool Number :1;
+  bool ValidMs :1;
+  bool Shares :1;
+  bool LeaderAddress :1;
+} _AllowanceReply__isset;
+
+/**
+ * The shares that replace those held, valid for ValidMs from the sending of the
+ * request. LeaderAddress is set, and there are no shares, if the sender does not lead.
+ */
+class AllowanceReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  AllowanceReply(const AllowanceReply&);
+  AllowanceReply(AllowanceReply&&) noexcept;
+  AllowanceReply& operator=(const AllowanceReply&);
+  AllowanceReply& operator=(AllowanceReply&&) noexcept;
+  AllowanceReply() noexcept
+                 : Number(0),
+                   ValidMs(0),
+                   LeaderAddress() {
+  }
+
+  virtual ~AllowanceReply() noexcept;
+  int64_t Number;
+  int32_t ValidMs;
+  std::vector<AllowanceShare>  Shares;
+  std::string LeaderAddress;
+
+  _AllowanceReply__isset __isset;
+
+  void __set_Number(const int64_t val);
+
+  void __set_ValidMs(const int32_t val);
+
+  void __set_Shares(const std::vector<AllowanceShare> & val);
+
+  void __set_LeaderAddress(const std::string& val);
+
+  bool operator == (const AllowanceReply & rhs) const
+  {
+    if (!(Number == rhs.Number))
+      return false;
+    if (!(ValidMs == rhs.ValidMs))
+      return false;
+    if (!(Shares == rhs.Shares))
+      return false;
+    if (!(LeaderAddress == rhs.LeaderAddress))
+      return false;
+    return true;
+  }
+  bool operator != (const AllowanceReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AllowanceReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AllowanceReply &a, AllowanceReply &b);
+
+std::ostream& operator<<(std::ostream& out, const AllowanceReply& obj);
+
 }} // namespace
 
 #endif
--- a/src/libwire/message.cpp
+++ b/src/libwire/message.cpp
@@ -17,14 +17,14 @@
 
 constexpr std::array<std::string_view, std::variant_size_v<Message>>
     MessageNames = {
-        "VoteRequest",    "VoteReply",   "AppendRequest", "AppendReply",
-        "InstallRequest", "JoinRequest", "Probe",         "ProbeAck",
-        "IndirectProbe",  "Announce",    "SyncRequest",   "SyncReply",
-        "PullRequest",    "PullReply",   "Report",        "StampRequest",
-        "StampReply",     "CallRequest", "BodyPart",      "CallReply",
-        "CallQuery",      "CallCancel",  "AnswerAck",     "Heartbeat",
-        "ClaimRequest",   "ClaimReply",  "OutcomeQuery",  "OutcomeReply",
-        "LeavingTarget"};
+        "VoteRequest",    "VoteReply",        "AppendRequest", "AppendReply",
+        "InstallRequest", "JoinRequest",      "Probe",         "ProbeAck",
+        "IndirectProbe",  "Announce",         "SyncRequest",   "SyncReply",
+        "PullRequest",    "PullReply",        "Report",        "StampRequest",
+        "StampReply",     "CallRequest",      "BodyPart",      "CallReply",
+        "CallQuery",      "CallCancel",       "AnswerAck",     "Heartbeat",
+        "ClaimRequest",   "ClaimReply",       "OutcomeQuery",  "OutcomeReply",
+        "LeavingTarget",  "AllowanceRequest", "AllowanceReply"};
 
 template <typename RecordT>
 void appendRecord(std::string &Out, const RecordT &Record) {
--- a/src/libwire/message.h
+++ b/src/libwire/message.h
@@ -19,7 +19,8 @@
     wire::StampReply, wire::CallRequest, wire::BodyPart, wire::CallReply,
     wire::CallQuery, wire::CallCancel, wire::AnswerAck, wire::Heartbeat,
     wire::ClaimRequest, wire::ClaimReply, wire::OutcomeQuery,
-    wire::OutcomeReply, wire::LeavingTarget>;
+    wire::OutcomeReply, wire::LeavingTarget, wire::AllowanceRequest,
+    wire::AllowanceReply>;
 
 /// Largest encoded message that decode() accepts.
 constexpr std::size_t MaxMessageBytes = 64u << 20;
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -192,7 +192,8 @@
  * A daemon and the target beside it. Only that daemon raises Incarnation and
  * Sequence. ColdMs is how long the target stays slow after its start. LeavingRun
  * is set while the target is leaving. Run is the target's run, if it has an id:
- * the daemon was told that it is one of Service.
+ * the daemon was told that it is one of Service. TargetVersion is the version of
+ * the target's software, if the target announced one.
  */
 struct MemberRecord {
   1: string Name
@@ -209,6 +210,7 @@
   12: i32 ColdMs = 0
   13: optional TargetRun LeavingRun
   14: optional TargetRun Run
+  15: optional string TargetVersion
 }
 
 struct Gossip {
@@ -289,10 +291,25 @@
   2: i64 Version
 }
 
+/**
+ * Answers of the targets of a service with one software version on one route,
+ * summed over the daemons that are reported. RunMs is the sum of their run times.
+ * RolloutId names the roll-out during which they were counted.
+ */
+struct VersionAnswers {
+  1: string RolloutId
+  2: string Version
+  3: string Route
+  4: i64 Answers
+  5: i64 Failures
+  6: i64 RunMs
+}
+
 /**
  * In-force versions of a daemon and of all daemons below it in the report tree.
  * NamesSum is the sum of the hashes of their names, so that a missing daemon is
- * detected even if another one is counted twice.
+ * detected even if another one is counted twice. Versions is filled while a
+ * roll-out runs.
  */
 struct Report {
   1: string From
@@ -300,6 +317,7 @@
   3: i32 Count
   4: i64 NamesSum
   5: list<Laggard> Laggards
+  6: list<VersionAnswers> Versions
 }
 
 /**
@@ -341,7 +359,8 @@
  * RemainingMs is the time until the caller's deadline, UsefulMs the time until
  * an answer is worth less to the caller; 0 if that is the deadline. Late says
  * that the time of full value has passed. BodyFollows says that the body is
- * sent in parts once the receiver has answered Admitted.
+ * sent in parts once the receiver has answered Admitted. Account is the client
+ * account that the call belongs to; empty if there is none.
  */
 struct CallRequest {
   1: AttemptId Id
@@ -360,6 +379,7 @@
   14: string Route
   15: bool Late = false
   16: bool BodyFollows = false
+  17: string Account
 }
 
 /**
@@ -384,12 +404,17 @@
   Admitted = 4
 }
 
-/** LinkMs is the time that the daemon's link needs for the answers that wait or are expected. */
+/**
+ * LinkMs is the time that the daemon's link needs for the answers that wait or are
+ * expected. PacePercent is how long work takes on the target's machine, 100 as
+ * usual; 0 if the target does not tell it.
+ */
 struct Load {
   1: i32 Running
   2: i32 Queued
   3: i32 Slots
   4: i32 LinkMs = 0
+  5: i32 PacePercent = 0
 }
 
 /**
@@ -476,3 +501,49 @@
   1: list<Delta> Deltas
   2: list<Setting> Settings
 }
+
+// Rates of client accounts.
+
+/**
+ * The part of an account's rate that one daemon may use. Account is a hash of the
+ * account's name. MilliPerSecond is the pace in thousandths of a call per second,
+ * MilliDepth the most thousandths of a call that may be saved up. Tokens are calls that
+ * may start at once beyond the pace; they are given once for each request.
+ */
+struct AllowanceShare {
+  1: i64 Account
+  2: i64 MilliPerSecond
+  3: i64 MilliDepth
+  4: i32 Tokens = 0
+}
+
+/** Demand for an account at a daemon, and the share that it holds for HeldMs more. */
+struct AllowanceDemand {
+  1: AllowanceShare Held
+  2: i32 HeldMs = 0
+  3: i64 WantedMilliPerSecond
+  4: i32 WaitingCalls = 0
+}
+
+/**
+ * A proxy asks the leader for shares. Number grows with each request of one
+ * incarnation; it orders requests and names them in replies.
+ */
+struct AllowanceRequest {
+  1: string Daemon
+  2: i64 Incarnation
+  3: i64 Number
+  4: i64 ConfigurationVersion
+  5: list<AllowanceDemand> Demands
+}
+
+/**
+ * The shares that replace those held, valid for ValidMs from the sending of the
+ * request. LeaderAddress is set, and there are no shares, if the sender does not lead.
+ */
+struct AllowanceReply {
+  1: i64 Number
+  2: i32 ValidMs = 0
+  3: list<AllowanceShare> Shares
+  4: string LeaderAddress
+}
