Add client accounts and the check of their keys

Configurations are to hold client accounts, whose calls carry a key. No part of the project knew them: the platform's document lost the member, and the header with the key went to targets.

Adds the settings kinds accounts and access and the route property anonymous. RouteTable finds an account by team and key and refuses a key that two accounts hold; the work is in proportion to the change. CallRouter answers 401 by a confirmed version only, removes the headers that carry keys or name accounts, uses the priority of the account and sends its name to the target's daemon. With revocationMs, calls with a key need a recent confirmation, and a suspended machine counts as one without. Keys are masked in the settings that are shown.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -86,6 +86,7 @@
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
   Identity.LinkMbps = this->Settings.LinkMbps;
+  Identity.Revocation = this->Settings.Revocation;
   Identity.TextPrefixTeam = this->Protocols.TextPrefixTeam;
   const MemoryShares Shares =
       MemoryShares::fromSettings(this->Settings.MemoryMb);
@@ -277,8 +278,20 @@
 }
 
 void DaemonHost::submit(EventBody Body) {
+  const Time Now = std::chrono::steady_clock::now();
+  // Read after the time of the event: what happened before it is aged first.
+  if (this->Settings.Revocation.count() > 0) {
+    const milliseconds Suspended =
+        this->Suspension.advance(SuspensionClock::read());
+    if (Suspended.count() > 0)
+      this->reduce(ProcessSuspended{Suspended}, Now);
+  }
+  this->reduce(std::move(Body), Now);
+}
+
+void DaemonHost::reduce(EventBody Body, Time Now) {
   Event NewEvent;
-  NewEvent.At = std::chrono::steady_clock::now();
+  NewEvent.At = Now;
   NewEvent.WallMs = wallClockMs();
   NewEvent.Body = std::move(Body);
   try {
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -8,6 +8,7 @@
 #include "operatorapi.h"
 #include "peernetwork.h"
 #include "proxyapi.h"
+#include "suspensionclock.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -44,6 +45,8 @@
 private:
   DaemonHost(const DaemonSettings &Settings, const EdgeProtocols &Protocols);
 
+  /// Passes an event that happened at \p Now to the node.
+  void reduce(EventBody Body, Time Now);
   leaf::result<void> openNode();
   /// Logs what was found on the disk.
   void logDisk();
@@ -111,6 +114,7 @@
   std::unique_ptr<ChoicePolicy> TargetPolicy;
   std::unique_ptr<Topology> VersionTopology;
   BodyStore Bodies;
+  SuspensionClock Suspension;
   Metrics DaemonMetrics;
   std::optional<DiskStore> Disk;
   std::unique_ptr<Node> LocalNode;
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -129,6 +129,21 @@
   return {};
 }
 
+leaf::result<void> readRevocation(const json &Document, std::string_view Where,
+                                  DaemonSettings &Out) {
+  constexpr double MsPerSecond = 1000.0;
+  if (Document.contains("revocationMs") && Document.contains("revocationS"))
+    return fail(ResultCode::SettingsInvalid,
+                std::string(Where) + "[revocationS]",
+                "the key is not allowed together with revocationMs");
+  Out.Revocation =
+      milliseconds(Document.value("revocationMs", Out.Revocation.count()));
+  if (Document.contains("revocationS"))
+    Out.Revocation = milliseconds(static_cast<std::int64_t>(
+        Document.at("revocationS").get<double>() * MsPerSecond));
+  return {};
+}
+
 } // namespace
 
 std::string Endpoint::toString() const {
@@ -186,6 +201,7 @@
   }
   BOOST_LEAF_CHECK(readControlInstances(Document, Where, Out));
   BOOST_LEAF_CHECK(readSeeds(Document, Where, Out));
+  BOOST_LEAF_CHECK(readRevocation(Document, Where, Out));
   Out.MemoryMb = Document.value("memoryMb", Out.MemoryMb);
   if (Out.Role == DaemonRole::Control)
     BOOST_LEAF_CHECK(readControl(Document, Where, Out));
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -79,6 +79,8 @@
   std::int64_t MemoryMb = 0;
   /// Bandwidth of the instance's link in Mbit/s; 0 if not set.
   double LinkMbps = 0;
+  /// As in NodeIdentity.
+  milliseconds Revocation{0};
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -21,6 +21,9 @@
   std::string IdempotencyKey;
   /// Headers that are forwarded to the target.
   std::vector<wire::Header> Headers;
+  /// As in CallArrived.
+  std::string AccountKey;
+  std::vector<wire::Header> IdentityHeaders;
 };
 
 /// The content of a target's health response.
@@ -206,6 +209,11 @@
 endToEndHeaders(std::vector<wire::Header> Headers,
                 std::span<const std::string_view> Excluded);
 
+/// Moves the headers \p KeyName, which holds the key of an account, and
+/// \p AccountName from Out.Headers to Out.IdentityHeaders.
+void takeIdentity(CallMetadata &Out, std::string_view KeyName,
+                  std::string_view AccountName);
+
 /// Reads what a target says of itself from the header \p LimitName, a decimal
 /// number of calls per second, and \p LeavingName, "1" if it shuts down. A
 /// limit that is not a number is ignored.
--- a/src/libhost/nativeprotocol.cpp
+++ b/src/libhost/nativeprotocol.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 
 namespace persimmon {
 
@@ -28,6 +29,10 @@
 constexpr std::string_view CallIdHeader = "X-Request-Id";
 constexpr std::string_view DeadlineHeader = "Persimmon-Deadline-Ms";
 constexpr std::string_view NotRunHeader = "Persimmon-Not-Run";
+/// Key of a client account, in callers' requests.
+constexpr std::string_view AccountKeyHeader = "Persimmon-Key";
+/// Name of the account that a request belongs to, in requests to targets.
+constexpr std::string_view AccountHeader = "Persimmon-Account";
 /// Calls per second that the target takes, in its responses.
 constexpr std::string_view LimitHeader = "Persimmon-Limit";
 /// "1" in the responses of a target that shuts down.
@@ -53,6 +58,7 @@
     Out.CallId = std::string(Request.header(CallIdHeader));
     Out.IdempotencyKey = std::string(Request.header("Idempotency-Key"));
     Out.Headers = endToEndHeaders(Request.Headers, NativeHeaders);
+    takeIdentity(Out, AccountKeyHeader, AccountHeader);
     return Out;
   }
 
@@ -88,6 +94,8 @@
     Out.push_back(makeHeader(std::string(CallIdHeader), Request.CallId));
     Out.push_back(
         makeHeader(std::string(DeadlineHeader), std::to_string(Left.count())));
+    if (!Request.Account.empty())
+      Out.push_back(makeHeader(std::string(AccountHeader), Request.Account));
     return Out;
   }
 
@@ -213,6 +221,28 @@
   return Now + milliseconds(std::min(Value, MaxMs));
 }
 
+void takeIdentity(CallMetadata &Out, std::string_view KeyName,
+                  std::string_view AccountName) {
+  const auto First = std::stable_partition(
+      Out.Headers.begin(), Out.Headers.end(), [&](const wire::Header &Item) {
+        return !sameHeaderName(Item.Name, KeyName) &&
+               !sameHeaderName(Item.Name, AccountName);
+      });
+  Out.IdentityHeaders.assign(std::make_move_iterator(First),
+                             std::make_move_iterator(Out.Headers.end()));
+  Out.Headers.erase(First, Out.Headers.end());
+  int Keys = 0;
+  for (const wire::Header &Item : Out.IdentityHeaders) {
+    if (!sameHeaderName(Item.Name, KeyName))
+      continue;
+    Out.AccountKey = Item.Value;
+    ++Keys;
+  }
+  // Which of several keys counts would depend on their order.
+  if (Keys > 1)
+    Out.AccountKey.clear();
+}
+
 TargetNotice noticeOf(const TargetResponse &Answer, std::string_view LimitName,
                       std::string_view LeavingName) {
   TargetNotice Out;
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -1,5 +1,7 @@
 #include "operatorapi.h"
 
+#include "libpersimmon/accountkeys.h"
+
 #include "descriptorshares.h"
 #include "logging.h"
 
@@ -393,9 +395,11 @@
   json Items = json::array();
   for (const auto &[Path, Entry] :
        this->Sink.node().control()->store().settings())
-    Items.push_back({{"path", Path},
-                     {"version", Entry.Version},
-                     {"value", json::parse(Entry.Value, nullptr, false)}});
+    Items.push_back(
+        {{"path", Path},
+         {"version", Entry.Version},
+         {"value",
+          maskAccountKeys(Path, json::parse(Entry.Value, nullptr, false))}});
   return {{"settings", std::move(Items)}};
 }
 
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -184,6 +184,8 @@
   Call.BodySize = static_cast<std::int64_t>(Request.Body.size());
   Call.Deadline = Metadata.Deadline;
   Call.IdempotencyKey = std::move(Metadata.IdempotencyKey);
+  Call.AccountKey = std::move(Metadata.AccountKey);
+  Call.IdentityHeaders = std::move(Metadata.IdentityHeaders);
   if (!this->Bodies.storeCallerBody(Request.Id, std::move(Request.Body)))
     return this->sendError({Request.Id,
                             {ResultCode::TooManyCalls, "body",
--- a/src/libpersimmon/admissionqueue.h
+++ b/src/libpersimmon/admissionqueue.h
@@ -29,6 +29,8 @@
 struct WaitingCall {
   wire::AttemptId Id;
   std::string Route;
+  /// Name of the client account; empty if there is none.
+  std::string Account;
   int Priority = 0;
   /// End of the time in which an answer has full value for the caller; never
   /// after Deadline.
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -288,6 +288,7 @@
   WaitingCall Call;
   Call.Id = Item.Id;
   Call.Route = Item.Route;
+  Call.Account = Item.Account;
   Call.Priority = Item.Priority;
   Call.UsefulUntil = Item.UsefulUntil;
   Call.Deadline = Item.Deadline;
@@ -374,6 +375,7 @@
   Item.From = std::string(From);
   Item.Deadline = Now + milliseconds(Request.RemainingMs);
   Item.Route = Request.Route;
+  Item.Account = Request.Account;
   Item.CallId = Request.CallId;
   Item.ForLocalDaemon = Context.FromLocalDaemon;
   Item.Nested = Nested;
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -119,6 +119,7 @@
     Time UsefulUntil;
     Time StartedAt;
     std::string Route;
+    std::string Account;
     std::string CallId;
     Time KeepUntil = NoDeadline;
     int Priority = 0;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -103,9 +103,21 @@
         " heard=" + std::to_string(this->Config.newestKnownVersion())});
     return this->denyRoute(Arrived, Now, Out);
   }
+  const bool KeyRequired = Table->requiresKey(Route->team());
+  const AccountSpec *Account =
+      KeyRequired ? Table->accountOf(Route->team(), Arrived.AccountKey)
+                  : nullptr;
+  if (KeyRequired && Account == nullptr && !Route->Anonymous)
+    return this->denyKey(Arrived, *Route, Now, Out);
   if (!this->maySend(Now))
     return this->hold(Arrived, Arrived.Deadline, Out);
-  Call NewCall = this->makeCall(Arrived, *Route, Now);
+  if (Account != nullptr && Now >= this->Validity.KeysUntil)
+    return this->awaitKeys(Arrived, *Account, Now, Out);
+  Call NewCall = this->makeCall(Arrived, *Route, Account, Now);
+  if (!KeyRequired)
+    NewCall.Headers.insert(NewCall.Headers.end(),
+                           Arrived.IdentityHeaders.begin(),
+                           Arrived.IdentityHeaders.end());
   const ServiceSpec &Service = *Table->service(NewCall.Service);
   if (Arrived.BodySize > Service.MaxBodyBytes)
     return this->refuseByConfiguration(
@@ -133,9 +145,36 @@
 }
 
 void CallRouter::denyRoute(const CallArrived &Arrived, Time Now, Effects &Out) {
-  const Failure Denied{ResultCode::NoRoute, Arrived.Job, {}};
+  this->deny(Arrived, {ResultCode::NoRoute, Arrived.Job, {}}, Now, Out);
+}
+
+void CallRouter::denyKey(const CallArrived &Arrived, const RouteSpec &Route,
+                         Time Now, Effects &Out) {
+  Out.emplace_back(LogDecision{
+      "event=key-unknown call=" + Arrived.CallId + " route=" + Route.Path +
+      " key=" + (Arrived.AccountKey.empty() ? "none" : "unknown") +
+      " version=" + std::to_string(this->Config.version()) +
+      " heard=" + std::to_string(this->Config.newestKnownVersion())});
+  this->deny(Arrived, {ResultCode::KeyUnknown, Arrived.Job, {}}, Now, Out);
+}
+
+void CallRouter::deny(const CallArrived &Arrived, Failure Denied, Time Now,
+                      Effects &Out) {
   if (Now < this->Validity.DeniesUntil || this->Config.superseded())
-    return this->refuseByConfiguration(Arrived.CallNumber, Denied, Out);
+    return this->refuseByConfiguration(Arrived.CallNumber, std::move(Denied),
+                                       Out);
+  this->hold(Arrived, Now + ConfirmationTimeout, Out);
+}
+
+void CallRouter::awaitKeys(const CallArrived &Arrived,
+                           const AccountSpec &Account, Time Now, Effects &Out) {
+  Out.emplace_back(LogDecision{
+      "event=keys-unconfirmed call=" + Arrived.CallId + " account=" +
+      Account.Name + " version=" + std::to_string(this->Config.version()) +
+      " outOfTouch=" + (this->Validity.OutOfTouch ? "yes" : "no")});
+  if (this->Validity.OutOfTouch)
+    return this->refuse(Arrived.CallNumber, {ResultCode::NotCurrent, {}, {}},
+                        Out);
   this->hold(Arrived, Now + ConfirmationTimeout, Out);
 }
 
@@ -167,7 +206,8 @@
 }
 
 CallRouter::Call CallRouter::makeCall(const CallArrived &Arrived,
-                                      const RouteSpec &Route, Time Now) {
+                                      const RouteSpec &Route,
+                                      const AccountSpec *Account, Time Now) {
   Call Out;
   Out.Number = Arrived.CallNumber;
   Out.CallId = Arrived.CallId;
@@ -178,6 +218,11 @@
   Out.RoutePath = Route.Path;
   Out.Service = this->Split.next(Route).Service;
   Out.Priority = Route.Priority;
+  if (Account != nullptr) {
+    Out.Account = Account->Name;
+    Out.AccountPath = Account->Path;
+    Out.Priority = Account->Priority.value_or(Route.Priority);
+  }
   Out.MayRepeat = isRepeatable(Route, Arrived.Method);
   Out.MaxTargetAttempts = Route.MaxAttempts;
   const ServiceSpec &Service = *this->Config.table()->service(Out.Service);
@@ -245,6 +290,8 @@
       this->Members, TheCall.Service, TheCall.Excluded, Now, Use);
   std::string Line = "event=place call=" + TheCall.CallId +
                      " route=" + TheCall.RoutePath +
+                     (TheCall.Account.empty() ? std::string()
+                                              : " account=" + TheCall.Account) +
                      " service=" + TheCall.Service +
                      " version=" + std::to_string(this->Config.version()) +
                      " attempt=" + std::to_string(TheCall.Attempts + 1) +
@@ -287,6 +334,7 @@
   Request.RemainingMs =
       static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now));
   Request.Priority = TheCall.Priority;
+  Request.Account = TheCall.Account;
   Request.UsefulMs =
       static_cast<std::int32_t>(millisecondsUntil(TheCall.UsefulUntil, Now));
   Request.Late = TheCall.Late;
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -44,6 +44,8 @@
     Time ServesUntil = NoDeadline;
     /// No daemon can tell which version is the newest one.
     bool OutOfTouch = false;
+    /// Afterwards calls with a key are refused, also if OutOfTouch is set.
+    Time KeysUntil = NoDeadline;
   };
   void setValidity(const VersionValidity &Validity) {
     this->Validity = Validity;
@@ -126,6 +128,9 @@
     std::vector<wire::Header> Headers;
     std::int64_t BodySize = 0;
     std::string RoutePath;
+    /// Name and settings path of the client account; empty if there is none.
+    std::string Account;
+    std::string AccountPath;
     std::string Service;
     int Priority = 0;
     bool MayRepeat = false;
@@ -219,7 +224,20 @@
   /// Refuses a call that the configuration in force does not allow.
   void refuseByConfiguration(std::int64_t CallNumber, Failure Error,
                              Effects &Out) const;
-  Call makeCall(const CallArrived &Arrived, const RouteSpec &Route, Time Now);
+  /// Answers 401 to a call whose key is not known, or holds it like
+  /// denyRoute().
+  void denyKey(const CallArrived &Arrived, const RouteSpec &Route, Time Now,
+               Effects &Out);
+  /// Refuses the call by \p Denied if the version in force is confirmed as the
+  /// newest one; holds it otherwise.
+  void deny(const CallArrived &Arrived, Failure Denied, Time Now, Effects &Out);
+  /// Holds a call with a key until the version in force is confirmed, or
+  /// refuses it at once if no daemon can confirm it.
+  void awaitKeys(const CallArrived &Arrived, const AccountSpec &Account,
+                 Time Now, Effects &Out);
+  /// Makes the call of \p Account, which is null if the call has none.
+  Call makeCall(const CallArrived &Arrived, const RouteSpec &Route,
+                const AccountSpec *Account, Time Now);
   milliseconds retryAfter(const Call &TheCall, ResultCode Code, Time Now);
   bool mayRetry(const Call &TheCall, ResultCode Code, Time Now);
   void finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun, Time Now,
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -61,6 +61,13 @@
     this->ConsensusModule.setDeparted(std::move(Addresses));
   }
 
+  /// Makes the last proof of leadership older by \p By, a time that the steady
+  /// clock did not count.
+  void age(milliseconds By) {
+    this->VerifiedAt -= By;
+    this->VerifyStartedAt -= By;
+  }
+
   /// Makes this instance hand over its vote before it stops.
   void leave() { this->ConsensusModule.leave(); }
 
--- a/src/libpersimmon/distribution.cpp
+++ b/src/libpersimmon/distribution.cpp
@@ -199,6 +199,12 @@
           Now < this->CurrentAt + UnconfirmedServeLimit);
 }
 
+void Distribution::age(milliseconds By) {
+  this->CurrentAt -= By;
+  for (PendingVersion &Item : this->Pending)
+    Item.ServeUntil -= By;
+}
+
 void Distribution::noteCommittedVersion(std::int64_t NewerVersion, Time Now) {
   const std::int64_t Last =
       this->Pending.empty() ? this->Version : this->Pending.back().Version;
--- a/src/libpersimmon/distribution.h
+++ b/src/libpersimmon/distribution.h
@@ -62,6 +62,14 @@
   /// \p At.
   void noteCurrent(Time At) { this->CurrentAt = std::max(this->CurrentAt, At); }
 
+  /// Returns a time at which no version newer than the one in force was
+  /// committed.
+  Time currentAt() const { return this->CurrentAt; }
+
+  /// Makes what is known of the newest version older by \p By, a time that the
+  /// steady clock did not count.
+  void age(milliseconds By);
+
   /// Returns whether a newer version has been known for so long that calls must
   /// no longer be served with the version in force.
   bool outdated(Time Now) const {
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -102,6 +102,11 @@
   std::int64_t BodySize = 0;
   Time Deadline = NoDeadline;
   std::string IdempotencyKey;
+  /// The key of a client account; empty if there is none, or several.
+  std::string AccountKey;
+  /// Headers of the caller that carry keys or name an account. They are
+  /// forwarded only if the route's team does not require keys.
+  std::vector<wire::Header> IdentityHeaders;
 };
 
 /// The caller closed its connection before it was answered.
@@ -260,17 +265,22 @@
 /// Continues work that was cut into steps; answers ContinueWork.
 struct WorkContinued {};
 
+/// The machine was suspended for a time that the steady clock did not count.
+/// Everything that happened before is older by this time than it seems.
+struct ProcessSuspended {
+  milliseconds For{0};
+};
+
 /// The process was asked to stop gracefully.
 struct StopRequested {};
 
-using EventBody =
-    std::variant<Tick, MessageReceived, StreamLost, CallArrived,
-                 CallerDisconnected, TargetAnnounced, TargetFound, TargetProbed,
-                 RunFinished, ChangeRequested, TeamRequested, ReadRequested,
-                 InitRequested, RecoverRequested, StopRequested,
-                 ReplaceRequested, BootstrapRequested, TargetLeaving,
-                 SettingsChanged, StreamAlive, BodyArrived, BodyLost,
-                 BodyProgress, StreamSlow, WorkContinued, TargetDisowned>;
+using EventBody = std::variant<
+    Tick, MessageReceived, StreamLost, CallArrived, CallerDisconnected,
+    TargetAnnounced, TargetFound, TargetProbed, RunFinished, ChangeRequested,
+    TeamRequested, ReadRequested, InitRequested, RecoverRequested,
+    StopRequested, ReplaceRequested, BootstrapRequested, TargetLeaving,
+    SettingsChanged, StreamAlive, BodyArrived, BodyLost, BodyProgress,
+    StreamSlow, WorkContinued, TargetDisowned, ProcessSuspended>;
 
 /// An input of the reducer with its time. WallMs is the wall clock in
 /// milliseconds since 1970, used for retention only.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds LeftAnnouncementInterval{200};
 constexpr milliseconds StaleWarningInterval{10'000};
 constexpr milliseconds ControlRefreshInterval{200};
+/// Part of the time to a revocation that is left for clocks that run at
+/// different rates.
+constexpr int RevocationMarginDivisor = 10;
 
 wire::MemberRecord recordOf(const NodeIdentity &Identity, bool IsControl) {
   wire::MemberRecord Record;
@@ -54,7 +57,8 @@
              Identity.MaxHistoryBytes, Identity.TextPrefixTeam),
       Gate(Identity.Seed + 3), Confirmation(Identity.Seed + 7),
       Scheduler(Identity.Seed + 6), Seeds(seedsOf(Identity)),
-      ControlAddresses(Seeds), Stop(Identity.Stop) {}
+      ControlAddresses(Seeds), Stop(Identity.Stop),
+      Revocation(Identity.Revocation) {}
 
 std::unique_ptr<Node> Node::makeProxy(const NodeIdentity &Identity,
                                       const NodePolicies &Policies) {
@@ -286,6 +290,18 @@
          (!this->Router || this->Router->callCount() == 0);
 }
 
+void Node::on(const ProcessSuspended &Body, const Event &TheEvent,
+              Effects &Out) {
+  Out.emplace_back(
+      LogWarning{"event=suspended ms=" + std::to_string(Body.For.count())});
+  this->Confirmation.age(Body.For);
+  this->Config.age(Body.For);
+  if (this->Control)
+    this->Control->age(Body.For);
+  if (this->Router)
+    this->updateConfirmation(TheEvent.At, Out);
+}
+
 void Node::on(const StopRequested &, const Event &TheEvent, Effects &Out) {
   if (this->Stopping)
     return;
@@ -543,7 +559,8 @@
   const bool WasOutOfTouch = this->Router->validity().OutOfTouch;
   this->Router->setValidity({this->Confirmation.deniesUntil(Version),
                              this->Confirmation.servesUntil(Version),
-                             this->Confirmation.outOfTouch(Now)});
+                             this->Confirmation.outOfTouch(Now),
+                             this->keysUntil()});
   if (this->Router->validity().OutOfTouch && !WasOutOfTouch) {
     Out.emplace_back(LogWarning{"event=out-of-touch version=" +
                                 std::to_string(Version) + " confirmedMsAgo=" +
@@ -553,6 +570,13 @@
   }
 }
 
+Time Node::keysUntil() const {
+  if (this->Revocation.count() == 0)
+    return NoDeadline;
+  return this->Config.currentAt() + this->Revocation -
+         this->Revocation / RevocationMarginDivisor;
+}
+
 void Node::applyConfirmation() {
   if (this->Confirmation.version() <= this->Config.version())
     this->Config.noteCurrent(this->Confirmation.confirmedAt());
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -53,6 +53,9 @@
   std::string TextPrefixTeam;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
+  /// Time after the removal of a key from which no call with it may run, on
+  /// disconnected daemons too; 0 if these may go on serving.
+  milliseconds Revocation{0};
 };
 
 /// Policies of a daemon; all must outlive its Node.
@@ -127,6 +130,7 @@
   void on(const TargetProbed &Body, const Event &TheEvent, Effects &Out);
   void on(const RunFinished &Body, const Event &TheEvent, Effects &Out);
   void on(const SettingsChanged &Body, const Event &TheEvent, Effects &Out);
+  void on(const ProcessSuspended &Body, const Event &TheEvent, Effects &Out);
   void on(const StopRequested &Body, const Event &TheEvent, Effects &Out);
   void on(const WorkContinued &Body, const Event &TheEvent, Effects &Out);
   template <typename RequestT>
@@ -167,6 +171,8 @@
   /// Tells the router how far the version in force is confirmed, and asks for
   /// a confirmation if one is due.
   void updateConfirmation(Time Now, Effects &Out);
+  /// Returns until when calls with a key may be served.
+  Time keysUntil() const;
   /// Applies what is confirmed to the version in force.
   void applyConfirmation();
   void receiveStampRequest(const wire::StampRequest &Request,
@@ -190,6 +196,7 @@
   std::vector<std::string> ControlAddresses;
   Time NextControlRefresh;
   StopPolicy Stop;
+  milliseconds Revocation;
   int MissedProbes = 0;
   std::int64_t AnnouncedVersion = 0;
   bool Outdated = false;
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -128,9 +128,38 @@
   Spec.TargetLatency = milliseconds(Value.value("targetLatencyMs", 0));
   Spec.MaxAttempts = Value.value("maxAttempts", Spec.MaxAttempts);
   Spec.Priority = Value.value("priority", Spec.Priority);
+  Spec.Anonymous = Value.value("anonymous", Spec.Anonymous);
   return Spec;
 }
 
+AccountSpec makeAccount(std::string Path, const json &Value) {
+  AccountSpec Spec;
+  Spec.Path = std::move(Path);
+  Spec.Name = Spec.Path.substr(Spec.Path.rfind('/') + 1);
+  if (Value.contains("keys"))
+    Spec.Keys = Value.at("keys").get<std::vector<std::string>>();
+  if (Value.contains("priority"))
+    Spec.Priority = Value.at("priority").get<int>();
+  Spec.RatePerSecond = Value.value("ratePerSecond", Spec.RatePerSecond);
+  Spec.Burst = Value.value("burst", Spec.Burst);
+  return Spec;
+}
+
+/// Returns the shard \p Index of \p Shards for changes; copies it at first.
+template <typename ShardT, std::size_t Count>
+ShardT &ownPart(std::size_t Index,
+                std::array<std::shared_ptr<const ShardT>, Count> &Shards,
+                std::map<std::size_t, std::shared_ptr<ShardT>> &OwnShards) {
+  auto &Own = OwnShards[Index];
+  if (!Own) {
+    const auto &Shared = Shards[Index];
+    Own =
+        Shared ? std::make_shared<ShardT>(*Shared) : std::make_shared<ShardT>();
+    Shards[Index] = Own;
+  }
+  return *Own;
+}
+
 /// Returns the name TEAM/SERVICE of the service at a settings path.
 std::string serviceNameOf(const SettingPath &Parts) {
   return std::string(Parts.Team) + "/" + std::string(Parts.Name);
@@ -154,9 +183,11 @@
                 "names may contain only letters, digits, '-', '_' and '.', "
                 "and at most 100 characters");
   if (Parts.Kind != "services" && Parts.Kind != "routes" &&
-      Parts.Kind != "limits" && Parts.Kind != "revision")
+      Parts.Kind != "limits" && Parts.Kind != "revision" &&
+      Parts.Kind != "accounts" && Parts.Kind != "access")
     return fail(ResultCode::ValueInvalid, std::string(Path),
-                "the kind must be services, routes, limits or revision");
+                "the kind must be services, routes, accounts, access, limits "
+                "or revision");
   return Parts;
 }
 
@@ -203,6 +234,49 @@
   return nullptr;
 }
 
+std::string RouteTable::keyIndexOf(std::string_view Team,
+                                   std::string_view Key) {
+  std::string Out;
+  Out.reserve(Team.size() + 1 + Key.size());
+  // A team's name contains no slash.
+  Out.append(Team).append("/").append(Key);
+  return Out;
+}
+
+const RouteTable::AccountEntry *
+RouteTable::findAccount(std::string_view Path) const {
+  const auto &Shard = this->AccountShards[shardOf(Path)];
+  if (!Shard)
+    return nullptr;
+  const auto Found = Shard->find(Path);
+  return Found == Shard->end() ? nullptr : &Found->second;
+}
+
+const AccountSpec *RouteTable::accountOf(std::string_view Team,
+                                         std::string_view Key) const {
+  if (this->Accounts == 0 || Key.empty())
+    return nullptr;
+  const std::string Index = keyIndexOf(Team, Key);
+  const auto &Shard = this->KeyShards[shardOf(Index)];
+  if (!Shard)
+    return nullptr;
+  const auto Found = Shard->find(Index);
+  return Found == Shard->end() ? nullptr : Found->second.get();
+}
+
+const AccountSpec *RouteTable::account(std::string_view Path) const {
+  const AccountEntry *Found = this->findAccount(Path);
+  return Found == nullptr ? nullptr : Found->Spec.get();
+}
+
+bool RouteTable::requiresKey(std::string_view Team) const {
+  if (this->KeyRequiredBy.empty())
+    return false;
+  const std::string Prefix = std::string(Team) + "/";
+  const auto Found = this->KeyRequiredBy.lower_bound(Prefix);
+  return Found != this->KeyRequiredBy.end() && Found->starts_with(Prefix);
+}
+
 const ServiceSpec *RouteTable::service(std::string_view Name) const {
   const auto Found = this->ServiceEntries.find(Name);
   return Found == this->ServiceEntries.end() ? nullptr
@@ -227,6 +301,10 @@
       return this->putRoute(Path, Value);
     if (Parts.Kind == "limits")
       return this->putLimits(Path, Value);
+    if (Parts.Kind == "accounts")
+      return this->putAccount(Path, Value);
+    if (Parts.Kind == "access")
+      return this->putAccess(Path, Value);
     if (this->Options.Mode == Validation::Required)
       BOOST_LEAF_CHECK(
           parseValue(Path, Value, revisionSchema(), this->Options.Mode));
@@ -289,6 +367,51 @@
   return {};
 }
 
+leaf::result<void> RouteTableBuilder::putAccount(const std::string &Path,
+                                                 std::string_view Value) {
+  RouteTable::AccountEntry Entry;
+  Entry.ValueHash = hashOf(Value);
+  const RouteTable::AccountEntry *Known =
+      this->Reused == nullptr ? nullptr : this->Reused->findAccount(Path);
+  if (Known != nullptr && Known->ValueHash == Entry.ValueHash) {
+    Entry = *Known;
+  } else {
+    BOOST_LEAF_AUTO(
+        Document, parseValue(Path, Value, accountSchema(), this->Options.Mode));
+    Entry.Spec =
+        std::make_shared<const AccountSpec>(makeAccount(Path, Document));
+  }
+  RouteTable::AccountShard &Shard = this->ownAccounts(Path);
+  const auto Old = Shard.find(Path);
+  if (Old != Shard.end() && this->ChangedAccounts.count(Path) == 0)
+    this->ReplacedAccounts.push_back(Old->second.Spec);
+  this->ChangedAccounts[Path] = Entry.Spec;
+  Shard[Path] = std::move(Entry);
+  return {};
+}
+
+void RouteTableBuilder::removeAccount(std::string_view Path) {
+  RouteTable::AccountShard &Shard = this->ownAccounts(Path);
+  const auto Old = Shard.find(Path);
+  if (Old == Shard.end())
+    return;
+  if (this->ChangedAccounts.count(Path) == 0)
+    this->ReplacedAccounts.push_back(Old->second.Spec);
+  this->ChangedAccounts[std::string(Path)] = nullptr;
+  Shard.erase(Old);
+}
+
+leaf::result<void> RouteTableBuilder::putAccess(const std::string &Path,
+                                                std::string_view Value) {
+  BOOST_LEAF_AUTO(Document,
+                  parseValue(Path, Value, accessSchema(), this->Options.Mode));
+  if (Document.value("keyRequired", false))
+    this->Result->KeyRequiredBy.insert(Path);
+  else
+    this->Result->KeyRequiredBy.erase(Path);
+  return {};
+}
+
 leaf::result<void> RouteTableBuilder::putLimits(const std::string &Path,
                                                 std::string_view Value) {
   BOOST_LEAF_AUTO(Document,
@@ -309,6 +432,10 @@
         this->ServiceRemoved;
   } else if (Parts.Kind == "limits") {
     this->Result->LimitsByPath.erase(std::string(Path));
+  } else if (Parts.Kind == "accounts") {
+    this->removeAccount(Path);
+  } else if (Parts.Kind == "access") {
+    this->Result->KeyRequiredBy.erase(std::string(Path));
   } else if (Parts.Kind == "routes") {
     RouteTable::RouteShard &Shard = this->ownShard(Path);
     const auto Old = Shard.find(Path);
@@ -323,15 +450,19 @@
 }
 
 RouteTable::RouteShard &RouteTableBuilder::ownShard(std::string_view Path) {
-  const std::size_t Index = RouteTable::shardOf(Path);
-  auto &Own = this->OwnShards[Index];
-  if (!Own) {
-    const auto &Shared = this->Result->Shards[Index];
-    Own = Shared ? std::make_shared<RouteTable::RouteShard>(*Shared)
-                 : std::make_shared<RouteTable::RouteShard>();
-    this->Result->Shards[Index] = Own;
-  }
-  return *Own;
+  return ownPart(RouteTable::shardOf(Path), this->Result->Shards,
+                 this->OwnShards);
+}
+
+RouteTable::AccountShard &
+RouteTableBuilder::ownAccounts(std::string_view Path) {
+  return ownPart(RouteTable::shardOf(Path), this->Result->AccountShards,
+                 this->OwnAccountShards);
+}
+
+RouteTable::KeyShard &RouteTableBuilder::ownKeys(std::string_view Index) {
+  return ownPart(RouteTable::shardOf(Index), this->Result->KeyShards,
+                 this->OwnKeyShards);
 }
 
 RouteTable::JobRoutes &RouteTableBuilder::ownJob(const std::string &Job) {
@@ -389,8 +520,35 @@
   return {};
 }
 
+leaf::result<void> RouteTableBuilder::indexAccounts() {
+  for (const auto &Old : this->ReplacedAccounts) {
+    for (const std::string &Key : Old->Keys) {
+      const std::string Index = RouteTable::keyIndexOf(Old->team(), Key);
+      this->ownKeys(Index).erase(Index);
+    }
+    this->Result->Accounts -= 1;
+  }
+  for (const auto &[Path, Spec] : this->ChangedAccounts) {
+    if (!Spec)
+      continue;
+    for (const std::string &Key : Spec->Keys) {
+      const std::string Index = RouteTable::keyIndexOf(Spec->team(), Key);
+      const auto [Slot, Inserted] = this->ownKeys(Index).emplace(Index, Spec);
+      // Keys are secret, so the error does not name the key.
+      if (!Inserted)
+        return fail(ResultCode::KeyTaken, Path,
+                    Slot->second == Spec
+                        ? "the account holds a key twice"
+                        : Slot->second->Path + " holds the same key");
+    }
+    this->Result->Accounts += 1;
+  }
+  return {};
+}
+
 leaf::result<std::shared_ptr<const RouteTable>> RouteTableBuilder::finish() {
   BOOST_LEAF_CHECK(this->indexRoutes());
+  BOOST_LEAF_CHECK(this->indexAccounts());
   BOOST_LEAF_CHECK(this->checkServices());
   this->Result->Limits = CallerLimits();
   for (const auto &[Path, Limits] : this->Result->LimitsByPath) {
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -8,12 +8,20 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace persimmon {
 
+/// Returns the team of a settings path TEAM/KIND/NAME.
+constexpr std::string_view teamOf(std::string_view Path) {
+  return Path.substr(0, Path.find('/'));
+}
+
 /// Compiled settings of a service.
 struct ServiceSpec {
   std::string Name;
@@ -42,6 +50,22 @@
   int Weight = 1;
 };
 
+/// A client account. Calls name it by one of its keys. The name is unique
+/// within its team, a key within the accounts of its team.
+struct AccountSpec {
+  /// The path of the setting, TEAM/accounts/NAME.
+  std::string Path;
+  std::string Name;
+  std::vector<std::string> Keys;
+  /// Replaces the priority of the routes.
+  std::optional<int> Priority;
+  /// Requests per second over all daemons; 0 for no limit.
+  double RatePerSecond = 0;
+  double Burst = 0;
+
+  std::string_view team() const { return teamOf(this->Path); }
+};
+
 /// How a path prefix is compared with the path of a request. Segments: /a and
 /// /a/ match /a, /a/ and /a/b. Text: the prefix ends with a slash and must
 /// begin the path literally; /a/ matches /a/ and /a/b, not /a.
@@ -62,6 +86,10 @@
   milliseconds TargetLatency{0};
   int MaxAttempts = 4;
   int Priority = 5;
+  /// Calls without a known key are allowed although keys are required.
+  bool Anonymous = false;
+
+  std::string_view team() const { return teamOf(this->Path); }
 };
 
 /// Whether the values of a configuration have to be validated against their
@@ -89,7 +117,7 @@
 public:
   /// Compiles \p Settings and validates them as a whole. Reuses the entries of
   /// \p Previous whose value is the same. Errors: ValueInvalid,
-  /// ReferenceMissing, MatchTaken, with the path of the setting.
+  /// ReferenceMissing, MatchTaken, KeyTaken, with the path of the setting.
   static leaf::result<std::shared_ptr<const RouteTable>>
   build(const SettingsMap &Settings, const RouteTable *Previous,
         CompileOptions Options);
@@ -98,6 +126,28 @@
   /// \p Path starts with a slash and may include a query, which is ignored.
   const RouteSpec *match(std::string_view Job, std::string_view Path) const;
 
+  /// Returns the account of \p Team that holds \p Key, or nullptr.
+  const AccountSpec *accountOf(std::string_view Team,
+                               std::string_view Key) const;
+
+  /// Returns the account at the settings path \p Path, or nullptr.
+  const AccountSpec *account(std::string_view Path) const;
+
+  /// Calls \p Use for each account.
+  template <typename UseT> void forEachAccount(UseT Use) const {
+    for (const auto &Shard : this->AccountShards) {
+      if (!Shard)
+        continue;
+      for (const auto &[Path, Entry] : *Shard)
+        Use(*Entry.Spec);
+    }
+  }
+
+  std::size_t accountCount() const { return this->Accounts; }
+
+  /// Returns whether calls on the routes of \p Team need the key of an account.
+  bool requiresKey(std::string_view Team) const;
+
   /// Returns the service, or nullptr.
   const ServiceSpec *service(std::string_view Name) const;
 
@@ -116,6 +166,10 @@
     std::uint64_t ValueHash = 0;
     std::shared_ptr<const ServiceSpec> Spec;
   };
+  struct AccountEntry {
+    std::uint64_t ValueHash = 0;
+    std::shared_ptr<const AccountSpec> Spec;
+  };
   /// The routes are divided by the hash of their path, so that a change copies
   /// a small part of them.
   static constexpr std::size_t ShardCount = 64;
@@ -124,6 +178,13 @@
   using JobRoutes =
       std::map<std::string, std::shared_ptr<const RouteSpec>, std::less<>>;
 
+  /// Accounts by path and by team and key, divided like the routes.
+  using AccountShard = std::map<std::string, AccountEntry, std::less<>>;
+  using KeyShard =
+      std::unordered_map<std::string, std::shared_ptr<const AccountSpec>>;
+
+  static std::string keyIndexOf(std::string_view Team, std::string_view Key);
+  const AccountEntry *findAccount(std::string_view Path) const;
   static std::size_t shardOf(std::string_view Path);
   const RouteEntry *findRoute(std::string_view Path) const;
 
@@ -131,9 +192,14 @@
   std::array<std::shared_ptr<const RouteShard>, ShardCount> Shards;
   std::map<std::string, std::shared_ptr<const JobRoutes>, std::less<>>
       RoutesByJob;
+  std::array<std::shared_ptr<const AccountShard>, ShardCount> AccountShards;
+  std::array<std::shared_ptr<const KeyShard>, ShardCount> KeyShards;
+  /// Paths of the settings that require keys for the routes of their team.
+  std::set<std::string, std::less<>> KeyRequiredBy;
   std::map<std::string, CallerLimits, std::less<>> LimitsByPath;
   CallerLimits Limits;
   std::size_t Routes = 0;
+  std::size_t Accounts = 0;
 };
 
 /// Compiles a changed version of a RouteTable. The work is in proportion to the
@@ -153,7 +219,7 @@
   leaf::result<void> remove(std::string_view Path);
 
   /// Validates the result as a whole and returns it. Errors: ReferenceMissing,
-  /// MatchTaken.
+  /// MatchTaken, KeyTaken.
   leaf::result<std::shared_ptr<const RouteTable>> finish();
 
 private:
@@ -161,11 +227,18 @@
                                 std::string_view Value);
   leaf::result<void> putRoute(const std::string &Path, std::string_view Value);
   PathMatch defaultMatch(std::string_view Path) const;
+  leaf::result<void> putAccount(const std::string &Path,
+                                std::string_view Value);
+  leaf::result<void> putAccess(const std::string &Path, std::string_view Value);
+  void removeAccount(std::string_view Path);
   leaf::result<void> putLimits(const std::string &Path, std::string_view Value);
   RouteTable::RouteShard &ownShard(std::string_view Path);
+  RouteTable::AccountShard &ownAccounts(std::string_view Path);
+  RouteTable::KeyShard &ownKeys(std::string_view Index);
   RouteTable::JobRoutes &ownJob(const std::string &Job);
   leaf::result<void> checkServices() const;
   leaf::result<void> indexRoutes();
+  leaf::result<void> indexAccounts();
 
   std::shared_ptr<const RouteTable> Base;
   const RouteTable *Reused;
@@ -177,6 +250,13 @@
   std::vector<std::shared_ptr<const RouteSpec>> Replaced;
   /// Changed routes by path; null for removed ones.
   std::map<std::string, std::shared_ptr<const RouteSpec>, std::less<>> Changed;
+  std::map<std::size_t, std::shared_ptr<RouteTable::AccountShard>>
+      OwnAccountShards;
+  std::map<std::size_t, std::shared_ptr<RouteTable::KeyShard>> OwnKeyShards;
+  std::vector<std::shared_ptr<const AccountSpec>> ReplacedAccounts;
+  /// Changed accounts by path; null for removed ones.
+  std::map<std::string, std::shared_ptr<const AccountSpec>, std::less<>>
+      ChangedAccounts;
   bool ServiceRemoved = false;
 };
 
--- a/src/libpersimmon/schemas.cpp
+++ b/src/libpersimmon/schemas.cpp
@@ -58,6 +58,10 @@
 
 std::string_view routeSchema() { return RouteSchemaText; }
 
+std::string_view accountSchema() { return AccountSchemaText; }
+
+std::string_view accessSchema() { return AccessSchemaText; }
+
 std::string_view limitsSchema() { return LimitsSchemaText; }
 
 std::string_view revisionSchema() { return RevisionSchemaText; }
--- a/src/libpersimmon/schemas.h
+++ b/src/libpersimmon/schemas.h
@@ -20,6 +20,12 @@
 /// Returns the text of route.schema.json.
 std::string_view routeSchema();
 
+/// Returns the text of account.schema.json.
+std::string_view accountSchema();
+
+/// Returns the text of access.schema.json.
+std::string_view accessSchema();
+
 /// Returns the text of limits.schema.json.
 std::string_view limitsSchema();
 
--- a/src/libpersimmon/versionconfirmation.cpp
+++ b/src/libpersimmon/versionconfirmation.cpp
@@ -176,6 +176,12 @@
              : Time();
 }
 
+void VersionConfirmation::age(milliseconds By) {
+  this->ConfirmedAt -= By;
+  for (OpenRequest &Item : this->OpenRequests)
+    Item.SentAt -= By;
+}
+
 bool VersionConfirmation::outOfTouch(Time Now) const {
   return this->UnansweredSince != NoDeadline &&
          Now >= this->UnansweredSince + OutOfTouchAfter;
--- a/src/libpersimmon/versionconfirmation.h
+++ b/src/libpersimmon/versionconfirmation.h
@@ -62,6 +62,10 @@
   /// proxy is cut off or there is no leader.
   bool outOfTouch(Time Now) const;
 
+  /// Makes all confirmations, also those of open requests, older by \p By, a
+  /// time that the steady clock did not count.
+  void age(milliseconds By);
+
   /// Returns the newest confirmed version.
   std::int64_t version() const { return this->ConfirmedVersion; }
   /// Returns a time at which no version newer than version() was committed.
--- a/src/persimmonctl/commands.cpp
+++ b/src/persimmonctl/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "libpersimmon/accountkeys.h"
+
 #include <chrono>
 #include <fstream>
 #include <iostream>
@@ -135,8 +137,11 @@
   return {};
 }
 
-json makeEdit(const std::string &Path, const json &Value,
-              const CurrentSettings &Current) {
+leaf::result<json> makeEdit(const std::string &Path, const json &Value,
+                            const CurrentSettings &Current) {
+  if (hasMaskedKeys(Path, Value))
+    return fail(ResultCode::ValueInvalid, Path,
+                "the keys are masked as in the output of get");
   json Edit = {{"path", Path}, {"expectedVersion", versionOf(Current, Path)}};
   if (Value.is_null())
     Edit["remove"] = true;
@@ -186,8 +191,10 @@
                   "expected an object of paths and values");
     BOOST_LEAF_AUTO(Current, fetchSettings(Client));
     json Edits = json::array();
-    for (const auto &[Path, Value] : Requested.items())
-      Edits.push_back(makeEdit(Path, Value, Current));
+    for (const auto &[Path, Value] : Requested.items()) {
+      BOOST_LEAF_AUTO(Edit, makeEdit(Path, Value, Current));
+      Edits.push_back(std::move(Edit));
+    }
     return submitChange(Line, Client, Current.Version, Edits);
   }
 };
@@ -204,10 +211,13 @@
     for (const auto &[Path, Value] : Requested.items()) {
       const auto Found = Current.Entries.find(Path);
       const bool Exists = Found != Current.Entries.end();
-      Out[Path] = Value.is_null()                      ? "delete"
-                  : !Exists                            ? "new"
-                  : Found->second.at("value") == Value ? "equal"
-                                                       : "changed";
+      // The control instances answer with masked keys.
+      const bool IsEqual =
+          Exists && Found->second.at("value") == maskAccountKeys(Path, Value);
+      Out[Path] = Value.is_null() ? "delete"
+                  : !Exists       ? "new"
+                  : IsEqual       ? "equal"
+                                  : "changed";
     }
     if (Line.Json) {
       std::cout << Out.dump() << '\n';
@@ -230,9 +240,8 @@
       return fail(ResultCode::ValueInvalid, Line.Operands[1],
                   "the value null deletes; use delete");
     BOOST_LEAF_AUTO(Current, fetchSettings(Client));
-    const json Edits =
-        json::array({makeEdit(Line.Operands[1], Value, Current)});
-    return submitChange(Line, Client, Current.Version, Edits);
+    BOOST_LEAF_AUTO(Edit, makeEdit(Line.Operands[1], Value, Current));
+    return submitChange(Line, Client, Current.Version, json::array({Edit}));
   }
 };
 
@@ -243,9 +252,8 @@
     if (Line.Operands.size() != 2)
       return fail(ResultCode::UsageError, "delete", "expected a path");
     BOOST_LEAF_AUTO(Current, fetchSettings(Client));
-    const json Edits =
-        json::array({makeEdit(Line.Operands[1], json(), Current)});
-    return submitChange(Line, Client, Current.Version, Edits);
+    BOOST_LEAF_AUTO(Edit, makeEdit(Line.Operands[1], json(), Current));
+    return submitChange(Line, Client, Current.Version, json::array({Edit}));
   }
 };
 
