--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -427,6 +427,35 @@
   CHECK(!Calls->readHealth(Silent));
 }
 
+// Guards against taking the fourth figure, how long work takes, for the slots.
+TEST_CASE("the slots are the third figure of a load header") {
+  const auto Calls = platform::makeCallProtocol();
+  const auto SlotsOf = [&](const char *Load) {
+    TargetResponse Answer;
+    Answer.End = RunEnd::Answered;
+    Answer.Status = 200;
+    Answer.Headers = {makeHeader("X-Instance-Id", "i-1"),
+                      makeHeader("X-Server-Load", Load)};
+    const auto Health = Calls->readHealth(Answer);
+    return Health ? Health->Slots : 0;
+  };
+  for (const char *Load :
+       {"3,0,9", "3,0,9,100", "3,0,9,250.5", "3,0,9,", "3,0,9,x", "3,0,9,-1",
+        "3,0,9,1e400", "3,0,9,nan", "3,0,9,100,7", " 3, 0, 9 , 100", "3,0,9.0",
+        "x,,9,100"}) {
+    INFO(Load);
+    CHECK(SlotsOf(Load) == 9);
+  }
+  CHECK(SlotsOf("0,0,1000000,100") == 1'000'000);
+  for (const char *Odd :
+       {"", ",", ",,,", "9", "0,9", "0,0,0,100", "0,0,-9,100", "0,0,nan,100",
+        "0,0,inf", "0,0,99999999999,100", "0,0,1000001", "0,0,x", "0,0,9x,100",
+        "0,0,,9", "0;0;9"}) {
+    INFO(Odd);
+    CHECK(SlotsOf(Odd) == 0);
+  }
+}
+
 TEST_CASE(
     "fields without an equivalent setting are returned as they were sent") {
   json Sent = json::parse(Example);
