Decide on the rates of accounts over all daemons

Cause: the rate of a client account holds for the sum over all daemons, whatever is lost, frozen, suspended or re-elected. Messages: optional fields, a digest of the shares held, the number of the last applied reply; ConfigurationVersion and the daemon's name are left out.

--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -9463,14 +9463,22 @@
 
 void AllowanceShare::__set_MilliPerSecond(const int64_t val) {
   this->MilliPerSecond = val;
+__isset.MilliPerSecond = true;
 }
 
 void AllowanceShare::__set_MilliDepth(const int64_t val) {
   this->MilliDepth = val;
+__isset.MilliDepth = true;
 }
 
 void AllowanceShare::__set_Tokens(const int32_t val) {
   this->Tokens = val;
+__isset.Tokens = true;
+}
+
+void AllowanceShare::__set_RetryMs(const int32_t val) {
+  this->RetryMs = val;
+__isset.RetryMs = true;
 }
 std::ostream& operator<<(std::ostream& out, const AllowanceShare& obj)
 {
@@ -9532,6 +9540,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->RetryMs);
+          this->__isset.RetryMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9553,18 +9569,26 @@
   xfer += oprot->writeI64(this->Account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("MilliPerSecond", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->MilliPerSecond);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("MilliDepth", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->MilliDepth);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Tokens", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->Tokens);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.MilliPerSecond) {
+    xfer += oprot->writeFieldBegin("MilliPerSecond", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->MilliPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.MilliDepth) {
+    xfer += oprot->writeFieldBegin("MilliDepth", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->MilliDepth);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Tokens) {
+    xfer += oprot->writeFieldBegin("Tokens", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->Tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.RetryMs) {
+    xfer += oprot->writeFieldBegin("RetryMs", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->RetryMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9576,6 +9600,7 @@
   swap(a.MilliPerSecond, b.MilliPerSecond);
   swap(a.MilliDepth, b.MilliDepth);
   swap(a.Tokens, b.Tokens);
+  swap(a.RetryMs, b.RetryMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9584,6 +9609,7 @@
   MilliPerSecond = other347.MilliPerSecond;
   MilliDepth = other347.MilliDepth;
   Tokens = other347.Tokens;
+  RetryMs = other347.RetryMs;
   __isset = other347.__isset;
 }
 AllowanceShare::AllowanceShare(AllowanceShare&& other348) noexcept {
@@ -9591,6 +9617,7 @@
   MilliPerSecond = other348.MilliPerSecond;
   MilliDepth = other348.MilliDepth;
   Tokens = other348.Tokens;
+  RetryMs = other348.RetryMs;
   __isset = other348.__isset;
 }
 AllowanceShare& AllowanceShare::operator=(const AllowanceShare& other349) noexcept {
@@ -9598,6 +9625,7 @@
   MilliPerSecond = other349.MilliPerSecond;
   MilliDepth = other349.MilliDepth;
   Tokens = other349.Tokens;
+  RetryMs = other349.RetryMs;
   __isset = other349.__isset;
   return *this;
 }
@@ -9606,6 +9634,7 @@
   MilliPerSecond = other350.MilliPerSecond;
   MilliDepth = other350.MilliDepth;
   Tokens = other350.Tokens;
+  RetryMs = other350.RetryMs;
   __isset = other350.__isset;
   return *this;
 }
@@ -9613,9 +9642,10 @@
   using ::apache::thrift::to_string;
   out << "AllowanceShare(";
   out << "Account=" << to_string(Account);
-  out << ", " << "MilliPerSecond=" << to_string(MilliPerSecond);
-  out << ", " << "MilliDepth=" << to_string(MilliDepth);
-  out << ", " << "Tokens=" << to_string(Tokens);
+  out << ", " << "MilliPerSecond="; (__isset.MilliPerSecond ? (out << to_string(MilliPerSecond)) : (out << "<null>"));
+  out << ", " << "MilliDepth="; (__isset.MilliDepth ? (out << to_string(MilliDepth)) : (out << "<null>"));
+  out << ", " << "Tokens="; (__isset.Tokens ? (out << to_string(Tokens)) : (out << "<null>"));
+  out << ", " << "RetryMs="; (__isset.RetryMs ? (out << to_string(RetryMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9624,12 +9654,8 @@
 }
 
 
-void AllowanceDemand::__set_Held(const AllowanceShare& val) {
-  this->Held = val;
-}
-
-void AllowanceDemand::__set_HeldMs(const int32_t val) {
-  this->HeldMs = val;
+void AllowanceDemand::__set_Account(const int64_t val) {
+  this->Account = val;
 }
 
 void AllowanceDemand::__set_WantedMilliPerSecond(const int64_t val) {
@@ -9638,6 +9664,17 @@
 
 void AllowanceDemand::__set_WaitingCalls(const int32_t val) {
   this->WaitingCalls = val;
+__isset.WaitingCalls = true;
+}
+
+void AllowanceDemand::__set_HeldMilliPerSecond(const int64_t val) {
+  this->HeldMilliPerSecond = val;
+__isset.HeldMilliPerSecond = true;
+}
+
+void AllowanceDemand::__set_HeldMilliDepth(const int64_t val) {
+  this->HeldMilliDepth = val;
+__isset.HeldMilliDepth = true;
 }
 std::ostream& operator<<(std::ostream& out, const AllowanceDemand& obj)
 {
@@ -9668,22 +9705,14 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Held.read(iprot);
-          this->__isset.Held = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Account);
+          this->__isset.Account = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->HeldMs);
-          this->__isset.HeldMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->WantedMilliPerSecond);
           this->__isset.WantedMilliPerSecond = true;
@@ -9691,7 +9720,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->WaitingCalls);
           this->__isset.WaitingCalls = true;
@@ -9699,6 +9728,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->HeldMilliPerSecond);
+          this->__isset.HeldMilliPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->HeldMilliDepth);
+          this->__isset.HeldMilliDepth = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9716,22 +9761,29 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("AllowanceDemand");
 
-  xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->Held.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("HeldMs", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->HeldMs);
+  xfer += oprot->writeFieldBegin("Account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("WantedMilliPerSecond", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("WantedMilliPerSecond", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->WantedMilliPerSecond);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("WaitingCalls", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->WaitingCalls);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.WaitingCalls) {
+    xfer += oprot->writeFieldBegin("WaitingCalls", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->WaitingCalls);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.HeldMilliPerSecond) {
+    xfer += oprot->writeFieldBegin("HeldMilliPerSecond", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->HeldMilliPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.HeldMilliDepth) {
+    xfer += oprot->writeFieldBegin("HeldMilliDepth", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->HeldMilliDepth);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9739,50 +9791,56 @@
 
 void swap(AllowanceDemand &a, AllowanceDemand &b) {
   using ::std::swap;
-  swap(a.Held, b.Held);
-  swap(a.HeldMs, b.HeldMs);
+  swap(a.Account, b.Account);
   swap(a.WantedMilliPerSecond, b.WantedMilliPerSecond);
   swap(a.WaitingCalls, b.WaitingCalls);
+  swap(a.HeldMilliPerSecond, b.HeldMilliPerSecond);
+  swap(a.HeldMilliDepth, b.HeldMilliDepth);
   swap(a.__isset, b.__isset);
 }
 
 AllowanceDemand::AllowanceDemand(const AllowanceDemand& other351) noexcept {
-  Held = other351.Held;
-  HeldMs = other351.HeldMs;
+  Account = other351.Account;
   WantedMilliPerSecond = other351.WantedMilliPerSecond;
   WaitingCalls = other351.WaitingCalls;
+  HeldMilliPerSecond = other351.HeldMilliPerSecond;
+  HeldMilliDepth = other351.HeldMilliDepth;
   __isset = other351.__isset;
 }
 AllowanceDemand::AllowanceDemand(AllowanceDemand&& other352) noexcept {
-  Held = std::move(other352.Held);
-  HeldMs = other352.HeldMs;
+  Account = other352.Account;
   WantedMilliPerSecond = other352.WantedMilliPerSecond;
   WaitingCalls = other352.WaitingCalls;
+  HeldMilliPerSecond = other352.HeldMilliPerSecond;
+  HeldMilliDepth = other352.HeldMilliDepth;
   __isset = other352.__isset;
 }
 AllowanceDemand& AllowanceDemand::operator=(const AllowanceDemand& other353) noexcept {
-  Held = other353.Held;
-  HeldMs = other353.HeldMs;
+  Account = other353.Account;
   WantedMilliPerSecond = other353.WantedMilliPerSecond;
   WaitingCalls = other353.WaitingCalls;
+  HeldMilliPerSecond = other353.HeldMilliPerSecond;
+  HeldMilliDepth = other353.HeldMilliDepth;
   __isset = other353.__isset;
   return *this;
 }
 AllowanceDemand& AllowanceDemand::operator=(AllowanceDemand&& other354) noexcept {
-  Held = std::move(other354.Held);
-  HeldMs = other354.HeldMs;
+  Account = other354.Account;
   WantedMilliPerSecond = other354.WantedMilliPerSecond;
   WaitingCalls = other354.WaitingCalls;
+  HeldMilliPerSecond = other354.HeldMilliPerSecond;
+  HeldMilliDepth = other354.HeldMilliDepth;
   __isset = other354.__isset;
   return *this;
 }
 void AllowanceDemand::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "AllowanceDemand(";
-  out << "Held=" << to_string(Held);
-  out << ", " << "HeldMs=" << to_string(HeldMs);
+  out << "Account=" << to_string(Account);
   out << ", " << "WantedMilliPerSecond=" << to_string(WantedMilliPerSecond);
-  out << ", " << "WaitingCalls=" << to_string(WaitingCalls);
+  out << ", " << "WaitingCalls="; (__isset.WaitingCalls ? (out << to_string(WaitingCalls)) : (out << "<null>"));
+  out << ", " << "HeldMilliPerSecond="; (__isset.HeldMilliPerSecond ? (out << to_string(HeldMilliPerSecond)) : (out << "<null>"));
+  out << ", " << "HeldMilliDepth="; (__isset.HeldMilliDepth ? (out << to_string(HeldMilliDepth)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9791,10 +9849,6 @@
 }
 
 
-void AllowanceRequest::__set_Daemon(const std::string& val) {
-  this->Daemon = val;
-}
-
 void AllowanceRequest::__set_Incarnation(const int64_t val) {
   this->Incarnation = val;
 }
@@ -9803,8 +9857,19 @@
   this->Number = val;
 }
 
-void AllowanceRequest::__set_ConfigurationVersion(const int64_t val) {
-  this->ConfigurationVersion = val;
+void AllowanceRequest::__set_Adopted(const int64_t val) {
+  this->Adopted = val;
+__isset.Adopted = true;
+}
+
+void AllowanceRequest::__set_HeldDigest(const int32_t val) {
+  this->HeldDigest = val;
+__isset.HeldDigest = true;
+}
+
+void AllowanceRequest::__set_All(const bool val) {
+  this->All = val;
+__isset.All = true;
 }
 
 void AllowanceRequest::__set_Demands(const std::vector<AllowanceDemand> & val) {
@@ -9839,38 +9904,46 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->Daemon);
-          this->__isset.Daemon = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Incarnation);
-          this->__isset.Incarnation = true;
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Number);
-          this->__isset.Number = true;
+          xfer += iprot->readI64(this->Adopted);
+          this->__isset.Adopted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ConfigurationVersion);
-          this->__isset.ConfigurationVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->HeldDigest);
+          this->__isset.HeldDigest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->All);
+          this->__isset.All = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Demands.clear();
@@ -9907,23 +9980,30 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("AllowanceRequest");
 
-  xfer += oprot->writeFieldBegin("Daemon", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->Daemon);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->Incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->Number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ConfigurationVersion", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->ConfigurationVersion);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Demands", ::apache::thrift::protocol::T_LIST, 5);
+  if (this->__isset.Adopted) {
+    xfer += oprot->writeFieldBegin("Adopted", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->Adopted);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.HeldDigest) {
+    xfer += oprot->writeFieldBegin("HeldDigest", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->HeldDigest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.All) {
+    xfer += oprot->writeFieldBegin("All", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->All);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("Demands", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Demands.size()));
     std::vector<AllowanceDemand> ::const_iterator _iter360;
@@ -9942,44 +10022,49 @@
 
 void swap(AllowanceRequest &a, AllowanceRequest &b) {
   using ::std::swap;
-  swap(a.Daemon, b.Daemon);
   swap(a.Incarnation, b.Incarnation);
   swap(a.Number, b.Number);
-  swap(a.ConfigurationVersion, b.ConfigurationVersion);
+  swap(a.Adopted, b.Adopted);
+  swap(a.HeldDigest, b.HeldDigest);
+  swap(a.All, b.All);
   swap(a.Demands, b.Demands);
   swap(a.__isset, b.__isset);
 }
 
 AllowanceRequest::AllowanceRequest(const AllowanceRequest& other361) {
-  Daemon = other361.Daemon;
   Incarnation = other361.Incarnation;
   Number = other361.Number;
-  ConfigurationVersion = other361.ConfigurationVersion;
+  Adopted = other361.Adopted;
+  HeldDigest = other361.HeldDigest;
+  All = other361.All;
   Demands = other361.Demands;
   __isset = other361.__isset;
 }
 AllowanceRequest::AllowanceRequest(AllowanceRequest&& other362) noexcept {
-  Daemon = std::move(other362.Daemon);
   Incarnation = other362.Incarnation;
   Number = other362.Number;
-  ConfigurationVersion = other362.ConfigurationVersion;
+  Adopted = other362.Adopted;
+  HeldDigest = other362.HeldDigest;
+  All = other362.All;
   Demands = std::move(other362.Demands);
   __isset = other362.__isset;
 }
 AllowanceRequest& AllowanceRequest::operator=(const AllowanceRequest& other363) {
-  Daemon = other363.Daemon;
   Incarnation = other363.Incarnation;
   Number = other363.Number;
-  ConfigurationVersion = other363.ConfigurationVersion;
+  Adopted = other363.Adopted;
+  HeldDigest = other363.HeldDigest;
+  All = other363.All;
   Demands = other363.Demands;
   __isset = other363.__isset;
   return *this;
 }
 AllowanceRequest& AllowanceRequest::operator=(AllowanceRequest&& other364) noexcept {
-  Daemon = std::move(other364.Daemon);
   Incarnation = other364.Incarnation;
   Number = other364.Number;
-  ConfigurationVersion = other364.ConfigurationVersion;
+  Adopted = other364.Adopted;
+  HeldDigest = other364.HeldDigest;
+  All = other364.All;
   Demands = std::move(other364.Demands);
   __isset = other364.__isset;
   return *this;
@@ -9987,10 +10072,11 @@
 void AllowanceRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "AllowanceRequest(";
-  out << "Daemon=" << to_string(Daemon);
-  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Number=" << to_string(Number);
-  out << ", " << "ConfigurationVersion=" << to_string(ConfigurationVersion);
+  out << ", " << "Adopted="; (__isset.Adopted ? (out << to_string(Adopted)) : (out << "<null>"));
+  out << ", " << "HeldDigest="; (__isset.HeldDigest ? (out << to_string(HeldDigest)) : (out << "<null>"));
+  out << ", " << "All="; (__isset.All ? (out << to_string(All)) : (out << "<null>"));
   out << ", " << "Demands=" << to_string(Demands);
   out << ")";
 }
@@ -10014,6 +10100,12 @@
 
 void AllowanceReply::__set_LeaderAddress(const std::string& val) {
   this->LeaderAddress = val;
+__isset.LeaderAddress = true;
+}
+
+void AllowanceReply::__set_WantsAll(const bool val) {
+  this->WantsAll = val;
+__isset.WantsAll = true;
 }
 std::ostream& operator<<(std::ostream& out, const AllowanceReply& obj)
 {
@@ -10087,6 +10179,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->WantsAll);
+          this->__isset.WantsAll = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10124,10 +10224,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("LeaderAddress", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->LeaderAddress);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.LeaderAddress) {
+    xfer += oprot->writeFieldBegin("LeaderAddress", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->LeaderAddress);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.WantsAll) {
+    xfer += oprot->writeFieldBegin("WantsAll", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->WantsAll);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10139,6 +10245,7 @@
   swap(a.ValidMs, b.ValidMs);
   swap(a.Shares, b.Shares);
   swap(a.LeaderAddress, b.LeaderAddress);
+  swap(a.WantsAll, b.WantsAll);
   swap(a.__isset, b.__isset);
 }
 
@@ -10147,6 +10254,7 @@
   ValidMs = other371.ValidMs;
   Shares = other371.Shares;
   LeaderAddress = other371.LeaderAddress;
+  WantsAll = other371.WantsAll;
   __isset = other371.__isset;
 }
 AllowanceReply::AllowanceReply(AllowanceReply&& other372) noexcept {
@@ -10154,6 +10262,7 @@
   ValidMs = other372.ValidMs;
   Shares = std::move(other372.Shares);
   LeaderAddress = std::move(other372.LeaderAddress);
+  WantsAll = other372.WantsAll;
   __isset = other372.__isset;
 }
 AllowanceReply& AllowanceReply::operator=(const AllowanceReply& other373) {
@@ -10161,6 +10270,7 @@
   ValidMs = other373.ValidMs;
   Shares = other373.Shares;
   LeaderAddress = other373.LeaderAddress;
+  WantsAll = other373.WantsAll;
   __isset = other373.__isset;
   return *this;
 }
@@ -10169,6 +10279,7 @@
   ValidMs = other374.ValidMs;
   Shares = std::move(other374.Shares);
   LeaderAddress = std::move(other374.LeaderAddress);
+  WantsAll = other374.WantsAll;
   __isset = other374.__isset;
   return *this;
 }
@@ -10178,7 +10289,8 @@
   out << "Number=" << to_string(Number);
   out << ", " << "ValidMs=" << to_string(ValidMs);
   out << ", " << "Shares=" << to_string(Shares);
-  out << ", " << "LeaderAddress=" << to_string(LeaderAddress);
+  out << ", " << "LeaderAddress="; (__isset.LeaderAddress ? (out << to_string(LeaderAddress)) : (out << "<null>"));
+  out << ", " << "WantsAll="; (__isset.WantsAll ? (out << to_string(WantsAll)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -3750,18 +3750,21 @@
 std::ostream& operator<<(std::ostream& out, const PullContent& obj);
 
 typedef struct _AllowanceShare__isset {
-  _AllowanceShare__isset() : Account(false), MilliPerSecond(false), MilliDepth(false), Tokens(true) {}
+  _AllowanceShare__isset() : Account(false), MilliPerSecond(false), MilliDepth(false), Tokens(false), RetryMs(false) {}
   bool Account :1;
   bool MilliPerSecond :1;
   bool MilliDepth :1;
   bool Tokens :1;
+  bool RetryMs :1;
 } _AllowanceShare__isset;
 
 /**
  * The part of an account's rate that one daemon may use. Account is a hash of the
  * account's name. MilliPerSecond is the pace in thousandths of a call per second,
- * MilliDepth the most thousandths of a call that may be saved up. Tokens are calls that
- * may start at once beyond the pace; they are given once for each request.
+ * MilliDepth the most thousandths of a call that may be saved up; if they are absent,
+ * the share stays as the daemon holds it. Tokens are calls that may start at once
+ * beyond the share; they are given once for each request. RetryMs is set if the calls
+ * that wait get no more tokens: the time until there may be some.
  */
 class AllowanceShare : public virtual ::apache::thrift::TBase {
  public:
@@ -3774,7 +3777,8 @@
                  : Account(0),
                    MilliPerSecond(0),
                    MilliDepth(0),
-                   Tokens(0) {
+                   Tokens(0),
+                   RetryMs(0) {
   }
 
   virtual ~AllowanceShare() noexcept;
@@ -3782,6 +3786,7 @@
   int64_t MilliPerSecond;
   int64_t MilliDepth;
   int32_t Tokens;
+  int32_t RetryMs;
 
   _AllowanceShare__isset __isset;
 
@@ -3793,15 +3798,27 @@
 
   void __set_Tokens(const int32_t val);
 
+  void __set_RetryMs(const int32_t val);
+
   bool operator == (const AllowanceShare & rhs) const
   {
     if (!(Account == rhs.Account))
       return false;
-    if (!(MilliPerSecond == rhs.MilliPerSecond))
+    if (__isset.MilliPerSecond != rhs.__isset.MilliPerSecond)
+      return false;
+    else if (__isset.MilliPerSecond && !(MilliPerSecond == rhs.MilliPerSecond))
+      return false;
+    if (__isset.MilliDepth != rhs.__isset.MilliDepth)
+      return false;
+    else if (__isset.MilliDepth && !(MilliDepth == rhs.MilliDepth))
+      return false;
+    if (__isset.Tokens != rhs.__isset.Tokens)
       return false;
-    if (!(MilliDepth == rhs.MilliDepth))
+    else if (__isset.Tokens && !(Tokens == rhs.Tokens))
       return false;
-    if (!(Tokens == rhs.Tokens))
+    if (__isset.RetryMs != rhs.__isset.RetryMs)
+      return false;
+    else if (__isset.RetryMs && !(RetryMs == rhs.RetryMs))
       return false;
     return true;
   }
@@ -3822,15 +3839,17 @@
 std::ostream& operator<<(std::ostream& out, const AllowanceShare& obj);
 
 typedef struct _AllowanceDemand__isset {
-  _AllowanceDemand__isset() : Held(false), HeldMs(true), WantedMilliPerSecond(false), WaitingCalls(true) {}
-  bool Held :1;
-  bool HeldMs :1;
+  _AllowanceDemand__isset() : Account(false), WantedMilliPerSecond(false), WaitingCalls(false), HeldMilliPerSecond(false), HeldMilliDepth(false) {}
+  bool Account :1;
   bool WantedMilliPerSecond :1;
   bool WaitingCalls :1;
+  bool HeldMilliPerSecond :1;
+  bool HeldMilliDepth :1;
 } _AllowanceDemand__isset;
 
 /**
- * Demand for an account at a daemon, and the share that it holds for HeldMs more.
+ * Demand for an account at a daemon. Held is the share that it holds; it is absent if it
+ * holds none, and in requests that do not tell all shares.
  */
 class AllowanceDemand : public virtual ::apache::thrift::TBase {
  public:
@@ -3840,36 +3859,49 @@
   AllowanceDemand& operator=(const AllowanceDemand&) noexcept;
   AllowanceDemand& operator=(AllowanceDemand&&) noexcept;
   AllowanceDemand() noexcept
-                  : HeldMs(0),
+                  : Account(0),
                     WantedMilliPerSecond(0),
-                    WaitingCalls(0) {
+                    WaitingCalls(0),
+                    HeldMilliPerSecond(0),
+                    HeldMilliDepth(0) {
   }
 
   virtual ~AllowanceDemand() noexcept;
-  AllowanceShare Held;
-  int32_t HeldMs;
+  int64_t Account;
   int64_t WantedMilliPerSecond;
   int32_t WaitingCalls;
+  int64_t HeldMilliPerSecond;
+  int64_t HeldMilliDepth;
 
   _AllowanceDemand__isset __isset;
 
-  void __set_Held(const AllowanceShare& val);
-
-  void __set_HeldMs(const int32_t val);
+  void __set_Account(const int64_t val);
 
   void __set_WantedMilliPerSecond(const int64_t val);
 
   void __set_WaitingCalls(const int32_t val);
 
+  void __set_HeldMilliPerSecond(const int64_t val);
+
+  void __set_HeldMilliDepth(const int64_t val);
+
   bool operator == (const AllowanceDemand & rhs) const
   {
-    if (!(Held == rhs.Held))
-      return false;
-    if (!(HeldMs == rhs.HeldMs))
+    if (!(Account == rhs.Account))
       return false;
     if (!(WantedMilliPerSecond == rhs.WantedMilliPerSecond))
       return false;
-    if (!(WaitingCalls == rhs.WaitingCalls))
+    if (__isset.WaitingCalls != rhs.__isset.WaitingCalls)
+      return false;
+    else if (__isset.WaitingCalls && !(WaitingCalls == rhs.WaitingCalls))
+      return false;
+    if (__isset.HeldMilliPerSecond != rhs.__isset.HeldMilliPerSecond)
+      return false;
+    else if (__isset.HeldMilliPerSecond && !(HeldMilliPerSecond == rhs.HeldMilliPerSecond))
+      return false;
+    if (__isset.HeldMilliDepth != rhs.__isset.HeldMilliDepth)
+      return false;
+    else if (__isset.HeldMilliDepth && !(HeldMilliDepth == rhs.HeldMilliDepth))
       return false;
     return true;
   }
@@ -3890,17 +3922,22 @@
 std::ostream& operator<<(std::ostream& out, const AllowanceDemand& obj);
 
 typedef struct _AllowanceRequest__isset {
-  _AllowanceRequest__isset() : Daemon(false), Incarnation(false), Number(false), ConfigurationVersion(false), Demands(false) {}
-  bool Daemon :1;
+  _AllowanceRequest__isset() : Incarnation(false), Number(false), Adopted(false), HeldDigest(false), All(false), Demands(false) {}
   bool Incarnation :1;
   bool Number :1;
-  bool ConfigurationVersion :1;
+  bool Adopted :1;
+  bool HeldDigest :1;
+  bool All :1;
   bool Demands :1;
 } _AllowanceRequest__isset;
 
 /**
  * A proxy asks the leader for shares. Number grows with each request of one
- * incarnation; it orders requests and names them in replies.
+ * incarnation; it orders requests and names them in replies. Adopted is the number of
+ * the last reply that the daemon applied: it ignores earlier ones that arrive later.
+ * HeldDigest is a digest of all shares held, 0 if there is none. If All is set, Demands
+ * names every share held; otherwise only accounts whose demand changed or that have
+ * calls waiting.
  */
 class AllowanceRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -3910,40 +3947,52 @@
   AllowanceRequest& operator=(const AllowanceRequest&);
   AllowanceRequest& operator=(AllowanceRequest&&) noexcept;
   AllowanceRequest() noexcept
-                   : Daemon(),
-                     Incarnation(0),
+                   : Incarnation(0),
                      Number(0),
-                     ConfigurationVersion(0) {
+                     Adopted(0),
+                     HeldDigest(0),
+                     All(0) {
   }
 
   virtual ~AllowanceRequest() noexcept;
-  std::string Daemon;
   int64_t Incarnation;
   int64_t Number;
-  int64_t ConfigurationVersion;
+  int64_t Adopted;
+  int32_t HeldDigest;
+  bool All;
   std::vector<AllowanceDemand>  Demands;
 
   _AllowanceRequest__isset __isset;
 
-  void __set_Daemon(const std::string& val);
-
   void __set_Incarnation(const int64_t val);
 
   void __set_Number(const int64_t val);
 
-  void __set_ConfigurationVersion(const int64_t val);
+  void __set_Adopted(const int64_t val);
+
+  void __set_HeldDigest(const int32_t val);
+
+  void __set_All(const bool val);
 
   void __set_Demands(const std::vector<AllowanceDemand> & val);
 
   bool operator == (const AllowanceRequest & rhs) const
   {
-    if (!(Daemon == rhs.Daemon))
-      return false;
     if (!(Incarnation == rhs.Incarnation))
       return false;
     if (!(Number == rhs.Number))
       return false;
-    if (!(ConfigurationVersion == rhs.ConfigurationVersion))
+    if (__isset.Adopted != rhs.__isset.Adopted)
+      return false;
+    else if (__isset.Adopted && !(Adopted == rhs.Adopted))
+      return false;
+    if (__isset.HeldDigest != rhs.__isset.HeldDigest)
+      return false;
+    else if (__isset.HeldDigest && !(HeldDigest == rhs.HeldDigest))
+      return false;
+    if (__isset.All != rhs.__isset.All)
+      return false;
+    else if (__isset.All && !(All == rhs.All))
       return false;
     if (!(Demands == rhs.Demands))
       return false;
@@ -3966,16 +4015,18 @@
 std::ostream& operator<<(std::ostream& out, const AllowanceRequest& obj);
 
 typedef struct _AllowanceReply__isset {
-  _AllowanceReply__isset() : Number(false), ValidMs(true), Shares(false), LeaderAddress(false) {}
+  _AllowanceReply__isset() : Number(false), ValidMs(true), Shares(false), LeaderAddress(false), WantsAll(false) {}
   bool Number :1;
   bool ValidMs :1;
   bool Shares :1;
   bool LeaderAddress :1;
+  bool WantsAll :1;
 } _AllowanceReply__isset;
 
 /**
- * The shares that replace those held, valid for ValidMs from the sending of the
+ * The shares that changed. All shares held are valid for ValidMs from the sending of the
  * request. LeaderAddress is set, and there are no shares, if the sender does not lead.
+ * WantsAll says that the leader does not know the shares held; none was renewed.
  */
 class AllowanceReply : public virtual ::apache::thrift::TBase {
  public:
@@ -3987,7 +4038,8 @@
   AllowanceReply() noexcept
                  : Number(0),
                    ValidMs(0),
-                   LeaderAddress() {
+                   LeaderAddress(),
+                   WantsAll(0) {
   }
 
   virtual ~AllowanceReply() noexcept;
@@ -3995,6 +4047,7 @@
   int32_t ValidMs;
   std::vector<AllowanceShare>  Shares;
   std::string LeaderAddress;
+  bool WantsAll;
 
   _AllowanceReply__isset __isset;
 
@@ -4006,6 +4059,8 @@
 
   void __set_LeaderAddress(const std::string& val);
 
+  void __set_WantsAll(const bool val);
+
   bool operator == (const AllowanceReply & rhs) const
   {
     if (!(Number == rhs.Number))
@@ -4014,7 +4069,13 @@
       return false;
     if (!(Shares == rhs.Shares))
       return false;
-    if (!(LeaderAddress == rhs.LeaderAddress))
+    if (__isset.LeaderAddress != rhs.__isset.LeaderAddress)
+      return false;
+    else if (__isset.LeaderAddress && !(LeaderAddress == rhs.LeaderAddress))
+      return false;
+    if (__isset.WantsAll != rhs.__isset.WantsAll)
+      return false;
+    else if (__isset.WantsAll && !(WantsAll == rhs.WantsAll))
       return false;
     return true;
   }
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -507,43 +507,57 @@
 /**
  * The part of an account's rate that one daemon may use. Account is a hash of the
  * account's name. MilliPerSecond is the pace in thousandths of a call per second,
- * MilliDepth the most thousandths of a call that may be saved up. Tokens are calls that
- * may start at once beyond the pace; they are given once for each request.
+ * MilliDepth the most thousandths of a call that may be saved up; if they are absent,
+ * the share stays as the daemon holds it. Tokens are calls that may start at once
+ * beyond the share; they are given once for each request. RetryMs is set if the calls
+ * that wait get no more tokens: the time until there may be some.
  */
 struct AllowanceShare {
   1: i64 Account
-  2: i64 MilliPerSecond
-  3: i64 MilliDepth
-  4: i32 Tokens = 0
+  2: optional i64 MilliPerSecond
+  3: optional i64 MilliDepth
+  4: optional i32 Tokens
+  5: optional i32 RetryMs
 }
 
-/** Demand for an account at a daemon, and the share that it holds for HeldMs more. */
+/**
+ * Demand for an account at a daemon. Held is the share that it holds; it is absent if it
+ * holds none, and in requests that do not tell all shares.
+ */
 struct AllowanceDemand {
-  1: AllowanceShare Held
-  2: i32 HeldMs = 0
-  3: i64 WantedMilliPerSecond
-  4: i32 WaitingCalls = 0
+  1: i64 Account
+  2: i64 WantedMilliPerSecond
+  3: optional i32 WaitingCalls
+  4: optional i64 HeldMilliPerSecond
+  5: optional i64 HeldMilliDepth
 }
 
 /**
  * A proxy asks the leader for shares. Number grows with each request of one
- * incarnation; it orders requests and names them in replies.
+ * incarnation; it orders requests and names them in replies. Adopted is the number of
+ * the last reply that the daemon applied: it ignores earlier ones that arrive later.
+ * HeldDigest is a digest of all shares held, 0 if there is none. If All is set, Demands
+ * names every share held; otherwise only accounts whose demand changed or that have
+ * calls waiting.
  */
 struct AllowanceRequest {
-  1: string Daemon
-  2: i64 Incarnation
-  3: i64 Number
-  4: i64 ConfigurationVersion
-  5: list<AllowanceDemand> Demands
+  1: i64 Incarnation
+  2: i64 Number
+  3: optional i64 Adopted
+  4: optional i32 HeldDigest
+  5: optional bool All
+  6: list<AllowanceDemand> Demands
 }
 
 /**
- * The shares that replace those held, valid for ValidMs from the sending of the
+ * The shares that changed. All shares held are valid for ValidMs from the sending of the
  * request. LeaderAddress is set, and there are no shares, if the sender does not lead.
+ * WantsAll says that the leader does not know the shares held; none was renewed.
  */
 struct AllowanceReply {
   1: i64 Number
   2: i32 ValidMs = 0
   3: list<AllowanceShare> Shares
-  4: string LeaderAddress
+  4: optional string LeaderAddress
+  5: optional bool WantsAll
 }
