--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -86,6 +86,7 @@
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
   Identity.LinkMbps = this->Settings.LinkMbps;
+  Identity.Revocation = this->Settings.Revocation;
   Identity.TextPrefixTeam = this->Protocols.TextPrefixTeam;
   const MemoryShares Shares =
       MemoryShares::fromSettings(this->Settings.MemoryMb);
@@ -277,8 +278,20 @@
 }
 
 void DaemonHost::submit(EventBody Body) {
+  const Time Now = std::chrono::steady_clock::now();
+  // Read after the time of the event: what happened before it is aged first.
+  if (this->Settings.Revocation.count() > 0) {
+    const milliseconds Suspended =
+        this->Suspension.advance(SuspensionClock::read());
+    if (Suspended.count() > 0)
+      this->reduce(ProcessSuspended{Suspended}, Now);
+  }
+  this->reduce(std::move(Body), Now);
+}
+
+void DaemonHost::reduce(EventBody Body, Time Now) {
   Event NewEvent;
-  NewEvent.At = std::chrono::steady_clock::now();
+  NewEvent.At = Now;
   NewEvent.WallMs = wallClockMs();
   NewEvent.Body = std::move(Body);
   try {
@@ -524,6 +537,21 @@
   Set("persimmon_leading", Source.leader() ? 1 : 0);
 }
 
+void DaemonHost::setAllowanceGauges(const AccountAllowance &Source, Time Now) {
+  const AccountAllowance::Counts &Counts = Source.counts();
+  const auto Set = [this](std::string_view Name, auto Value) {
+    this->DaemonMetrics.setGauge(Name, static_cast<double>(Value));
+  };
+  Set("persimmon_allowance_calls_granted", Counts.Granted);
+  Set("persimmon_allowance_calls_held", Counts.Held);
+  Set("persimmon_allowance_calls_refused{reason=\"rate\"}", Counts.Exceeded);
+  Set("persimmon_allowance_calls_refused{reason=\"out-of-touch\"}",
+      Counts.OutOfTouch);
+  Set("persimmon_allowance_requests", Counts.Requests);
+  Set("persimmon_allowance_share_per_second", Source.sharesPerSecond(Now));
+  Set("persimmon_allowance_used_part", Source.usedPart(Now));
+}
+
 std::string DaemonHost::metricsText() {
   const Time Now = std::chrono::steady_clock::now();
   const Membership &Members = this->LocalNode->members();
@@ -537,8 +565,14 @@
           this->LocalNode->distribution().newestKnownVersion()));
   this->DaemonMetrics.setGauge("persimmon_serving",
                                this->LocalNode->serving() ? 1 : 0);
-  if (const ControlService *Control = this->LocalNode->control())
+  if (const ControlService *Control = this->LocalNode->control()) {
     this->setConsensusGauges(Control->consensus());
+    const AllowanceLedger &Ledger = this->LocalNode->allowanceLedger();
+    this->DaemonMetrics.setGauge("persimmon_allowance_daemons",
+                                 static_cast<double>(Ledger.daemonCount()));
+    this->DaemonMetrics.setGauge("persimmon_allowance_requests_answered",
+                                 static_cast<double>(Ledger.answeredCount()));
+  }
   const OutgoingLink &Link = this->LocalNode->scheduler().link();
   this->DaemonMetrics.setGauge("persimmon_link_backlog_ms",
                                static_cast<double>(Link.backlog(Now).count()));
@@ -554,6 +588,7 @@
                                  static_cast<double>(Router->retryCount()));
     this->DaemonMetrics.setGauge("persimmon_out_of_touch",
                                  Router->validity().OutOfTouch ? 1 : 0);
+    this->setAllowanceGauges(Router->allowance(), Now);
   }
   std::string Text = this->DaemonMetrics.exportText();
   const auto &Traffic = this->Network->traffic();
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -8,6 +8,7 @@
 #include "operatorapi.h"
 #include "peernetwork.h"
 #include "proxyapi.h"
+#include "suspensionclock.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -44,9 +45,12 @@
 private:
   DaemonHost(const DaemonSettings &Settings, const EdgeProtocols &Protocols);
 
+  /// Passes an event that happened at \p Now to the node.
+  void reduce(EventBody Body, Time Now);
   leaf::result<void> openNode();
   /// Logs what was found on the disk.
   void logDisk();
+  void setAllowanceGauges(const AccountAllowance &Source, Time Now);
   void setConsensusGauges(const Consensus &Source);
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
@@ -111,6 +115,7 @@
   std::unique_ptr<ChoicePolicy> TargetPolicy;
   std::unique_ptr<Topology> VersionTopology;
   BodyStore Bodies;
+  SuspensionClock Suspension;
   Metrics DaemonMetrics;
   std::optional<DiskStore> Disk;
   std::unique_ptr<Node> LocalNode;
--- a/src/libpersimmon/allowanceledger.cpp
+++ b/src/libpersimmon/allowanceledger.cpp
@@ -177,8 +177,9 @@
     return;
   const bool Verified = this->Status.VerifiedAt > this->StartedAt &&
                         this->Status.VerifiedAt > this->SuspendedAt;
-  if (!Verified)
+  if (!Verified || this->Status.VerifiedAt == this->ExpiredThrough)
     return;
+  this->ExpiredThrough = this->Status.VerifiedAt;
   for (auto &[Address, Item] : this->Daemons) {
     if (Item.ExpiresAt <= this->Status.VerifiedAt)
       this->releaseAll(Item, Now);
@@ -262,14 +263,13 @@
   }
   for (auto &[Number, Part] : Of.Portions) {
     const auto Found = this->Accounts.find(Number);
-    ShareSize Held;
-    if (const auto Item = Told.find(Number); Item != Told.end())
-      Held = Item->second;
+    const auto Claim = Told.find(Number);
+    const ShareSize Claimed = Claim == Told.end() ? ShareSize() : Claim->second;
     // Once all shares are known, a share that is not known has ended.
-    if (Found == this->Accounts.end() ||
-        Now >= Found->second.SharesUnknownUntil)
-      Held = smaller(Held, Part.Reserved);
-    Part.Held = Held;
+    const bool Known = Found == this->Accounts.end() ||
+                       Now >= Found->second.SharesUnknownUntil;
+    Part.Held = Known ? smaller(Claimed, Part.Reserved) : Claimed;
+    Part.IsOutdated = !(Part.Held == Claimed);
     std::erase_if(Part.Offers, [&](const Offer &Item) {
       return Item.Number <= Request.Adopted;
     });
@@ -371,8 +371,9 @@
   if (To.Offers.size() >= MaxOffers)
     return;
   const ShareSize New = this->wantedShare(From, To, Now);
-  if (New == To.Held)
+  if (New == To.Held && !To.IsOutdated)
     return;
+  To.IsOutdated = false;
   const double Room =
       depthOf(From) - static_cast<double>(From.Reserved.MilliDepth) / Milli;
   const double Level = From.Level;
@@ -403,7 +404,7 @@
   const auto Found = this->Accounts.find(Number);
   if (Found == this->Accounts.end()) {
     // Removed, or not limited in the version in force.
-    if (!Part.Held.empty()) {
+    if (!Part.Held.empty() || Part.IsOutdated) {
       Out.__set_MilliPerSecond(0);
       Out.__set_MilliDepth(0);
     }
--- a/src/libpersimmon/allowanceledger.h
+++ b/src/libpersimmon/allowanceledger.h
@@ -79,6 +79,8 @@
     ShareSize Held;
     std::vector<Offer> Offers;
     ShareSize Reserved;
+    /// The daemon told a share that has ended, and must be told so.
+    bool IsOutdated = false;
     double Demand = 0;
     /// Demand that is included in Account::ShareDemand.
     double CountedDemand = 0;
@@ -130,6 +132,8 @@
   Leadership Status;
   Time StartedAt;
   Time SuspendedAt;
+  /// Shares that ended until then have been removed.
+  Time ExpiredThrough;
   bool NoFormerRates = false;
   std::map<std::int64_t, Account> Accounts;
   std::map<std::string, Daemon, std::less<>> Daemons;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -62,6 +62,7 @@
                        ClaimClient Claims, std::uint64_t Seed,
                        const ChoicePolicy &Policy)
     : Members(Members), Config(Config), Claims(std::move(Claims)),
+      Allowance(Members.self().Address, Members.self().Incarnation),
       Chooser(Members.self().Zone, Seed, Policy), Split(Seed + 1),
       Rng(Seed + 2), OwnIncarnation(Members.self().Incarnation) {}
 
@@ -103,9 +104,21 @@
         " heard=" + std::to_string(this->Config.newestKnownVersion())});
     return this->denyRoute(Arrived, Now, Out);
   }
+  const bool KeyRequired = Table->requiresKey(Route->team());
+  const AccountSpec *Account =
+      KeyRequired ? Table->accountOf(Route->team(), Arrived.AccountKey)
+                  : nullptr;
+  if (KeyRequired && Account == nullptr && !Route->Anonymous)
+    return this->denyKey(Arrived, *Route, Now, Out);
   if (!this->maySend(Now))
     return this->hold(Arrived, Arrived.Deadline, Out);
-  Call NewCall = this->makeCall(Arrived, *Route, Now);
+  if (Account != nullptr && Now >= this->Validity.KeysUntil)
+    return this->awaitKeys(Arrived, *Account, Now, Out);
+  Call NewCall = this->makeCall(Arrived, *Route, Account, Now);
+  if (!KeyRequired)
+    NewCall.Headers.insert(NewCall.Headers.end(),
+                           Arrived.IdentityHeaders.begin(),
+                           Arrived.IdentityHeaders.end());
   const ServiceSpec &Service = *Table->service(NewCall.Service);
   if (Arrived.BodySize > Service.MaxBodyBytes)
     return this->refuseByConfiguration(
@@ -133,9 +146,36 @@
 }
 
 void CallRouter::denyRoute(const CallArrived &Arrived, Time Now, Effects &Out) {
-  const Failure Denied{ResultCode::NoRoute, Arrived.Job, {}};
+  this->deny(Arrived, {ResultCode::NoRoute, Arrived.Job, {}}, Now, Out);
+}
+
+void CallRouter::denyKey(const CallArrived &Arrived, const RouteSpec &Route,
+                         Time Now, Effects &Out) {
+  Out.emplace_back(LogDecision{
+      "event=key-unknown call=" + Arrived.CallId + " route=" + Route.Path +
+      " key=" + (Arrived.AccountKey.empty() ? "none" : "unknown") +
+      " version=" + std::to_string(this->Config.version()) +
+      " heard=" + std::to_string(this->Config.newestKnownVersion())});
+  this->deny(Arrived, {ResultCode::KeyUnknown, Arrived.Job, {}}, Now, Out);
+}
+
+void CallRouter::deny(const CallArrived &Arrived, Failure Denied, Time Now,
+                      Effects &Out) {
   if (Now < this->Validity.DeniesUntil || this->Config.superseded())
-    return this->refuseByConfiguration(Arrived.CallNumber, Denied, Out);
+    return this->refuseByConfiguration(Arrived.CallNumber, std::move(Denied),
+                                       Out);
+  this->hold(Arrived, Now + ConfirmationTimeout, Out);
+}
+
+void CallRouter::awaitKeys(const CallArrived &Arrived,
+                           const AccountSpec &Account, Time Now, Effects &Out) {
+  Out.emplace_back(LogDecision{
+      "event=keys-unconfirmed call=" + Arrived.CallId + " account=" +
+      Account.Name + " version=" + std::to_string(this->Config.version()) +
+      " outOfTouch=" + (this->Validity.OutOfTouch ? "yes" : "no")});
+  if (this->Validity.OutOfTouch)
+    return this->refuse(Arrived.CallNumber, {ResultCode::NotCurrent, {}, {}},
+                        Out);
   this->hold(Arrived, Now + ConfirmationTimeout, Out);
 }
 
@@ -167,7 +207,8 @@
 }
 
 CallRouter::Call CallRouter::makeCall(const CallArrived &Arrived,
-                                      const RouteSpec &Route, Time Now) {
+                                      const RouteSpec &Route,
+                                      const AccountSpec *Account, Time Now) {
   Call Out;
   Out.Number = Arrived.CallNumber;
   Out.CallId = Arrived.CallId;
@@ -178,6 +219,11 @@
   Out.RoutePath = Route.Path;
   Out.Service = this->Split.next(Route).Service;
   Out.Priority = Route.Priority;
+  if (Account != nullptr) {
+    Out.Account = Account->Name;
+    Out.AccountPath = Account->Path;
+    Out.Priority = Account->Priority.value_or(Route.Priority);
+  }
   Out.MayRepeat = isRepeatable(Route, Arrived.Method);
   Out.MaxTargetAttempts = Route.MaxAttempts;
   const ServiceSpec &Service = *this->Config.table()->service(Out.Service);
@@ -205,6 +251,8 @@
                                     Time Now) {
   const milliseconds Remaining(millisecondsUntil(TheCall.Deadline, Now));
   const milliseconds MinDelay = Remaining / MinRetryAfterDivisor;
+  if (TheCall.RateRetryAfter.count() > 0)
+    return TheCall.RateRetryAfter;
   if (Code != ResultCode::Overloaded &&
       Code != ResultCode::DeadlineCannotBeMet &&
       Code != ResultCode::NestedOverload && Code != ResultCode::TargetShed)
@@ -236,7 +284,67 @@
   return Id;
 }
 
+bool CallRouter::takeAllowance(Call &TheCall, Time Now, Effects &Out) {
+  if (TheCall.AccountPath.empty() || TheCall.HasToken)
+    return true;
+  const AccountSpec *Account =
+      this->Config.table()->account(TheCall.AccountPath);
+  if (Account == nullptr ||
+      !AccountRate{Account->RatePerSecond, Account->Burst}.limited())
+    return true;
+  const AccountAllowance::Decision Result =
+      this->Allowance.take(TheCall.Number, TheCall.AccountPath, Now, Out);
+  switch (Result.Result) {
+  case AccountAllowance::Verdict::Granted:
+    TheCall.HasToken = true;
+    TheCall.TokenAt = Now;
+    return true;
+  case AccountAllowance::Verdict::Held:
+    TheCall.State = Phase::AwaitingAllowance;
+    return false;
+  case AccountAllowance::Verdict::Exceeded:
+  case AccountAllowance::Verdict::OutOfTouch:
+    break;
+  }
+  this->refuseByRate(TheCall, Result, Now, Out);
+  return false;
+}
+
+void CallRouter::refuseByRate(Call &TheCall,
+                              const AccountAllowance::Decision &Refused,
+                              Time Now, Effects &Out) {
+  TheCall.RateRetryAfter = Refused.RetryAfter;
+  const ResultCode Code =
+      Refused.Result == AccountAllowance::Verdict::OutOfTouch
+          ? ResultCode::NotCurrent
+          : ResultCode::RateExceeded;
+  this->finish(TheCall.Number, {Code, TheCall.Account, {}}, false, Now, Out);
+}
+
+void CallRouter::applyAllowance(Time Now, Effects &Out) {
+  for (const AccountAllowance::Decision &Item : this->Allowance.takeDecided()) {
+    Call *Waiting = this->find(Item.CallNumber);
+    if (Waiting == nullptr || Waiting->State != Phase::AwaitingAllowance)
+      continue;
+    if (Item.Result == AccountAllowance::Verdict::Granted) {
+      Waiting->HasToken = true;
+      Waiting->TokenAt = Now;
+      this->dispatch(*Waiting, Now, Out);
+    } else {
+      this->refuseByRate(*Waiting, Item, Now, Out);
+    }
+  }
+}
+
+void CallRouter::receive(const wire::AllowanceReply &Reply,
+                         std::string_view From, Time Now, Effects &Out) {
+  this->Allowance.receive(Reply, From, Now, Out);
+  this->applyAllowance(Now, Out);
+}
+
 void CallRouter::dispatch(Call &TheCall, Time Now, Effects &Out) {
+  if (!this->takeAllowance(TheCall, Now, Out))
+    return;
   LinkUse Use;
   Use.LargeBody = TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
   Use.LargeAnswer = this->AnswerLengths.large(TheCall.RoutePath);
@@ -245,6 +353,8 @@
       this->Members, TheCall.Service, TheCall.Excluded, Now, Use);
   std::string Line = "event=place call=" + TheCall.CallId +
                      " route=" + TheCall.RoutePath +
+                     (TheCall.Account.empty() ? std::string()
+                                              : " account=" + TheCall.Account) +
                      " service=" + TheCall.Service +
                      " version=" + std::to_string(this->Config.version()) +
                      " attempt=" + std::to_string(TheCall.Attempts + 1) +
@@ -287,6 +397,7 @@
   Request.RemainingMs =
       static_cast<std::int32_t>(millisecondsUntil(TheCall.Deadline, Now));
   Request.Priority = TheCall.Priority;
+  Request.Account = TheCall.Account;
   Request.UsefulMs =
       static_cast<std::int32_t>(millisecondsUntil(TheCall.UsefulUntil, Now));
   Request.Late = TheCall.Late;
@@ -344,6 +455,10 @@
 void CallRouter::finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun,
                         Time Now, Effects &Out) {
   const Call &Ended = this->Calls.at(CallNumber);
+  if (!Ended.HasToken && Ended.State == Phase::AwaitingAllowance)
+    this->Allowance.cancel(CallNumber);
+  if (Ended.HasToken && !MayHaveRun)
+    this->Allowance.giveBack(Ended.AccountPath, Ended.TokenAt, Now);
   if (Ended.MayHaveRun && !MayHaveRun) {
     // The last attempt did not run, but an earlier one may have.
     MayHaveRun = true;
@@ -426,8 +541,11 @@
       " code=" + std::to_string(static_cast<int>(Code))});
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.LastRefusal = Code;
-  if (Code == ResultCode::TargetShed)
+  if (Code == ResultCode::TargetShed) {
     TheCall.TargetAttempts += 1;
+    // The attempt reached the target, so it counts.
+    TheCall.HasToken = false;
+  }
   if (!this->mayRetry(TheCall, Code, Now)) {
     this->finish(TheCall.Number, {Code, TheCall.Service, {}}, false, Now, Out);
     return;
@@ -470,6 +588,7 @@
   this->endAttempt(TheCall, true, Now, Out);
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.MayHaveRun = true;
+  TheCall.HasToken = false;
   this->Retries += 1;
   this->dispatch(TheCall, Now, Out);
   return true;
@@ -595,9 +714,10 @@
 
 void CallRouter::deadlinePassed(Call &TheCall, Time Now, Effects &Out) {
   if (!TheCall.dispatched()) {
-    this->finish(TheCall.Number,
-                 {ResultCode::ClaimUnavailable, TheCall.Service, {}}, false,
-                 Now, Out);
+    const ResultCode Code = TheCall.State == Phase::AwaitingAllowance
+                                ? ResultCode::RateExceeded
+                                : ResultCode::ClaimUnavailable;
+    this->finish(TheCall.Number, {Code, TheCall.Service, {}}, false, Now, Out);
     return;
   }
   this->cancelAttempt(TheCall, Channel::Stream, Now, Out);
@@ -613,6 +733,8 @@
     this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
                  Out);
   this->Cancellations.tick(Now, Out);
+  this->Allowance.tick(Now, Out);
+  this->applyAllowance(Now, Out);
   this->expireHeld(Now, Out);
   this->checkConnections(Now, Out);
   for (const std::int64_t Number : this->callNumbers()) {
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accountallowance.h"
 #include "admissionqueue.h"
 #include "answersizes.h"
 #include "cancellationsender.h"
@@ -44,6 +45,8 @@
     Time ServesUntil = NoDeadline;
     /// No daemon can tell which version is the newest one.
     bool OutOfTouch = false;
+    /// Afterwards calls with a key are refused, also if OutOfTouch is set.
+    Time KeysUntil = NoDeadline;
   };
   void setValidity(const VersionValidity &Validity) {
     this->Validity = Validity;
@@ -66,6 +69,9 @@
   /// Handles another daemon's reply about the first call with an idempotency
   /// key.
   void receive(const wire::OutcomeReply &Reply, Time Now, Effects &Out);
+  /// Handles a reply about the shares of accounts.
+  void receive(const wire::AllowanceReply &Reply, std::string_view From,
+               Time Now, Effects &Out);
   /// Answers a heartbeat. A heartbeat reply marks its connection as alive.
   void receive(const wire::Heartbeat &Message, std::string_view From, Time Now,
                Effects &Out);
@@ -91,6 +97,7 @@
 
   /// Sets the addresses of the control instances that store claims.
   void setControlAddresses(std::vector<std::string> Addresses) {
+    this->Allowance.setControlAddresses(Addresses);
     this->Claims.setControlAddresses(std::move(Addresses));
   }
 
@@ -98,6 +105,11 @@
   /// when this daemon exits.
   void setEnd(Time End) { this->EndsAt = End; }
 
+  /// Handles a suspension of the machine, which the clock did not count.
+  void age(milliseconds For) { this->Allowance.age(For); }
+
+  const AccountAllowance &allowance() const { return this->Allowance; }
+
   /// Makes the router refuse all new calls.
   void stop() { this->Stopping = true; }
 
@@ -116,7 +128,13 @@
   std::uint64_t retryCount() const { return this->Retries; }
 
 private:
-  enum class Phase { AwaitingClaim, AwaitingHolder, Sent, Querying };
+  enum class Phase {
+    AwaitingClaim,
+    AwaitingHolder,
+    AwaitingAllowance,
+    Sent,
+    Querying
+  };
 
   struct Call {
     std::int64_t Number = 0;
@@ -126,6 +144,15 @@
     std::vector<wire::Header> Headers;
     std::int64_t BodySize = 0;
     std::string RoutePath;
+    /// Name and settings path of the client account; empty if there is none.
+    std::string Account;
+    std::string AccountPath;
+    /// Whether the call took a token of its account for the current or next
+    /// attempt, and when.
+    bool HasToken = false;
+    Time TokenAt;
+    /// When there may be allowance, if the call was refused for its rate.
+    milliseconds RateRetryAfter{0};
     std::string Service;
     int Priority = 0;
     bool MayRepeat = false;
@@ -186,6 +213,13 @@
   };
 
   void dispatch(Call &TheCall, Time Now, Effects &Out);
+  /// Takes a token if the account of the call is limited. Returns whether the
+  /// call may be sent now; otherwise it waits or is finished.
+  bool takeAllowance(Call &TheCall, Time Now, Effects &Out);
+  /// Sends or refuses the calls that waited for a token.
+  void applyAllowance(Time Now, Effects &Out);
+  void refuseByRate(Call &TheCall, const AccountAllowance::Decision &Refused,
+                    Time Now, Effects &Out);
   /// Sends the body up to the offset \p Granted; a value of -1 sends all of it.
   void sendBody(Call &TheCall, std::int64_t Granted, Time Now, Effects &Out);
   void queryOutcome(Call &TheCall, Time Now, Effects &Out);
@@ -219,7 +253,20 @@
   /// Refuses a call that the configuration in force does not allow.
   void refuseByConfiguration(std::int64_t CallNumber, Failure Error,
                              Effects &Out) const;
-  Call makeCall(const CallArrived &Arrived, const RouteSpec &Route, Time Now);
+  /// Answers 401 to a call whose key is not known, or holds it like
+  /// denyRoute().
+  void denyKey(const CallArrived &Arrived, const RouteSpec &Route, Time Now,
+               Effects &Out);
+  /// Refuses the call by \p Denied if the version in force is confirmed as the
+  /// newest one; holds it otherwise.
+  void deny(const CallArrived &Arrived, Failure Denied, Time Now, Effects &Out);
+  /// Holds a call with a key until the version in force is confirmed, or
+  /// refuses it at once if no daemon can confirm it.
+  void awaitKeys(const CallArrived &Arrived, const AccountSpec &Account,
+                 Time Now, Effects &Out);
+  /// Makes the call of \p Account, which is null if the call has none.
+  Call makeCall(const CallArrived &Arrived, const RouteSpec &Route,
+                const AccountSpec *Account, Time Now);
   milliseconds retryAfter(const Call &TheCall, ResultCode Code, Time Now);
   bool mayRetry(const Call &TheCall, ResultCode Code, Time Now);
   void finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun, Time Now,
@@ -237,6 +284,7 @@
   const Membership &Members;
   const Distribution &Config;
   ClaimClient Claims;
+  AccountAllowance Allowance;
   CancellationSender Cancellations;
   TargetChooser Chooser;
   TrafficSplit Split;
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -61,6 +61,13 @@
     this->ConsensusModule.setDeparted(std::move(Addresses));
   }
 
+  /// Makes the last proof of leadership older by \p By, a time that the steady
+  /// clock did not count.
+  void age(milliseconds By) {
+    this->VerifiedAt -= By;
+    this->VerifyStartedAt -= By;
+  }
+
   /// Makes this instance hand over its vote before it stops.
   void leave() { this->ConsensusModule.leave(); }
 
@@ -85,6 +92,10 @@
   /// Returns the newest stamp that this instance has issued as leader.
   const wire::Stamp &stamp() const { return this->IssuedStamp; }
 
+  /// Returns a time at which this replica was the only leader; Time() if it
+  /// does not lead.
+  Time verifiedAt() const { return this->VerifiedAt; }
+
   const Consensus &consensus() const { return this->ConsensusModule; }
   const SettingsStore &store() const { return this->Store; }
 
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds LeftAnnouncementInterval{200};
 constexpr milliseconds StaleWarningInterval{10'000};
 constexpr milliseconds ControlRefreshInterval{200};
+/// Part of the time to a revocation that is left for clocks that run at
+/// different rates.
+constexpr int RevocationMarginDivisor = 10;
 
 wire::MemberRecord recordOf(const NodeIdentity &Identity, bool IsControl) {
   wire::MemberRecord Record;
@@ -37,6 +40,13 @@
   return Out;
 }
 
+/// Returns whether the setting at \p Path, TEAM/KIND/NAME, is a client account.
+bool isAccountPath(std::string_view Path) {
+  const std::size_t Kind = Path.find('/');
+  return Kind != std::string_view::npos &&
+         Path.substr(Kind).starts_with("/accounts/");
+}
+
 template <typename T> constexpr bool HasGossipHeader = requires(const T &Body) {
   Body.Head;
 };
@@ -54,7 +64,8 @@
              Identity.MaxHistoryBytes, Identity.TextPrefixTeam),
       Gate(Identity.Seed + 3), Confirmation(Identity.Seed + 7),
       Scheduler(Identity.Seed + 6), Seeds(seedsOf(Identity)),
-      ControlAddresses(Seeds), Stop(Identity.Stop) {}
+      ControlAddresses(Seeds), Stop(Identity.Stop),
+      Revocation(Identity.Revocation) {}
 
 std::unique_ptr<Node> Node::makeProxy(const NodeIdentity &Identity,
                                       const NodePolicies &Policies) {
@@ -112,11 +123,20 @@
       this->Scheduler.nestedEnded(Outcome, Now);
   }
   if (this->Control) {
-    if (this->Control->takeStateReplaced())
+    // Before the changes, as the first leader knows all that follow.
+    this->updateLedger(Now);
+    if (this->Control->takeStateReplaced()) {
       this->Config.replaceContent(this->Control->store().settings(),
                                   this->Control->store().version(), Out);
-    for (const AppliedChange &Applied : this->Control->takeAppliedChanges())
+      this->setAllRates(Now);
+    }
+    for (const AppliedChange &Applied : this->Control->takeAppliedChanges()) {
       this->Config.applyCommitted(Applied.Change, Out);
+      for (const wire::Setting &Put : Applied.Change.Puts)
+        this->setRate(Put.Path, &Put.Value, Now);
+      for (const std::string &Path : Applied.Change.Removed)
+        this->setRate(Path, nullptr, Now);
+    }
     this->Members.updateStamp(this->Control->stamp(), Now);
   }
   if (this->Config.version() == this->AnnouncedVersion)
@@ -127,6 +147,58 @@
   this->announce(Out);
 }
 
+void Node::updateLedger(Time Now) {
+  const Consensus &Replica = this->Control->consensus();
+  this->Ledger.update(
+      {Replica.ready(), Replica.term(), this->Control->verifiedAt()},
+      this->Config.version() == 0, Now);
+}
+
+void Node::setAllRates(Time Now) {
+  this->Ledger.clearRates(Now);
+  const SettingsMap &Settings = this->Control->store().settings();
+  for (auto Item = Settings.begin(); Item != Settings.end();) {
+    const std::string Team = Item->first.substr(0, Item->first.find('/'));
+    for (Item = Settings.lower_bound(Team + "/accounts/");
+         Item != Settings.end() && isAccountPath(Item->first) &&
+         Item->first.starts_with(Team + "/");
+         ++Item)
+      this->setRate(Item->first, &Item->second.Value, Now);
+    // The character after a slash.
+    Item = Settings.lower_bound(Team + "0");
+  }
+}
+
+void Node::setRate(const std::string &Path, const std::string *Value,
+                   Time Now) {
+  if (!isAccountPath(Path))
+    return;
+  std::optional<AccountRate> Rate;
+  if (Value != nullptr)
+    handleResult([&] { return parseAccount(Path, *Value); },
+                 [&](const AccountSpec &Spec) {
+                   Rate = AccountRate{Spec.RatePerSecond, Spec.Burst};
+                 });
+  this->Ledger.setRate(Path, Rate, Now);
+}
+
+void Node::receiveAllowanceRequest(const wire::AllowanceRequest &Request,
+                                   std::string_view From, Time Now,
+                                   Effects &Out) {
+  if (!this->Control)
+    return;
+  this->updateLedger(Now);
+  if (auto Reply = this->Ledger.receive(Request, From, Now))
+    return send(Out, From, std::move(*Reply), Channel::Datagram);
+  const Consensus &Replica = this->Control->consensus();
+  if (Replica.leader() || Replica.leaderAddress().empty())
+    return;
+  wire::AllowanceReply Elsewhere;
+  Elsewhere.Number = Request.Number;
+  Elsewhere.__set_LeaderAddress(Replica.leaderAddress());
+  send(Out, From, std::move(Elsewhere), Channel::Datagram);
+}
+
 void Node::on(const Tick &Body, const Event &TheEvent, Effects &Out) {
   const Time Now = TheEvent.At;
   this->Scheduler.chargeLink(Body.LinkBytes, Now);
@@ -286,6 +358,22 @@
          (!this->Router || this->Router->callCount() == 0);
 }
 
+void Node::on(const ProcessSuspended &Body, const Event &TheEvent,
+              Effects &Out) {
+  Out.emplace_back(
+      LogWarning{"event=suspended ms=" + std::to_string(Body.For.count())});
+  this->Confirmation.age(Body.For);
+  this->Config.age(Body.For);
+  if (this->Control) {
+    this->Control->age(Body.For);
+    this->Ledger.suspended(TheEvent.At);
+  }
+  if (this->Router) {
+    this->Router->age(Body.For);
+    this->updateConfirmation(TheEvent.At, Out);
+  }
+}
+
 void Node::on(const StopRequested &, const Event &TheEvent, Effects &Out) {
   if (this->Stopping)
     return;
@@ -543,7 +631,8 @@
   const bool WasOutOfTouch = this->Router->validity().OutOfTouch;
   this->Router->setValidity({this->Confirmation.deniesUntil(Version),
                              this->Confirmation.servesUntil(Version),
-                             this->Confirmation.outOfTouch(Now)});
+                             this->Confirmation.outOfTouch(Now),
+                             this->keysUntil()});
   if (this->Router->validity().OutOfTouch && !WasOutOfTouch) {
     Out.emplace_back(LogWarning{"event=out-of-touch version=" +
                                 std::to_string(Version) + " confirmedMsAgo=" +
@@ -553,6 +642,13 @@
   }
 }
 
+Time Node::keysUntil() const {
+  if (this->Revocation.count() == 0)
+    return NoDeadline;
+  return this->Config.currentAt() + this->Revocation -
+         this->Revocation / RevocationMarginDivisor;
+}
+
 void Node::applyConfirmation() {
   if (this->Confirmation.version() <= this->Config.version())
     this->Config.noteCurrent(this->Confirmation.confirmedAt());
@@ -656,13 +752,16 @@
   else if constexpr (std::is_same_v<T, wire::AnswerAck>)
     this->Scheduler.receive(Body, Now, Out);
   else if constexpr (std::is_same_v<T, wire::BodyPart> ||
-                     std::is_same_v<T, wire::LeavingTarget> ||
-                     std::is_same_v<T, wire::AllowanceRequest> ||
-                     std::is_same_v<T, wire::AllowanceReply>)
+                     std::is_same_v<T, wire::LeavingTarget>)
     return; // The host reassembles bodies; parts never reach the reducer.
-  else if constexpr (std::is_same_v<T, wire::CallReply> ||
-                     std::is_same_v<T, wire::ClaimReply> ||
-                     std::is_same_v<T, wire::OutcomeReply>) {
+  else if constexpr (std::is_same_v<T, wire::AllowanceRequest>)
+    this->receiveAllowanceRequest(Body, From, Now, Out);
+  else if constexpr (std::is_same_v<T, wire::AllowanceReply>) {
+    if (this->Router)
+      this->Router->receive(Body, From, Now, Out);
+  } else if constexpr (std::is_same_v<T, wire::CallReply> ||
+                       std::is_same_v<T, wire::ClaimReply> ||
+                       std::is_same_v<T, wire::OutcomeReply>) {
     if (this->Router)
       this->Router->receive(Body, Now, Out);
   } else if constexpr (std::is_same_v<T, wire::OutcomeQuery>) {
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowanceledger.h"
 #include "attemptscheduler.h"
 #include "callrouter.h"
 #include "controlservice.h"
@@ -53,6 +54,9 @@
   std::string TextPrefixTeam;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
+  /// Time after the removal of a key from which no call with it may run, on
+  /// disconnected daemons too; 0 if these may go on serving.
+  milliseconds Revocation{0};
 };
 
 /// Policies of a daemon; all must outlive its Node.
@@ -87,6 +91,7 @@
   const ControlService *control() const {
     return this->Control ? &*this->Control : nullptr;
   }
+  const AllowanceLedger &allowanceLedger() const { return this->Ledger; }
   const AttemptScheduler &scheduler() const { return this->Scheduler; }
   const CallRouter *router() const {
     return this->Router ? &*this->Router : nullptr;
@@ -127,6 +132,7 @@
   void on(const TargetProbed &Body, const Event &TheEvent, Effects &Out);
   void on(const RunFinished &Body, const Event &TheEvent, Effects &Out);
   void on(const SettingsChanged &Body, const Event &TheEvent, Effects &Out);
+  void on(const ProcessSuspended &Body, const Event &TheEvent, Effects &Out);
   void on(const StopRequested &Body, const Event &TheEvent, Effects &Out);
   void on(const WorkContinued &Body, const Event &TheEvent, Effects &Out);
   template <typename RequestT>
@@ -167,11 +173,19 @@
   /// Tells the router how far the version in force is confirmed, and asks for
   /// a confirmation if one is due.
   void updateConfirmation(Time Now, Effects &Out);
+  /// Returns until when calls with a key may be served.
+  Time keysUntil() const;
   /// Applies what is confirmed to the version in force.
   void applyConfirmation();
   void receiveStampRequest(const wire::StampRequest &Request,
                            std::string_view From, Time Now, Effects &Out);
   void announce(Effects &Out);
+  /// Follows the leadership and the rates of accounts for the ledger.
+  void updateLedger(Time Now);
+  void setAllRates(Time Now);
+  void setRate(const std::string &Path, const std::string *Value, Time Now);
+  void receiveAllowanceRequest(const wire::AllowanceRequest &Request,
+                               std::string_view From, Time Now, Effects &Out);
 
   const Topology &VersionTopology;
 
@@ -183,6 +197,8 @@
   AttemptScheduler Scheduler;
   NestedRouteDetector NestedRoutes;
   std::optional<ControlService> Control;
+  /// Used by control instances only.
+  AllowanceLedger Ledger;
   std::optional<CallRouter> Router;
   TargetWatch Target;
   TargetConfirmation Evidence;
@@ -190,6 +206,7 @@
   std::vector<std::string> ControlAddresses;
   Time NextControlRefresh;
   StopPolicy Stop;
+  milliseconds Revocation;
   int MissedProbes = 0;
   std::int64_t AnnouncedVersion = 0;
   bool Outdated = false;
