--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -50,6 +50,7 @@
   leaf::result<void> openNode();
   /// Logs what was found on the disk.
   void logDisk();
+  void setAllowanceGauges(const AccountAllowance &Source, Time Now);
   void setConsensusGauges(const Consensus &Source);
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -62,6 +62,7 @@
                        ClaimClient Claims, std::uint64_t Seed,
                        const ChoicePolicy &Policy)
     : Members(Members), Config(Config), Claims(std::move(Claims)),
+      Allowance(Members.self().Address, Members.self().Incarnation),
       Chooser(Members.self().Zone, Seed, Policy), Split(Seed + 1),
       Rng(Seed + 2), OwnIncarnation(Members.self().Incarnation) {}
 
@@ -250,6 +251,8 @@
                                     Time Now) {
   const milliseconds Remaining(millisecondsUntil(TheCall.Deadline, Now));
   const milliseconds MinDelay = Remaining / MinRetryAfterDivisor;
+  if (TheCall.RateRetryAfter.count() > 0)
+    return TheCall.RateRetryAfter;
   if (Code != ResultCode::Overloaded &&
       Code != ResultCode::DeadlineCannotBeMet &&
       Code != ResultCode::NestedOverload && Code != ResultCode::TargetShed)
@@ -281,7 +284,67 @@
   return Id;
 }
 
+bool CallRouter::takeAllowance(Call &TheCall, Time Now, Effects &Out) {
+  if (TheCall.AccountPath.empty() || TheCall.HasToken)
+    return true;
+  const AccountSpec *Account =
+      this->Config.table()->account(TheCall.AccountPath);
+  if (Account == nullptr ||
+      !AccountRate{Account->RatePerSecond, Account->Burst}.limited())
+    return true;
+  const AccountAllowance::Decision Result =
+      this->Allowance.take(TheCall.Number, TheCall.AccountPath, Now, Out);
+  switch (Result.Result) {
+  case AccountAllowance::Verdict::Granted:
+    TheCall.HasToken = true;
+    TheCall.TokenAt = Now;
+    return true;
+  case AccountAllowance::Verdict::Held:
+    TheCall.State = Phase::AwaitingAllowance;
+    return false;
+  case AccountAllowance::Verdict::Exceeded:
+  case AccountAllowance::Verdict::OutOfTouch:
+    break;
+  }
+  this->refuseByRate(TheCall, Result, Now, Out);
+  return false;
+}
+
+void CallRouter::refuseByRate(Call &TheCall,
+                              const AccountAllowance::Decision &Refused,
+                              Time Now, Effects &Out) {
+  TheCall.RateRetryAfter = Refused.RetryAfter;
+  const ResultCode Code =
+      Refused.Result == AccountAllowance::Verdict::OutOfTouch
+          ? ResultCode::NotCurrent
+          : ResultCode::RateExceeded;
+  this->finish(TheCall.Number, {Code, TheCall.Account, {}}, false, Now, Out);
+}
+
+void CallRouter::applyAllowance(Time Now, Effects &Out) {
+  for (const AccountAllowance::Decision &Item : this->Allowance.takeDecided()) {
+    Call *Waiting = this->find(Item.CallNumber);
+    if (Waiting == nullptr || Waiting->State != Phase::AwaitingAllowance)
+      continue;
+    if (Item.Result == AccountAllowance::Verdict::Granted) {
+      Waiting->HasToken = true;
+      Waiting->TokenAt = Now;
+      this->dispatch(*Waiting, Now, Out);
+    } else {
+      this->refuseByRate(*Waiting, Item, Now, Out);
+    }
+  }
+}
+
+void CallRouter::receive(const wire::AllowanceReply &Reply,
+                         std::string_view From, Time Now, Effects &Out) {
+  this->Allowance.receive(Reply, From, Now, Out);
+  this->applyAllowance(Now, Out);
+}
+
 void CallRouter::dispatch(Call &TheCall, Time Now, Effects &Out) {
+  if (!this->takeAllowance(TheCall, Now, Out))
+    return;
   LinkUse Use;
   Use.LargeBody = TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
   Use.LargeAnswer = this->AnswerLengths.large(TheCall.RoutePath);
@@ -392,6 +455,10 @@
 void CallRouter::finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun,
                         Time Now, Effects &Out) {
   const Call &Ended = this->Calls.at(CallNumber);
+  if (!Ended.HasToken && Ended.State == Phase::AwaitingAllowance)
+    this->Allowance.cancel(CallNumber);
+  if (Ended.HasToken && !MayHaveRun)
+    this->Allowance.giveBack(Ended.AccountPath, Ended.TokenAt, Now);
   if (Ended.MayHaveRun && !MayHaveRun) {
     // The last attempt did not run, but an earlier one may have.
     MayHaveRun = true;
@@ -474,8 +541,11 @@
       " code=" + std::to_string(static_cast<int>(Code))});
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.LastRefusal = Code;
-  if (Code == ResultCode::TargetShed)
+  if (Code == ResultCode::TargetShed) {
     TheCall.TargetAttempts += 1;
+    // The attempt reached the target, so it counts.
+    TheCall.HasToken = false;
+  }
   if (!this->mayRetry(TheCall, Code, Now)) {
     this->finish(TheCall.Number, {Code, TheCall.Service, {}}, false, Now, Out);
     return;
@@ -518,6 +588,7 @@
   this->endAttempt(TheCall, true, Now, Out);
   TheCall.Excluded.insert(TheCall.Target);
   TheCall.MayHaveRun = true;
+  TheCall.HasToken = false;
   this->Retries += 1;
   this->dispatch(TheCall, Now, Out);
   return true;
@@ -643,9 +714,10 @@
 
 void CallRouter::deadlinePassed(Call &TheCall, Time Now, Effects &Out) {
   if (!TheCall.dispatched()) {
-    this->finish(TheCall.Number,
-                 {ResultCode::ClaimUnavailable, TheCall.Service, {}}, false,
-                 Now, Out);
+    const ResultCode Code = TheCall.State == Phase::AwaitingAllowance
+                                ? ResultCode::RateExceeded
+                                : ResultCode::ClaimUnavailable;
+    this->finish(TheCall.Number, {Code, TheCall.Service, {}}, false, Now, Out);
     return;
   }
   this->cancelAttempt(TheCall, Channel::Stream, Now, Out);
@@ -661,6 +733,8 @@
     this->finish(Number, {ResultCode::ClaimUnavailable, {}, {}}, false, Now,
                  Out);
   this->Cancellations.tick(Now, Out);
+  this->Allowance.tick(Now, Out);
+  this->applyAllowance(Now, Out);
   this->expireHeld(Now, Out);
   this->checkConnections(Now, Out);
   for (const std::int64_t Number : this->callNumbers()) {
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accountallowance.h"
 #include "admissionqueue.h"
 #include "answersizes.h"
 #include "cancellationsender.h"
@@ -68,6 +69,9 @@
   /// Handles another daemon's reply about the first call with an idempotency
   /// key.
   void receive(const wire::OutcomeReply &Reply, Time Now, Effects &Out);
+  /// Handles a reply about the shares of accounts.
+  void receive(const wire::AllowanceReply &Reply, std::string_view From,
+               Time Now, Effects &Out);
   /// Answers a heartbeat. A heartbeat reply marks its connection as alive.
   void receive(const wire::Heartbeat &Message, std::string_view From, Time Now,
                Effects &Out);
@@ -93,6 +97,7 @@
 
   /// Sets the addresses of the control instances that store claims.
   void setControlAddresses(std::vector<std::string> Addresses) {
+    this->Allowance.setControlAddresses(Addresses);
     this->Claims.setControlAddresses(std::move(Addresses));
   }
 
@@ -100,6 +105,11 @@
   /// when this daemon exits.
   void setEnd(Time End) { this->EndsAt = End; }
 
+  /// Handles a suspension of the machine, which the clock did not count.
+  void age(milliseconds For) { this->Allowance.age(For); }
+
+  const AccountAllowance &allowance() const { return this->Allowance; }
+
   /// Makes the router refuse all new calls.
   void stop() { this->Stopping = true; }
 
@@ -118,7 +128,13 @@
   std::uint64_t retryCount() const { return this->Retries; }
 
 private:
-  enum class Phase { AwaitingClaim, AwaitingHolder, Sent, Querying };
+  enum class Phase {
+    AwaitingClaim,
+    AwaitingHolder,
+    AwaitingAllowance,
+    Sent,
+    Querying
+  };
 
   struct Call {
     std::int64_t Number = 0;
@@ -131,6 +147,12 @@
     /// Name and settings path of the client account; empty if there is none.
     std::string Account;
     std::string AccountPath;
+    /// Whether the call took a token of its account for the current or next
+    /// attempt, and when.
+    bool HasToken = false;
+    Time TokenAt;
+    /// When there may be allowance, if the call was refused for its rate.
+    milliseconds RateRetryAfter{0};
     std::string Service;
     int Priority = 0;
     bool MayRepeat = false;
@@ -191,6 +213,13 @@
   };
 
   void dispatch(Call &TheCall, Time Now, Effects &Out);
+  /// Takes a token if the account of the call is limited. Returns whether the
+  /// call may be sent now; otherwise it waits or is finished.
+  bool takeAllowance(Call &TheCall, Time Now, Effects &Out);
+  /// Sends or refuses the calls that waited for a token.
+  void applyAllowance(Time Now, Effects &Out);
+  void refuseByRate(Call &TheCall, const AccountAllowance::Decision &Refused,
+                    Time Now, Effects &Out);
   /// Sends the body up to the offset \p Granted; a value of -1 sends all of it.
   void sendBody(Call &TheCall, std::int64_t Granted, Time Now, Effects &Out);
   void queryOutcome(Call &TheCall, Time Now, Effects &Out);
@@ -255,6 +284,7 @@
   const Membership &Members;
   const Distribution &Config;
   ClaimClient Claims;
+  AccountAllowance Allowance;
   CancellationSender Cancellations;
   TargetChooser Chooser;
   TrafficSplit Split;
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -92,6 +92,10 @@
   /// Returns the newest stamp that this instance has issued as leader.
   const wire::Stamp &stamp() const { return this->IssuedStamp; }
 
+  /// Returns a time at which this replica was the only leader; Time() if it
+  /// does not lead.
+  Time verifiedAt() const { return this->VerifiedAt; }
+
   const Consensus &consensus() const { return this->ConsensusModule; }
   const SettingsStore &store() const { return this->Store; }
 
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "allowanceledger.h"
 #include "attemptscheduler.h"
 #include "callrouter.h"
 #include "controlservice.h"
@@ -90,6 +91,7 @@
   const ControlService *control() const {
     return this->Control ? &*this->Control : nullptr;
   }
+  const AllowanceLedger &allowanceLedger() const { return this->Ledger; }
   const AttemptScheduler &scheduler() const { return this->Scheduler; }
   const CallRouter *router() const {
     return this->Router ? &*this->Router : nullptr;
@@ -178,6 +180,12 @@
   void receiveStampRequest(const wire::StampRequest &Request,
                            std::string_view From, Time Now, Effects &Out);
   void announce(Effects &Out);
+  /// Follows the leadership and the rates of accounts for the ledger.
+  void updateLedger(Time Now);
+  void setAllRates(Time Now);
+  void setRate(const std::string &Path, const std::string *Value, Time Now);
+  void receiveAllowanceRequest(const wire::AllowanceRequest &Request,
+                               std::string_view From, Time Now, Effects &Out);
 
   const Topology &VersionTopology;
 
@@ -189,6 +197,8 @@
   AttemptScheduler Scheduler;
   NestedRouteDetector NestedRoutes;
   std::optional<ControlService> Control;
+  /// Used by control instances only.
+  AllowanceLedger Ledger;
   std::optional<CallRouter> Router;
   TargetWatch Target;
   TargetConfirmation Evidence;
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -234,6 +234,13 @@
   return nullptr;
 }
 
+leaf::result<AccountSpec> parseAccount(const std::string &Path,
+                                       std::string_view Value) {
+  BOOST_LEAF_AUTO(Document,
+                  parseValue(Path, Value, accountSchema(), Validation::Skip));
+  return makeAccount(Path, Document);
+}
+
 std::string RouteTable::keyIndexOf(std::string_view Team,
                                    std::string_view Key) {
   std::string Out;
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -66,6 +66,10 @@
   std::string_view team() const { return teamOf(this->Path); }
 };
 
+/// Parses the committed value of an account's setting. Errors: ValueInvalid.
+leaf::result<AccountSpec> parseAccount(const std::string &Path,
+                                       std::string_view Value);
+
 /// How a path prefix is compared with the path of a request. Segments: /a and
 /// /a/ match /a, /a/ and /a/b. Text: the prefix ends with a slash and must
 /// begin the path literally; /a/ matches /a/ and /a/b, not /a.
