Test accounts, keys and strict revocation

The code of accounts landed without its tests. A wrong 401 ends a caller's attempts and a key that still works after its removal breaks a promise, so both need tests in which versions are unconfirmed, daemons are disconnected and machines are suspended.

The templates of the deployment are rendered with and without the bounds. Adds two gauges.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -567,6 +567,12 @@
                                  static_cast<double>(Router->retryCount()));
     this->DaemonMetrics.setGauge("persimmon_out_of_touch",
                                  Router->validity().OutOfTouch ? 1 : 0);
+    const auto &Table = this->LocalNode->distribution().table();
+    this->DaemonMetrics.setGauge(
+        "persimmon_accounts",
+        Table ? static_cast<double>(Table->accountCount()) : 0);
+    this->DaemonMetrics.setGauge("persimmon_keys_served",
+                                 Now < Router->validity().KeysUntil ? 1 : 0);
   }
   std::string Text = this->DaemonMetrics.exportText();
   const auto &Traffic = this->Network->traffic();
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -8,6 +8,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <set>
 #include <sstream>
 
 using namespace persimmon;
@@ -175,3 +177,93 @@
   CHECK(parse(replaceOnce(Proxy, "\"name\"", "\"memoryMb\":0,\"name\"")).Code ==
         ResultCode::SettingsInvalid);
 }
+
+TEST_CASE("the time to a revocation is given in milliseconds or seconds") {
+  const auto Read = [](const std::string &Keys) {
+    milliseconds Out{-1};
+    handleResult(
+        [&] {
+          return DaemonSettings::parse(
+              replaceOnce(Proxy, "\"name\"", Keys + "\"name\""), "settings");
+        },
+        [&](const DaemonSettings &Settings) { Out = Settings.Revocation; });
+    return Out;
+  };
+  CHECK(Read("") == milliseconds(0));
+  CHECK(Read("\"revocationMs\":5000,") == milliseconds(5000));
+  CHECK(Read("\"revocationS\":2.5,") == milliseconds(2500));
+  CHECK(Read("\"revocationS\":1,\"revocationMs\":1000,") == milliseconds(-1));
+  CHECK(Read("\"revocationS\":-1,") == milliseconds(-1));
+}
+
+namespace {
+
+/// Renders a template of the deployment: sections named in \p Present are kept,
+/// others removed; values are replaced by \p Values.
+std::string render(const std::string &File,
+                   const std::set<std::string> &Present,
+                   const std::map<std::string, std::string> &Values) {
+  std::ifstream In(std::string(DEPLOY_FOLDER) + "/" + File);
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  std::string Out = Text.str();
+  REQUIRE(!Out.empty());
+  for (std::size_t At = Out.find("{{#"); At != std::string::npos;
+       At = Out.find("{{#")) {
+    const std::size_t NameEnd = Out.find("}}", At);
+    const std::string Name = Out.substr(At + 3, NameEnd - At - 3);
+    const std::string EndTag = "{{/" + Name + "}}";
+    const std::size_t End = Out.find(EndTag);
+    REQUIRE(End != std::string::npos);
+    std::string Inner = Out.substr(NameEnd + 2, End - NameEnd - 2);
+    if (Present.count(Name) == 0)
+      Inner.clear();
+    Out.replace(At, End + EndTag.size() - At, Inner);
+  }
+  for (const auto &[Name, Value] : Values) {
+    const std::string Tag = "{{" + Name + "}}";
+    for (std::size_t At = Out.find(Tag); At != std::string::npos;
+         At = Out.find(Tag))
+      Out.replace(At, Tag.size(), Value);
+  }
+  return Out;
+}
+
+} // namespace
+
+// Guards against settings files that are not valid where a bound is not given.
+TEST_CASE("the templates of the deployment give valid settings") {
+  const std::map<std::string, std::string> Values = {
+      {"nodeName", "n-1"},
+      {"zone", "z-1"},
+      {"ip", "10.0.0.1"},
+      {"internalPorts.0", "7100"},
+      {"listen.outbound", "10.0.0.1:7101"},
+      {"listen.control", "10.0.0.1:7102"},
+      {"listen.readinessAddress", "10.0.0.1:7103"},
+      {"dataDir", "/nonexistent"},
+      {"bootstrap", "true"},
+      {"faultTolerance.machines", "2"},
+      {"service", "one"},
+      {"appAddress", "10.0.0.1:80"},
+      {"limits.memoryMb", "160"},
+      {"limits.linkMbps", "4.7"},
+      {"bounds.revokeS", "5"},
+      {".", "10.0.0.2:7100"},
+      {",", ""}};
+  for (const char *File : {"proxy.template.json", "control.template.json"}) {
+    for (const bool Strict : {false, true}) {
+      std::set<std::string> Present = {"seeds"};
+      if (Strict)
+        Present.insert("bounds.strictRevocation");
+      const std::string Text = render(File, Present, Values);
+      INFO(Text);
+      DaemonSettings Settings;
+      const Failure Error = handleResult(
+          [&] { return DaemonSettings::parse(Text, "settings"); },
+          [&](DaemonSettings Read) { Settings = std::move(Read); });
+      CHECK(describe(Error) == describe(Failure()));
+      CHECK(Settings.Revocation == milliseconds(Strict ? 5000 : 0));
+    }
+  }
+}
--- a/tests/support/fakeclients.cpp
+++ b/tests/support/fakeclients.cpp
@@ -76,22 +76,42 @@
 
 std::string FakeCluster::call(const std::string &Entry, bool OnceOnly,
                               const std::string &Key, std::int64_t BodyBytes) {
-  Instance &Item = this->Instances.at(Entry);
   CallArrived Call;
-  Call.CallNumber = ++this->LastCall;
-  Call.CallId = "call-" + std::to_string(this->LastCall);
   Call.Job = OnceOnly ? "job-once" : "job";
   Call.Method = OnceOnly ? "POST" : "GET";
-  Call.Url = "/work";
   Call.BodySize = BodyBytes;
-  Call.Deadline = this->Now + milliseconds(8000);
   Call.IdempotencyKey = Key;
+  return this->submitCall(Entry, std::move(Call));
+}
+
+std::string FakeCluster::callWithKey(const std::string &Entry,
+                                     const std::string &AccountKey) {
+  CallArrived Call;
+  Call.Job = "job";
+  Call.Method = "GET";
+  Call.AccountKey = AccountKey;
+  return this->submitCall(Entry, std::move(Call));
+}
+
+std::string FakeCluster::submitCall(const std::string &Entry,
+                                    CallArrived Call) {
+  Instance &Item = this->Instances.at(Entry);
+  Call.CallNumber = ++this->LastCall;
+  Call.CallId = "call-" + std::to_string(this->LastCall);
+  Call.Url = "/work";
+  Call.Deadline = this->Now - Item.ClockLag + milliseconds(8000);
   CallRecord &Record = this->Calls[Call.CallId];
   Record.Entry = Entry;
-  Record.OnceOnly = OnceOnly;
+  Record.OnceOnly = Call.Method == "POST";
   Item.CallIds[Call.CallNumber] = Call.CallId;
   std::string Id = Call.CallId;
-  this->submit(Item, std::move(Call));
+  // A suspended machine reads the request when it goes on.
+  if (Item.UntoldLag.count() > 0 && this->Now < Item.FrozenUntil)
+    this->scheduleDelivery(
+        Item.FrozenUntil,
+        {Entry, Item.LastIncarnation, std::move(Call), 0, {}});
+  else
+    this->submit(Item, std::move(Call));
   return Id;
 }
 
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -142,6 +142,7 @@
   Item.RestartAt = NoDeadline;
   Item.Identity.Incarnation = ++Item.LastIncarnation + 1000;
   Item.Identity.Seed = this->Rng.below(1u << 30);
+  Item.Identity.Revocation = this->Revocation;
   Item.NextTick = this->Now + this->Rng.between(milliseconds(0), TickInterval);
   if (!Item.Control) {
     Item.Daemon =
@@ -163,7 +164,7 @@
       [&] {
         return Node::makeControl(Item.Identity, Item.DiskId, Item.Disk,
                                  {this->Choice, this->VersionTopology},
-                                 this->Now);
+                                 this->Now - Item.ClockLag);
       },
       [&](std::unique_ptr<Node> Made) { Item.Daemon = std::move(Made); });
   if (Error.failed())
@@ -210,6 +211,13 @@
   this->Instances.at(Name).FrozenUntil = this->Now + For;
 }
 
+void FakeCluster::suspend(const std::string &Name, milliseconds For) {
+  this->freeze(Name, For);
+  Instance &Item = this->Instances.at(Name);
+  Item.ClockLag += For;
+  Item.UntoldLag += For;
+}
+
 void FakeCluster::partition(const std::string &Name, milliseconds For) {
   this->addTraceLine(Name + " is partitioned");
   this->Instances.at(Name).PartitionedUntil = this->Now + For;
@@ -554,8 +562,11 @@
     To.Running -= 1;
     To.FinishedCalls[Done->Id] = To.AttemptCallIds[Done->Id];
   }
+  if (To.Identity.Revocation.count() > 0 && To.UntoldLag.count() > 0 &&
+      this->Now >= To.FrozenUntil)
+    this->submit(To, ProcessSuspended{std::exchange(To.UntoldLag, {})});
   Event What;
-  What.At = this->Now;
+  What.At = this->Now - To.ClockLag;
   What.WallMs = 1'000'000;
   What.Body = std::move(Body);
   const std::uint64_t CompiledBefore = compiledBy(To);
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -73,6 +73,11 @@
   void wipeDisk(const std::string &Name);
   void freeze(const std::string &Name, milliseconds For);
   void partition(const std::string &Name, milliseconds For);
+  /// Suspends \p Name: it is frozen, and its steady clock does not count the
+  /// time.
+  void suspend(const std::string &Name, milliseconds For);
+  /// Sets the time to a revocation of all instances that start from now on.
+  void setRevocation(milliseconds Time) { this->Revocation = Time; }
   /// Delays everything sent to \p Name on streams from now on by \p Delay, as
   /// on a link saturated by large bodies. Zero removes the delay.
   void delayStreams(const std::string &Name, milliseconds Delay);
@@ -124,6 +129,11 @@
   std::string call(const std::string &Entry, bool OnceOnly,
                    const std::string &Key = {}, std::int64_t BodyBytes = 0);
 
+  /// Sends a repeatable call with the key of a client account through the proxy
+  /// \p Entry. Returns the id of the call.
+  std::string callWithKey(const std::string &Entry,
+                          const std::string &AccountKey);
+
   /// Faults are injected only between arm() and disarm().
   void arm(std::vector<PlannedFault> Plan);
   void disarm();
@@ -169,6 +179,10 @@
     std::int64_t DiskId = 0;
     Time FrozenUntil;
     Time PartitionedUntil;
+    /// Time that its steady clock did not count, and the part of it that it was
+    /// not yet told of.
+    milliseconds ClockLag{0};
+    milliseconds UntoldLag{0};
     milliseconds StreamDelay{0};
     bool Blocked = false;
     bool LosesDatagrams = false;
@@ -217,6 +231,7 @@
   };
 
   void submit(Instance &To, EventBody Body);
+  std::string submitCall(const std::string &Entry, CallArrived Call);
   std::string submitChange(std::vector<wire::PathEdit> Edits);
   static std::uint64_t compiledBy(const Instance &Item);
   bool carryOut(Instance &By, const Effect &What);
@@ -279,6 +294,7 @@
   std::int64_t LastRequest = 0;
   std::int64_t LastDisk = 0;
   milliseconds RunTime{30};
+  milliseconds Revocation{0};
   std::chrono::microseconds CompileTime{0};
   bool Armed = false;
   std::vector<PlannedFault> Plan;
