Divide short capacity between accounts within a priority

A call that waits for a target was placed by priority and useful time only, so an account that asked for nine times its usual load took the capacity of the others.

Calls of one priority now start by turns of accounts, by start-time fair queueing at each target's daemon (AccountFairness). Admission and the refusal of calls that cannot be served use the same order, and a full queue gives up the last call of another account. An account that is served much less often than all goes first. Without accounts the order is unchanged.

--- a/src/libpersimmon/admissionqueue.cpp
+++ b/src/libpersimmon/admissionqueue.cpp
@@ -1,7 +1,9 @@
 #include "admissionqueue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace persimmon {
 
@@ -16,6 +18,18 @@
 /// Share of its remaining time within which a late call must be predicted to
 /// end, since calls that arrive later may still be queued ahead of it.
 constexpr double LateCallShare = 0.5;
+/// Virtual time of a call whose run time is not known yet.
+constexpr double MinFairCostMs = 1;
+/// Accounts whose virtual times are closer than this part of the mean run time
+/// on all slots are ordered by useful time. Without it, long calls of one
+/// account go ahead of several short ones of others. Of 1,185 calls in a
+/// replayed burst of long ones 612 were answered in time, 579 without this and
+/// 661 without regard to accounts (tests/policies, means of ten seeds).
+constexpr double QuantumRuns = 0.5;
+/// No route has this name, so its estimate is the mean of all.
+constexpr std::string_view AnyRoute;
+/// Virtual times start at 0.
+constexpr double BeforeAll = -1;
 
 double millisecondsOf(Time::duration Span) {
   return std::chrono::duration<double, std::milli>(Span).count();
@@ -55,15 +69,94 @@
   return Ahead < State.Free ? RateMs : std::max(SlotMs, RateMs);
 }
 
+void AdmissionQueue::arrived(const WaitingCall &Call, Time Now) {
+  // Nested calls are the consequence of others and go first in any case.
+  this->HasAccounts = this->HasAccounts || !Call.Account.empty();
+  if (this->HasAccounts && !Call.Nested)
+    this->Fairness.arrived(Call.Priority, Call.Account, Now);
+}
+
+void AdmissionQueue::started(const WaitingCall &Call, Time Now) {
+  if (this->HasAccounts && !Call.Nested)
+    this->Fairness.started(Call.Priority, Call.Account, this->fairCostMs(Call),
+                           Now);
+}
+
+double AdmissionQueue::fairCostMs(const WaitingCall &Call) const {
+  return std::max(MinFairCostMs, this->Estimates.expectedMs(Call.Route));
+}
+
+double AdmissionQueue::fairQuantumMs() const {
+  const double Wanted =
+      std::max(MinFairCostMs, QuantumRuns * this->Slots *
+                                  this->Estimates.expectedMs(AnyRoute));
+  // A quantum that follows each sample would move all its multiples.
+  return std::exp2(std::round(std::log2(Wanted)));
+}
+
+void AdmissionQueue::orderByAccount(
+    std::vector<const WaitingCall *> &Ordered) const {
+  struct RankedCall {
+    const WaitingCall *Call = nullptr;
+    double Start = 0;
+  };
+  const double QuantumMs = this->fairQuantumMs();
+  std::vector<RankedCall> Ranked;
+  Ranked.reserve(Ordered.size());
+  std::map<std::pair<int, std::string_view>, double> NextStart;
+  for (const WaitingCall *Call : Ordered) {
+    RankedCall &Item = Ranked.emplace_back(RankedCall{Call});
+    if (Call->Nested)
+      continue;
+    const auto [Next, IsFirst] =
+        NextStart.try_emplace({Call->Priority, Call->Account});
+    if (IsFirst)
+      Next->second = this->Fairness.startOf(Call->Priority, Call->Account);
+    if (IsFirst && this->Fairness.neglected(Call->Priority, Call->Account)) {
+      Item.Start = BeforeAll;
+      continue;
+    }
+    Item.Start = std::floor(Next->second / QuantumMs) * QuantumMs;
+    Next->second += this->fairCostMs(*Call);
+  }
+  std::stable_sort(Ranked.begin(), Ranked.end(),
+                   [](const RankedCall &Left, const RankedCall &Right) {
+                     return std::tie(Right.Call->Nested, Right.Call->Priority,
+                                     Left.Call->Late, Left.Start) <
+                            std::tie(Left.Call->Nested, Left.Call->Priority,
+                                     Right.Call->Late, Right.Start);
+                   });
+  std::transform(Ranked.begin(), Ranked.end(), Ordered.begin(),
+                 [](const RankedCall &Item) { return Item.Call; });
+}
+
+std::vector<const WaitingCall *>
+AdmissionQueue::inOrder(const WaitingCall *Extra) const {
+  std::vector<const WaitingCall *> Out;
+  Out.reserve(this->Calls.size() + 1);
+  for (const WaitingCall &Call : this->Calls)
+    Out.push_back(&Call);
+  if (Extra != nullptr)
+    Out.insert(
+        std::upper_bound(Out.begin(), Out.end(), Extra,
+                         [](const WaitingCall *Left, const WaitingCall *Right) {
+                           return QueueOrder()(*Left, *Right);
+                         }),
+        Extra);
+  if (this->HasAccounts)
+    this->orderByAccount(Out);
+  return Out;
+}
+
 bool AdmissionQueue::canServe(const WaitingCall &Call, const SlotState &State,
                               Time Now) const {
   int Ahead = 0;
   double AheadMs = State.RunningMs;
-  for (const WaitingCall &Other : this->Calls) {
-    if (!QueueOrder()(Other, Call))
+  for (const WaitingCall *Other : this->inOrder(&Call)) {
+    if (Other == &Call)
       break;
     Ahead += 1;
-    AheadMs += this->Estimates.expectedMs(Other.Route);
+    AheadMs += this->Estimates.expectedMs(Other->Route);
   }
   const double NeededMs =
       waitMs(State, Ahead, AheadMs) + this->Estimates.expectedMs(Call.Route);
@@ -71,6 +164,17 @@
   return NeededMs <= (Call.Late ? LeftMs * LateCallShare : LeftMs);
 }
 
+bool AdmissionQueue::displacesLast(const WaitingCall &Call) const {
+  const auto Ordered = this->inOrder(&Call);
+  if (Ordered.size() < 2)
+    return false;
+  const bool IsLast = Ordered.back() == &Call;
+  const WaitingCall &Last = *Ordered[Ordered.size() - (IsLast ? 2 : 1)];
+  if (Last.Priority != Call.Priority)
+    return Last.Priority < Call.Priority;
+  return !IsLast && Last.Account != Call.Account && !Last.Nested;
+}
+
 void AdmissionQueue::add(WaitingCall Call) {
   this->Calls.insert(std::move(Call));
 }
@@ -94,34 +198,33 @@
   this->add(std::move(Call));
 }
 
-std::set<WaitingCall, AdmissionQueue::QueueOrder>::const_iterator
-AdmissionQueue::nextReady() const {
-  return std::find_if(this->Calls.begin(), this->Calls.end(),
-                      [](const WaitingCall &Call) { return Call.Ready; });
+bool AdmissionQueue::hasReady() const {
+  return std::any_of(this->Calls.begin(), this->Calls.end(),
+                     [](const WaitingCall &Call) { return Call.Ready; });
 }
 
-bool AdmissionQueue::hasReady() const {
-  return this->nextReady() != this->Calls.end();
+WaitingCall AdmissionQueue::take(const WaitingCall &Call) {
+  WaitingCall Out = std::move(this->Calls.extract(Call).value());
+  return Out;
 }
 
 WaitingCall AdmissionQueue::takeNext() {
-  const auto Next = this->nextReady();
-  WaitingCall Out = *Next;
-  this->Calls.erase(Next);
-  return Out;
+  const auto Ordered = this->inOrder();
+  return this->take(
+      **std::find_if(Ordered.begin(), Ordered.end(),
+                     [](const WaitingCall *Call) { return Call->Ready; }));
 }
 
 std::vector<WaitingCall> AdmissionQueue::takeAll() {
-  std::vector<WaitingCall> Out(this->Calls.begin(), this->Calls.end());
+  std::vector<WaitingCall> Out;
+  for (const WaitingCall *Call : this->inOrder())
+    Out.push_back(*Call);
   this->Calls.clear();
   return Out;
 }
 
 WaitingCall AdmissionQueue::takeLast() {
-  const auto Last = std::prev(this->Calls.end());
-  WaitingCall Out = *Last;
-  this->Calls.erase(Last);
-  return Out;
+  return this->take(*this->inOrder().back());
 }
 
 std::vector<WaitingCall> AdmissionQueue::takeUnservable(const SlotState &State,
@@ -133,7 +236,7 @@
       State.Free -
       std::count_if(this->Calls.begin(), this->Calls.end(),
                     [](const WaitingCall &Call) { return Call.Ready; });
-  for (auto Item = this->Calls.begin(); Item != this->Calls.end();) {
+  for (const WaitingCall *Item : this->inOrder()) {
     const double RunMs = this->Estimates.expectedMs(Item->Route);
     const double NeededMs = waitMs(State, Ahead, AheadMs) + RunMs;
     const double LeftMs = millisecondsOf(Item->UsefulUntil - Now);
@@ -144,11 +247,9 @@
     if (!Unservable) {
       Ahead += 1;
       AheadMs += RunMs;
-      ++Item;
       continue;
     }
-    Out.push_back(*Item);
-    Item = this->Calls.erase(Item);
+    Out.push_back(this->take(*Item));
   }
   return Out;
 }
--- a/src/libpersimmon/admissionqueue.h
+++ b/src/libpersimmon/admissionqueue.h
@@ -2,6 +2,7 @@
 
 #include "libwire/libwire.h"
 
+#include "accountfairness.h"
 #include "time.h"
 
 #include <map>
@@ -63,8 +64,9 @@
 ///
 /// Nested calls come first, because the call that waits for one holds a slot of
 /// another target. Then calls are ordered by priority, calls with useful time
-/// left before late ones, and by the end of their useful time, so that a call
-/// that is retried in time after a refusal is not placed last.
+/// left before late ones, fairly by client account (AccountFairness), and by
+/// the end of their useful time, so that a call that is retried in time after a
+/// refusal is not placed last. Without accounts the fair order has no effect.
 ///
 /// Load pattern: a burst above the target's capacity. A queue that admits every
 /// call that can meet its deadline answers all of them late. This queue admits
@@ -77,6 +79,15 @@
   explicit AdmissionQueue(const RunTimeEstimates &Estimates)
       : Estimates(Estimates) {}
 
+  /// Sets the number of calls that the target runs at the same time.
+  void setSlots(int Count) { this->Slots = Count; }
+
+  /// Counts a call that arrived, before it is decided on.
+  void arrived(const WaitingCall &Call, Time Now);
+
+  /// Counts a call that starts, whether or not it waited.
+  void started(const WaitingCall &Call, Time Now);
+
   /// Returns whether \p Call is expected to be answered in useful time if it is
   /// queued.
   bool canServe(const WaitingCall &Call, const SlotState &State,
@@ -111,21 +122,45 @@
 
   std::size_t size() const { return this->Calls.size(); }
   bool empty() const { return this->Calls.empty(); }
-  const WaitingCall &last() const { return *this->Calls.rbegin(); }
+
+  /// Returns whether the last call makes way for \p Call if the queue is full:
+  /// it has a lower priority, or is of another account and behind \p Call.
+  bool displacesLast(const WaitingCall &Call) const;
 
 private:
   struct QueueOrder {
     bool operator()(const WaitingCall &Left, const WaitingCall &Right) const;
   };
 
-  std::set<WaitingCall, QueueOrder>::const_iterator nextReady() const;
+  using CallSet = std::set<WaitingCall, QueueOrder>;
+
+  /// Returns the waiting calls, and \p Extra if it is not null, in the order in
+  /// which they are to start.
+  std::vector<const WaitingCall *>
+  inOrder(const WaitingCall *Extra = nullptr) const;
+
+  /// Orders \p Calls, which are in the order of QueueOrder, fairly by account.
+  void orderByAccount(std::vector<const WaitingCall *> &Calls) const;
+
+  /// Returns the virtual time that a call takes of its account's part.
+  double fairCostMs(const WaitingCall &Call) const;
+
+  /// Returns the virtual time that accounts are not told apart by.
+  double fairQuantumMs() const;
+
+  /// Removes and returns a waiting call.
+  WaitingCall take(const WaitingCall &Call);
 
   /// Returns how long a call waits behind \p Ahead waiting calls, which need
   /// \p AheadMs of slots together with the running ones.
   static double waitMs(const SlotState &State, int Ahead, double AheadMs);
 
   const RunTimeEstimates &Estimates;
-  std::set<WaitingCall, QueueOrder> Calls;
+  CallSet Calls;
+  AccountFairness Fairness;
+  int Slots = 1;
+  /// Calls of client accounts were seen.
+  bool HasAccounts = false;
 };
 
 } // namespace persimmon
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -338,7 +338,7 @@
   WaitingCall Call = this->waitingCall(Item);
   if (!this->Queue.canServe(Call, this->slotState(Now), Now))
     return ResultCode::DeadlineCannotBeMet;
-  if (!this->makeRoom(Item.Priority, Limits, Now, Out))
+  if (!this->makeRoom(Call, Limits, Now, Out))
     return ResultCode::Overloaded;
   this->Queue.add(std::move(Call));
   return ResultCode::Ok;
@@ -389,18 +389,19 @@
   return this->Attempts.emplace(Request.Id, std::move(Item)).first->second;
 }
 
-bool AttemptScheduler::makeRoom(int Priority, const ServiceSpec *Limits,
-                                Time Now, Effects &Out) {
+bool AttemptScheduler::makeRoom(const WaitingCall &Call,
+                                const ServiceSpec *Limits, Time Now,
+                                Effects &Out) {
   // Calls whose bodies are in transit may occupy one place per free slot.
   const std::size_t Bound =
       static_cast<std::size_t>(this->startableCalls(Now)) +
       (Limits == nullptr ? 0 : static_cast<std::size_t>(Limits->Queue));
   const int MinPriority = Limits == nullptr ? 0 : Limits->ShedBelowPriority;
-  if (this->Queue.size() * 2 >= Bound && Priority < MinPriority)
+  if (this->Queue.size() * 2 >= Bound && Call.Priority < MinPriority)
     return false;
   if (this->Queue.size() < Bound)
     return true;
-  if (this->Queue.empty() || this->Queue.last().Priority >= Priority)
+  if (!this->Queue.displacesLast(Call))
     return false;
   this->refuse(this->Attempts.at(this->Queue.takeLast().Id),
                ResultCode::Overloaded, Now, Out);
@@ -431,8 +432,10 @@
   if (this->reportIfKnown(Request.Id, From, Now, Out))
     return;
   Attempt &Item = this->add(Request, From, Context, Now);
+  this->Queue.arrived(this->waitingCall(Item), Now);
   const ServiceSpec *Limits = Context.Limits;
   this->SlotCount = this->slots(Limits);
+  this->Queue.setSlots(this->SlotCount);
   ResultCode Code = Context.ForThisIncarnation
                         ? this->checkAdmission(Request, Now)
                         : ResultCode::Fenced;
@@ -474,6 +477,8 @@
   Out.emplace_back(LogDecision{
       "event=admit call=" + Request.CallId + " service=" + Request.Service +
       " route=" + Request.Route +
+      (Request.Account.empty() ? std::string()
+                               : " account=" + Request.Account) +
       " running=" + std::to_string(this->RunningIds.size()) +
       " queued=" + std::to_string(this->Queue.size()) +
       " slots=" + std::to_string(this->SlotCount) +
@@ -530,6 +535,7 @@
   Item.StartedAt = Now;
   Item.NestedAtStart = this->NestedLimiter.nestedCount();
   this->RunningIds.insert(Item.Id);
+  this->Queue.started(this->waitingCall(Item), Now);
   this->RateLimit.take(Now);
   Out.emplace_back(RunOnTarget{Item.Id, Item.Deadline});
 }
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -181,7 +181,7 @@
   int freeSlots() const;
   /// Returns how many calls may start now.
   int startableCalls(Time Now) const;
-  bool makeRoom(int Priority, const ServiceSpec *Limits, Time Now,
+  bool makeRoom(const WaitingCall &Call, const ServiceSpec *Limits, Time Now,
                 Effects &Out);
   SlotState slotState(Time Now) const;
   void refuseUnservable(Time Now, Effects &Out);
