--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -86,6 +86,7 @@
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
   Identity.LinkMbps = this->Settings.LinkMbps;
+  Identity.EvenPlacement = this->Settings.EvenPlacement;
   Identity.TextPrefixTeam = this->Protocols.TextPrefixTeam;
   const MemoryShares Shares =
       MemoryShares::fromSettings(this->Settings.MemoryMb);
@@ -436,6 +437,8 @@
   Reply.TargetLoad = Item.TargetLoad;
   Reply.Nested = Item.Nested;
   Reply.Shed = Item.Shed;
+  Reply.Peers = Item.Peers;
+  Reply.__isset.Peers = !Item.Peers.empty();
   if (StoredResponse == nullptr) {
     Reply.Outcome = wire::CallOutcome::Unknown;
     Reply.Code = static_cast<std::int32_t>(ResultCode::OutcomeUnknown);
@@ -554,6 +557,15 @@
                                  static_cast<double>(Router->retryCount()));
     this->DaemonMetrics.setGauge("persimmon_out_of_touch",
                                  Router->validity().OutOfTouch ? 1 : 0);
+    const PlacementCounts &Placed = Router->placements();
+    for (const auto &[Reason, Count] : Placed.ByReason)
+      this->DaemonMetrics.setGauge("persimmon_calls_placed{reason=\"" +
+                                       std::string(Reason) + "\"}",
+                                   static_cast<double>(Count));
+    this->DaemonMetrics.setGauge("persimmon_calls_crossed_zones",
+                                 static_cast<double>(Placed.CrossedZones));
+    this->DaemonMetrics.setGauge("persimmon_call_bytes_crossed_zones",
+                                 static_cast<double>(Placed.CrossedBytes));
   }
   std::string Text = this->DaemonMetrics.exportText();
   const auto &Traffic = this->Network->traffic();
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -92,6 +92,7 @@
   }
   Out.LinkMbps = Document.value("linkMbps", Out.LinkMbps);
   Out.RetryBurst = Document.value("retryBurst", Out.RetryBurst);
+  Out.EvenPlacement = Document.value("placement", "") == "even";
   return readTarget(Document.value("target", json::object()), Where,
                     Out.Target);
 }
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -79,6 +79,8 @@
   std::int64_t MemoryMb = 0;
   /// Bandwidth of the instance's link in Mbit/s; 0 if not set.
   double LinkMbps = 0;
+  /// Whether calls are placed evenly also where targets tell no pace.
+  bool EvenPlacement = false;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -61,10 +61,12 @@
   Out.Running = static_cast<std::int32_t>(this->RunningIds.size());
   Out.Queued = static_cast<std::int32_t>(this->Queue.size());
   Out.Slots = this->SlotCount;
+  Out.__isset.RunMs = false;
   return Out;
 }
 
-wire::Load AttemptScheduler::reportedLoad(Time Now) const {
+wire::Load AttemptScheduler::reportedLoad(std::string_view Route,
+                                          Time Now) const {
   wire::Load Out = this->load();
   if (this->RateLimit.active()) {
     // As many slots as the calls occupy that the target takes.
@@ -73,6 +75,10 @@
     Out.Slots = std::clamp(static_cast<int>(std::ceil(Occupied)), 1, Out.Slots);
   }
   Out.LinkMs = static_cast<std::int32_t>(this->Link.backlog(Now).count());
+  Out.PacePercent = this->Pace.percent();
+  if (this->EvenPlacement || Out.PacePercent > 0)
+    Out.__set_RunMs(static_cast<std::int32_t>(
+        std::lround(this->RunTimes.expectedMs(Route))));
   return Out;
 }
 
@@ -89,8 +95,10 @@
 void AttemptScheduler::setTarget(const TargetAnnounced &Announced, Time Now,
                                  Effects &Out) {
   const bool KnownTarget = !this->Target.InstanceId.empty();
-  if (KnownTarget && Announced.InstanceId != this->Target.InstanceId)
+  if (KnownTarget && Announced.InstanceId != this->Target.InstanceId) {
     this->RateLimit.clear();
+    this->Pace = {};
+  }
   // A target that starts while this process runs has named no rate yet.
   this->TargetAnswered =
       this->TargetAnswered || KnownTarget || Announced.Sequence <= 1;
@@ -118,15 +126,20 @@
   Reply.Id = Id;
   Reply.Outcome = Outcome;
   Reply.Code = static_cast<std::int32_t>(Code);
-  Reply.TargetLoad = this->reportedLoad(Now);
+  Reply.TargetLoad = this->reportedLoad({}, Now);
+  // The mean over all routes tells nothing about the route of the call.
+  Reply.TargetLoad.__isset.RunMs = false;
   send(Out, To, std::move(Reply), Via);
 }
 
 void AttemptScheduler::sendAnswer(Attempt &Item, Time Now, Effects &Out) {
   Item.AnsweredOn = Item.From;
   Out.emplace_back(SendAnswer{
-      Item.Id, Item.From, this->reportedLoad(Now), Item.Nested,
-      Item.Nested ? this->ShedLoadMeter.report(Now) : wire::ShedLoad()});
+      Item.Id, Item.From, this->reportedLoad(Item.Route, Now), Item.Nested,
+      Item.Nested ? this->ShedLoadMeter.report(Now) : wire::ShedLoad(),
+      this->PeerLoads == nullptr
+          ? std::vector<wire::PeerLoad>()
+          : this->PeerLoads->loadsFor(Item.Id.Sender, Now)});
   constexpr auto InlineBytes = static_cast<std::int64_t>(InlineBodyBytes);
   if (Item.AnswerBytes <= InlineBytes)
     return;
@@ -166,7 +179,10 @@
   Reply.Id = Item.Id;
   Reply.Outcome = Item.Outcome;
   Reply.Code = static_cast<std::int32_t>(Item.Code);
-  Reply.TargetLoad = this->reportedLoad(Now);
+  Reply.TargetLoad = this->reportedLoad(Item.Route, Now);
+  if (Item.State == Stage::Refused && this->PeerLoads != nullptr)
+    Reply.__set_Peers(this->PeerLoads->loadsFor(Item.Id.Sender, Now));
+  Reply.__isset.Peers = !Reply.Peers.empty();
   Reply.Nested = Item.Nested;
   if (Item.Nested)
     Reply.Shed = this->ShedLoadMeter.report(Now);
@@ -266,6 +282,8 @@
                                Time Now, Effects &Out) {
   const double Before = this->RateLimit.intervalMs();
   this->TargetAnswered = true;
+  if (Notice.PacePercent > 0)
+    this->Pace.stated(Notice.PacePercent, Now);
   if (Notice.CallsPerSecond)
     this->RateLimit.setRate(*Notice.CallsPerSecond, Now);
   else
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -8,8 +8,10 @@
 #include "events.h"
 #include "nestedloadlimiter.h"
 #include "outgoinglink.h"
+#include "placementpolicy.h"
 #include "routetable.h"
 #include "shedmeter.h"
+#include "targetpace.h"
 
 #include <cstdint>
 #include <map>
@@ -87,6 +89,13 @@
     this->Link.charge(Bytes, Now);
   }
 
+  /// Attaches the loads of other targets to answers. \p Source must outlive
+  /// this object.
+  void setPeerLoads(const PeerLoadSource *Source) { this->PeerLoads = Source; }
+
+  /// Reports run times although the target does not tell its pace.
+  void setEvenPlacement(bool IsOn) { this->EvenPlacement = IsOn; }
+
   /// Applies an announcement of the target.
   void setTarget(const TargetAnnounced &Target, Time Now, Effects &Out);
 
@@ -100,6 +109,9 @@
   /// Returns the calls that run and wait, without the state of the link.
   wire::Load load() const;
 
+  /// Returns the load that is reported with answers to calls of \p Route.
+  wire::Load reportedLoad(std::string_view Route, Time Now) const;
+
   const OutgoingLink &link() const { return this->Link; }
 
   /// Returns how many calls were refused because the link could not have
@@ -189,8 +201,6 @@
   void answered(Attempt &Item, const RunFinished &Run, Time Now, Effects &Out);
   void startQueued(Time Now, Effects &Out);
   void refuseQueued(ResultCode Code, Time Now, Effects &Out);
-  /// Returns the load that is reported with answers.
-  wire::Load reportedLoad(Time Now) const;
   void reply(const wire::AttemptId &Id, std::string_view To,
              wire::CallOutcome::type Outcome, ResultCode Code, Time Now,
              Effects &Out, Channel Via = Channel::Stream) const;
@@ -225,6 +235,9 @@
   OutgoingLink Link;
   std::uint64_t RefusedByLink = 0;
   CallRateLimit RateLimit;
+  TargetPace Pace;
+  bool EvenPlacement = false;
+  const PeerLoadSource *PeerLoads = nullptr;
   /// Whether the target has answered this process. Until then its rate is not
   /// known.
   bool TargetAnswered = false;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -1,6 +1,8 @@
 #include "callrouter.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 namespace persimmon {
 
@@ -44,12 +46,30 @@
 constexpr double AnswerTimeFactor = 1.5;
 /// An earlier retry would meet the same load.
 constexpr milliseconds MinRetryAfter{10};
+/// Approximate length of the headers of request and answer between daemons.
+constexpr std::int64_t HeaderBytes = 400;
+
+bool isOverload(ResultCode Code) {
+  return Code == ResultCode::Overloaded ||
+         Code == ResultCode::DeadlineCannotBeMet;
+}
 
 bool isIdempotentMethod(std::string_view Method) {
   return Method == "GET" || Method == "HEAD" || Method == "OPTIONS" ||
          Method == "PUT" || Method == "DELETE";
 }
 
+/// Returns the inputs of a placement for the decision log.
+std::string describe(const Placement &Chosen, const LinkUse &Use) {
+  std::ostringstream Out;
+  Out << std::fixed << std::setprecision(1) << " calls=" << Chosen.Calls
+      << " slots=" << Chosen.Slots
+      << " reportAgeMs=" << Chosen.ReportAge.count()
+      << " waitMs=" << Chosen.WaitMs << std::setprecision(2)
+      << " chance=" << Chosen.Chance << " bytes=" << Use.Bytes;
+  return Out.str();
+}
+
 bool isRepeatable(const RouteSpec &Route, std::string_view Method) {
   if (Route.Repeat == Repeatable::ByMethod)
     return isIdempotentMethod(Method);
@@ -241,6 +261,10 @@
   Use.LargeBody = TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
   Use.LargeAnswer = this->AnswerLengths.large(TheCall.RoutePath);
   Use.UsefulUntil = TheCall.UsefulUntil;
+  Use.Route = TheCall.RoutePath;
+  Use.Bytes = TheCall.BodySize + HeaderBytes +
+              this->AnswerLengths.expectedBytes(TheCall.RoutePath);
+  Use.Refusals = isOverload(TheCall.LastRefusal) ? TheCall.Attempts : 0;
   const TargetChoice Choice = this->Chooser.choose(
       this->Members, TheCall.Service, TheCall.Excluded, Now, Use);
   std::string Line = "event=place call=" + TheCall.CallId +
@@ -250,13 +274,17 @@
                      " attempt=" + std::to_string(TheCall.Attempts + 1) +
                      " candidates=" + std::to_string(Choice.Candidates);
   if (Choice.Record == nullptr) {
-    Out.emplace_back(LogDecision{Line + " choice=none"});
+    Out.emplace_back(LogDecision{
+        Line + " choice=none" +
+        (Choice.Even ? " reason=" + std::string(Choice.Reason) : "")});
     this->finish(TheCall.Number, {TheCall.LastRefusal, TheCall.Service, {}},
                  false, Now, Out);
     return;
   }
-  Out.emplace_back(LogDecision{Line + " choice=" + Choice.Record->Name +
-                               " reason=" + std::string(Choice.Reason)});
+  Line += " choice=" + Choice.Record->Name +
+          " reason=" + std::string(Choice.Reason);
+  Out.emplace_back(LogDecision{Choice.Even ? Line + describe(*Choice.Even, Use)
+                                           : std::move(Line)});
   TheCall.State = Phase::Sent;
   TheCall.Attempts += 1;
   TheCall.AttemptNumber = ++this->LastAttemptNumber;
@@ -380,7 +408,7 @@
   }
   Call &TheCall = *Found;
   this->recordActivity(TheCall.Address, Now);
-  this->Chooser.reported(TheCall.Target, Reply.TargetLoad, Now);
+  this->Chooser.reported(TheCall.Target, TheCall.RoutePath, Reply, Now);
   const auto Code = static_cast<ResultCode>(Reply.Code);
   TheCall.Nested = Reply.Nested;
   TheCall.Shed = Reply.Shed;
@@ -436,15 +464,24 @@
   this->dispatch(TheCall, Now, Out);
 }
 
+std::vector<wire::PeerLoad> CallRouter::loadsFor(std::string_view Receiver,
+                                                 Time Now) const {
+  const wire::MemberRecord *Record = this->Members.find(Receiver);
+  return Record == nullptr ? std::vector<wire::PeerLoad>()
+                           : this->Chooser.loadsFor(*Record, Now);
+}
+
 bool CallRouter::mayRetry(const Call &TheCall, ResultCode Code, Time Now) {
-  const bool IsOverload =
-      Code == ResultCode::Overloaded || Code == ResultCode::DeadlineCannotBeMet;
+  const bool IsOverload = isOverload(Code);
   // The shortage is in a service that the call's run would call, so it affects
   // all daemons of this service alike.
   if (Code == ResultCode::NestedOverload)
     return false;
-  if (TheCall.Attempts >=
-          (IsOverload ? MaxOverloadAttempts : MaxAttemptsPerCall) ||
+  // The refusal of a nested call wastes the run that made it.
+  const bool Persistent =
+      TheCall.Nested && this->Chooser.placesEvenly(TheCall.Service);
+  if (TheCall.Attempts >= (IsOverload && !Persistent ? MaxOverloadAttempts
+                                                     : MaxAttemptsPerCall) ||
       Now >= TheCall.Deadline)
     return false;
   // A refusal by the target itself has cost it work, so the retry counts
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -25,7 +25,7 @@
 /// An attempt counts as not run only if the target's daemon refused it or this
 /// daemon did not send all of it. A call that may not be repeated is never sent
 /// again after any other attempt.
-class CallRouter {
+class CallRouter : public PeerLoadSource {
 public:
   /// \p Members, \p Config and \p Policy must outlive the router.
   CallRouter(const Membership &Members, const Distribution &Config,
@@ -98,6 +98,20 @@
   /// when this daemon exits.
   void setEnd(Time End) { this->EndsAt = End; }
 
+  /// Places the calls of all services evenly.
+  void setEvenPlacement(bool IsOn) { this->Chooser.setEvenPlacement(IsOn); }
+
+  /// Records the load of the target beside this daemon.
+  void reportedLocal(const wire::Load &Load, Time Now) {
+    this->Chooser.reportedLocal(Load, Now);
+  }
+
+  std::vector<wire::PeerLoad> loadsFor(std::string_view Receiver,
+                                       Time Now) const override;
+
+  /// Returns the calls placed so far.
+  const PlacementCounts &placements() const { return this->Chooser.counts(); }
+
   /// Makes the router refuse all new calls.
   void stop() { this->Stopping = true; }
 
--- a/src/libpersimmon/effects.h
+++ b/src/libpersimmon/effects.h
@@ -123,6 +123,8 @@
   wire::Load TargetLoad;
   bool Nested = false;
   wire::ShedLoad Shed;
+  /// Loads of other targets that the receiver may not know yet.
+  std::vector<wire::PeerLoad> Peers = {};
 };
 
 /// Sends the part of an answer's body from byte Begin up to byte End.
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -115,6 +115,9 @@
   std::optional<double> CallsPerSecond;
   /// It shuts down and takes no new calls.
   bool Leaving = false;
+  /// How long work takes on its machine at the moment, 100 as usual; 0 if it
+  /// does not tell.
+  int PacePercent = 0;
 };
 
 /// This daemon's target announced its service and state.
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -64,7 +64,10 @@
   Out->Router.emplace(Out->Members, Out->Config, std::move(Claims),
                       Identity.Seed + 4, Policies.Choice);
   Out->Router->setRetryBurst(Identity.RetryBurst);
+  Out->Router->setEvenPlacement(Identity.EvenPlacement);
   Out->Scheduler.setLinkRate(Identity.LinkMbps);
+  Out->Scheduler.setEvenPlacement(Identity.EvenPlacement);
+  Out->Scheduler.setPeerLoads(&*Out->Router);
   return Out;
 }
 
@@ -528,6 +531,8 @@
     return;
   this->Confirmation.recordUse(TheEvent.At);
   this->updateConfirmation(TheEvent.At, Out);
+  this->Router->reportedLocal(this->Scheduler.reportedLoad({}, TheEvent.At),
+                              TheEvent.At);
   this->Router->handleCall(Body, this->Gate.open(), TheEvent.At, Out);
   if (this->Router->hasHeld())
     this->updateConfirmation(TheEvent.At, Out);
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -53,6 +53,9 @@
   std::string TextPrefixTeam;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
+  /// Whether the calls of all services are placed evenly, also of those whose
+  /// targets tell no pace.
+  bool EvenPlacement = false;
 };
 
 /// Policies of a daemon; all must outlive its Node.
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -21,13 +21,23 @@
 constexpr double RampStartShare = 0.1;
 constexpr double FailurePenalty = 4.0;
 constexpr double UnwellPenalty = 1.0;
+/// Share of the slots of an unwell target that the even placement uses.
+constexpr double UnwellCapacity = 0.1;
 constexpr double SaturatedScore = 1.0;
 
 } // namespace
 
 TargetChooser::TargetChooser(std::string Zone, std::uint64_t Seed,
                              const ChoicePolicy &Policy)
-    : Zone(std::move(Zone)), Rng(Seed), Policy(Policy) {}
+    : Zone(std::move(Zone)), Rng(Seed), Policy(Policy),
+      Even(std::make_unique<EvenPlacement>(this->Zone, Seed + 1)) {}
+
+double TargetChooser::rampShare(const Stats &Target, Time Now) {
+  const double RampLeft =
+      static_cast<double>(millisecondsUntil(Target.RampUntil, Now)) /
+      static_cast<double>(Target.RampLength.count());
+  return 1.0 - RampLeft * (1.0 - RampStartShare);
+}
 
 TargetChooser::Stats &TargetChooser::statsOf(const wire::MemberRecord &Record,
                                              Time Now) {
@@ -93,13 +103,8 @@
   Score += FailurePenalty * Target.FailureRate;
   if (UseUnwellHints && Record.Unwell)
     Score += UnwellPenalty;
-  if (Now < Target.RampUntil) {
-    const double RampLeft =
-        static_cast<double>(millisecondsUntil(Target.RampUntil, Now)) /
-        static_cast<double>(Target.RampLength.count());
-    const double RampShare = 1.0 - RampLeft * (1.0 - RampStartShare);
-    Score = (Score + 1.0 / Slots) / RampShare;
-  }
+  if (Now < Target.RampUntil)
+    Score = (Score + 1.0 / Slots) / rampShare(Target, Now);
   return Score;
 }
 
@@ -107,6 +112,46 @@
                                    std::string_view Service,
                                    const std::set<std::string> &Excluded,
                                    Time Now, const LinkUse &Use) {
+  const TargetChoice Out =
+      this->chooseAny(Members, Service, Excluded, Now, Use);
+  this->Counts.ByReason[Out.Reason.empty() ? "none" : Out.Reason] += 1;
+  if (Out.Record != nullptr && Out.Record->Zone != this->Zone) {
+    this->Counts.CrossedZones += 1;
+    this->Counts.CrossedBytes += static_cast<std::uint64_t>(Use.Bytes);
+  }
+  return Out;
+}
+
+void TargetChooser::placeEvenly(
+    const std::vector<const wire::MemberRecord *> &Eligible,
+    std::string_view Service, bool UseUnwellHints, Time Now, const LinkUse &Use,
+    TargetChoice &Out) {
+  std::vector<PlacementCandidate> Candidates;
+  Candidates.reserve(Eligible.size());
+  for (const wire::MemberRecord *Record : Eligible) {
+    const Stats &Target = this->statsOf(*Record, Now);
+    double Capacity = 1 / (1 + FailurePenalty * Target.FailureRate);
+    if (UseUnwellHints && Record->Unwell)
+      Capacity *= UnwellCapacity;
+    if (Now < Target.RampUntil)
+      Capacity *= rampShare(Target, Now);
+    Candidates.push_back({Record, Capacity});
+  }
+  PlacementRequest Request;
+  Request.Service = Service;
+  Request.Route = Use.Route;
+  Request.Bytes = Use.Bytes;
+  Request.UsefulUntil = Use.UsefulUntil;
+  Request.Refusals = Use.Refusals;
+  Out.Even = this->Even->place(Candidates, Request, Now);
+  Out.Record = Out.Even->Record;
+  Out.Reason = Out.Even->Reason;
+}
+
+TargetChoice TargetChooser::chooseAny(const Membership &Members,
+                                      std::string_view Service,
+                                      const std::set<std::string> &Excluded,
+                                      Time Now, const LinkUse &Use) {
   this->OwnName = Members.self().Name;
   std::vector<const wire::MemberRecord *> Eligible;
   std::size_t Unwell = 0;
@@ -156,6 +201,10 @@
       return Out;
     }
   }
+  if (!AllSilent && this->placesEvenly(Service)) {
+    this->placeEvenly(Eligible, Service, UseUnwellHints, Now, Use, Out);
+    return Out;
+  }
   std::vector<const wire::MemberRecord *> SameZone;
   for (const wire::MemberRecord *Record : Eligible) {
     if (Record->Zone == this->Zone)
@@ -204,6 +253,7 @@
     return;
   Stats &Target = Found->second;
   Target.InFlight = std::max(0, Target.InFlight - 1);
+  this->Even->ended(Name);
   Target.FailureRate +=
       FailureWeight * ((Failed ? 1.0 : 0.0) - Target.FailureRate);
   if (Failed && Target.FailureRate > EjectionThreshold)
@@ -236,4 +286,24 @@
   Target.LinkBusyUntil = Now + milliseconds(Load.LinkMs);
 }
 
+void TargetChooser::reported(std::string_view Name, std::string_view Route,
+                             const wire::CallReply &Reply, Time Now) {
+  this->reported(Name, Reply.TargetLoad, Now);
+  const auto Found = this->Targets.find(Name);
+  if (Found == this->Targets.end())
+    return;
+  const std::string &Service = Found->second.Service;
+  if (Reply.TargetLoad.PacePercent > 0 && !this->placesEvenly(Service))
+    this->EvenServices.insert(Service);
+  if (this->placesEvenly(Service))
+    this->Even->reported(Name, Route, Reply.TargetLoad, Reply.Nested, Now);
+  this->Even->heard(Reply.Peers, Now);
+}
+
+void TargetChooser::reportedLocal(const wire::Load &Load, Time Now) {
+  const auto Found = this->Targets.find(this->OwnName);
+  if (Found != this->Targets.end() && this->placesEvenly(Found->second.Service))
+    this->Even->reported(this->OwnName, {}, Load, false, Now);
+}
+
 } // namespace persimmon
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "evenplacement.h"
 #include "membership.h"
 #include "random.h"
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace persimmon {
 
@@ -15,6 +19,8 @@
   const wire::MemberRecord *Record = nullptr;
   std::size_t Candidates = 0;
   std::string_view Reason;
+  /// The decision of the even placement, if it made the choice.
+  std::optional<Placement> Even = {};
 };
 
 /// The use of links by a call that is to be placed.
@@ -25,6 +31,18 @@
   bool LargeAnswer = false;
   /// Until then, the answer has its full value for the caller.
   Time UsefulUntil = NoDeadline;
+  std::string_view Route = {};
+  /// Expected length of request and answer together.
+  std::int64_t Bytes = 0;
+  /// Number of attempts so far if the last target was overloaded.
+  int Refusals = 0;
+};
+
+/// The calls placed so far, for the metrics.
+struct PlacementCounts {
+  std::map<std::string_view, std::uint64_t> ByReason;
+  std::uint64_t CrossedZones = 0;
+  std::uint64_t CrossedBytes = 0;
 };
 
 /// Abstract policy that selects one of two candidates for an attempt.
@@ -68,6 +86,16 @@
                       const std::set<std::string> &Excluded, Time Now,
                       const LinkUse &Use = {});
 
+  /// Places the calls of all services evenly, also of those whose targets tell
+  /// no pace.
+  void setEvenPlacement(bool IsOn) { this->AllEven = IsOn; }
+
+  /// Returns whether the calls of \p Service are placed evenly: if the settings
+  /// say so or one of its targets has told its pace.
+  bool placesEvenly(std::string_view Service) const {
+    return this->AllEven || this->EvenServices.count(Service) != 0;
+  }
+
   /// Records that an attempt was sent.
   void started(std::string_view Name);
 
@@ -79,6 +107,21 @@
   void unreachable(std::string_view Name, Time Now);
   /// Records the load that was reported with an answer.
   void reported(std::string_view Name, const wire::Load &Load, Time Now);
+  /// Records the loads in an answer to a call of \p Route, and whether running
+  /// calls make the calls of this route.
+  void reported(std::string_view Name, std::string_view Route,
+                const wire::CallReply &Reply, Time Now);
+  /// Records the load of the target beside this daemon.
+  void reportedLocal(const wire::Load &Load, Time Now);
+
+  /// Returns the loads to be sent to \p Receiver; none if no service is placed
+  /// evenly.
+  std::vector<wire::PeerLoad> loadsFor(const wire::MemberRecord &Receiver,
+                                       Time Now) const {
+    return this->Even->loadsFor(Receiver, Now);
+  }
+
+  const PlacementCounts &counts() const { return this->Counts; }
 
 private:
   struct Stats {
@@ -109,7 +152,15 @@
                    Time Now) const;
   /// Returns the wait for the target's link as a share of the useful time.
   double linkScore(const Stats &Target, const LinkUse &Use, Time Now) const;
+  /// Returns the share of its load that a target takes while it starts.
+  static double rampShare(const Stats &Target, Time Now);
   Stats &statsOf(const wire::MemberRecord &Record, Time Now);
+  TargetChoice chooseAny(const Membership &Members, std::string_view Service,
+                         const std::set<std::string> &Excluded, Time Now,
+                         const LinkUse &Use);
+  void placeEvenly(const std::vector<const wire::MemberRecord *> &Eligible,
+                   std::string_view Service, bool UseUnwellHints, Time Now,
+                   const LinkUse &Use, TargetChoice &Out);
 
   std::string Zone;
   std::string OwnName;
@@ -118,6 +169,10 @@
   std::map<std::string, Stats, std::less<>> Targets;
   /// Mean of the reported loads of each service, as a share of the slots.
   std::map<std::string, double, std::less<>> MeanLoads;
+  std::unique_ptr<PlacementPolicy> Even;
+  bool AllEven = false;
+  std::set<std::string, std::less<>> EvenServices;
+  PlacementCounts Counts;
 };
 
 } // namespace persimmon
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -7571,6 +7571,11 @@
 void Load::__set_PacePercent(const int32_t val) {
   this->PacePercent = val;
 }
+
+void Load::__set_RunMs(const int32_t val) {
+  this->RunMs = val;
+__isset.RunMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -7639,6 +7644,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->RunMs);
+          this->__isset.RunMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7676,6 +7689,11 @@
   xfer += oprot->writeI32(this->PacePercent);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.RunMs) {
+    xfer += oprot->writeFieldBegin("RunMs", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->RunMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7688,6 +7706,7 @@
   swap(a.Slots, b.Slots);
   swap(a.LinkMs, b.LinkMs);
   swap(a.PacePercent, b.PacePercent);
+  swap(a.RunMs, b.RunMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -7697,6 +7716,7 @@
   Slots = other275.Slots;
   LinkMs = other275.LinkMs;
   PacePercent = other275.PacePercent;
+  RunMs = other275.RunMs;
   __isset = other275.__isset;
 }
 Load::Load(Load&& other276) noexcept {
@@ -7705,6 +7725,7 @@
   Slots = other276.Slots;
   LinkMs = other276.LinkMs;
   PacePercent = other276.PacePercent;
+  RunMs = other276.RunMs;
   __isset = other276.__isset;
 }
 Load& Load::operator=(const Load& other277) noexcept {
@@ -7713,6 +7734,7 @@
   Slots = other277.Slots;
   LinkMs = other277.LinkMs;
   PacePercent = other277.PacePercent;
+  RunMs = other277.RunMs;
   __isset = other277.__isset;
   return *this;
 }
@@ -7722,6 +7744,7 @@
   Slots = other278.Slots;
   LinkMs = other278.LinkMs;
   PacePercent = other278.PacePercent;
+  RunMs = other278.RunMs;
   __isset = other278.__isset;
   return *this;
 }
@@ -7733,6 +7756,196 @@
   out << ", " << "Slots=" << to_string(Slots);
   out << ", " << "LinkMs=" << to_string(LinkMs);
   out << ", " << "PacePercent=" << to_string(PacePercent);
+  out << ", " << "RunMs="; (__isset.RunMs ? (out << to_string(RunMs)) : (out << "<null>"));
+  out << ")";
+}
+
+
+PeerLoad::~PeerLoad() noexcept {
+}
+
+
+void PeerLoad::__set_Name(const std::string& val) {
+  this->Name = val;
+}
+
+void PeerLoad::__set_Calls(const int32_t val) {
+  this->Calls = val;
+}
+
+void PeerLoad::__set_Slots(const int32_t val) {
+  this->Slots = val;
+}
+
+void PeerLoad::__set_AgeMs(const int32_t val) {
+  this->AgeMs = val;
+}
+
+void PeerLoad::__set_PacePercent(const int32_t val) {
+  this->PacePercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Name);
+          this->__isset.Name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Calls);
+          this->__isset.Calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Slots);
+          this->__isset.Slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->AgeMs);
+          this->__isset.AgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->PacePercent);
+          this->__isset.PacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerLoad");
+
+  xfer += oprot->writeFieldBegin("Name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Calls", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Calls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Slots", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->Slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->AgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("PacePercent", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->PacePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerLoad &a, PeerLoad &b) {
+  using ::std::swap;
+  swap(a.Name, b.Name);
+  swap(a.Calls, b.Calls);
+  swap(a.Slots, b.Slots);
+  swap(a.AgeMs, b.AgeMs);
+  swap(a.PacePercent, b.PacePercent);
+  swap(a.__isset, b.__isset);
+}
+
+PeerLoad::PeerLoad(const PeerLoad& other279) {
+  Name = other279.Name;
+  Calls = other279.Calls;
+  Slots = other279.Slots;
+  AgeMs = other279.AgeMs;
+  PacePercent = other279.PacePercent;
+  __isset = other279.__isset;
+}
+PeerLoad::PeerLoad(PeerLoad&& other280) noexcept {
+  Name = std::move(other280.Name);
+  Calls = other280.Calls;
+  Slots = other280.Slots;
+  AgeMs = other280.AgeMs;
+  PacePercent = other280.PacePercent;
+  __isset = other280.__isset;
+}
+PeerLoad& PeerLoad::operator=(const PeerLoad& other281) {
+  Name = other281.Name;
+  Calls = other281.Calls;
+  Slots = other281.Slots;
+  AgeMs = other281.AgeMs;
+  PacePercent = other281.PacePercent;
+  __isset = other281.__isset;
+  return *this;
+}
+PeerLoad& PeerLoad::operator=(PeerLoad&& other282) noexcept {
+  Name = std::move(other282.Name);
+  Calls = other282.Calls;
+  Slots = other282.Slots;
+  AgeMs = other282.AgeMs;
+  PacePercent = other282.PacePercent;
+  __isset = other282.__isset;
+  return *this;
+}
+void PeerLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerLoad(";
+  out << "Name=" << to_string(Name);
+  out << ", " << "Calls=" << to_string(Calls);
+  out << ", " << "Slots=" << to_string(Slots);
+  out << ", " << "AgeMs=" << to_string(AgeMs);
+  out << ", " << "PacePercent=" << to_string(PacePercent);
   out << ")";
 }
 
@@ -7829,26 +8042,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ShedLoad::ShedLoad(const ShedLoad& other279) noexcept {
-  Priority = other279.Priority;
-  PerMille = other279.PerMille;
-  __isset = other279.__isset;
+ShedLoad::ShedLoad(const ShedLoad& other283) noexcept {
+  Priority = other283.Priority;
+  PerMille = other283.PerMille;
+  __isset = other283.__isset;
 }
-ShedLoad::ShedLoad(ShedLoad&& other280) noexcept {
-  Priority = other280.Priority;
-  PerMille = other280.PerMille;
-  __isset = other280.__isset;
+ShedLoad::ShedLoad(ShedLoad&& other284) noexcept {
+  Priority = other284.Priority;
+  PerMille = other284.PerMille;
+  __isset = other284.__isset;
 }
-ShedLoad& ShedLoad::operator=(const ShedLoad& other281) noexcept {
-  Priority = other281.Priority;
-  PerMille = other281.PerMille;
-  __isset = other281.__isset;
+ShedLoad& ShedLoad::operator=(const ShedLoad& other285) noexcept {
+  Priority = other285.Priority;
+  PerMille = other285.PerMille;
+  __isset = other285.__isset;
   return *this;
 }
-ShedLoad& ShedLoad::operator=(ShedLoad&& other282) noexcept {
-  Priority = other282.Priority;
-  PerMille = other282.PerMille;
-  __isset = other282.__isset;
+ShedLoad& ShedLoad::operator=(ShedLoad&& other286) noexcept {
+  Priority = other286.Priority;
+  PerMille = other286.PerMille;
+  __isset = other286.__isset;
   return *this;
 }
 void ShedLoad::printTo(std::ostream& out) const {
@@ -7911,6 +8124,11 @@
 void CallReply::__set_RetryAfterMs(const int32_t val) {
   this->RetryAfterMs = val;
 }
+
+void CallReply::__set_Peers(const std::vector<PeerLoad> & val) {
+  this->Peers = val;
+__isset.Peers = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallReply& obj)
 {
   obj.printTo(out);
@@ -7949,9 +8167,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast283;
-          xfer += iprot->readI32(ecast283);
-          this->Outcome = static_cast<CallOutcome::type>(ecast283);
+          int32_t ecast287;
+          xfer += iprot->readI32(ecast287);
+          this->Outcome = static_cast<CallOutcome::type>(ecast287);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7977,14 +8195,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Headers.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->Headers.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->Headers.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->Headers[_i288].read(iprot);
+              xfer += this->Headers[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8049,6 +8267,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Peers.clear();
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->Peers.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
+            {
+              xfer += this->Peers[_i297].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8085,10 +8323,10 @@
   xfer += oprot->writeFieldBegin("Headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Headers.size()));
-    std::vector<Header> ::const_iterator _iter289;
-    for (_iter289 = this->Headers.begin(); _iter289 != this->Headers.end(); ++_iter289)
+    std::vector<Header> ::const_iterator _iter298;
+    for (_iter298 = this->Headers.begin(); _iter298 != this->Headers.end(); ++_iter298)
     {
-      xfer += (*_iter289).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8122,6 +8360,19 @@
   xfer += oprot->writeI32(this->RetryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Peers) {
+    xfer += oprot->writeFieldBegin("Peers", ::apache::thrift::protocol::T_LIST, 14);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Peers.size()));
+      std::vector<PeerLoad> ::const_iterator _iter299;
+      for (_iter299 = this->Peers.begin(); _iter299 != this->Peers.end(); ++_iter299)
+      {
+        xfer += (*_iter299).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8141,69 +8392,74 @@
   swap(a.Shed, b.Shed);
   swap(a.BodyGranted, b.BodyGranted);
   swap(a.RetryAfterMs, b.RetryAfterMs);
+  swap(a.Peers, b.Peers);
   swap(a.__isset, b.__isset);
 }
 
-CallReply::CallReply(const CallReply& other290) {
-  Id = other290.Id;
-  Outcome = other290.Outcome;
-  Code = other290.Code;
-  Status = other290.Status;
-  Headers = other290.Headers;
-  BodySize = other290.BodySize;
-  Body = other290.Body;
-  TargetLoad = other290.TargetLoad;
-  Nested = other290.Nested;
-  Shed = other290.Shed;
-  BodyGranted = other290.BodyGranted;
-  RetryAfterMs = other290.RetryAfterMs;
-  __isset = other290.__isset;
-}
-CallReply::CallReply(CallReply&& other291) noexcept {
-  Id = std::move(other291.Id);
-  Outcome = other291.Outcome;
-  Code = other291.Code;
-  Status = other291.Status;
-  Headers = std::move(other291.Headers);
-  BodySize = other291.BodySize;
-  Body = std::move(other291.Body);
-  TargetLoad = std::move(other291.TargetLoad);
-  Nested = other291.Nested;
-  Shed = std::move(other291.Shed);
-  BodyGranted = other291.BodyGranted;
-  RetryAfterMs = other291.RetryAfterMs;
-  __isset = other291.__isset;
-}
-CallReply& CallReply::operator=(const CallReply& other292) {
-  Id = other292.Id;
-  Outcome = other292.Outcome;
-  Code = other292.Code;
-  Status = other292.Status;
-  Headers = other292.Headers;
-  BodySize = other292.BodySize;
-  Body = other292.Body;
-  TargetLoad = other292.TargetLoad;
-  Nested = other292.Nested;
-  Shed = other292.Shed;
-  BodyGranted = other292.BodyGranted;
-  RetryAfterMs = other292.RetryAfterMs;
-  __isset = other292.__isset;
+CallReply::CallReply(const CallReply& other300) {
+  Id = other300.Id;
+  Outcome = other300.Outcome;
+  Code = other300.Code;
+  Status = other300.Status;
+  Headers = other300.Headers;
+  BodySize = other300.BodySize;
+  Body = other300.Body;
+  TargetLoad = other300.TargetLoad;
+  Nested = other300.Nested;
+  Shed = other300.Shed;
+  BodyGranted = other300.BodyGranted;
+  RetryAfterMs = other300.RetryAfterMs;
+  Peers = other300.Peers;
+  __isset = other300.__isset;
+}
+CallReply::CallReply(CallReply&& other301) noexcept {
+  Id = std::move(other301.Id);
+  Outcome = other301.Outcome;
+  Code = other301.Code;
+  Status = other301.Status;
+  Headers = std::move(other301.Headers);
+  BodySize = other301.BodySize;
+  Body = std::move(other301.Body);
+  TargetLoad = std::move(other301.TargetLoad);
+  Nested = other301.Nested;
+  Shed = std::move(other301.Shed);
+  BodyGranted = other301.BodyGranted;
+  RetryAfterMs = other301.RetryAfterMs;
+  Peers = std::move(other301.Peers);
+  __isset = other301.__isset;
+}
+CallReply& CallReply::operator=(const CallReply& other302) {
+  Id = other302.Id;
+  Outcome = other302.Outcome;
+  Code = other302.Code;
+  Status = other302.Status;
+  Headers = other302.Headers;
+  BodySize = other302.BodySize;
+  Body = other302.Body;
+  TargetLoad = other302.TargetLoad;
+  Nested = other302.Nested;
+  Shed = other302.Shed;
+  BodyGranted = other302.BodyGranted;
+  RetryAfterMs = other302.RetryAfterMs;
+  Peers = other302.Peers;
+  __isset = other302.__isset;
   return *this;
 }
-CallReply& CallReply::operator=(CallReply&& other293) noexcept {
-  Id = std::move(other293.Id);
-  Outcome = other293.Outcome;
-  Code = other293.Code;
-  Status = other293.Status;
-  Headers = std::move(other293.Headers);
-  BodySize = other293.BodySize;
-  Body = std::move(other293.Body);
-  TargetLoad = std::move(other293.TargetLoad);
-  Nested = other293.Nested;
-  Shed = std::move(other293.Shed);
-  BodyGranted = other293.BodyGranted;
-  RetryAfterMs = other293.RetryAfterMs;
-  __isset = other293.__isset;
+CallReply& CallReply::operator=(CallReply&& other303) noexcept {
+  Id = std::move(other303.Id);
+  Outcome = other303.Outcome;
+  Code = other303.Code;
+  Status = other303.Status;
+  Headers = std::move(other303.Headers);
+  BodySize = other303.BodySize;
+  Body = std::move(other303.Body);
+  TargetLoad = std::move(other303.TargetLoad);
+  Nested = other303.Nested;
+  Shed = std::move(other303.Shed);
+  BodyGranted = other303.BodyGranted;
+  RetryAfterMs = other303.RetryAfterMs;
+  Peers = std::move(other303.Peers);
+  __isset = other303.__isset;
   return *this;
 }
 void CallReply::printTo(std::ostream& out) const {
@@ -8221,6 +8477,7 @@
   out << ", " << "Shed=" << to_string(Shed);
   out << ", " << "BodyGranted=" << to_string(BodyGranted);
   out << ", " << "RetryAfterMs=" << to_string(RetryAfterMs);
+  out << ", " << "Peers="; (__isset.Peers ? (out << to_string(Peers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8317,26 +8574,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CallQuery::CallQuery(const CallQuery& other294) {
-  Id = other294.Id;
-  ReceiverIncarnation = other294.ReceiverIncarnation;
-  __isset = other294.__isset;
+CallQuery::CallQuery(const CallQuery& other304) {
+  Id = other304.Id;
+  ReceiverIncarnation = other304.ReceiverIncarnation;
+  __isset = other304.__isset;
 }
-CallQuery::CallQuery(CallQuery&& other295) noexcept {
-  Id = std::move(other295.Id);
-  ReceiverIncarnation = other295.ReceiverIncarnation;
-  __isset = other295.__isset;
+CallQuery::CallQuery(CallQuery&& other305) noexcept {
+  Id = std::move(other305.Id);
+  ReceiverIncarnation = other305.ReceiverIncarnation;
+  __isset = other305.__isset;
 }
-CallQuery& CallQuery::operator=(const CallQuery& other296) {
-  Id = other296.Id;
-  ReceiverIncarnation = other296.ReceiverIncarnation;
-  __isset = other296.__isset;
+CallQuery& CallQuery::operator=(const CallQuery& other306) {
+  Id = other306.Id;
+  ReceiverIncarnation = other306.ReceiverIncarnation;
+  __isset = other306.__isset;
   return *this;
 }
-CallQuery& CallQuery::operator=(CallQuery&& other297) noexcept {
-  Id = std::move(other297.Id);
-  ReceiverIncarnation = other297.ReceiverIncarnation;
-  __isset = other297.__isset;
+CallQuery& CallQuery::operator=(CallQuery&& other307) noexcept {
+  Id = std::move(other307.Id);
+  ReceiverIncarnation = other307.ReceiverIncarnation;
+  __isset = other307.__isset;
   return *this;
 }
 void CallQuery::printTo(std::ostream& out) const {
@@ -8423,22 +8680,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other298) {
-  Id = other298.Id;
-  __isset = other298.__isset;
+CallCancel::CallCancel(const CallCancel& other308) {
+  Id = other308.Id;
+  __isset = other308.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other299) noexcept {
-  Id = std::move(other299.Id);
-  __isset = other299.__isset;
+CallCancel::CallCancel(CallCancel&& other309) noexcept {
+  Id = std::move(other309.Id);
+  __isset = other309.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other300) {
-  Id = other300.Id;
-  __isset = other300.__isset;
+CallCancel& CallCancel::operator=(const CallCancel& other310) {
+  Id = other310.Id;
+  __isset = other310.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other301) noexcept {
-  Id = std::move(other301.Id);
-  __isset = other301.__isset;
+CallCancel& CallCancel::operator=(CallCancel&& other311) noexcept {
+  Id = std::move(other311.Id);
+  __isset = other311.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -8524,22 +8781,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnswerAck::AnswerAck(const AnswerAck& other302) {
-  Id = other302.Id;
-  __isset = other302.__isset;
+AnswerAck::AnswerAck(const AnswerAck& other312) {
+  Id = other312.Id;
+  __isset = other312.__isset;
 }
-AnswerAck::AnswerAck(AnswerAck&& other303) noexcept {
-  Id = std::move(other303.Id);
-  __isset = other303.__isset;
+AnswerAck::AnswerAck(AnswerAck&& other313) noexcept {
+  Id = std::move(other313.Id);
+  __isset = other313.__isset;
 }
-AnswerAck& AnswerAck::operator=(const AnswerAck& other304) {
-  Id = other304.Id;
-  __isset = other304.__isset;
+AnswerAck& AnswerAck::operator=(const AnswerAck& other314) {
+  Id = other314.Id;
+  __isset = other314.__isset;
   return *this;
 }
-AnswerAck& AnswerAck::operator=(AnswerAck&& other305) noexcept {
-  Id = std::move(other305.Id);
-  __isset = other305.__isset;
+AnswerAck& AnswerAck::operator=(AnswerAck&& other315) noexcept {
+  Id = std::move(other315.Id);
+  __isset = other315.__isset;
   return *this;
 }
 void AnswerAck::printTo(std::ostream& out) const {
@@ -8625,22 +8882,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other306) noexcept {
-  IsReply = other306.IsReply;
-  __isset = other306.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other316) noexcept {
+  IsReply = other316.IsReply;
+  __isset = other316.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other307) noexcept {
-  IsReply = other307.IsReply;
-  __isset = other307.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other317) noexcept {
+  IsReply = other317.IsReply;
+  __isset = other317.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other308) noexcept {
-  IsReply = other308.IsReply;
-  __isset = other308.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other318) noexcept {
+  IsReply = other318.IsReply;
+  __isset = other318.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other309) noexcept {
-  IsReply = other309.IsReply;
-  __isset = other309.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other319) noexcept {
+  IsReply = other319.IsReply;
+  __isset = other319.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -8726,22 +8983,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other310) {
-  Wanted = other310.Wanted;
-  __isset = other310.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other320) {
+  Wanted = other320.Wanted;
+  __isset = other320.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other311) noexcept {
-  Wanted = std::move(other311.Wanted);
-  __isset = other311.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other321) noexcept {
+  Wanted = std::move(other321.Wanted);
+  __isset = other321.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other312) {
-  Wanted = other312.Wanted;
-  __isset = other312.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other322) {
+  Wanted = other322.Wanted;
+  __isset = other322.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other313) noexcept {
-  Wanted = std::move(other313.Wanted);
-  __isset = other313.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other323) noexcept {
+  Wanted = std::move(other323.Wanted);
+  __isset = other323.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -8878,34 +9135,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other314) {
-  CallNumber = other314.CallNumber;
-  Code = other314.Code;
-  Holder = other314.Holder;
-  LeaderAddress = other314.LeaderAddress;
-  __isset = other314.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other324) {
+  CallNumber = other324.CallNumber;
+  Code = other324.Code;
+  Holder = other324.Holder;
+  LeaderAddress = other324.LeaderAddress;
+  __isset = other324.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other315) noexcept {
-  CallNumber = other315.CallNumber;
-  Code = other315.Code;
-  Holder = std::move(other315.Holder);
-  LeaderAddress = std::move(other315.LeaderAddress);
-  __isset = other315.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other325) noexcept {
+  CallNumber = other325.CallNumber;
+  Code = other325.Code;
+  Holder = std::move(other325.Holder);
+  LeaderAddress = std::move(other325.LeaderAddress);
+  __isset = other325.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other316) {
-  CallNumber = other316.CallNumber;
-  Code = other316.Code;
-  Holder = other316.Holder;
-  LeaderAddress = other316.LeaderAddress;
-  __isset = other316.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other326) {
+  CallNumber = other326.CallNumber;
+  Code = other326.Code;
+  Holder = other326.Holder;
+  LeaderAddress = other326.LeaderAddress;
+  __isset = other326.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other317) noexcept {
-  CallNumber = other317.CallNumber;
-  Code = other317.Code;
-  Holder = std::move(other317.Holder);
-  LeaderAddress = std::move(other317.LeaderAddress);
-  __isset = other317.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other327) noexcept {
+  CallNumber = other327.CallNumber;
+  Code = other327.Code;
+  Holder = std::move(other327.Holder);
+  LeaderAddress = std::move(other327.LeaderAddress);
+  __isset = other327.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -9028,30 +9285,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeQuery::OutcomeQuery(const OutcomeQuery& other318) noexcept {
-  RequestId = other318.RequestId;
-  OwnerIncarnation = other318.OwnerIncarnation;
-  CallNumber = other318.CallNumber;
-  __isset = other318.__isset;
+OutcomeQuery::OutcomeQuery(const OutcomeQuery& other328) noexcept {
+  RequestId = other328.RequestId;
+  OwnerIncarnation = other328.OwnerIncarnation;
+  CallNumber = other328.CallNumber;
+  __isset = other328.__isset;
 }
-OutcomeQuery::OutcomeQuery(OutcomeQuery&& other319) noexcept {
-  RequestId = other319.RequestId;
-  OwnerIncarnation = other319.OwnerIncarnation;
-  CallNumber = other319.CallNumber;
-  __isset = other319.__isset;
+OutcomeQuery::OutcomeQuery(OutcomeQuery&& other329) noexcept {
+  RequestId = other329.RequestId;
+  OwnerIncarnation = other329.OwnerIncarnation;
+  CallNumber = other329.CallNumber;
+  __isset = other329.__isset;
 }
-OutcomeQuery& OutcomeQuery::operator=(const OutcomeQuery& other320) noexcept {
-  RequestId = other320.RequestId;
-  OwnerIncarnation = other320.OwnerIncarnation;
-  CallNumber = other320.CallNumber;
-  __isset = other320.__isset;
+OutcomeQuery& OutcomeQuery::operator=(const OutcomeQuery& other330) noexcept {
+  RequestId = other330.RequestId;
+  OwnerIncarnation = other330.OwnerIncarnation;
+  CallNumber = other330.CallNumber;
+  __isset = other330.__isset;
   return *this;
 }
-OutcomeQuery& OutcomeQuery::operator=(OutcomeQuery&& other321) noexcept {
-  RequestId = other321.RequestId;
-  OwnerIncarnation = other321.OwnerIncarnation;
-  CallNumber = other321.CallNumber;
-  __isset = other321.__isset;
+OutcomeQuery& OutcomeQuery::operator=(OutcomeQuery&& other331) noexcept {
+  RequestId = other331.RequestId;
+  OwnerIncarnation = other331.OwnerIncarnation;
+  CallNumber = other331.CallNumber;
+  __isset = other331.__isset;
   return *this;
 }
 void OutcomeQuery::printTo(std::ostream& out) const {
@@ -9113,9 +9370,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast322;
-          xfer += iprot->readI32(ecast322);
-          this->Outcome = static_cast<CallOutcome::type>(ecast322);
+          int32_t ecast332;
+          xfer += iprot->readI32(ecast332);
+          this->Outcome = static_cast<CallOutcome::type>(ecast332);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9158,26 +9415,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeReply::OutcomeReply(const OutcomeReply& other323) noexcept {
-  RequestId = other323.RequestId;
-  Outcome = other323.Outcome;
-  __isset = other323.__isset;
+OutcomeReply::OutcomeReply(const OutcomeReply& other333) noexcept {
+  RequestId = other333.RequestId;
+  Outcome = other333.Outcome;
+  __isset = other333.__isset;
 }
-OutcomeReply::OutcomeReply(OutcomeReply&& other324) noexcept {
-  RequestId = other324.RequestId;
-  Outcome = other324.Outcome;
-  __isset = other324.__isset;
+OutcomeReply::OutcomeReply(OutcomeReply&& other334) noexcept {
+  RequestId = other334.RequestId;
+  Outcome = other334.Outcome;
+  __isset = other334.__isset;
 }
-OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other325) noexcept {
-  RequestId = other325.RequestId;
-  Outcome = other325.Outcome;
-  __isset = other325.__isset;
+OutcomeReply& OutcomeReply::operator=(const OutcomeReply& other335) noexcept {
+  RequestId = other335.RequestId;
+  Outcome = other335.Outcome;
+  __isset = other335.__isset;
   return *this;
 }
-OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other326) noexcept {
-  RequestId = other326.RequestId;
-  Outcome = other326.Outcome;
-  __isset = other326.__isset;
+OutcomeReply& OutcomeReply::operator=(OutcomeReply&& other336) noexcept {
+  RequestId = other336.RequestId;
+  Outcome = other336.Outcome;
+  __isset = other336.__isset;
   return *this;
 }
 void OutcomeReply::printTo(std::ostream& out) const {
@@ -9264,22 +9521,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingTarget::LeavingTarget(const LeavingTarget& other327) {
-  Run = other327.Run;
-  __isset = other327.__isset;
+LeavingTarget::LeavingTarget(const LeavingTarget& other337) {
+  Run = other337.Run;
+  __isset = other337.__isset;
 }
-LeavingTarget::LeavingTarget(LeavingTarget&& other328) noexcept {
-  Run = std::move(other328.Run);
-  __isset = other328.__isset;
+LeavingTarget::LeavingTarget(LeavingTarget&& other338) noexcept {
+  Run = std::move(other338.Run);
+  __isset = other338.__isset;
 }
-LeavingTarget& LeavingTarget::operator=(const LeavingTarget& other329) {
-  Run = other329.Run;
-  __isset = other329.__isset;
+LeavingTarget& LeavingTarget::operator=(const LeavingTarget& other339) {
+  Run = other339.Run;
+  __isset = other339.__isset;
   return *this;
 }
-LeavingTarget& LeavingTarget::operator=(LeavingTarget&& other330) noexcept {
-  Run = std::move(other330.Run);
-  __isset = other330.__isset;
+LeavingTarget& LeavingTarget::operator=(LeavingTarget&& other340) noexcept {
+  Run = std::move(other340.Run);
+  __isset = other340.__isset;
   return *this;
 }
 void LeavingTarget::printTo(std::ostream& out) const {
@@ -9333,14 +9590,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Deltas.clear();
-            uint32_t _size331;
-            ::apache::thrift::protocol::TType _etype334;
-            xfer += iprot->readListBegin(_etype334, _size331);
-            this->Deltas.resize(_size331);
-            uint32_t _i335;
-            for (_i335 = 0; _i335 < _size331; ++_i335)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->Deltas.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += this->Deltas[_i335].read(iprot);
+              xfer += this->Deltas[_i345].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9353,14 +9610,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Settings.clear();
-            uint32_t _size336;
-            ::apache::thrift::protocol::TType _etype339;
-            xfer += iprot->readListBegin(_etype339, _size336);
-            this->Settings.resize(_size336);
-            uint32_t _i340;
-            for (_i340 = 0; _i340 < _size336; ++_i340)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->Settings.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->Settings[_i340].read(iprot);
+              xfer += this->Settings[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9389,10 +9646,10 @@
   xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
-    std::vector<Delta> ::const_iterator _iter341;
-    for (_iter341 = this->Deltas.begin(); _iter341 != this->Deltas.end(); ++_iter341)
+    std::vector<Delta> ::const_iterator _iter351;
+    for (_iter351 = this->Deltas.begin(); _iter351 != this->Deltas.end(); ++_iter351)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9401,10 +9658,10 @@
   xfer += oprot->writeFieldBegin("Settings", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Settings.size()));
-    std::vector<Setting> ::const_iterator _iter342;
-    for (_iter342 = this->Settings.begin(); _iter342 != this->Settings.end(); ++_iter342)
+    std::vector<Setting> ::const_iterator _iter352;
+    for (_iter352 = this->Settings.begin(); _iter352 != this->Settings.end(); ++_iter352)
     {
-      xfer += (*_iter342).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9422,26 +9679,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PullContent::PullContent(const PullContent& other343) {
-  Deltas = other343.Deltas;
-  Settings = other343.Settings;
-  __isset = other343.__isset;
+PullContent::PullContent(const PullContent& other353) {
+  Deltas = other353.Deltas;
+  Settings = other353.Settings;
+  __isset = other353.__isset;
 }
-PullContent::PullContent(PullContent&& other344) noexcept {
-  Deltas = std::move(other344.Deltas);
-  Settings = std::move(other344.Settings);
-  __isset = other344.__isset;
+PullContent::PullContent(PullContent&& other354) noexcept {
+  Deltas = std::move(other354.Deltas);
+  Settings = std::move(other354.Settings);
+  __isset = other354.__isset;
 }
-PullContent& PullContent::operator=(const PullContent& other345) {
-  Deltas = other345.Deltas;
-  Settings = other345.Settings;
-  __isset = other345.__isset;
+PullContent& PullContent::operator=(const PullContent& other355) {
+  Deltas = other355.Deltas;
+  Settings = other355.Settings;
+  __isset = other355.__isset;
   return *this;
 }
-PullContent& PullContent::operator=(PullContent&& other346) noexcept {
-  Deltas = std::move(other346.Deltas);
-  Settings = std::move(other346.Settings);
-  __isset = other346.__isset;
+PullContent& PullContent::operator=(PullContent&& other356) noexcept {
+  Deltas = std::move(other356.Deltas);
+  Settings = std::move(other356.Settings);
+  __isset = other356.__isset;
   return *this;
 }
 void PullContent::printTo(std::ostream& out) const {
@@ -9579,34 +9836,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AllowanceShare::AllowanceShare(const AllowanceShare& other347) noexcept {
-  Account = other347.Account;
-  MilliPerSecond = other347.MilliPerSecond;
-  MilliDepth = other347.MilliDepth;
-  Tokens = other347.Tokens;
-  __isset = other347.__isset;
-}
-AllowanceShare::AllowanceShare(AllowanceShare&& other348) noexcept {
-  Account = other348.Account;
-  MilliPerSecond = other348.MilliPerSecond;
-  MilliDepth = other348.MilliDepth;
-  Tokens = other348.Tokens;
-  __isset = other348.__isset;
-}
-AllowanceShare& AllowanceShare::operator=(const AllowanceShare& other349) noexcept {
-  Account = other349.Account;
-  MilliPerSecond = other349.MilliPerSecond;
-  MilliDepth = other349.MilliDepth;
-  Tokens = other349.Tokens;
-  __isset = other349.__isset;
+AllowanceShare::AllowanceShare(const AllowanceShare& other357) noexcept {
+  Account = other357.Account;
+  MilliPerSecond = other357.MilliPerSecond;
+  MilliDepth = other357.MilliDepth;
+  Tokens = other357.Tokens;
+  __isset = other357.__isset;
+}
+AllowanceShare::AllowanceShare(AllowanceShare&& other358) noexcept {
+  Account = other358.Account;
+  MilliPerSecond = other358.MilliPerSecond;
+  MilliDepth = other358.MilliDepth;
+  Tokens = other358.Tokens;
+  __isset = other358.__isset;
+}
+AllowanceShare& AllowanceShare::operator=(const AllowanceShare& other359) noexcept {
+  Account = other359.Account;
+  MilliPerSecond = other359.MilliPerSecond;
+  MilliDepth = other359.MilliDepth;
+  Tokens = other359.Tokens;
+  __isset = other359.__isset;
   return *this;
 }
-AllowanceShare& AllowanceShare::operator=(AllowanceShare&& other350) noexcept {
-  Account = other350.Account;
-  MilliPerSecond = other350.MilliPerSecond;
-  MilliDepth = other350.MilliDepth;
-  Tokens = other350.Tokens;
-  __isset = other350.__isset;
+AllowanceShare& AllowanceShare::operator=(AllowanceShare&& other360) noexcept {
+  Account = other360.Account;
+  MilliPerSecond = other360.MilliPerSecond;
+  MilliDepth = other360.MilliDepth;
+  Tokens = other360.Tokens;
+  __isset = other360.__isset;
   return *this;
 }
 void AllowanceShare::printTo(std::ostream& out) const {
@@ -9746,34 +10003,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AllowanceDemand::AllowanceDemand(const AllowanceDemand& other351) noexcept {
-  Held = other351.Held;
-  HeldMs = other351.HeldMs;
-  WantedMilliPerSecond = other351.WantedMilliPerSecond;
-  WaitingCalls = other351.WaitingCalls;
-  __isset = other351.__isset;
-}
-AllowanceDemand::AllowanceDemand(AllowanceDemand&& other352) noexcept {
-  Held = std::move(other352.Held);
-  HeldMs = other352.HeldMs;
-  WantedMilliPerSecond = other352.WantedMilliPerSecond;
-  WaitingCalls = other352.WaitingCalls;
-  __isset = other352.__isset;
-}
-AllowanceDemand& AllowanceDemand::operator=(const AllowanceDemand& other353) noexcept {
-  Held = other353.Held;
-  HeldMs = other353.HeldMs;
-  WantedMilliPerSecond = other353.WantedMilliPerSecond;
-  WaitingCalls = other353.WaitingCalls;
-  __isset = other353.__isset;
+AllowanceDemand::AllowanceDemand(const AllowanceDemand& other361) noexcept {
+  Held = other361.Held;
+  HeldMs = other361.HeldMs;
+  WantedMilliPerSecond = other361.WantedMilliPerSecond;
+  WaitingCalls = other361.WaitingCalls;
+  __isset = other361.__isset;
+}
+AllowanceDemand::AllowanceDemand(AllowanceDemand&& other362) noexcept {
+  Held = std::move(other362.Held);
+  HeldMs = other362.HeldMs;
+  WantedMilliPerSecond = other362.WantedMilliPerSecond;
+  WaitingCalls = other362.WaitingCalls;
+  __isset = other362.__isset;
+}
+AllowanceDemand& AllowanceDemand::operator=(const AllowanceDemand& other363) noexcept {
+  Held = other363.Held;
+  HeldMs = other363.HeldMs;
+  WantedMilliPerSecond = other363.WantedMilliPerSecond;
+  WaitingCalls = other363.WaitingCalls;
+  __isset = other363.__isset;
   return *this;
 }
-AllowanceDemand& AllowanceDemand::operator=(AllowanceDemand&& other354) noexcept {
-  Held = std::move(other354.Held);
-  HeldMs = other354.HeldMs;
-  WantedMilliPerSecond = other354.WantedMilliPerSecond;
-  WaitingCalls = other354.WaitingCalls;
-  __isset = other354.__isset;
+AllowanceDemand& AllowanceDemand::operator=(AllowanceDemand&& other364) noexcept {
+  Held = std::move(other364.Held);
+  HeldMs = other364.HeldMs;
+  WantedMilliPerSecond = other364.WantedMilliPerSecond;
+  WaitingCalls = other364.WaitingCalls;
+  __isset = other364.__isset;
   return *this;
 }
 void AllowanceDemand::printTo(std::ostream& out) const {
@@ -9874,14 +10131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Demands.clear();
-            uint32_t _size355;
-            ::apache::thrift::protocol::TType _etype358;
-            xfer += iprot->readListBegin(_etype358, _size355);
-            this->Demands.resize(_size355);
-            uint32_t _i359;
-            for (_i359 = 0; _i359 < _size355; ++_i359)
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->Demands.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
             {
-              xfer += this->Demands[_i359].read(iprot);
+              xfer += this->Demands[_i369].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9926,10 +10183,10 @@
   xfer += oprot->writeFieldBegin("Demands", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Demands.size()));
-    std::vector<AllowanceDemand> ::const_iterator _iter360;
-    for (_iter360 = this->Demands.begin(); _iter360 != this->Demands.end(); ++_iter360)
+    std::vector<AllowanceDemand> ::const_iterator _iter370;
+    for (_iter370 = this->Demands.begin(); _iter370 != this->Demands.end(); ++_iter370)
     {
-      xfer += (*_iter360).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9950,38 +10207,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AllowanceRequest::AllowanceRequest(const AllowanceRequest& other361) {
-  Daemon = other361.Daemon;
-  Incarnation = other361.Incarnation;
-  Number = other361.Number;
-  ConfigurationVersion = other361.ConfigurationVersion;
-  Demands = other361.Demands;
-  __isset = other361.__isset;
+AllowanceRequest::AllowanceRequest(const AllowanceRequest& other371) {
+  Daemon = other371.Daemon;
+  Incarnation = other371.Incarnation;
+  Number = other371.Number;
+  ConfigurationVersion = other371.ConfigurationVersion;
+  Demands = other371.Demands;
+  __isset = other371.__isset;
 }
-AllowanceRequest::AllowanceRequest(AllowanceRequest&& other362) noexcept {
-  Daemon = std::move(other362.Daemon);
-  Incarnation = other362.Incarnation;
-  Number = other362.Number;
-  ConfigurationVersion = other362.ConfigurationVersion;
-  Demands = std::move(other362.Demands);
-  __isset = other362.__isset;
+AllowanceRequest::AllowanceRequest(AllowanceRequest&& other372) noexcept {
+  Daemon = std::move(other372.Daemon);
+  Incarnation = other372.Incarnation;
+  Number = other372.Number;
+  ConfigurationVersion = other372.ConfigurationVersion;
+  Demands = std::move(other372.Demands);
+  __isset = other372.__isset;
 }
-AllowanceRequest& AllowanceRequest::operator=(const AllowanceRequest& other363) {
-  Daemon = other363.Daemon;
-  Incarnation = other363.Incarnation;
-  Number = other363.Number;
-  ConfigurationVersion = other363.ConfigurationVersion;
-  Demands = other363.Demands;
-  __isset = other363.__isset;
+AllowanceRequest& AllowanceRequest::operator=(const AllowanceRequest& other373) {
+  Daemon = other373.Daemon;
+  Incarnation = other373.Incarnation;
+  Number = other373.Number;
+  ConfigurationVersion = other373.ConfigurationVersion;
+  Demands = other373.Demands;
+  __isset = other373.__isset;
   return *this;
 }
-AllowanceRequest& AllowanceRequest::operator=(AllowanceRequest&& other364) noexcept {
-  Daemon = std::move(other364.Daemon);
-  Incarnation = other364.Incarnation;
-  Number = other364.Number;
-  ConfigurationVersion = other364.ConfigurationVersion;
-  Demands = std::move(other364.Demands);
-  __isset = other364.__isset;
+AllowanceRequest& AllowanceRequest::operator=(AllowanceRequest&& other374) noexcept {
+  Daemon = std::move(other374.Daemon);
+  Incarnation = other374.Incarnation;
+  Number = other374.Number;
+  ConfigurationVersion = other374.ConfigurationVersion;
+  Demands = std::move(other374.Demands);
+  __isset = other374.__isset;
   return *this;
 }
 void AllowanceRequest::printTo(std::ostream& out) const {
@@ -10063,14 +10320,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Shares.clear();
-            uint32_t _size365;
-            ::apache::thrift::protocol::TType _etype368;
-            xfer += iprot->readListBegin(_etype368, _size365);
-            this->Shares.resize(_size365);
-            uint32_t _i369;
-            for (_i369 = 0; _i369 < _size365; ++_i369)
+            uint32_t _size375;
+            ::apache::thrift::protocol::TType _etype378;
+            xfer += iprot->readListBegin(_etype378, _size375);
+            this->Shares.resize(_size375);
+            uint32_t _i379;
+            for (_i379 = 0; _i379 < _size375; ++_i379)
             {
-              xfer += this->Shares[_i369].read(iprot);
+              xfer += this->Shares[_i379].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10115,10 +10372,10 @@
   xfer += oprot->writeFieldBegin("Shares", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Shares.size()));
-    std::vector<AllowanceShare> ::const_iterator _iter370;
-    for (_iter370 = this->Shares.begin(); _iter370 != this->Shares.end(); ++_iter370)
+    std::vector<AllowanceShare> ::const_iterator _iter380;
+    for (_iter380 = this->Shares.begin(); _iter380 != this->Shares.end(); ++_iter380)
     {
-      xfer += (*_iter370).write(oprot);
+      xfer += (*_iter380).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10142,34 +10399,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AllowanceReply::AllowanceReply(const AllowanceReply& other371) {
-  Number = other371.Number;
-  ValidMs = other371.ValidMs;
-  Shares = other371.Shares;
-  LeaderAddress = other371.LeaderAddress;
-  __isset = other371.__isset;
-}
-AllowanceReply::AllowanceReply(AllowanceReply&& other372) noexcept {
-  Number = other372.Number;
-  ValidMs = other372.ValidMs;
-  Shares = std::move(other372.Shares);
-  LeaderAddress = std::move(other372.LeaderAddress);
-  __isset = other372.__isset;
-}
-AllowanceReply& AllowanceReply::operator=(const AllowanceReply& other373) {
-  Number = other373.Number;
-  ValidMs = other373.ValidMs;
-  Shares = other373.Shares;
-  LeaderAddress = other373.LeaderAddress;
-  __isset = other373.__isset;
+AllowanceReply::AllowanceReply(const AllowanceReply& other381) {
+  Number = other381.Number;
+  ValidMs = other381.ValidMs;
+  Shares = other381.Shares;
+  LeaderAddress = other381.LeaderAddress;
+  __isset = other381.__isset;
+}
+AllowanceReply::AllowanceReply(AllowanceReply&& other382) noexcept {
+  Number = other382.Number;
+  ValidMs = other382.ValidMs;
+  Shares = std::move(other382.Shares);
+  LeaderAddress = std::move(other382.LeaderAddress);
+  __isset = other382.__isset;
+}
+AllowanceReply& AllowanceReply::operator=(const AllowanceReply& other383) {
+  Number = other383.Number;
+  ValidMs = other383.ValidMs;
+  Shares = other383.Shares;
+  LeaderAddress = other383.LeaderAddress;
+  __isset = other383.__isset;
   return *this;
 }
-AllowanceReply& AllowanceReply::operator=(AllowanceReply&& other374) noexcept {
-  Number = other374.Number;
-  ValidMs = other374.ValidMs;
-  Shares = std::move(other374.Shares);
-  LeaderAddress = std::move(other374.LeaderAddress);
-  __isset = other374.__isset;
+AllowanceReply& AllowanceReply::operator=(AllowanceReply&& other384) noexcept {
+  Number = other384.Number;
+  ValidMs = other384.ValidMs;
+  Shares = std::move(other384.Shares);
+  LeaderAddress = std::move(other384.LeaderAddress);
+  __isset = other384.__isset;
   return *this;
 }
 void AllowanceReply::printTo(std::ostream& out) const {
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -165,6 +165,8 @@
 
 class Load;
 
+class PeerLoad;
+
 class ShedLoad;
 
 class CallReply;
@@ -2975,18 +2977,20 @@
 std::ostream& operator<<(std::ostream& out, const BodyPart& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true), PacePercent(true) {}
+  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true), PacePercent(true), RunMs(true) {}
   bool Running :1;
   bool Queued :1;
   bool Slots :1;
   bool LinkMs :1;
   bool PacePercent :1;
+  bool RunMs :1;
 } _Load__isset;
 
 /**
  * LinkMs is the time that the daemon's link needs for the answers that wait or are
  * expected. PacePercent is how long work takes on the target's machine, 100 as
- * usual; 0 if the target does not tell it.
+ * usual; 0 if the target does not tell it. RunMs is the mean run time on this
+ * target of the route of the call that the load is sent for; 0 if unknown.
  */
 class Load : public virtual ::apache::thrift::TBase {
  public:
@@ -3000,7 +3004,8 @@
          Queued(0),
          Slots(0),
          LinkMs(0),
-         PacePercent(0) {
+         PacePercent(0),
+         RunMs(0) {
   }
 
   virtual ~Load() noexcept;
@@ -3009,6 +3014,7 @@
   int32_t Slots;
   int32_t LinkMs;
   int32_t PacePercent;
+  int32_t RunMs;
 
   _Load__isset __isset;
 
@@ -3022,6 +3028,8 @@
 
   void __set_PacePercent(const int32_t val);
 
+  void __set_RunMs(const int32_t val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(Running == rhs.Running))
@@ -3034,6 +3042,10 @@
       return false;
     if (!(PacePercent == rhs.PacePercent))
       return false;
+    if (__isset.RunMs != rhs.__isset.RunMs)
+      return false;
+    else if (__isset.RunMs && !(RunMs == rhs.RunMs))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
@@ -3052,6 +3064,84 @@
 
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
+typedef struct _PeerLoad__isset {
+  _PeerLoad__isset() : Name(false), Calls(false), Slots(false), AgeMs(false), PacePercent(false) {}
+  bool Name :1;
+  bool Calls :1;
+  bool Slots :1;
+  bool AgeMs :1;
+  bool PacePercent :1;
+} _PeerLoad__isset;
+
+/**
+ * The load of the target beside the daemon Name as the sender knows it, AgeMs
+ * after it was reported. Calls are those that ran or waited. PacePercent is how
+ * long work takes there, 100 as on the mean target of its service.
+ */
+class PeerLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerLoad(const PeerLoad&);
+  PeerLoad(PeerLoad&&) noexcept;
+  PeerLoad& operator=(const PeerLoad&);
+  PeerLoad& operator=(PeerLoad&&) noexcept;
+  PeerLoad() noexcept
+           : Name(),
+             Calls(0),
+             Slots(0),
+             AgeMs(0),
+             PacePercent(0) {
+  }
+
+  virtual ~PeerLoad() noexcept;
+  std::string Name;
+  int32_t Calls;
+  int32_t Slots;
+  int32_t AgeMs;
+  int32_t PacePercent;
+
+  _PeerLoad__isset __isset;
+
+  void __set_Name(const std::string& val);
+
+  void __set_Calls(const int32_t val);
+
+  void __set_Slots(const int32_t val);
+
+  void __set_AgeMs(const int32_t val);
+
+  void __set_PacePercent(const int32_t val);
+
+  bool operator == (const PeerLoad & rhs) const
+  {
+    if (!(Name == rhs.Name))
+      return false;
+    if (!(Calls == rhs.Calls))
+      return false;
+    if (!(Slots == rhs.Slots))
+      return false;
+    if (!(AgeMs == rhs.AgeMs))
+      return false;
+    if (!(PacePercent == rhs.PacePercent))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerLoad &a, PeerLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerLoad& obj);
+
 typedef struct _ShedLoad__isset {
   _ShedLoad__isset() : Priority(true), PerMille(true) {}
   bool Priority :1;
@@ -3109,7 +3199,7 @@
 std::ostream& operator<<(std::ostream& out, const ShedLoad& obj);
 
 typedef struct _CallReply__isset {
-  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), Nested(true), Shed(false), BodyGranted(true), RetryAfterMs(true) {}
+  _CallReply__isset() : Id(false), Outcome(false), Code(false), Status(false), Headers(false), BodySize(false), Body(false), TargetLoad(false), Nested(true), Shed(false), BodyGranted(true), RetryAfterMs(true), Peers(false) {}
   bool Id :1;
   bool Outcome :1;
   bool Code :1;
@@ -3122,6 +3212,7 @@
   bool Shed :1;
   bool BodyGranted :1;
   bool RetryAfterMs :1;
+  bool Peers :1;
 } _CallReply__isset;
 
 /**
@@ -3129,7 +3220,7 @@
  * sent with answers to such calls. BodyGranted, of an admitted call, is the
  * number of bytes of its body that may be sent so far; -1 for all of them.
  * RetryAfterMs, of a refused call, is the time until there may be room for it;
- * 0 if it is not known.
+ * 0 if it is not known. Peers are loads of other targets.
  */
 class CallReply : public virtual ::apache::thrift::TBase {
  public:
@@ -3166,6 +3257,7 @@
   ShedLoad Shed;
   int64_t BodyGranted;
   int32_t RetryAfterMs;
+  std::vector<PeerLoad>  Peers;
 
   _CallReply__isset __isset;
 
@@ -3193,6 +3285,8 @@
 
   void __set_RetryAfterMs(const int32_t val);
 
+  void __set_Peers(const std::vector<PeerLoad> & val);
+
   bool operator == (const CallReply & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -3219,6 +3313,10 @@
       return false;
     if (!(RetryAfterMs == rhs.RetryAfterMs))
       return false;
+    if (__isset.Peers != rhs.__isset.Peers)
+      return false;
+    else if (__isset.Peers && !(Peers == rhs.Peers))
+      return false;
     return true;
   }
   bool operator != (const CallReply &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -407,7 +407,8 @@
 /**
  * LinkMs is the time that the daemon's link needs for the answers that wait or are
  * expected. PacePercent is how long work takes on the target's machine, 100 as
- * usual; 0 if the target does not tell it.
+ * usual; 0 if the target does not tell it. RunMs is the mean run time on this
+ * target of the route of the call that the load is sent for; 0 if unknown.
  */
 struct Load {
   1: i32 Running
@@ -415,6 +416,20 @@
   3: i32 Slots
   4: i32 LinkMs = 0
   5: i32 PacePercent = 0
+  6: optional i32 RunMs = 0
+}
+
+/**
+ * The load of the target beside the daemon Name as the sender knows it, AgeMs
+ * after it was reported. Calls are those that ran or waited. PacePercent is how
+ * long work takes there, 100 as on the mean target of its service.
+ */
+struct PeerLoad {
+  1: string Name
+  2: i32 Calls
+  3: i32 Slots
+  4: i32 AgeMs
+  5: i32 PacePercent
 }
 
 /**
@@ -431,7 +446,7 @@
  * sent with answers to such calls. BodyGranted, of an admitted call, is the
  * number of bytes of its body that may be sent so far; -1 for all of them.
  * RetryAfterMs, of a refused call, is the time until there may be room for it;
- * 0 if it is not known.
+ * 0 if it is not known. Peers are loads of other targets.
  */
 struct CallReply {
   1: AttemptId Id
@@ -446,6 +461,7 @@
   11: ShedLoad Shed
   12: i64 BodyGranted = -1
   13: i32 RetryAfterMs = 0
+  14: optional list<PeerLoad> Peers
 }
 
 struct CallQuery {
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -427,6 +427,26 @@
   CHECK(!Calls->readHealth(Silent));
 }
 
+TEST_CASE("the pace is read from any response and bounded") {
+  const auto Calls = platform::makeCallProtocol();
+  const auto PaceOf = [&](const char *Load) {
+    TargetResponse Response;
+    Response.Status = 503;
+    Response.Headers = {makeHeader("x-server-load", Load)};
+    return Calls->readNotice(Response).PacePercent;
+  };
+  CHECK(PaceOf("3,0,9") == 0);
+  CHECK(PaceOf("3,0,9,250") == 250);
+  CHECK(PaceOf("3,0,9,62.5") == 62);
+  CHECK(PaceOf("3,0,9,1") == 10);
+  CHECK(PaceOf("3,0,9,1e9") == 1000);
+  for (const char *Odd : {"", "3,0,9,", "3,0,9,0", "3,0,9,-100", "3,0,9,nan",
+                          "3,0,9,inf", "3,0,9,1e999", "3,0,9,x", "100"}) {
+    INFO(Odd);
+    CHECK(PaceOf(Odd) == 0);
+  }
+}
+
 // Guards against taking the fourth figure, how long work takes, for the slots.
 TEST_CASE("the slots are the third figure of a load header") {
   const auto Calls = platform::makeCallProtocol();
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -8,6 +8,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 
 using namespace persimmon;
@@ -175,3 +176,59 @@
   CHECK(parse(replaceOnce(Proxy, "\"name\"", "\"memoryMb\":0,\"name\"")).Code ==
         ResultCode::SettingsInvalid);
 }
+
+TEST_CASE("the even placement is a setting") {
+  const auto Read = [](const std::string &Text) {
+    DaemonSettings Out;
+    handleResult([&] { return DaemonSettings::parse(Text, "settings"); },
+                 [&](DaemonSettings Parsed) { Out = std::move(Parsed); });
+    return Out.EvenPlacement;
+  };
+  CHECK(!Read(Proxy));
+  CHECK(
+      Read(replaceOnce(Proxy, "\"name\"", "\"placement\":\"even\",\"name\"")));
+  CHECK(parse(replaceOnce(Proxy, "\"name\"", "\"placement\":\"odd\",\"name\""))
+            .Code == ResultCode::SettingsInvalid);
+}
+
+// Guards against settings that are no valid JSON where a deployment has no
+// value for an optional part of the template.
+TEST_CASE("the template of a proxy is valid with and without a quota window") {
+  std::ifstream In(PROXY_TEMPLATE);
+  std::ostringstream Template;
+  Template << In.rdbuf();
+  const std::string Begin = "{{#bounds.quotaWindowS}}";
+  const std::string End = "{{/bounds.quotaWindowS}}";
+  for (const bool HasWindow : {false, true}) {
+    std::string Text = Template.str();
+    const std::size_t From = Text.find(Begin);
+    const std::size_t To = Text.find(End);
+    REQUIRE(From != std::string::npos);
+    REQUIRE(To > From);
+    const std::string Inner =
+        Text.substr(From + Begin.size(), To - From - Begin.size());
+    Text.replace(From, To + End.size() - From, HasWindow ? Inner : "");
+    Text = replaceOnce(Text, R"([{{#seeds}}"{{.}}"{{,}}{{/seeds}}])",
+                       R"(["10.0.0.9:1"])");
+    for (const auto &[Name, Value] : std::map<std::string, std::string>{
+             {"nodeName", "p1"},
+             {"zone", "zone-a"},
+             {"ip", "10.0.0.1"},
+             {"service", "s"},
+             {"appAddress", "10.0.0.1:80"},
+             {"internalPorts.0", "7100"},
+             {"listen.outbound", "10.0.0.1:1"},
+             {"listen.control", "10.0.0.1:2"},
+             {"listen.readinessAddress", "10.0.0.1:3"},
+             {"limits.memoryMb", "160"},
+             {"limits.linkMbps", "4.7"}}) {
+      const std::string Field = "{{" + Name + "}}";
+      while (Text.find(Field) != std::string::npos)
+        Text = replaceOnce(Text, Field, Value);
+    }
+    INFO(Text);
+    CHECK(parse(Text).Code == ResultCode::Ok);
+    CHECK((Text.find("\"placement\": \"even\"") != std::string::npos) ==
+          HasWindow);
+  }
+}
