--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -81,6 +81,8 @@
   double LinkMbps = 0;
   /// As in NodeIdentity.
   milliseconds Revocation{0};
+  /// Whether calls are placed evenly also where targets tell no pace.
+  bool EvenPlacement = false;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -57,6 +57,9 @@
   /// Time after the removal of a key from which no call with it may run, on
   /// disconnected daemons too; 0 if these may go on serving.
   milliseconds Revocation{0};
+  /// Whether the calls of all services are placed evenly, also of those whose
+  /// targets tell no pace.
+  bool EvenPlacement = false;
 };
 
 /// Policies of a daemon; all must outlive its Node.
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -252,10 +252,10 @@
       {".", "10.0.0.2:7100"},
       {",", ""}};
   for (const char *File : {"proxy.template.json", "control.template.json"}) {
-    for (const bool Strict : {false, true}) {
+    for (const bool HasBounds : {false, true}) {
       std::set<std::string> Present = {"seeds"};
-      if (Strict)
-        Present.insert("bounds.strictRevocation");
+      if (HasBounds)
+        Present.insert({"bounds.strictRevocation", "bounds.quotaWindowS"});
       const std::string Text = render(File, Present, Values);
       INFO(Text);
       DaemonSettings Settings;
@@ -263,7 +263,23 @@
           [&] { return DaemonSettings::parse(Text, "settings"); },
           [&](DaemonSettings Read) { Settings = std::move(Read); });
       CHECK(describe(Error) == describe(Failure()));
-      CHECK(Settings.Revocation == milliseconds(Strict ? 5000 : 0));
+      CHECK(Settings.Revocation == milliseconds(HasBounds ? 5000 : 0));
+      const bool IsProxy = Settings.Role == DaemonRole::Proxy;
+      CHECK(Settings.EvenPlacement == (IsProxy && HasBounds));
     }
   }
 }
+
+TEST_CASE("the even placement is a setting") {
+  const auto Read = [](const std::string &Text) {
+    DaemonSettings Out;
+    handleResult([&] { return DaemonSettings::parse(Text, "settings"); },
+                 [&](DaemonSettings Parsed) { Out = std::move(Parsed); });
+    return Out.EvenPlacement;
+  };
+  CHECK(!Read(Proxy));
+  CHECK(
+      Read(replaceOnce(Proxy, "\"name\"", "\"placement\":\"even\",\"name\"")));
+  CHECK(parse(replaceOnce(Proxy, "\"name\"", "\"placement\":\"odd\",\"name\""))
+            .Code == ResultCode::SettingsInvalid);
+}
