--- a/tests/httpserver/test_httpserver.cpp
+++ b/tests/httpserver/test_httpserver.cpp
@@ -11,6 +11,7 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <future>
 #include <stdexcept>
 
@@ -178,3 +179,190 @@
   INFO(Answer);
   CHECK(Answer.starts_with("HTTP/1.1 500"));
 }
+
+namespace {
+
+/// Keeps requests until the test responds to them.
+class KeepingHandler : public HttpHandler {
+public:
+  void onRequest(HttpRequest Request) override {
+    this->Requests.push_back(std::move(Request));
+  }
+  void onRequestAborted(std::int64_t Id) override {
+    this->Aborted.push_back(Id);
+  }
+
+  std::vector<HttpRequest> Requests;
+  std::vector<std::int64_t> Aborted;
+};
+
+/// A server whose requests the test answers, and one connection to it.
+struct KeptServer {
+  KeptServer() {
+    const Endpoint Listen = freeEndpoint();
+    const Failure Error = handleResult(
+        [&] { return HttpServer::open(this->Io, Listen, this->Handler); },
+        [&](std::unique_ptr<HttpServer> Opened) {
+          this->Server = std::move(Opened);
+        });
+    REQUIRE(!Error.failed());
+    this->Client.connect({asio::ip::make_address(Listen.Ip), Listen.Port});
+  }
+
+  void send(const std::string &Bytes) {
+    asio::write(this->Client, asio::buffer(Bytes));
+    this->run();
+  }
+
+  void run() { this->Io.run_for(std::chrono::milliseconds(100)); }
+
+  /// Returns what has arrived; Ended tells whether the server has closed.
+  std::string receive() {
+    this->run();
+    std::string Out;
+    this->Client.non_blocking(true);
+    std::array<char, 65536> Buffer{};
+    std::error_code Error;
+    while (!Error) {
+      const std::size_t Size =
+          this->Client.read_some(asio::buffer(Buffer), Error);
+      Out.append(Buffer.data(), Size);
+    }
+    this->Ended = Error != asio::error::would_block;
+    return Out;
+  }
+
+  void respond(std::size_t Index, const std::string &Body) {
+    HttpResponse Response;
+    Response.Headers.push_back(makeHeader("X-Test", "1"));
+    Response.Body = Body;
+    this->Server->respond(this->Handler.Requests.at(Index).Id,
+                          std::move(Response));
+  }
+
+  asio::io_context Io;
+  KeepingHandler Handler;
+  std::unique_ptr<HttpServer> Server;
+  tcp::socket Client{this->Io};
+  bool Ended = false;
+};
+
+std::string get(const std::string &Url) {
+  return "GET " + Url + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+std::string answer(const std::string &Body, const std::string &Connection) {
+  return "HTTP/1.1 200 \r\nConnection: " + Connection +
+         "\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\nX-Test: 1\r\n\r\n" + Body;
+}
+
+} // namespace
+
+// Guards against changes of what ordinary clients see.
+TEST_CASE("up to four requests are read ahead and answered in their order") {
+  KeptServer Test;
+  std::string All;
+  for (int I = 0; I < 6; ++I)
+    All += get("/" + std::to_string(I));
+  Test.send(All);
+  REQUIRE(Test.Handler.Requests.size() == 4);
+  CHECK(Test.Server->pendingResponses() == 4);
+  Test.respond(1, "second");
+  CHECK(Test.receive().empty());
+  Test.respond(0, "first");
+  CHECK(Test.receive() ==
+        answer("first", "keep-alive") + answer("second", "keep-alive"));
+  REQUIRE(Test.Handler.Requests.size() == 6);
+  CHECK(Test.Handler.Requests[5].Url == "/5");
+  CHECK(!Test.Ended);
+  for (std::size_t I = 2; I < 6; ++I)
+    Test.respond(I, "x");
+  Test.receive();
+  CHECK(Test.Server->pendingResponses() == 0);
+  CHECK(Test.Handler.Aborted.empty());
+}
+
+TEST_CASE("a request that arrives in single bytes is read whole") {
+  KeptServer Test;
+  const std::string Bytes =
+      "PUT /a%20b?c HTTP/1.1\r\nHost: a\r\nX-Empty:\r\nx-case:  v w \r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3;e=1\r\nabc\r\n2\r\nde\r\n0\r\n"
+      "X-Trailer: t\r\n\r\n";
+  for (const char C : Bytes) {
+    asio::write(Test.Client, asio::buffer(&C, 1));
+    Test.Io.run_for(std::chrono::milliseconds(2));
+  }
+  Test.run();
+  REQUIRE(Test.Handler.Requests.size() == 1);
+  const HttpRequest &Request = Test.Handler.Requests.front();
+  CHECK(Request.Method == "PUT");
+  CHECK(Request.Url == "/a%20b?c");
+  CHECK(Request.Body == "abcde");
+  REQUIRE(Request.Headers.size() == 4);
+  CHECK(Request.Headers[1].Name == "X-Empty");
+  CHECK(Request.Headers[1].Value.empty());
+  CHECK(Request.Headers[2].Name == "x-case");
+  CHECK(Request.header("X-Case") == "v w ");
+  CHECK(Request.header("X-Trailer").empty());
+}
+
+TEST_CASE("a connection is closed after the answer if the client asks for it") {
+  for (const std::string &Request :
+       {std::string("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"),
+        std::string("GET / HTTP/1.0\r\n\r\n")}) {
+    KeptServer Test;
+    Test.send(Request);
+    REQUIRE(Test.Handler.Requests.size() == 1);
+    Test.respond(0, "last");
+    CHECK(Test.receive() == answer("last", "close"));
+    CHECK(Test.Ended);
+    CHECK(Test.Handler.Aborted.empty());
+  }
+}
+
+TEST_CASE("the requests of a client that leaves are reported") {
+  KeptServer Test;
+  Test.send(get("/1") + get("/2"));
+  REQUIRE(Test.Handler.Requests.size() == 2);
+  Test.respond(1, "second");
+  Test.Client.close();
+  Test.run();
+  CHECK(Test.Handler.Aborted ==
+        std::vector<std::int64_t>{Test.Handler.Requests[0].Id});
+  Test.respond(0, "first");
+  Test.run();
+  CHECK(Test.Handler.Aborted.size() == 1);
+}
+
+TEST_CASE("what is not HTTP closes the connection without an answer") {
+  for (const std::string &Bytes :
+       {std::string("\x16\x03\x01\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nno colon\r\n\r\n"),
+        "GET / HTTP/1.1\r\nX: " + std::string(70'000, 'a') + "\r\n\r\n",
+        "GET /" + std::string(17'000, 'a') + " HTTP/1.1\r\n\r\n"}) {
+    KeptServer Test;
+    Test.send(Bytes);
+    CHECK(Test.receive().empty());
+    CHECK(Test.Ended);
+    CHECK(Test.Handler.Requests.empty());
+  }
+}
+
+TEST_CASE("a large body is passed on as it was sent") {
+  KeptServer Test;
+  const std::string Body(3'000'000, 'z');
+  auto Sent = std::async(std::launch::async, [&] {
+    asio::write(Test.Client,
+                asio::buffer("POST / HTTP/1.1\r\nHost: a\r\nExpect: "
+                             "100-continue\r\nContent-Length: " +
+                             std::to_string(Body.size()) + "\r\n\r\n" + Body));
+  });
+  for (int I = 0; I < 100 && Test.Handler.Requests.empty(); ++I)
+    Test.run();
+  Sent.get();
+  REQUIRE(Test.Handler.Requests.size() == 1);
+  CHECK(Test.Handler.Requests.front().Body == Body);
+  Test.respond(0, "");
+  CHECK(Test.receive() == answer("", "keep-alive"));
+}
