--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -86,6 +86,7 @@
   Identity.Stop = this->Settings.Stop;
   Identity.RetryBurst = this->Settings.RetryBurst;
   Identity.LinkMbps = this->Settings.LinkMbps;
+  Identity.Rollouts = this->Settings.Rollouts;
   Identity.TextPrefixTeam = this->Protocols.TextPrefixTeam;
   const MemoryShares Shares =
       MemoryShares::fromSettings(this->Settings.MemoryMb);
@@ -524,6 +525,26 @@
   Set("persimmon_leading", Source.leader() ? 1 : 0);
 }
 
+void DaemonHost::setRolloutGauges(const RolloutController &Source) {
+  const auto All = Source.figures();
+  this->DaemonMetrics.setGauge("persimmon_rollouts_running",
+                               static_cast<double>(All.size()));
+  RolloutController::Figures Sum;
+  for (const RolloutController::Figures &Item : All) {
+    Sum.Total += Item.Total;
+    Sum.Exposed += Item.Exposed;
+    Sum.NewAnswers += Item.NewAnswers;
+    Sum.NewFailures += Item.NewFailures;
+  }
+  const auto Set = [this](std::string_view Name, std::int64_t Value) {
+    this->DaemonMetrics.setGauge(Name, static_cast<double>(Value));
+  };
+  Set("persimmon_rollout_calls", Sum.Total);
+  Set("persimmon_rollout_exposed_calls", Sum.Exposed);
+  Set("persimmon_rollout_answers", Sum.NewAnswers);
+  Set("persimmon_rollout_failures", Sum.NewFailures);
+}
+
 std::string DaemonHost::metricsText() {
   const Time Now = std::chrono::steady_clock::now();
   const Membership &Members = this->LocalNode->members();
@@ -539,6 +560,8 @@
                                this->LocalNode->serving() ? 1 : 0);
   if (const ControlService *Control = this->LocalNode->control())
     this->setConsensusGauges(Control->consensus());
+  if (const RolloutController *Rollouts = this->LocalNode->rollouts())
+    this->setRolloutGauges(*Rollouts);
   const OutgoingLink &Link = this->LocalNode->scheduler().link();
   this->DaemonMetrics.setGauge("persimmon_link_backlog_ms",
                                static_cast<double>(Link.backlog(Now).count()));
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -47,6 +47,8 @@
   leaf::result<void> openNode();
   /// Logs what was found on the disk.
   void logDisk();
+  /// Sets the gauges of the roll-outs that run, summed over them.
+  void setRolloutGauges(const RolloutController &Source);
   void setConsensusGauges(const Consensus &Source);
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -96,6 +96,17 @@
                     Out.Target);
 }
 
+RolloutBounds readRollouts(const json &Document) {
+  constexpr double MsPerSecond = 1000;
+  RolloutBounds Out;
+  Out.ExposureShare = Document.value("exposureShare", Out.ExposureShare);
+  Out.ExposureSlack = Document.value("exposureSlack", Out.ExposureSlack);
+  if (Document.contains("rollbackS"))
+    Out.RollbackTime = milliseconds(static_cast<std::int64_t>(
+        Document.at("rollbackS").get<double>() * MsPerSecond));
+  return Out;
+}
+
 leaf::result<void> readSeeds(const json &Document, std::string_view Where,
                              DaemonSettings &Out) {
   const json Seeds = Document.value("seeds", json::array());
@@ -191,6 +202,8 @@
     BOOST_LEAF_CHECK(readControl(Document, Where, Out));
   else
     BOOST_LEAF_CHECK(readProxy(Document, Where, Out));
+  if (Document.contains("rollouts"))
+    Out.Rollouts = readRollouts(Document.at("rollouts"));
   if (Document.contains("stop")) {
     const json &Stop = Document.at("stop");
     Out.Stop.ServeOn = milliseconds(Stop.value("serveOnMs", 0));
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -79,6 +79,8 @@
   std::int64_t MemoryMb = 0;
   /// Bandwidth of the instance's link in Mbit/s; 0 if not set.
   double LinkMbps = 0;
+  /// Bounds of roll-outs; nothing without them.
+  std::optional<RolloutBounds> Rollouts;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libhost/edgeprotocol.h
+++ b/src/libhost/edgeprotocol.h
@@ -129,8 +129,15 @@
 /// request's body.
 struct SubtreeReplacement {};
 
-/// A decoded operator request.
-using OperatorRequest = std::variant<SubtreeReplacement, SubtreeQuery>;
+/// An operator's request for the state of the last roll-out of a service.
+struct RolloutQuery {
+  /// TEAM/SERVICE.
+  std::string Service;
+};
+
+/// A decoded operator request; a Failure if it is invalid.
+using OperatorRequest = std::variant<SubtreeReplacement, SubtreeQuery,
+                                     RolloutOrder, RolloutQuery, Failure>;
 
 /// Reads an operator's document in bounded steps, since the control instance
 /// has to send heartbeats meanwhile.
@@ -178,6 +185,7 @@
   virtual std::unique_ptr<DocumentWriter>
   writeSubtree(const SettingsMap &Settings, std::string_view Team) const = 0;
   virtual HttpResponse makeAcceptedResponse() const = 0;
+  virtual HttpResponse makeRolloutResponse(const Rollout &Item) const = 0;
 
   /// Returns the response to a request that failed. \p LeaderUrl is the URL of
   /// the same request at the leader; empty if no leader is known.
--- a/src/libhost/nativeprotocol.cpp
+++ b/src/libhost/nativeprotocol.cpp
@@ -140,6 +140,11 @@
                           : State == "gone"     ? wire::TargetState::Gone
                                                 : wire::TargetState::Serving;
     Out.Address = Document.at("address").get<std::string>();
+    Out.Announced.Version = Document.value("version", "");
+    if (!Out.Announced.Version.empty() &&
+        !isValidTargetVersion(Out.Announced.Version))
+      return fail(ResultCode::RequestMalformed, "version",
+                  "a version has 1 to 100 visible ASCII characters");
   } catch (const json::exception &Error) {
     return fail(ResultCode::RequestMalformed, "target", Error.what());
   }
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -72,6 +72,25 @@
   }
 }
 
+leaf::result<RolloutOrder> readOrder(const std::string &Text) {
+  BOOST_LEAF_AUTO(Document,
+                  parseJson(Text, ResultCode::ValueInvalid, "request"));
+  std::string Service;
+  std::string Version;
+  double DurationS = 0;
+  try {
+    Service = Document.at("service").get<std::string>();
+    Version = Document.at("targetVersion").get<std::string>();
+    DurationS = Document.at("durationS").get<double>();
+  } catch (const json::exception &Error) {
+    return fail(ResultCode::ValueInvalid, "request", Error.what());
+  }
+  if (Service.find('/') == std::string::npos)
+    return fail(ResultCode::ValueInvalid, "service", "expected TEAM/SERVICE");
+  BOOST_LEAF_CHECK(parseSettingPath(rolloutPath(Service)));
+  return makeRolloutOrder(std::move(Service), std::move(Version), DurationS);
+}
+
 leaf::result<wire::TeamGrant> makeGrant(std::string Team,
                                         std::string_view Token) {
   if (Token.size() < MinTokenBytes)
@@ -126,7 +145,8 @@
                          const OperatorProtocol *TheExternalProtocol,
                          EventSink &TheSink)
     : Io(Context), Sink(TheSink), ExternalProtocol(TheExternalProtocol),
-      OperatorPort(Settings.Operators->Port), OpenTeams(Settings.OpenTeams) {}
+      OperatorPort(Settings.Operators->Port), OpenTeams(Settings.OpenTeams),
+      HasRollouts(Settings.Rollouts.has_value()) {}
 
 leaf::result<std::unique_ptr<OperatorApi>>
 OperatorApi::open(asio::io_context &Io, const DaemonSettings &Settings,
@@ -163,10 +183,42 @@
     this->Sink.submit(ReadRequested{Request.Id});
     return true;
   }
-  this->startReading(Request);
+  if (std::holds_alternative<SubtreeReplacement>(*Decoded)) {
+    this->startReading(Request);
+    return true;
+  }
+  if (!this->HasRollouts)
+    return false;
+  this->handleExternalRollout(Request, *Decoded);
   return true;
 }
 
+void OperatorApi::handleExternalRollout(const HttpRequest &Request,
+                                        const OperatorRequest &Decoded) {
+  if (const auto *Error = std::get_if<Failure>(&Decoded))
+    return this->refuseExternal(Request.Id, *Error);
+  ExternalRequest &Pending = this->ExternalRequests[Request.Id];
+  Pending.Url = Request.Url;
+  if (const auto *Query = std::get_if<RolloutQuery>(&Decoded)) {
+    Pending.QueriedRollout = Query->Service;
+    return this->Sink.submit(ReadRequested{Request.Id});
+  }
+  this->submitOrder(Request, std::get<RolloutOrder>(Decoded));
+}
+
+void OperatorApi::submitOrder(const HttpRequest &Request, RolloutOrder Order) {
+  RolloutRequested Event;
+  Event.RequestId = Request.Id;
+  Event.Token = std::string(bearerToken(Request));
+  Event.Trusted = std::find(this->OpenTeams.begin(), this->OpenTeams.end(),
+                            Order.Service.substr(0, Order.Service.find('/'))) !=
+                  this->OpenTeams.end();
+  logInfo("event=rollout-ordered service=" + Order.Service + " version=" +
+          Order.Version + " durationMs=" + std::to_string(Order.DurationMs));
+  Event.Order = std::move(Order);
+  this->Sink.submit(std::move(Event));
+}
+
 void OperatorApi::startReading(const HttpRequest &Request) {
   ReplaceRequested Event;
   Event.RequestId = Request.Id;
@@ -259,7 +311,16 @@
   if (Answer.Error.failed())
     Response = this->ExternalProtocol->makeErrorResponse(
         Answer.Error, this->leaderUrl(Answer.LeaderAddress, Request.Url));
-  else if (Request.QueriedTeam.empty())
+  else if (!Request.QueriedRollout.empty()) {
+    const auto Found =
+        findRollout(this->Sink.node().control()->store().settings(),
+                    Request.QueriedRollout);
+    Response =
+        Found
+            ? this->ExternalProtocol->makeRolloutResponse(*Found)
+            : this->ExternalProtocol->makeErrorResponse(
+                  {ResultCode::RolloutUnknown, Request.QueriedRollout, {}}, {});
+  } else if (Request.QueriedTeam.empty())
     Response = this->ExternalProtocol->makeAcceptedResponse();
   else {
     this->Writings.emplace(Answer.RequestId,
@@ -293,6 +354,8 @@
   const std::string Route = Request.Method + " " + Request.Url;
   if (Route == "POST /v1/changes")
     return this->handleChange(Request);
+  if (Route == "POST /v1/rollouts" && this->HasRollouts)
+    return this->handleRollout(Request);
   if (Route == "POST /v1/teams")
     return this->handleTeam(Request);
   if (Route == "POST /v1/init")
@@ -343,6 +406,16 @@
     this->sendError(Request.Id, Error);
 }
 
+void OperatorApi::handleRollout(const HttpRequest &Request) {
+  const Failure Error =
+      handleResult([&] { return readOrder(Request.Body); },
+                   [&](RolloutOrder Order) {
+                     this->submitOrder(Request, std::move(Order));
+                   });
+  if (Error.failed())
+    this->sendError(Request.Id, Error);
+}
+
 void OperatorApi::handleTeam(const HttpRequest &Request) {
   const Failure Error = handleResult(
       [&] { return readGrant(Request.Body, false); },
@@ -443,7 +516,8 @@
                      {"service", Record.Service},
                      {"target", wire::to_string(Record.Target)},
                      {"unwell", Record.Unwell},
-                     {"slots", Record.Slots}});
+                     {"slots", Record.Slots},
+                     {"targetVersion", Record.TargetVersion}});
   return {{"members", std::move(Items)}};
 }
 
--- a/src/libhost/operatorapi.h
+++ b/src/libhost/operatorapi.h
@@ -36,8 +36,10 @@
   /// A request of another system's API that has not been answered yet.
   struct ExternalRequest {
     std::string Url;
-    /// The team whose subtree is read; empty for a change.
+    /// The team whose subtree is read, or the service whose roll-out is; both
+    /// empty for a change.
     std::string QueriedTeam;
+    std::string QueriedRollout;
   };
 
   void onRequest(HttpRequest Request) override;
@@ -51,6 +53,8 @@
   };
 
   bool handleExternalRequest(const HttpRequest &Request);
+  void handleExternalRollout(const HttpRequest &Request,
+                             const OperatorRequest &Decoded);
   void startReading(const HttpRequest &Request);
   /// Continues the work on a request later. If that fails, the request is
   /// refused.
@@ -64,6 +68,8 @@
   std::string leaderUrl(std::string_view LeaderAddress,
                         const std::string &Url) const;
   void handleChange(const HttpRequest &Request);
+  void handleRollout(const HttpRequest &Request);
+  void submitOrder(const HttpRequest &Request, RolloutOrder Order);
   void handleTeam(const HttpRequest &Request);
   void handleInit(const HttpRequest &Request);
   void handleRecover(const HttpRequest &Request);
@@ -78,6 +84,7 @@
   const OperatorProtocol *ExternalProtocol;
   std::uint16_t OperatorPort;
   std::vector<std::string> OpenTeams;
+  bool HasRollouts;
   std::unique_ptr<HttpServer> Server;
   std::set<std::int64_t> PendingReads;
   std::map<std::int64_t, ExternalRequest> ExternalRequests;
--- a/src/libpersimmon/callrouter.cpp
+++ b/src/libpersimmon/callrouter.cpp
@@ -63,7 +63,8 @@
                        const ChoicePolicy &Policy)
     : Members(Members), Config(Config), Claims(std::move(Claims)),
       Chooser(Members.self().Zone, Seed, Policy), Split(Seed + 1),
-      Rng(Seed + 2), OwnIncarnation(Members.self().Incarnation) {}
+      Versions(Seed + 3), Rng(Seed + 2),
+      OwnIncarnation(Members.self().Incarnation) {}
 
 void CallRouter::refuse(std::int64_t CallNumber, Failure Error,
                         Effects &Out) const {
@@ -103,7 +104,10 @@
         " heard=" + std::to_string(this->Config.newestKnownVersion())});
     return this->denyRoute(Arrived, Now, Out);
   }
-  if (!this->maySend(Now))
+  const bool NewVersionInDoubt =
+      !this->Validity.OutOfTouch && !this->mayUseNewVersion(Now);
+  if (!this->maySend(Now) ||
+      (NewVersionInDoubt && this->Versions.needsConfirmation(*Table, *Route)))
     return this->hold(Arrived, Arrived.Deadline, Out);
   Call NewCall = this->makeCall(Arrived, *Route, Now);
   const ServiceSpec &Service = *Table->service(NewCall.Service);
@@ -139,6 +143,17 @@
   this->hold(Arrived, Now + ConfirmationTimeout, Out);
 }
 
+bool CallRouter::mayUseNewVersion(Time Now) const {
+  return !this->Validity.OutOfTouch && Now < this->Validity.NewVersionUntil;
+}
+
+std::vector<wire::VersionAnswers> CallRouter::rolloutCounts() {
+  const RouteTable *Table = this->Config.table().get();
+  if (Table == nullptr || !this->Versions.enabled())
+    return {};
+  return this->Versions.counts(*Table);
+}
+
 bool CallRouter::maySend(Time Now) const {
   // Once a newer version is known, its own time limit applies.
   return Now < this->Validity.ServesUntil || this->Validity.OutOfTouch ||
@@ -241,8 +256,12 @@
   Use.LargeBody = TheCall.BodySize > static_cast<std::int64_t>(InlineBodyBytes);
   Use.LargeAnswer = this->AnswerLengths.large(TheCall.RoutePath);
   Use.UsefulUntil = TheCall.UsefulUntil;
+  const RouteTable &Table = *this->Config.table();
+  const VersionRule Rule =
+      this->Versions.ruleFor(this->Members, Table, TheCall.Service,
+                             TheCall.Attempts > 0, this->mayUseNewVersion(Now));
   const TargetChoice Choice = this->Chooser.choose(
-      this->Members, TheCall.Service, TheCall.Excluded, Now, Use);
+      this->Members, TheCall.Service, TheCall.Excluded, Now, Use, Rule);
   std::string Line = "event=place call=" + TheCall.CallId +
                      " route=" + TheCall.RoutePath +
                      " service=" + TheCall.Service +
@@ -265,6 +284,8 @@
   TheCall.TargetIncarnation = Choice.Record->Incarnation;
   this->CallByAttempt[TheCall.AttemptNumber] = TheCall.Number;
   this->Chooser.started(TheCall.Target);
+  TheCall.Counted = this->Versions.started(Table, TheCall.Service,
+                                           TheCall.RoutePath, *Choice.Record);
   TheCall.SentAt = Now;
   ConnectionHealth &Health =
       this->HealthByAddress
@@ -339,6 +360,16 @@
       DropReceivedAnswer{this->attemptId(TheCall), TheCall.Address});
   this->CallByAttempt.erase(TheCall.AttemptNumber);
   this->Chooser.finished(TheCall.Target, Failed, Now);
+  this->countEnd(TheCall, VersionFilter::CallEnd::Abandoned, Now);
+}
+
+void CallRouter::countEnd(Call &TheCall, VersionFilter::CallEnd End, Time Now) {
+  // The run times of targets that are slow after their start tell nothing.
+  const milliseconds RunTime =
+      this->Chooser.warmingUp(TheCall.Target, Now)
+          ? milliseconds(-1)
+          : std::chrono::duration_cast<milliseconds>(Now - TheCall.SentAt);
+  this->Versions.ended(std::exchange(TheCall.Counted, {}), End, RunTime);
 }
 
 void CallRouter::finish(std::int64_t CallNumber, Failure Error, bool MayHaveRun,
@@ -407,6 +438,11 @@
   }
   this->AnswerLengths.addSample(TheCall.RoutePath, Reply.BodySize);
   constexpr int FirstServerError = 500;
+  this->countEnd(TheCall,
+                 Reply.Status >= FirstServerError
+                     ? VersionFilter::CallEnd::Failed
+                     : VersionFilter::CallEnd::Answered,
+                 Now);
   Out.emplace_back(AnswerCaller{TheCall.Number, Reply.Id});
   this->endAttempt(TheCall, Reply.Status >= FirstServerError, Now, Out);
   wire::AnswerAck Ack;
@@ -418,6 +454,12 @@
 void CallRouter::attemptNotRun(Call &TheCall, ResultCode Code, Time Now,
                                Effects &Out) {
   const bool Unreachable = Code == ResultCode::TargetUnreachable;
+  // A refusal by the target itself was a request to it.
+  this->countEnd(TheCall,
+                 Code == ResultCode::TargetShed
+                     ? VersionFilter::CallEnd::Abandoned
+                     : VersionFilter::CallEnd::NotRun,
+                 Now);
   this->endAttempt(TheCall, Unreachable, Now, Out);
   if (Unreachable)
     this->Chooser.unreachable(TheCall.Target, Now);
@@ -481,6 +523,8 @@
       "event=outcome-unknown call=" + TheCall.CallId + " choice=" +
       TheCall.Target + " repeatable=" + (TheCall.MayRepeat ? "yes" : "no") +
       " code=" + std::to_string(static_cast<int>(Code))});
+  if (Code == ResultCode::TargetBroke)
+    this->countEnd(TheCall, VersionFilter::CallEnd::Failed, Now);
   if (this->retryOnOtherTarget(TheCall, MayRun, Now, Out))
     return;
   this->endAttempt(TheCall, true, Now, Out);
@@ -601,6 +645,7 @@
     return;
   }
   this->cancelAttempt(TheCall, Channel::Stream, Now, Out);
+  this->countEnd(TheCall, VersionFilter::CallEnd::Failed, Now);
   this->endAttempt(TheCall, true, Now, Out);
   this->finish(TheCall.Number,
                {ResultCode::DeadlinePassed, TheCall.Service, {}}, true, Now,
--- a/src/libpersimmon/callrouter.h
+++ b/src/libpersimmon/callrouter.h
@@ -11,6 +11,7 @@
 #include "retrybudget.h"
 #include "targetchooser.h"
 #include "trafficsplit.h"
+#include "versionfilter.h"
 
 #include <map>
 #include <set>
@@ -42,6 +43,11 @@
     Time DeniesUntil = NoDeadline;
     /// Afterwards every call is held, unless OutOfTouch is set.
     Time ServesUntil = NoDeadline;
+    /// Afterwards no call uses a version of targets that is being rolled out. A
+    /// call that needs it is held, unless OutOfTouch is set. That a newer
+    /// version is known does not matter: while all calls go to the new version,
+    /// it can tell that the old targets have stopped.
+    Time NewVersionUntil = NoDeadline;
     /// No daemon can tell which version is the newest one.
     bool OutOfTouch = false;
   };
@@ -89,6 +95,11 @@
   /// retry percentages of the services.
   void setRetryBurst(int Burst) { this->RetryBurst = Burst; }
 
+  /// Makes the router choose targets by their versions.
+  void enableRollouts() { this->Versions.enable(); }
+  /// Returns the counts of running roll-outs.
+  std::vector<wire::VersionAnswers> rolloutCounts();
+
   /// Sets the addresses of the control instances that store claims.
   void setControlAddresses(std::vector<std::string> Addresses) {
     this->Claims.setControlAddresses(std::move(Addresses));
@@ -162,6 +173,8 @@
     bool Nested = false;
     /// Load shedding that the last target's daemon reported.
     wire::ShedLoad Shed;
+    /// How the attempt in progress is counted for a roll-out.
+    VersionFilter::Counted Counted;
 
     /// Returns whether an attempt is in progress.
     bool dispatched() const {
@@ -206,6 +219,10 @@
                                Now, Out);
   }
   void endAttempt(Call &TheCall, bool Failed, Time Now, Effects &Out);
+  /// Counts the end of the attempt for a roll-out, unless that was done.
+  void countEnd(Call &TheCall, VersionFilter::CallEnd End, Time Now);
+  /// Returns whether calls may use a version that is being rolled out.
+  bool mayUseNewVersion(Time Now) const;
   void refuse(std::int64_t CallNumber, Failure Error, Effects &Out) const;
   /// Returns whether the call is expected to end before this daemon exits.
   bool endsInTime(const Call &NewCall, Time Now) const;
@@ -240,6 +257,7 @@
   CancellationSender Cancellations;
   TargetChooser Chooser;
   TrafficSplit Split;
+  VersionFilter Versions;
   RetryDetector CallerRetries;
   Random Rng;
   RetryBudget Budget;
--- a/src/libpersimmon/controlservice.cpp
+++ b/src/libpersimmon/controlservice.cpp
@@ -22,6 +22,9 @@
 /// milliseconds for them.
 constexpr std::size_t EditsPerStep = 64;
 
+/// Request id of changes that no operator waits for.
+constexpr std::int64_t NoRequest = INT64_MIN;
+
 /// Returns whether the call that wants \p Wanted holds \p Existing.
 bool isHeldBy(const wire::Claim &Existing, const wire::Claim &Wanted) {
   return Existing.Owner == Wanted.Owner &&
@@ -53,6 +56,8 @@
 
 void ControlService::answer(std::int64_t RequestId, Failure Error,
                             std::int64_t Version, Effects &Out) const {
+  if (RequestId == NoRequest)
+    return;
   Out.emplace_back(AnswerOperator{RequestId, std::move(Error), Version,
                                   this->ConsensusModule.leaderAddress()});
 }
@@ -149,6 +154,48 @@
   this->enqueue(std::move(Write), Now, Out);
 }
 
+void ControlService::handle(const RolloutRequested &Request, Time Now,
+                            Effects &Out) {
+  if (this->refuseUnlessReady(Request.RequestId, Out))
+    return;
+  const std::string &Service = Request.Order.Service;
+  const std::string Team = Service.substr(0, Service.find('/'));
+  if (!Request.Trusted && !this->Store.authorized(Team, Request.Token)) {
+    this->refuseConfirmed(Request.RequestId,
+                          {ResultCode::Unauthorized, Team, {}}, Now, Out);
+    return this->applyAndPropose(Now, Out);
+  }
+  PendingWrite Write;
+  Write.RequestId = Request.RequestId;
+  Write.Entry.Kind = wire::EntryKind::Change;
+  Write.Order = Request.Order;
+  this->enqueue(std::move(Write), Now, Out);
+}
+
+void ControlService::propose(wire::Change TheChange, Time Now, Effects &Out) {
+  const bool Waits = std::any_of(
+      this->Writes.begin(), this->Writes.end(), [&](const PendingWrite &Item) {
+        return Item.Entry.TheChange.ChangeId == TheChange.ChangeId;
+      });
+  if (!this->ConsensusModule.ready() || Waits)
+    return;
+  PendingWrite Write;
+  Write.RequestId = NoRequest;
+  Write.Entry.Kind = wire::EntryKind::Change;
+  Write.Entry.TheChange = std::move(TheChange);
+  Write.Entry.TheChange.BasedOn = this->Store.version();
+  Write.Bytes = memoryOf(Write.Entry);
+  Write.Deadline = Now + RequestTimeout;
+  // A bad version must not get calls because a large document is checked.
+  const bool InFlight =
+      !this->Writes.empty() && this->Writes.front().Index != 0;
+  if (!InFlight)
+    this->Store.cancelCheck();
+  this->Writes.insert(this->Writes.begin() + (InFlight ? 1 : 0),
+                      std::move(Write));
+  this->applyAndPropose(Now, Out);
+}
+
 void ControlService::handle(const TeamRequested &Request, Time Now,
                             Effects &Out) {
   if (this->refuseUnlessReady(Request.RequestId, Out))
@@ -376,8 +423,24 @@
           Wanted = std::move(NewChange);
           Wanted.BasedOn = this->Store.version();
         });
+  bool IsResend = false;
+  if (Write.Order)
+    Refusal = handleResult(
+        [&] {
+          return startRollout(this->Store.settings(), this->Store.version(),
+                              *Write.Order);
+        },
+        [&](std::optional<wire::Change> NewChange) {
+          IsResend = !NewChange;
+          if (NewChange)
+            Wanted = std::move(*NewChange);
+        });
   if (Refusal.failed())
     return Refusal;
+  if (IsResend) {
+    Version = this->Store.version();
+    return Failure();
+  }
   this->Store.startCheck(Wanted);
   return std::nullopt;
 }
@@ -405,9 +468,24 @@
   this->WorkRequested = true;
 }
 
+bool ControlService::needsNoCheck(const PendingWrite &Write) const {
+  if (Write.RequestId != NoRequest || this->Store.table() ||
+      this->Store.outcomeOf(Write.Entry.TheChange.ChangeId))
+    return false;
+  const SettingsMap &Settings = this->Store.settings();
+  return std::all_of(Write.Entry.TheChange.Edits.begin(),
+                     Write.Entry.TheChange.Edits.end(),
+                     [&](const wire::PathEdit &Edit) {
+                       const auto Found = Settings.find(Edit.Path);
+                       return Found != Settings.end() &&
+                              Found->second.Version == Edit.ExpectedVersion;
+                     });
+}
+
 bool ControlService::advanceFirstWrite(Time Now, Effects &Out) {
   PendingWrite &Write = this->Writes.front();
-  if (Write.Entry.Kind == wire::EntryKind::Change) {
+  if (Write.Entry.Kind == wire::EntryKind::Change &&
+      !this->needsNoCheck(Write)) {
     std::int64_t Version = 0;
     if (!this->Store.checking()) {
       if (auto Early = this->prepareWrite(Write, Version))
--- a/src/libpersimmon/controlservice.h
+++ b/src/libpersimmon/controlservice.h
@@ -2,6 +2,7 @@
 
 #include "consensus.h"
 #include "events.h"
+#include "rollout.h"
 #include "settingsstore.h"
 
 #include <deque>
@@ -41,12 +42,17 @@
   /// Handle an operator's request; the response is an AnswerOperator effect.
   void handle(const ChangeRequested &Request, Time Now, Effects &Out);
   void handle(const ReplaceRequested &Request, Time Now, Effects &Out);
+  void handle(const RolloutRequested &Request, Time Now, Effects &Out);
   void handle(const TeamRequested &Request, Time Now, Effects &Out);
   void handle(const ReadRequested &Request, Time Now, Effects &Out);
   void handle(const InitRequested &Request, Time Now, Effects &Out);
   void handle(const RecoverRequested &Request, Time Now, Effects &Out);
   void handle(const BootstrapRequested &Request, Time Now, Effects &Out);
 
+  /// Commits a change of a roll-out, before the operators' changes that wait.
+  /// Without effect if it is committed already or no longer applies.
+  void propose(wire::Change TheChange, Time Now, Effects &Out);
+
   /// Continues the check of a large change.
   void continueWork(Time Now, Effects &Out);
 
@@ -95,6 +101,8 @@
     /// The requested subtree; turned into the entry's change when the write is
     /// proposed.
     std::optional<SubtreeDocument> Subtree;
+    /// The order of a roll-out, which is turned into a change likewise.
+    std::optional<RolloutOrder> Order;
     std::int64_t Index = 0;
     Time Deadline;
     std::size_t Bytes = 0;
@@ -136,6 +144,10 @@
   /// because it repeats a change or is rejected.
   std::optional<Failure> prepareWrite(PendingWrite &Write,
                                       std::int64_t &Version);
+  /// Returns whether \p Write is a valid change of this instance itself while
+  /// the settings are not compiled. A new leader would have to compile all of
+  /// them before it could roll back a bad version.
+  bool needsNoCheck(const PendingWrite &Write) const;
   /// Advances the check of the first write, and answers or proposes it at the
   /// end. Returns whether the next write can be looked at.
   bool advanceFirstWrite(Time Now, Effects &Out);
--- a/src/libpersimmon/events.h
+++ b/src/libpersimmon/events.h
@@ -2,6 +2,7 @@
 
 #include "libwire/libwire.h"
 
+#include "rollout.h"
 #include "subtree.h"
 #include "time.h"
 
@@ -131,6 +132,8 @@
   std::int64_t Sequence = 0;
   /// Duration of the slow phase after the start of the target.
   milliseconds ColdFor{0};
+  /// Version of its software; empty if it announced none.
+  std::string Version;
 };
 
 /// Returns whether a target in this state gets new calls.
@@ -220,6 +223,14 @@
   bool Trusted = false;
 };
 
+/// An operator orders a roll-out. \p Trusted as in ReplaceRequested.
+struct RolloutRequested {
+  std::int64_t RequestId = 0;
+  RolloutOrder Order;
+  std::string Token;
+  bool Trusted = false;
+};
+
 /// The administrator sets the token of a team.
 struct TeamRequested {
   std::int64_t RequestId = 0;
@@ -263,14 +274,13 @@
 /// The process was asked to stop gracefully.
 struct StopRequested {};
 
-using EventBody =
-    std::variant<Tick, MessageReceived, StreamLost, CallArrived,
-                 CallerDisconnected, TargetAnnounced, TargetFound, TargetProbed,
-                 RunFinished, ChangeRequested, TeamRequested, ReadRequested,
-                 InitRequested, RecoverRequested, StopRequested,
-                 ReplaceRequested, BootstrapRequested, TargetLeaving,
-                 SettingsChanged, StreamAlive, BodyArrived, BodyLost,
-                 BodyProgress, StreamSlow, WorkContinued, TargetDisowned>;
+using EventBody = std::variant<
+    Tick, MessageReceived, StreamLost, CallArrived, CallerDisconnected,
+    TargetAnnounced, TargetFound, TargetProbed, RunFinished, ChangeRequested,
+    TeamRequested, ReadRequested, InitRequested, RecoverRequested,
+    StopRequested, ReplaceRequested, BootstrapRequested, TargetLeaving,
+    SettingsChanged, StreamAlive, BodyArrived, BodyLost, BodyProgress,
+    StreamSlow, WorkContinued, TargetDisowned, RolloutRequested>;
 
 /// An input of the reducer with its time. WallMs is the wall clock in
 /// milliseconds since 1970, used for retention only.
--- a/src/libpersimmon/membership.cpp
+++ b/src/libpersimmon/membership.cpp
@@ -574,4 +574,15 @@
   return Out;
 }
 
+bool Membership::hasSilentTarget(std::string_view Service,
+                                 std::string_view TargetVersion) const {
+  return std::any_of(
+      this->TryUntil.begin(), this->TryUntil.end(), [&](const auto &Item) {
+        const wire::MemberRecord *Record = this->find(Item.first);
+        return Record != nullptr && Record->Service == Service &&
+               Record->Target == wire::TargetState::Serving &&
+               Record->TargetVersion == TargetVersion;
+      });
+}
+
 } // namespace persimmon
--- a/src/libpersimmon/membership.h
+++ b/src/libpersimmon/membership.h
@@ -86,6 +86,11 @@
   std::vector<std::string> silentTargetsOf(std::string_view Service,
                                            Time Now) const;
 
+  /// Returns whether one of these announced \p TargetVersion. Unlike there, the
+  /// time of the last tick counts.
+  bool hasSilentTarget(std::string_view Service,
+                       std::string_view TargetVersion) const;
+
   /// Sends the daemon \p Name at \p Address its record from before its restart,
   /// if there is one.
   void sendFormerRecord(std::string_view Name, std::string_view Address,
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds LeftAnnouncementInterval{200};
 constexpr milliseconds StaleWarningInterval{10'000};
 constexpr milliseconds ControlRefreshInterval{200};
+/// Least time between reports that tell new counts of roll-outs only. The end
+/// of a roll-out waits for them.
+constexpr milliseconds CanaryReportInterval{300};
+constexpr milliseconds FullReportInterval{100};
 
 wire::MemberRecord recordOf(const NodeIdentity &Identity, bool IsControl) {
   wire::MemberRecord Record;
@@ -37,6 +41,16 @@
   return Out;
 }
 
+/// Returns the age of the last confirmation up to which calls use a version
+/// that is being rolled out: a daemon that is disconnected has to go back to
+/// the old version by itself. While calls arrive, confirmations are requested
+/// anew after 0.6 s.
+milliseconds newVersionValidity(milliseconds RollbackTime) {
+  constexpr milliseconds Least{800};
+  constexpr milliseconds Most{1200};
+  return std::clamp(RollbackTime / 4, Least, Most);
+}
+
 template <typename T> constexpr bool HasGossipHeader = requires(const T &Body) {
   Body.Head;
 };
@@ -65,6 +79,11 @@
                       Identity.Seed + 4, Policies.Choice);
   Out->Router->setRetryBurst(Identity.RetryBurst);
   Out->Scheduler.setLinkRate(Identity.LinkMbps);
+  if (Identity.Rollouts) {
+    Out->Router->enableRollouts();
+    Out->NewVersionValidity =
+        newVersionValidity(Identity.Rollouts->RollbackTime);
+  }
   return Out;
 }
 
@@ -87,6 +106,8 @@
                        Identity.Snapshots, Identity.Seed + 5,
                        Identity.TextPrefixTeam);
   BOOST_LEAF_CHECK(Out->Control->restore(State, Now));
+  if (Identity.Rollouts)
+    Out->Rollouts.emplace(*Identity.Rollouts);
   return Out;
 }
 
@@ -112,11 +133,17 @@
       this->Scheduler.nestedEnded(Outcome, Now);
   }
   if (this->Control) {
-    if (this->Control->takeStateReplaced())
+    if (this->Control->takeStateReplaced()) {
       this->Config.replaceContent(this->Control->store().settings(),
                                   this->Control->store().version(), Out);
-    for (const AppliedChange &Applied : this->Control->takeAppliedChanges())
+      if (this->Rollouts)
+        this->Rollouts->replace(this->Control->store().settings(), Now);
+    }
+    for (const AppliedChange &Applied : this->Control->takeAppliedChanges()) {
       this->Config.applyCommitted(Applied.Change, Out);
+      if (this->Rollouts)
+        this->Rollouts->apply(Applied.Change, Now);
+    }
     this->Members.updateStamp(this->Control->stamp(), Now);
   }
   if (this->Config.version() == this->AnnouncedVersion)
@@ -138,7 +165,9 @@
   this->Members.tick(Now, Out);
   this->Config.tick(Now, Out);
   this->Config.dropIdleReplies(Now);
+  this->reportRollouts();
   this->Reports.tick(this->Members, this->Config.version(), Now, Out);
+  this->advanceRollouts(Now, Out);
   if (this->Router) {
     this->Gate.tick(Now, this->Config.version(), this->Members.self(),
                     this->ControlAddresses, Out);
@@ -157,6 +186,70 @@
     this->advanceStop(Now, Out);
 }
 
+void Node::reportRollouts() {
+  const RouteTable *Table = this->Config.table().get();
+  if (!this->Router || Table == nullptr)
+    return;
+  if (Table->rollouts().empty())
+    return this->Reports.setAnswers({}, CanaryReportInterval);
+  std::vector<wire::VersionAnswers> Counts = this->Router->rolloutCounts();
+  const Rollout *Draining = VersionFilter::findFull(*Table);
+  const bool Full = Draining != nullptr;
+  const wire::MemberRecord &Self = this->Members.self();
+  const Rollout *Order = Table->rollout(Self.Service);
+  // Also calls of daemons whose reports do not arrive.
+  if (Full && Order != nullptr && Order->running() &&
+      Self.__isset.TargetVersion && Self.TargetVersion != Order->Version) {
+    const wire::Load Load = this->Scheduler.load();
+    wire::VersionAnswers &Own = Counts.emplace_back();
+    Own.RolloutId = Order->Id;
+    Own.Version = Self.TargetVersion;
+    Own.UnderWay = Load.Running + Load.Queued;
+  }
+  this->Reports.setAnswers(std::move(Counts),
+                           Full ? FullReportInterval : CanaryReportInterval,
+                           Full ? Draining->Version : std::string());
+}
+
+std::size_t Node::targetCount(std::string_view Service,
+                              std::string_view Version) const {
+  const auto &Names = this->Members.targetsOf(Service);
+  return static_cast<std::size_t>(
+      std::count_if(Names.begin(), Names.end(), [&](const std::string &Name) {
+        const wire::MemberRecord *Record = this->Members.find(Name);
+        return Record != nullptr && Record->__isset.TargetVersion &&
+               Record->TargetVersion == Version;
+      }));
+}
+
+void Node::advanceRollouts(Time Now, Effects &Out) {
+  if (!this->Rollouts || !this->Rollouts->due(Now))
+    return;
+  const ReportTree::Summary Reports = this->Reports.summary(this->Members, Now);
+  const RolloutView View{
+      Reports, [this](std::string_view Service, std::string_view Version) {
+        return this->targetCount(Service, Version);
+      }};
+  const bool Leads = this->Control->consensus().ready();
+  for (RolloutDecision &Made : this->Rollouts->tick(View, Leads, Now)) {
+    Out.emplace_back(LogDecision{std::move(Made.Line)});
+    this->Control->propose(changeRollout(Made.Current, Made.Next), Now, Out);
+  }
+}
+
+void Node::on(const RolloutRequested &Body, const Event &TheEvent,
+              Effects &Out) {
+  if (!this->Control || !this->Rollouts)
+    return;
+  RolloutRequested Request = Body;
+  Request.Order.Established =
+      earliestVersion(this->Members, Body.Order.Service);
+  Request.Order.WallMs = TheEvent.WallMs;
+  Request.Order.MayRepeat =
+      this->Rollouts->mayRepeat(Body.Order.Service, TheEvent.At);
+  this->Control->handle(Request, TheEvent.At, Out);
+}
+
 void Node::updateOutdated(Time Now, Effects &Out) {
   if (this->Outdated == this->Config.outdated(Now))
     return;
@@ -343,6 +436,8 @@
     Record.Target = Announcement.State;
     Record.Slots = Announcement.Slots;
     Record.ColdMs = static_cast<std::int32_t>(Announcement.ColdFor.count());
+    Record.TargetVersion = Announcement.Version;
+    Record.__isset.TargetVersion = !Announcement.Version.empty();
   });
   this->announce(Out);
 }
@@ -541,9 +636,11 @@
   this->Confirmation.answerWaiting(Others, Version, Now, Out);
   this->Confirmation.tick(Others, this->Router->hasHeld(), Now, Out);
   const bool WasOutOfTouch = this->Router->validity().OutOfTouch;
-  this->Router->setValidity({this->Confirmation.deniesUntil(Version),
-                             this->Confirmation.servesUntil(Version),
-                             this->Confirmation.outOfTouch(Now)});
+  this->Router->setValidity(
+      {this->Confirmation.deniesUntil(Version),
+       this->Confirmation.servesUntil(Version),
+       this->Confirmation.confirmedAt() + this->NewVersionValidity,
+       this->Confirmation.outOfTouch(Now)});
   if (this->Router->validity().OutOfTouch && !WasOutOfTouch) {
     Out.emplace_back(LogWarning{"event=out-of-touch version=" +
                                 std::to_string(Version) + " confirmedMsAgo=" +
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -8,6 +8,7 @@
 #include "membership.h"
 #include "nestedroutedetector.h"
 #include "reporttree.h"
+#include "rolloutcontroller.h"
 #include "servinggate.h"
 #include "targetconfirmation.h"
 #include "targetwatch.h"
@@ -53,6 +54,9 @@
   std::string TextPrefixTeam;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
+  /// Bounds of roll-outs; without them there are none, and the versions of
+  /// targets are ignored.
+  std::optional<RolloutBounds> Rollouts;
 };
 
 /// Policies of a daemon; all must outlive its Node.
@@ -95,6 +99,11 @@
   /// current after the start of the daemon, and is not known to be outdated.
   bool serving() const { return this->Gate.open() && !this->Outdated; }
   bool stopping() const { return this->Stopping; }
+  /// Returns the roll-outs as a control instance observes them; null if there
+  /// are none by the settings.
+  const RolloutController *rollouts() const {
+    return this->Rollouts ? &*this->Rollouts : nullptr;
+  }
   /// Returns the last accepted announcement of this daemon's target.
   const TargetAnnounced &target() const { return this->Target.current(); }
   /// Returns whether a health response of the target is needed before it can be
@@ -129,6 +138,7 @@
   void on(const SettingsChanged &Body, const Event &TheEvent, Effects &Out);
   void on(const StopRequested &Body, const Event &TheEvent, Effects &Out);
   void on(const WorkContinued &Body, const Event &TheEvent, Effects &Out);
+  void on(const RolloutRequested &Body, const Event &TheEvent, Effects &Out);
   template <typename RequestT>
   void on(const RequestT &Body, const Event &TheEvent, Effects &Out);
 
@@ -172,6 +182,12 @@
   void receiveStampRequest(const wire::StampRequest &Request,
                            std::string_view From, Time Now, Effects &Out);
   void announce(Effects &Out);
+  /// Carries out the decisions on roll-outs that are due.
+  void advanceRollouts(Time Now, Effects &Out);
+  /// Passes what this proxy counted of roll-outs to its report.
+  void reportRollouts();
+  std::size_t targetCount(std::string_view Service,
+                          std::string_view Version) const;
 
   const Topology &VersionTopology;
 
@@ -184,6 +200,9 @@
   NestedRouteDetector NestedRoutes;
   std::optional<ControlService> Control;
   std::optional<CallRouter> Router;
+  std::optional<RolloutController> Rollouts;
+  /// As in newVersionValidity().
+  milliseconds NewVersionValidity{0};
   TargetWatch Target;
   TargetConfirmation Evidence;
   std::vector<std::string> Seeds;
--- a/src/libpersimmon/reporttree.cpp
+++ b/src/libpersimmon/reporttree.cpp
@@ -1,5 +1,7 @@
 #include "reporttree.h"
 
+#include "versionfilter.h"
+
 #include <algorithm>
 
 namespace persimmon {
@@ -38,6 +40,24 @@
                                 static_cast<std::uint64_t>(Part.NamesSum));
   Sum.Laggards.insert(Sum.Laggards.end(), Part.Laggards.begin(),
                       Part.Laggards.end());
+  addAnswers(Sum.Versions, Part.Versions);
+}
+
+/// Returns the calls that are under way to other versions.
+std::int64_t callsExcept(const std::vector<wire::VersionAnswers> &Counts,
+                         std::string_view Version) {
+  std::int64_t Out = 0;
+  for (const wire::VersionAnswers &Item : Counts)
+    Out += Item.Version == Version ? 0 : Item.UnderWay;
+  return Out;
+}
+
+/// Returns whether the reports differ in their counts of roll-outs at most.
+bool sameVersionsInForce(const wire::Report &Left, const wire::Report &Right) {
+  return std::tie(Left.From, Left.LeastVersion, Left.Count, Left.NamesSum,
+                  Left.Laggards) == std::tie(Right.From, Right.LeastVersion,
+                                             Right.Count, Right.NamesSum,
+                                             Right.Laggards);
 }
 
 bool isProxy(const wire::MemberRecord &Record) {
@@ -59,6 +79,7 @@
   Out.Count = 1;
   Out.NamesSum = static_cast<std::int64_t>(hashOf(Out.From));
   addLaggard(Out.Laggards, Out.From, VersionInForce);
+  Out.Versions = this->OwnAnswers;
   for (const auto &[Name, Item] : this->Children) {
     if (Now < Item.ValidUntil)
       addReport(Out, Item.Latest);
@@ -100,8 +121,17 @@
   });
   this->refreshParent(Members);
   wire::Report NewReport = this->subtreeReport(Members, VersionInForce, Now);
-  if (Now < this->NextKeepalive && NewReport == this->LastSent)
+  const bool Drained =
+      !this->DrainingTo.empty() &&
+      callsExcept(NewReport.Versions, this->DrainingTo) == 0 &&
+      callsExcept(this->LastSent.Versions, this->DrainingTo) != 0;
+  const bool AnswersDue =
+      Drained || (Now >= this->NextAnswers &&
+                  NewReport.Versions != this->LastSent.Versions);
+  if (Now < this->NextKeepalive && !AnswersDue &&
+      sameVersionsInForce(NewReport, this->LastSent))
     return;
+  this->NextAnswers = Now + this->AnswersInterval;
   this->NextReport = Now + ReportInterval;
   this->NextKeepalive = Now + KeepaliveInterval;
   for (const std::string &Address : this->ParentAddresses)
@@ -130,6 +160,7 @@
   Out.LeastVersion = Sum.Count == 0 ? 0 : Sum.LeastVersion;
   Out.Complete = ExpectedNames == static_cast<std::uint64_t>(Sum.NamesSum);
   Out.Laggards = std::move(Sum.Laggards);
+  Out.Answers = std::move(Sum.Versions);
   return Out;
 }
 
--- a/src/libpersimmon/reporttree.h
+++ b/src/libpersimmon/reporttree.h
@@ -23,11 +23,23 @@
     /// Whether the reports cover exactly the proxies that are alive.
     bool Complete = false;
     std::vector<wire::Laggard> Laggards;
+    /// Calls of running roll-outs.
+    std::vector<wire::VersionAnswers> Answers;
   };
 
   /// Stores the report of a child, which is valid for six seconds.
   void receive(const wire::Report &Message, Time Now);
 
+  /// Sets what this proxy counted of running roll-outs. Reports in which only
+  /// such counts changed are sent no more often than every \p Interval, except
+  /// when the last call to a version other than \p DrainingTo has ended.
+  void setAnswers(std::vector<wire::VersionAnswers> Answers,
+                  milliseconds Interval, std::string DrainingTo = {}) {
+    this->OwnAnswers = std::move(Answers);
+    this->AnswersInterval = Interval;
+    this->DrainingTo = std::move(DrainingTo);
+  }
+
   /// Sends the report for this proxy's subtree if it changed or is due.
   void tick(const Membership &Members, std::int64_t VersionInForce, Time Now,
             Effects &Out);
@@ -54,8 +66,12 @@
   std::vector<std::string> ParentAddresses;
   std::uint64_t ParentRevision = 0;
   wire::Report LastSent;
+  std::vector<wire::VersionAnswers> OwnAnswers;
+  milliseconds AnswersInterval{0};
+  std::string DrainingTo;
   Time NextKeepalive;
   Time NextReport;
+  Time NextAnswers;
 };
 
 } // namespace persimmon
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -154,9 +154,11 @@
                 "names may contain only letters, digits, '-', '_' and '.', "
                 "and at most 100 characters");
   if (Parts.Kind != "services" && Parts.Kind != "routes" &&
-      Parts.Kind != "limits" && Parts.Kind != "revision")
+      Parts.Kind != "limits" && Parts.Kind != "revision" &&
+      Parts.Kind != RolloutsKind)
     return fail(ResultCode::ValueInvalid, std::string(Path),
-                "the kind must be services, routes, limits or revision");
+                "the kind must be services, routes, limits, rollouts or "
+                "revision");
   return Parts;
 }
 
@@ -209,6 +211,11 @@
                                              : Found->second.Spec.get();
 }
 
+const Rollout *RouteTable::rollout(std::string_view Service) const {
+  const auto Found = this->Rollouts.find(Service);
+  return Found == this->Rollouts.end() ? nullptr : Found->second.get();
+}
+
 RouteTableBuilder::RouteTableBuilder(std::shared_ptr<const RouteTable> TheBase,
                                      const RouteTable *ReusedTable,
                                      CompileOptions TheOptions)
@@ -227,6 +234,12 @@
       return this->putRoute(Path, Value);
     if (Parts.Kind == "limits")
       return this->putLimits(Path, Value);
+    if (Parts.Kind == RolloutsKind) {
+      BOOST_LEAF_AUTO(Item, readRollout(Path, Value));
+      auto &Entry = this->Result->Rollouts[Item.Service];
+      Entry = std::make_shared<const Rollout>(std::move(Item));
+      return {};
+    }
     if (this->Options.Mode == Validation::Required)
       BOOST_LEAF_CHECK(
           parseValue(Path, Value, revisionSchema(), this->Options.Mode));
@@ -307,6 +320,8 @@
     this->ServiceRemoved =
         this->Result->ServiceEntries.erase(serviceNameOf(Parts)) != 0 ||
         this->ServiceRemoved;
+  } else if (Parts.Kind == RolloutsKind) {
+    this->Result->Rollouts.erase(serviceNameOf(Parts));
   } else if (Parts.Kind == "limits") {
     this->Result->LimitsByPath.erase(std::string(Path));
   } else if (Parts.Kind == "routes") {
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -2,6 +2,7 @@
 
 #include "libwire/libwire.h"
 
+#include "rollout.h"
 #include "settingsmap.h"
 #include "time.h"
 
@@ -101,6 +102,13 @@
   /// Returns the service, or nullptr.
   const ServiceSpec *service(std::string_view Name) const;
 
+  /// Returns the last roll-out of the service, or nullptr.
+  const Rollout *rollout(std::string_view Service) const;
+  using RolloutMap =
+      std::map<std::string, std::shared_ptr<const Rollout>, std::less<>>;
+  /// Returns the roll-outs by service.
+  const RolloutMap &rollouts() const { return this->Rollouts; }
+
   const CallerLimits &limits() const { return this->Limits; }
 
   std::size_t routeCount() const { return this->Routes; }
@@ -133,6 +141,7 @@
       RoutesByJob;
   std::map<std::string, CallerLimits, std::less<>> LimitsByPath;
   CallerLimits Limits;
+  RolloutMap Rollouts;
   std::size_t Routes = 0;
 };
 
--- a/src/libpersimmon/subtree.cpp
+++ b/src/libpersimmon/subtree.cpp
@@ -64,6 +64,12 @@
        Item != Current.end() && Item->first.starts_with(Prefix); ++Item) {
     if (Item->first == RecordPath || Wanted.Values.count(Item->first) != 0)
       continue;
+    // Roll-outs are ordered apart from the document. That of a service lasts as
+    // long as the service.
+    const std::string Name = Item->first.substr(Item->first.rfind('/') + 1);
+    if (isRolloutPath(Item->first) &&
+        Wanted.Values.count(Prefix + "services/" + Name) != 0)
+      continue;
     wire::PathEdit Edit = makeEdit(Item->first, &Item->second);
     Edit.Remove = true;
     Out.Edits.push_back(std::move(Edit));
--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -106,15 +106,20 @@
 TargetChoice TargetChooser::choose(const Membership &Members,
                                    std::string_view Service,
                                    const std::set<std::string> &Excluded,
-                                   Time Now, const LinkUse &Use) {
+                                   Time Now, const LinkUse &Use,
+                                   const VersionRule &Versions) {
   this->OwnName = Members.self().Name;
   std::vector<const wire::MemberRecord *> Eligible;
   std::size_t Unwell = 0;
   std::size_t Ejected = 0;
+  std::size_t Allowed = 0;
   const auto AddEligible = [&](const std::vector<std::string> &Names) {
     for (const std::string &Name : Names) {
       const wire::MemberRecord *Record = Members.find(Name);
-      if (Record == nullptr || Excluded.count(Name) != 0)
+      if (Record == nullptr || !Versions.allows(*Record))
+        continue;
+      Allowed += 1;
+      if (Excluded.count(Name) != 0)
         continue;
       Eligible.push_back(Record);
       Unwell += Record->Unwell ? 1 : 0;
@@ -124,7 +129,7 @@
   AddEligible(Members.targetsOf(Service));
   // A service whose targets all fell silent at once is more likely cut off by
   // full links than gone.
-  const bool AllSilent = Members.targetsOf(Service).empty();
+  const bool AllSilent = Allowed == 0;
   if (AllSilent)
     AddEligible(Members.silentTargetsOf(Service, Now));
   const auto Unreachable = [&](const wire::MemberRecord *Record) {
@@ -192,6 +197,11 @@
   return Out;
 }
 
+bool TargetChooser::warmingUp(std::string_view Name, Time Now) const {
+  const auto Found = this->Targets.find(Name);
+  return Found != this->Targets.end() && Now < Found->second.RampUntil;
+}
+
 void TargetChooser::started(std::string_view Name) {
   const auto Found = this->Targets.find(Name);
   if (Found != this->Targets.end())
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -2,6 +2,7 @@
 
 #include "membership.h"
 #include "random.h"
+#include "versionfilter.h"
 
 #include <map>
 #include <set>
@@ -63,10 +64,15 @@
   /// Chooses a target of \p Service that is not in \p Excluded. Calls with a
   /// large body or answer go to the local target while it has free capacity,
   /// because the body then uses no link. For a large answer, the load of a
-  /// target includes the backlog of its daemon's link.
+  /// target includes the backlog of its daemon's link. Only targets that
+  /// \p Versions allows are candidates.
   TargetChoice choose(const Membership &Members, std::string_view Service,
                       const std::set<std::string> &Excluded, Time Now,
-                      const LinkUse &Use = {});
+                      const LinkUse &Use = {},
+                      const VersionRule &Versions = {});
+
+  /// Returns whether the target is still slow after its start.
+  bool warmingUp(std::string_view Name, Time Now) const;
 
   /// Records that an attempt was sent.
   void started(std::string_view Name);
--- a/src/libpersimmon/targetconfirmation.cpp
+++ b/src/libpersimmon/targetconfirmation.cpp
@@ -92,6 +92,7 @@
     return std::nullopt;
   Out.Target = announcementOf(*this->Healthy);
   Out.Target.Born = this->Former->Run.Born;
+  Out.Target.Version = this->Former->TargetVersion;
   return Out;
 }
 
--- a/src/libpersimmon/targetwatch.cpp
+++ b/src/libpersimmon/targetwatch.cpp
@@ -50,9 +50,12 @@
     Next.State = wire::TargetState::Draining;
   if (SameRun)
     Next.Born = std::max(Next.Born, this->Current.Born);
+  if (SameRun && Next.Version.empty())
+    Next.Version = this->Current.Version;
   const bool Changed = !SameRun || Next.State != this->Current.State ||
                        Next.Service != this->Current.Service ||
-                       Next.Slots != this->Current.Slots;
+                       Next.Slots != this->Current.Slots ||
+                       Next.Version != this->Current.Version;
   this->Current = Next;
   return Changed ? AnnouncementResult::Accepted : AnnouncementResult::Unchanged;
 }
--- a/src/libwire/gen/persimmon_types.cpp
+++ b/src/libwire/gen/persimmon_types.cpp
@@ -5871,6 +5871,22 @@
 void VersionAnswers::__set_RunMs(const int64_t val) {
   this->RunMs = val;
 }
+
+void VersionAnswers::__set_Started(const int64_t val) {
+  this->Started = val;
+}
+
+void VersionAnswers::__set_UnderWay(const int32_t val) {
+  this->UnderWay = val;
+}
+
+void VersionAnswers::__set_Timed(const int64_t val) {
+  this->Timed = val;
+}
+
+void VersionAnswers::__set_LogRunMs(const int64_t val) {
+  this->LogRunMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const VersionAnswers& obj)
 {
   obj.printTo(out);
@@ -5947,6 +5963,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Started);
+          this->__isset.Started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->UnderWay);
+          this->__isset.UnderWay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Timed);
+          this->__isset.Timed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LogRunMs);
+          this->__isset.LogRunMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5988,6 +6036,22 @@
   xfer += oprot->writeI64(this->RunMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Started", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->Started);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("UnderWay", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->UnderWay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Timed", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->Timed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LogRunMs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->LogRunMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6001,6 +6065,10 @@
   swap(a.Answers, b.Answers);
   swap(a.Failures, b.Failures);
   swap(a.RunMs, b.RunMs);
+  swap(a.Started, b.Started);
+  swap(a.UnderWay, b.UnderWay);
+  swap(a.Timed, b.Timed);
+  swap(a.LogRunMs, b.LogRunMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -6011,6 +6079,10 @@
   Answers = other225.Answers;
   Failures = other225.Failures;
   RunMs = other225.RunMs;
+  Started = other225.Started;
+  UnderWay = other225.UnderWay;
+  Timed = other225.Timed;
+  LogRunMs = other225.LogRunMs;
   __isset = other225.__isset;
 }
 VersionAnswers::VersionAnswers(VersionAnswers&& other226) noexcept {
@@ -6020,6 +6092,10 @@
   Answers = other226.Answers;
   Failures = other226.Failures;
   RunMs = other226.RunMs;
+  Started = other226.Started;
+  UnderWay = other226.UnderWay;
+  Timed = other226.Timed;
+  LogRunMs = other226.LogRunMs;
   __isset = other226.__isset;
 }
 VersionAnswers& VersionAnswers::operator=(const VersionAnswers& other227) {
@@ -6029,6 +6105,10 @@
   Answers = other227.Answers;
   Failures = other227.Failures;
   RunMs = other227.RunMs;
+  Started = other227.Started;
+  UnderWay = other227.UnderWay;
+  Timed = other227.Timed;
+  LogRunMs = other227.LogRunMs;
   __isset = other227.__isset;
   return *this;
 }
@@ -6039,6 +6119,10 @@
   Answers = other228.Answers;
   Failures = other228.Failures;
   RunMs = other228.RunMs;
+  Started = other228.Started;
+  UnderWay = other228.UnderWay;
+  Timed = other228.Timed;
+  LogRunMs = other228.LogRunMs;
   __isset = other228.__isset;
   return *this;
 }
@@ -6051,6 +6135,10 @@
   out << ", " << "Answers=" << to_string(Answers);
   out << ", " << "Failures=" << to_string(Failures);
   out << ", " << "RunMs=" << to_string(RunMs);
+  out << ", " << "Started=" << to_string(Started);
+  out << ", " << "UnderWay=" << to_string(UnderWay);
+  out << ", " << "Timed=" << to_string(Timed);
+  out << ", " << "LogRunMs=" << to_string(LogRunMs);
   out << ")";
 }
 
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -2324,19 +2324,26 @@
 std::ostream& operator<<(std::ostream& out, const Laggard& obj);
 
 typedef struct _VersionAnswers__isset {
-  _VersionAnswers__isset() : RolloutId(false), Version(false), Route(false), Answers(false), Failures(false), RunMs(false) {}
+  _VersionAnswers__isset() : RolloutId(false), Version(false), Route(false), Answers(false), Failures(false), RunMs(false), Started(true), UnderWay(true), Timed(true), LogRunMs(true) {}
   bool RolloutId :1;
   bool Version :1;
   bool Route :1;
   bool Answers :1;
   bool Failures :1;
   bool RunMs :1;
+  bool Started :1;
+  bool UnderWay :1;
+  bool Timed :1;
+  bool LogRunMs :1;
 } _VersionAnswers__isset;
 
 /**
- * Answers of the targets of a service with one software version on one route,
- * summed over the daemons that are reported. RunMs is the sum of their run times.
- * RolloutId names the roll-out during which they were counted.
+ * Calls to the targets of a service with one software version on one route, summed
+ * over the daemons that are reported. Started counts the calls that reached a
+ * target, UnderWay those of them that have not ended. RunMs is the sum of the run
+ * times of the Timed answers: those that are no failures and not of a target that is
+ * still slow after its start. LogRunMs is the sum of their natural logarithms, in
+ * thousandths. RolloutId names the roll-out during which they were counted.
  */
 class VersionAnswers : public virtual ::apache::thrift::TBase {
  public:
@@ -2351,7 +2358,11 @@
                    Route(),
                    Answers(0),
                    Failures(0),
-                   RunMs(0) {
+                   RunMs(0),
+                   Started(0LL),
+                   UnderWay(0),
+                   Timed(0LL),
+                   LogRunMs(0LL) {
   }
 
   virtual ~VersionAnswers() noexcept;
@@ -2361,6 +2372,10 @@
   int64_t Answers;
   int64_t Failures;
   int64_t RunMs;
+  int64_t Started;
+  int32_t UnderWay;
+  int64_t Timed;
+  int64_t LogRunMs;
 
   _VersionAnswers__isset __isset;
 
@@ -2376,6 +2391,14 @@
 
   void __set_RunMs(const int64_t val);
 
+  void __set_Started(const int64_t val);
+
+  void __set_UnderWay(const int32_t val);
+
+  void __set_Timed(const int64_t val);
+
+  void __set_LogRunMs(const int64_t val);
+
   bool operator == (const VersionAnswers & rhs) const
   {
     if (!(RolloutId == rhs.RolloutId))
@@ -2390,6 +2413,14 @@
       return false;
     if (!(RunMs == rhs.RunMs))
       return false;
+    if (!(Started == rhs.Started))
+      return false;
+    if (!(UnderWay == rhs.UnderWay))
+      return false;
+    if (!(Timed == rhs.Timed))
+      return false;
+    if (!(LogRunMs == rhs.LogRunMs))
+      return false;
     return true;
   }
   bool operator != (const VersionAnswers &rhs) const {
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -292,9 +292,12 @@
 }
 
 /**
- * Answers of the targets of a service with one software version on one route,
- * summed over the daemons that are reported. RunMs is the sum of their run times.
- * RolloutId names the roll-out during which they were counted.
+ * Calls to the targets of a service with one software version on one route, summed
+ * over the daemons that are reported. Started counts the calls that reached a
+ * target, UnderWay those of them that have not ended. RunMs is the sum of the run
+ * times of the Timed answers: those that are no failures and not of a target that is
+ * still slow after its start. LogRunMs is the sum of their natural logarithms, in
+ * thousandths. RolloutId names the roll-out during which they were counted.
  */
 struct VersionAnswers {
   1: string RolloutId
@@ -303,6 +306,10 @@
   4: i64 Answers
   5: i64 Failures
   6: i64 RunMs
+  7: i64 Started = 0
+  8: i32 UnderWay = 0
+  9: i64 Timed = 0
+  10: i64 LogRunMs = 0
 }
 
 /**
--- a/src/persimmonctl/commandline.cpp
+++ b/src/persimmonctl/commandline.cpp
@@ -26,6 +26,7 @@
     "  get [PATH]          show settings below a path\n"
     "  status              show leader, versions and convergence\n"
     "  members             show daemons and targets\n"
+    "  rollout             order a roll-out, or show the last ones\n"
     "  recover             continue after a quorum of disks was lost\n"
     "\n"
     "Options:\n"
@@ -65,6 +66,11 @@
                  "setting. A service that a route uses is not deleted.\n"},
       {"get", "persimmonctl get [PATH]\n\nShows the settings whose path begins "
               "with PATH, with their versions.\n"},
+      {"rollout",
+       "persimmonctl --token TEAM-TOKEN rollout start TEAM/SERVICE VERSION "
+       "SECONDS\npersimmonctl rollout show [TEAM/SERVICE]\n\nOrders that the "
+       "calls of a service move to its targets of another version, or\nshows "
+       "the last roll-out of each service.\n"},
       {"status", "persimmonctl status\n\nShows the leader, the configuration "
                  "version, and on how many proxies it is in\nforce, with the "
                  "names of those that lag. Exits with 1 without a leader.\n"},
--- a/src/persimmonctl/commands.cpp
+++ b/src/persimmonctl/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include <charconv>
 #include <chrono>
 #include <fstream>
 #include <iostream>
@@ -344,6 +345,74 @@
   }
 };
 
+class RolloutCommand : public Command {
+public:
+  leaf::result<void> run(const CommandLine &Line,
+                         const ControlClient &Client) const override {
+    const std::vector<std::string> &Operands = Line.Operands;
+    if (Operands.size() == 5 && Operands[1] == "start")
+      return start(Line, Client);
+    if ((Operands.size() == 2 || Operands.size() == 3) && Operands[1] == "show")
+      return show(Line, Client);
+    return fail(ResultCode::UsageError, "rollout",
+                "expected start TEAM/SERVICE VERSION SECONDS or show "
+                "[TEAM/SERVICE]");
+  }
+
+private:
+  static leaf::result<void> start(const CommandLine &Line,
+                                  const ControlClient &Client) {
+    double Seconds = 0;
+    const std::string &Text = Line.Operands[4];
+    const auto [End, Error] =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+    if (Error != std::errc() || End != Text.data() + Text.size())
+      return fail(ResultCode::UsageError, "rollout",
+                  "expected a number of seconds");
+    BOOST_LEAF_AUTO(
+        Answer, Client.requestFromLeader("POST", "/v1/rollouts",
+                                         {{"service", Line.Operands[2]},
+                                          {"targetVersion", Line.Operands[3]},
+                                          {"durationS", Seconds}}));
+    std::cout << (Line.Json ? Answer.dump() : "roll-out accepted") << '\n';
+    return {};
+  }
+
+  static leaf::result<void> show(const CommandLine &Line,
+                                 const ControlClient &Client) {
+    BOOST_LEAF_AUTO(Current, fetchSettings(Client));
+    json Items = json::array();
+    for (const auto &[Path, Item] : Current.Entries) {
+      const std::size_t Kind = Path.find("/rollouts/");
+      if (Kind == std::string::npos || Kind != Path.find('/'))
+        continue;
+      const std::string Service =
+          Path.substr(0, Kind) + Path.substr(Path.rfind('/'));
+      if (Line.Operands.size() == 3 && Line.Operands[2] != Service)
+        continue;
+      json Shown = Item.at("value");
+      Shown["service"] = Service;
+      Items.push_back(std::move(Shown));
+    }
+    if (Items.empty() && Line.Operands.size() == 3)
+      return fail(ResultCode::RolloutUnknown, Line.Operands[2]);
+    if (Line.Json) {
+      std::cout << json{{"rollouts", Items}}.dump() << '\n';
+      return {};
+    }
+    for (const json &Item : Items)
+      std::cout << Item.at("service").get<std::string>() << ' '
+                << Item.value("established", "-") << " -> "
+                << Item.at("version").get<std::string>() << ' '
+                << Item.at("state").get<std::string>() << ' '
+                << Item.at("stage").get<std::string>() << ", canary "
+                << Item.at("canaryPerMille") << " per mille, after "
+                << Item.at("elapsedMs") << " of " << Item.at("durationMs")
+                << " ms\n";
+    return {};
+  }
+};
+
 class RecoverCommand : public Command {
 public:
   leaf::result<void> run(const CommandLine &Line,
@@ -384,6 +453,8 @@
     Out = std::make_unique<StatusCommand>();
   else if (Name == "members")
     Out = std::make_unique<MembersCommand>();
+  else if (Name == "rollout")
+    Out = std::make_unique<RolloutCommand>();
   else if (Name == "recover")
     Out = std::make_unique<RecoverCommand>();
   else
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -200,6 +200,15 @@
   CHECK(Statement.Announced.Born == 1700000000000);
   CHECK(Statement.Announced.Sequence == 4);
   CHECK(Statement.Announced.ColdFor == milliseconds(1500));
+  CHECK(Statement.Announced.Version == "v1");
+  // A target that sends something else there is served as before.
+  for (const json &Odd : {json(7), json(""), json("a b"), json::array(),
+                          json(std::string(101, 'v'))}) {
+    json Other = Announcement;
+    Other["version"] = Odd;
+    const auto Read = Locals->decode(request("POST", Url, Other.dump()));
+    CHECK(std::get<TargetAnnouncement>(*Read).Announced.Version.empty());
+  }
   for (const char *Key : {"service", "address", "slots", "state", "sequence"}) {
     json Malformed = Announcement;
     Malformed.erase(Key);
@@ -408,6 +417,128 @@
       503);
 }
 
+TEST_CASE("orders of roll-outs are decoded and malformed ones refused") {
+  const auto Operators = platform::makeOperatorProtocol();
+  const std::string Url = "/persimmonwheel/Rollouts.Start";
+  const json Order = {
+      {"service", "one"}, {"targetVersion", "v2"}, {"durationS", 12.5}};
+  const auto Decode = [&](const std::string &Body) {
+    auto Out = Operators->decode(request("POST", Url, Body));
+    REQUIRE(Out);
+    return *Out;
+  };
+  const OperatorRequest Decoded = Decode(Order.dump());
+  const RolloutOrder Read = std::get<RolloutOrder>(Decoded);
+  CHECK(Read.Service == "mesh/one");
+  CHECK(Read.Version == "v2");
+  CHECK(Read.DurationMs == 12'500);
+  // A resend is recognized, another order is told apart.
+  CHECK(std::get<RolloutOrder>(Decode(Order.dump(2))).Digest == Read.Digest);
+  json Other = Order;
+  Other["durationS"] = 12;
+  CHECK(std::get<RolloutOrder>(Decode(Other.dump())).Digest != Read.Digest);
+  const auto IsRefused = [&](const std::string &Body) {
+    const OperatorRequest Result = Decode(Body);
+    const auto *Error = std::get_if<Failure>(&Result);
+    return Error != nullptr && Error->Code == ResultCode::ValueInvalid;
+  };
+  for (const char *Key : {"service", "targetVersion", "durationS"}) {
+    json Malformed = Order;
+    Malformed.erase(Key);
+    CHECK(IsRefused(Malformed.dump()));
+    for (const json &Odd : {json::array(), json(""), json(nullptr), json(-1),
+                            json("a b"), json(std::string(200, 'x'))}) {
+      Malformed[Key] = Odd;
+      INFO(Malformed.dump());
+      CHECK(IsRefused(Malformed.dump()));
+    }
+  }
+  CHECK(IsRefused("{"));
+  CHECK(IsRefused("[]"));
+  CHECK(IsRefused(""));
+  json Slash = Order;
+  Slash["service"] = "one/two";
+  CHECK(IsRefused(Slash.dump()));
+}
+
+TEST_CASE("the state of a roll-out is queried by service") {
+  const auto Operators = platform::makeOperatorProtocol();
+  const auto Query =
+      Operators->decode(request("GET", "/persimmonwheel/Rollouts.Get/one"));
+  REQUIRE(Query);
+  CHECK(std::get<RolloutQuery>(*Query).Service == "mesh/one");
+  const auto Odd =
+      Operators->decode(request("GET", "/persimmonwheel/Rollouts.Get/a%20b"));
+  REQUIRE(Odd);
+  CHECK(std::get<Failure>(*Odd).Code == ResultCode::ValueInvalid);
+  Rollout Item;
+  Item.Version = "v2";
+  for (const auto &[State, Name] :
+       {std::pair(RolloutState::Running, "running"),
+        std::pair(RolloutState::Completed, "completed"),
+        std::pair(RolloutState::RolledBack, "rolled_back")}) {
+    Item.State = State;
+    const HttpResponse Answer = Operators->makeRolloutResponse(Item);
+    CHECK(Answer.Status == 200);
+    CHECK(json::parse(Answer.Body) ==
+          json{{"state", Name}, {"targetVersion", "v2"}});
+  }
+  const auto StatusOf = [&](ResultCode Code) {
+    return Operators->makeErrorResponse({Code, {}, {}}, "").Status;
+  };
+  CHECK(StatusOf(ResultCode::RolloutRunning) == 409);
+  CHECK(StatusOf(ResultCode::RolloutUnknown) == 404);
+  CHECK(StatusOf(ResultCode::OutcomePending) == 503);
+}
+
+// Guards against a roll-out that ends, or shows, because a configuration is
+// replaced while it runs.
+TEST_CASE("a roll-out is no part of the document and outlives it") {
+  SettingsStore Store = storeWithExample();
+  RolloutOrder Order;
+  handleResult([] { return makeRolloutOrder("mesh/one", "v2", 12); },
+               [&](RolloutOrder Made) { Order = std::move(Made); });
+  wire::LogEntry Entry;
+  Entry.Kind = wire::EntryKind::Change;
+  Entry.Index = 2;
+  handleResult(
+      [&] { return startRollout(Store.settings(), Store.version(), Order); },
+      [&](std::optional<wire::Change> Made) {
+        Entry.TheChange = std::move(*Made);
+      });
+  REQUIRE(!Store.check(Entry.TheChange).failed());
+  Store.apply(Entry);
+  REQUIRE(findRollout(Store.settings(), "mesh/one"));
+  REQUIRE(Store.table()->rollout("mesh/one") != nullptr);
+  json Sent = json::parse(Example);
+  Sent.erase("baseVersion");
+  CHECK(sorted(platform::writeConfiguration(Store.settings())) == sorted(Sent));
+  const auto Replace = [&](const json &Document) {
+    SubtreeDocument Read;
+    handleResult([&] { return platform::readConfiguration(Document.dump()); },
+                 [&](SubtreeDocument Made) { Read = std::move(Made); });
+    const Failure Error = handleResult(
+        [&] { return replaceSubtree(Store.settings(), Read); },
+        [&](wire::Change Made) { Entry.TheChange = std::move(Made); });
+    REQUIRE(!Error.failed());
+    REQUIRE(!Store.check(Entry.TheChange).failed());
+    Entry.Index += 1;
+    Store.apply(Entry);
+  };
+  json Next = nextVersion();
+  Replace(Next);
+  REQUIRE(findRollout(Store.settings(), "mesh/one"));
+  CHECK(findRollout(Store.settings(), "mesh/one")->running());
+  // With its service the roll-out is removed too.
+  Next["version"] = 11;
+  Next["baseVersion"] = 9;
+  Next["routes"] = json::array({Next["routes"][2]});
+  Next["services"] = json::array({Next["services"][1]});
+  Replace(Next);
+  CHECK(!findRollout(Store.settings(), "mesh/one"));
+  CHECK(Store.table()->rollout("mesh/one") == nullptr);
+}
+
 TEST_CASE("a health response contains the instance id and the slots") {
   const auto Calls = platform::makeCallProtocol();
   TargetResponse Answer;
--- a/tests/support/fakecluster.cpp
+++ b/tests/support/fakecluster.cpp
@@ -147,11 +147,7 @@
     Item.Daemon =
         Node::makeProxy(Item.Identity, {this->Choice, this->VersionTopology});
     this->addTraceLine(Name + " starts");
-    TargetAnnounced Target;
-    Target.Service = Item.Service;
-    Target.Slots = Item.Slots;
-    Target.State = wire::TargetState::Serving;
-    this->submit(Item, Target);
+    this->announceTarget(Item, wire::TargetState::Serving);
     return;
   }
   const bool IsInitialVoter = !Item.Identity.Seeds.empty() && Item.FirstDisk;
@@ -187,6 +183,7 @@
   this->addTraceLine(Name + " crashes");
   Item.Daemon.reset();
   Item.FinishedCalls.clear();
+  Item.FinishedStatus.clear();
   Item.ReplyBodies.clear();
   Item.AttemptCallIds.clear();
   Item.AwaitingBody.clear();
@@ -240,12 +237,59 @@
 void FakeCluster::setTarget(const std::string &Name,
                             wire::TargetState::type State) {
   Instance &Item = this->Instances.at(Name);
+  this->announceTarget(Item, State);
+  Item.IsDraining = State == wire::TargetState::Draining;
+}
+
+void FakeCluster::announceTarget(Instance &Item,
+                                 wire::TargetState::type State) {
   TargetAnnounced Target;
   Target.Service = Item.Service;
   Target.Slots = Item.Slots;
   Target.State = State;
+  Target.Version = Item.Version;
+  if (Item.Born != 0) {
+    Target.InstanceId = Item.Identity.Name + "-" + Item.Version;
+    Target.Born = Item.Born;
+    // Numbers the announcements of all runs of the daemon.
+    Target.Sequence = ++Item.Announcements;
+    TargetFound Healthy;
+    Healthy.Service = Item.Service;
+    Healthy.InstanceId = Target.InstanceId;
+    Healthy.Slots = Item.Slots;
+    this->submit(Item, Healthy);
+  }
   this->submit(Item, Target);
-  Item.IsDraining = State == wire::TargetState::Draining;
+}
+
+void FakeCluster::setVersion(const std::string &Name,
+                             const std::string &Version, std::int64_t Born) {
+  Instance &Item = this->Instances.at(Name);
+  Item.Version = Version;
+  Item.Born = Born;
+}
+
+void FakeCluster::enableRollouts(const RolloutBounds &Bounds) {
+  for (auto &[Name, Item] : this->Instances)
+    Item.Identity.Rollouts = Bounds;
+}
+
+std::int64_t FakeCluster::order(const std::string &Name,
+                                const RolloutOrder &Order) {
+  RolloutRequested Event;
+  Event.RequestId = ++this->LastRequest;
+  Event.Order = Order;
+  Event.Trusted = true;
+  const std::int64_t Id = Event.RequestId;
+  this->submit(this->Instances.at(Name), std::move(Event));
+  return Id;
+}
+
+std::optional<Failure> FakeCluster::orderAnswer(std::int64_t Request) const {
+  const auto Found = this->OrderAnswers.find(Request);
+  if (Found == this->OrderAnswers.end())
+    return std::nullopt;
+  return Found->second;
 }
 
 void FakeCluster::stop(const std::string &Name) {
@@ -553,6 +597,7 @@
   if (const auto *Done = std::get_if<RunFinished>(&Body)) {
     To.Running -= 1;
     To.FinishedCalls[Done->Id] = To.AttemptCallIds[Done->Id];
+    To.FinishedStatus[Done->Id] = Done->Status;
   }
   Event What;
   What.At = this->Now;
--- a/tests/support/fakecluster.h
+++ b/tests/support/fakecluster.h
@@ -49,6 +49,13 @@
   int Runs = 0;
 };
 
+/// How a target of a FakeCluster answers a call.
+struct FakeRun {
+  milliseconds Takes{30};
+  int Status = 200;
+  RunEnd End = RunEnd::Answered;
+};
+
 /// Simulates daemons on a fake network, disk and clock. Executes effects one at
 /// a time, injects the planned faults, and checks the invariants after each
 /// event. Runs with the same seed and plan are identical.
@@ -83,6 +90,22 @@
   /// are not affected.
   void blockConnections(const std::string &Name, bool Blocked);
   void setTarget(const std::string &Name, wire::TargetState::type State);
+  /// Makes the target of \p Name, from its next start on, one of \p Version
+  /// that started at \p Born.
+  void setVersion(const std::string &Name, const std::string &Version,
+                  std::int64_t Born);
+  /// Enables roll-outs on all instances that start from now on.
+  void enableRollouts(const RolloutBounds &Bounds);
+  /// Makes \p Runner decide on the answer to each call that runs on the target
+  /// of an instance.
+  void setRunner(std::function<FakeRun(const std::string &Name)> Runner) {
+    this->Runner = std::move(Runner);
+  }
+  /// Sends an order of a roll-out to the control instance \p Name. Returns the
+  /// number of the request.
+  std::int64_t order(const std::string &Name, const RolloutOrder &Order);
+  /// Returns the answer to an order if it was answered.
+  std::optional<Failure> orderAnswer(std::int64_t Request) const;
   void stop(const std::string &Name);
   /// Returns whether \p Name has ended its planned stop.
   bool exited(const std::string &Name) const;
@@ -164,6 +187,9 @@
     bool Control = false;
     std::string Service;
     int Slots = 0;
+    std::string Version;
+    std::int64_t Born = 0;
+    std::int64_t Announcements = 0;
     std::unique_ptr<Node> Daemon;
     DurableState Disk;
     std::int64_t DiskId = 0;
@@ -178,6 +204,7 @@
     std::int64_t LastServedVersion = 0;
     std::int64_t LastIncarnation = 0;
     std::map<wire::AttemptId, std::string> FinishedCalls;
+    std::map<wire::AttemptId, int> FinishedStatus;
     std::map<wire::AttemptId, std::string> ReplyBodies;
     std::map<wire::AttemptId, std::string> AttemptCallIds;
     /// Attempts whose request bodies have not arrived.
@@ -217,6 +244,8 @@
   };
 
   void submit(Instance &To, EventBody Body);
+  /// Announces the target of \p Item, and that it is healthy.
+  void announceTarget(Instance &Item, wire::TargetState::type State);
   std::string submitChange(std::vector<wire::PathEdit> Edits);
   static std::uint64_t compiledBy(const Instance &Item);
   bool carryOut(Instance &By, const Effect &What);
@@ -279,6 +308,8 @@
   std::int64_t LastRequest = 0;
   std::int64_t LastDisk = 0;
   milliseconds RunTime{30};
+  std::function<FakeRun(const std::string &)> Runner;
+  std::map<std::int64_t, Failure> OrderAnswers;
   std::chrono::microseconds CompileTime{0};
   bool Armed = false;
   std::vector<PlannedFault> Plan;
--- a/tests/support/fakeeffects.cpp
+++ b/tests/support/fakeeffects.cpp
@@ -31,6 +31,7 @@
 }
 
 void FakeCluster::perform(Instance &, const AnswerOperator &What) {
+  this->OrderAnswers[What.RequestId] = What.Error;
   for (auto &[Id, Submitted] : this->SubmittedChanges) {
     if (Submitted.RequestId != What.RequestId || What.Error.failed() ||
         Submitted.TheChange.ChangeId.empty())
@@ -68,14 +69,18 @@
     this->addViolation(By.AttemptCallIds[What.Id] + " ran without its body");
   if (By.Running > By.Slots)
     this->addViolation("slots exceeded at " + By.Identity.Name);
+  FakeRun Run{this->RunTime};
+  if (this->Runner)
+    Run = this->Runner(By.Identity.Name);
   RunFinished Done;
   Done.Id = What.Id;
-  Done.Status = 200;
+  Done.Status = Run.Status;
+  Done.End = Run.End;
   Delivery Later;
   Later.To = By.Identity.Name;
   Later.Incarnation = By.LastIncarnation;
   Later.Body = Done;
-  this->scheduleDelivery(this->Now + this->RunTime, std::move(Later));
+  this->scheduleDelivery(this->Now + Run.Takes, std::move(Later));
 }
 
 void FakeCluster::perform(Instance &By, const SendAnswer &What) {
@@ -85,7 +90,8 @@
   const auto Found = By.FinishedCalls.find(What.Id);
   Out.Outcome = Found == By.FinishedCalls.end() ? wire::CallOutcome::Unknown
                                                 : wire::CallOutcome::Finished;
-  Out.Status = 200;
+  const auto Status = By.FinishedStatus.find(What.Id);
+  Out.Status = Status == By.FinishedStatus.end() ? 200 : Status->second;
   Out.Body = Found == By.FinishedCalls.end() ? "" : Found->second;
   this->sendMessage(By, {What.Address, Out, Channel::Stream}, {});
 }
