--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -83,6 +83,8 @@
   milliseconds Revocation{0};
   /// Whether calls are placed evenly also where targets tell no pace.
   bool EvenPlacement = false;
+  /// Bounds of roll-outs; nothing without them.
+  std::optional<RolloutBounds> Rollouts;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -18,6 +18,10 @@
 /// Part of the time to a revocation that is left for clocks that run at
 /// different rates.
 constexpr int RevocationMarginDivisor = 10;
+/// Least time between reports that tell new counts of roll-outs only. The end
+/// of a roll-out waits for them.
+constexpr milliseconds CanaryReportInterval{300};
+constexpr milliseconds FullReportInterval{100};
 
 wire::MemberRecord recordOf(const NodeIdentity &Identity, bool IsControl) {
   wire::MemberRecord Record;
@@ -47,6 +51,16 @@
          Path.substr(Kind).starts_with("/accounts/");
 }
 
+/// Returns the age of the last confirmation up to which calls use a version
+/// that is being rolled out: a daemon that is disconnected has to go back to
+/// the old version by itself. While calls arrive, confirmations are requested
+/// anew after 0.6 s.
+milliseconds newVersionValidity(milliseconds RollbackTime) {
+  constexpr milliseconds Least{800};
+  constexpr milliseconds Most{1200};
+  return std::clamp(RollbackTime / 4, Least, Most);
+}
+
 template <typename T> constexpr bool HasGossipHeader = requires(const T &Body) {
   Body.Head;
 };
@@ -79,6 +93,11 @@
   Out->Scheduler.setLinkRate(Identity.LinkMbps);
   Out->Scheduler.setEvenPlacement(Identity.EvenPlacement);
   Out->Scheduler.setPeerLoads(&*Out->Router);
+  if (Identity.Rollouts) {
+    Out->Router->enableRollouts();
+    Out->NewVersionValidity =
+        newVersionValidity(Identity.Rollouts->RollbackTime);
+  }
   return Out;
 }
 
@@ -101,6 +120,8 @@
                        Identity.Snapshots, Identity.Seed + 5,
                        Identity.TextPrefixTeam);
   BOOST_LEAF_CHECK(Out->Control->restore(State, Now));
+  if (Identity.Rollouts)
+    Out->Rollouts.emplace(*Identity.Rollouts);
   return Out;
 }
 
@@ -132,6 +153,8 @@
       this->Config.replaceContent(this->Control->store().settings(),
                                   this->Control->store().version(), Out);
       this->setAllRates(Now);
+      if (this->Rollouts)
+        this->Rollouts->replace(this->Control->store().settings(), Now);
     }
     for (const AppliedChange &Applied : this->Control->takeAppliedChanges()) {
       this->Config.applyCommitted(Applied.Change, Out);
@@ -139,6 +162,8 @@
         this->setRate(Put.Path, &Put.Value, Now);
       for (const std::string &Path : Applied.Change.Removed)
         this->setRate(Path, nullptr, Now);
+      if (this->Rollouts)
+        this->Rollouts->apply(Applied.Change, Now);
     }
     this->Members.updateStamp(this->Control->stamp(), Now);
   }
@@ -213,7 +238,9 @@
   this->Members.tick(Now, Out);
   this->Config.tick(Now, Out);
   this->Config.dropIdleReplies(Now);
+  this->reportRollouts();
   this->Reports.tick(this->Members, this->Config.version(), Now, Out);
+  this->advanceRollouts(Now, Out);
   if (this->Router) {
     this->Gate.tick(Now, this->Config.version(), this->Members.self(),
                     this->ControlAddresses, Out);
@@ -232,6 +259,70 @@
     this->advanceStop(Now, Out);
 }
 
+void Node::reportRollouts() {
+  const RouteTable *Table = this->Config.table().get();
+  if (!this->Router || Table == nullptr)
+    return;
+  if (Table->rollouts().empty())
+    return this->Reports.setAnswers({}, CanaryReportInterval);
+  std::vector<wire::VersionAnswers> Counts = this->Router->rolloutCounts();
+  const Rollout *Draining = VersionFilter::findFull(*Table);
+  const bool Full = Draining != nullptr;
+  const wire::MemberRecord &Self = this->Members.self();
+  const Rollout *Order = Table->rollout(Self.Service);
+  // Also calls of daemons whose reports do not arrive.
+  if (Full && Order != nullptr && Order->running() &&
+      Self.__isset.TargetVersion && Self.TargetVersion != Order->Version) {
+    const wire::Load Load = this->Scheduler.load();
+    wire::VersionAnswers &Own = Counts.emplace_back();
+    Own.RolloutId = Order->Id;
+    Own.Version = Self.TargetVersion;
+    Own.UnderWay = Load.Running + Load.Queued;
+  }
+  this->Reports.setAnswers(std::move(Counts),
+                           Full ? FullReportInterval : CanaryReportInterval,
+                           Full ? Draining->Version : std::string());
+}
+
+std::size_t Node::targetCount(std::string_view Service,
+                              std::string_view Version) const {
+  const auto &Names = this->Members.targetsOf(Service);
+  return static_cast<std::size_t>(
+      std::count_if(Names.begin(), Names.end(), [&](const std::string &Name) {
+        const wire::MemberRecord *Record = this->Members.find(Name);
+        return Record != nullptr && Record->__isset.TargetVersion &&
+               Record->TargetVersion == Version;
+      }));
+}
+
+void Node::advanceRollouts(Time Now, Effects &Out) {
+  if (!this->Rollouts || !this->Rollouts->due(Now))
+    return;
+  const ReportTree::Summary Reports = this->Reports.summary(this->Members, Now);
+  const RolloutView View{
+      Reports, [this](std::string_view Service, std::string_view Version) {
+        return this->targetCount(Service, Version);
+      }};
+  const bool Leads = this->Control->consensus().ready();
+  for (RolloutDecision &Made : this->Rollouts->tick(View, Leads, Now)) {
+    Out.emplace_back(LogDecision{std::move(Made.Line)});
+    this->Control->propose(changeRollout(Made.Current, Made.Next), Now, Out);
+  }
+}
+
+void Node::on(const RolloutRequested &Body, const Event &TheEvent,
+              Effects &Out) {
+  if (!this->Control || !this->Rollouts)
+    return;
+  RolloutRequested Request = Body;
+  Request.Order.Established =
+      earliestVersion(this->Members, Body.Order.Service);
+  Request.Order.WallMs = TheEvent.WallMs;
+  Request.Order.MayRepeat =
+      this->Rollouts->mayRepeat(Body.Order.Service, TheEvent.At);
+  this->Control->handle(Request, TheEvent.At, Out);
+}
+
 void Node::updateOutdated(Time Now, Effects &Out) {
   if (this->Outdated == this->Config.outdated(Now))
     return;
@@ -434,6 +525,8 @@
     Record.Target = Announcement.State;
     Record.Slots = Announcement.Slots;
     Record.ColdMs = static_cast<std::int32_t>(Announcement.ColdFor.count());
+    Record.TargetVersion = Announcement.Version;
+    Record.__isset.TargetVersion = !Announcement.Version.empty();
   });
   this->announce(Out);
 }
@@ -634,10 +727,11 @@
   this->Confirmation.answerWaiting(Others, Version, Now, Out);
   this->Confirmation.tick(Others, this->Router->hasHeld(), Now, Out);
   const bool WasOutOfTouch = this->Router->validity().OutOfTouch;
-  this->Router->setValidity({this->Confirmation.deniesUntil(Version),
-                             this->Confirmation.servesUntil(Version),
-                             this->Confirmation.outOfTouch(Now),
-                             this->keysUntil()});
+  this->Router->setValidity(
+      {this->Confirmation.deniesUntil(Version),
+       this->Confirmation.servesUntil(Version),
+       this->Confirmation.confirmedAt() + this->NewVersionValidity,
+       this->Confirmation.outOfTouch(Now), this->keysUntil()});
   if (this->Router->validity().OutOfTouch && !WasOutOfTouch) {
     Out.emplace_back(LogWarning{"event=out-of-touch version=" +
                                 std::to_string(Version) + " confirmedMsAgo=" +
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -9,6 +9,7 @@
 #include "membership.h"
 #include "nestedroutedetector.h"
 #include "reporttree.h"
+#include "rolloutcontroller.h"
 #include "servinggate.h"
 #include "targetconfirmation.h"
 #include "targetwatch.h"
@@ -60,6 +61,9 @@
   /// Whether the calls of all services are placed evenly, also of those whose
   /// targets tell no pace.
   bool EvenPlacement = false;
+  /// Bounds of roll-outs; without them there are none, and the versions of
+  /// targets are ignored.
+  std::optional<RolloutBounds> Rollouts;
 };
 
 /// Policies of a daemon; all must outlive its Node.
@@ -103,6 +107,11 @@
   /// current after the start of the daemon, and is not known to be outdated.
   bool serving() const { return this->Gate.open() && !this->Outdated; }
   bool stopping() const { return this->Stopping; }
+  /// Returns the roll-outs as a control instance observes them; null if there
+  /// are none by the settings.
+  const RolloutController *rollouts() const {
+    return this->Rollouts ? &*this->Rollouts : nullptr;
+  }
   /// Returns the last accepted announcement of this daemon's target.
   const TargetAnnounced &target() const { return this->Target.current(); }
   /// Returns whether a health response of the target is needed before it can be
@@ -138,6 +147,7 @@
   void on(const ProcessSuspended &Body, const Event &TheEvent, Effects &Out);
   void on(const StopRequested &Body, const Event &TheEvent, Effects &Out);
   void on(const WorkContinued &Body, const Event &TheEvent, Effects &Out);
+  void on(const RolloutRequested &Body, const Event &TheEvent, Effects &Out);
   template <typename RequestT>
   void on(const RequestT &Body, const Event &TheEvent, Effects &Out);
 
@@ -189,6 +199,12 @@
   void setRate(const std::string &Path, const std::string *Value, Time Now);
   void receiveAllowanceRequest(const wire::AllowanceRequest &Request,
                                std::string_view From, Time Now, Effects &Out);
+  /// Carries out the decisions on roll-outs that are due.
+  void advanceRollouts(Time Now, Effects &Out);
+  /// Passes what this proxy counted of roll-outs to its report.
+  void reportRollouts();
+  std::size_t targetCount(std::string_view Service,
+                          std::string_view Version) const;
 
   const Topology &VersionTopology;
 
@@ -203,6 +219,9 @@
   /// Used by control instances only.
   AllowanceLedger Ledger;
   std::optional<CallRouter> Router;
+  std::optional<RolloutController> Rollouts;
+  /// As in newVersionValidity().
+  milliseconds NewVersionValidity{0};
   TargetWatch Target;
   TargetConfirmation Evidence;
   std::vector<std::string> Seeds;
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -3,6 +3,7 @@
 #include "evenplacement.h"
 #include "membership.h"
 #include "random.h"
+#include "versionfilter.h"
 
 #include <map>
 #include <memory>
@@ -81,10 +82,15 @@
   /// Chooses a target of \p Service that is not in \p Excluded. Calls with a
   /// large body or answer go to the local target while it has free capacity,
   /// because the body then uses no link. For a large answer, the load of a
-  /// target includes the backlog of its daemon's link.
+  /// target includes the backlog of its daemon's link. Only targets that
+  /// \p Versions allows are candidates.
   TargetChoice choose(const Membership &Members, std::string_view Service,
                       const std::set<std::string> &Excluded, Time Now,
-                      const LinkUse &Use = {});
+                      const LinkUse &Use = {},
+                      const VersionRule &Versions = {});
+
+  /// Returns whether the target is still slow after its start.
+  bool warmingUp(std::string_view Name, Time Now) const;
 
   /// Places the calls of all services evenly, also of those whose targets tell
   /// no pace.
@@ -157,7 +163,7 @@
   Stats &statsOf(const wire::MemberRecord &Record, Time Now);
   TargetChoice chooseAny(const Membership &Members, std::string_view Service,
                          const std::set<std::string> &Excluded, Time Now,
-                         const LinkUse &Use);
+                         const LinkUse &Use, const VersionRule &Versions);
   void placeEvenly(const std::vector<const wire::MemberRecord *> &Eligible,
                    std::string_view Service, bool UseUnwellHints, Time Now,
                    const LinkUse &Use, TargetChoice &Out);
