Keep a share that is near the smallest depth

The shares of an account that asks for more than its rate ended and started again several times a second when their depth moved around one token, and each start loses the saved tokens. A held share now stays at the smallest depth.

--- a/src/libpersimmon/allowanceledger.cpp
+++ b/src/libpersimmon/allowanceledger.cpp
@@ -328,11 +328,15 @@
       std::max(Part.Demand, Of.ShareDemand - Part.CountedDemand + Part.Demand +
                                 Of.TokenDemand);
   const double Fraction = Part.Demand / Total;
-  const double NewDepth =
+  double NewDepth =
       std::floor(std::min(SharedDepth * Depth * Fraction,
                           MaxDemandFactor * std::max(1.0, Part.Demand)) /
                  DepthStep) *
       DepthStep;
+  // A share near the smallest depth would otherwise end and start again with
+  // each change of the total demand, and each start loses the saved tokens.
+  if (!Part.Held.empty() && NewDepth >= KeepFactor * MinShareDepth)
+    NewDepth = std::max(NewDepth, MinShareDepth);
   const double PacePart =
       SmallestPace + (1 - SmallestPace) * NewDepth / FullPaceDepth;
   const double Pace =
