Refuse by account where nested calls find no room, and test the masks

The limiter of routes whose nested calls find no room refused the same share of all calls, so the others paid for a hot account there. No test showed that the programs print no key.

NestedLoadLimiter::admit takes the share of the call's account. It is computed by equal parts from the recent calls of each account (AccountFairness). Without accounts it is the share of all calls, as before. A test of persimmonctl and a control instance stores, compares and refuses accounts and looks for the keys in all outputs and in the daemon's log.

--- a/src/libpersimmon/accountfairness.cpp
+++ b/src/libpersimmon/accountfairness.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <numeric>
+#include <utility>
+#include <vector>
 
 namespace persimmon {
 
@@ -18,19 +22,40 @@
 /// Calls fewer than this are forgotten.
 constexpr double IdleAsked = 0.01;
 
+/// Returns what is left at \p Now of a count of the time \p At.
+double keptBetween(Time At, Time Now) {
+  const double PassedMs =
+      std::chrono::duration<double, std::milli>(Now - At).count();
+  return PassedMs <= 0 ? 1 : std::exp(-PassedMs / MemoryMs);
+}
+
+/// Returns the part up to which each account's demand is met if \p Capacity is
+/// divided equally and what one leaves goes to the others.
+double equalPart(std::vector<double> Demands, double Capacity) {
+  std::sort(Demands.begin(), Demands.end());
+  std::size_t Left = Demands.size();
+  for (const double Demand : Demands) {
+    if (Demand * static_cast<double>(Left) > Capacity)
+      return Capacity / static_cast<double>(Left);
+    Capacity -= Demand;
+    Left -= 1;
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
 } // namespace
 
 void AccountFairness::Counts::decay(Time Now) {
-  const double PassedMs =
-      std::chrono::duration<double, std::milli>(Now - this->At).count();
+  const double Kept = keptBetween(this->At, Now);
   this->At = Now;
-  if (PassedMs <= 0)
-    return;
-  const double Kept = std::exp(-PassedMs / MemoryMs);
   this->Asked *= Kept;
   this->Served *= Kept;
 }
 
+double AccountFairness::Counts::askedAt(Time Now) const {
+  return this->Asked * keptBetween(this->At, Now);
+}
+
 const AccountFairness::PriorityState *
 AccountFairness::find(int Priority) const {
   const auto Found = this->ByPriority.find(Priority);
@@ -77,6 +102,24 @@
              NeglectedShare * Own.Asked * State->Recent.Served;
 }
 
+double AccountFairness::admittedShare(int Priority, std::string_view Account,
+                                      double OfAll, Time Now) const {
+  const PriorityState *State = this->find(Priority);
+  if (State == nullptr)
+    return OfAll;
+  const auto Found = State->Accounts.find(Account);
+  if (Found == State->Accounts.end())
+    return OfAll;
+  std::vector<double> Demands;
+  Demands.reserve(State->Accounts.size());
+  for (const auto &[Name, Item] : State->Accounts)
+    Demands.push_back(Item.Recent.askedAt(Now));
+  const double Sum = std::accumulate(Demands.begin(), Demands.end(), 0.0);
+  const double Own = Found->second.Recent.askedAt(Now);
+  const double Part = equalPart(std::move(Demands), OfAll * Sum);
+  return Own <= Part ? 1 : std::max(Part / Own, NeglectedShare * OfAll);
+}
+
 double AccountFairness::startOf(int Priority, std::string_view Account) const {
   const PriorityState *State = this->find(Priority);
   if (State == nullptr)
--- a/src/libpersimmon/accountfairness.h
+++ b/src/libpersimmon/accountfairness.h
@@ -40,6 +40,12 @@
   /// the priority together that its next call goes first.
   bool neglected(int Priority, std::string_view Account) const;
 
+  /// Returns the share of the account's calls to admit if the share \p OfAll of
+  /// all calls of the priority is admitted. Accounts that ask for no more than
+  /// an equal part get all of it.
+  double admittedShare(int Priority, std::string_view Account, double OfAll,
+                       Time Now) const;
+
 private:
   static constexpr std::size_t MinDropAbove = 256;
 
@@ -50,6 +56,7 @@
     Time At;
 
     void decay(Time Now);
+    double askedAt(Time Now) const;
   };
   struct AccountState {
     /// Virtual time at which the last started call ends.
--- a/src/libpersimmon/admissionqueue.cpp
+++ b/src/libpersimmon/admissionqueue.cpp
@@ -82,6 +82,13 @@
                            Now);
 }
 
+double AdmissionQueue::admittedShare(int Priority, std::string_view Account,
+                                     double OfAll, Time Now) const {
+  return this->HasAccounts
+             ? this->Fairness.admittedShare(Priority, Account, OfAll, Now)
+             : OfAll;
+}
+
 double AdmissionQueue::fairCostMs(const WaitingCall &Call) const {
   return std::max(MinFairCostMs, this->Estimates.expectedMs(Call.Route));
 }
--- a/src/libpersimmon/admissionqueue.h
+++ b/src/libpersimmon/admissionqueue.h
@@ -88,6 +88,11 @@
   /// Counts a call that starts, whether or not it waited.
   void started(const WaitingCall &Call, Time Now);
 
+  /// Returns the share of the calls of an account that may be admitted if the
+  /// share \p OfAll of all calls of the priority may.
+  double admittedShare(int Priority, std::string_view Account, double OfAll,
+                       Time Now) const;
+
   /// Returns whether \p Call is expected to be answered in useful time if it is
   /// queued.
   bool canServe(const WaitingCall &Call, const SlotState &State,
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -228,7 +228,12 @@
   if (Now + milliseconds(Request.RemainingMs) > this->EndsAt &&
       Now + RunTime * ExitMargin > this->EndsAt)
     return ResultCode::Draining;
-  if (!this->NestedLimiter.admit(Request.Route, Request.Priority, Now))
+  const auto ShareOfAccount = [&](double OfAll) {
+    return this->Queue.admittedShare(Request.Priority, Request.Account, OfAll,
+                                     Now);
+  };
+  if (!this->NestedLimiter.admit(Request.Route, Request.Priority, Now,
+                                 ShareOfAccount))
     return ResultCode::NestedOverload;
   return ResultCode::Ok;
 }
--- a/src/libpersimmon/nestedloadlimiter.cpp
+++ b/src/libpersimmon/nestedloadlimiter.cpp
@@ -99,14 +99,22 @@
   this->Current.End = Now + WindowLength;
 }
 
-bool NestedLoadLimiter::admit(std::string_view Route, int Priority, Time Now) {
+bool NestedLoadLimiter::admit(std::string_view Route, int Priority, Time Now,
+                              const AccountShare &ShareOf) {
   this->closeWindow(Now);
   const auto Found = this->ByRoute.find(Route);
   if (Found == this->ByRoute.end())
     return true;
   Found->second.Priority = Priority;
+  double Refused = Found->second.Refused;
+  if (Refused > 0 && ShareOf) {
+    const double OfAll = 1 - Refused;
+    const double Share = ShareOf(OfAll);
+    if (Share != OfAll)
+      Refused = 1 - Share;
+  }
   return static_cast<double>(this->Rng.below(RandomRange)) >=
-         Found->second.Refused * RandomRange;
+         Refused * RandomRange;
 }
 
 double NestedLoadLimiter::refusedShare(std::string_view Route) const {
--- a/src/libpersimmon/nestedloadlimiter.h
+++ b/src/libpersimmon/nestedloadlimiter.h
@@ -6,6 +6,7 @@
 #include "time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -41,8 +42,14 @@
   void runEnded(std::string_view Route, std::int64_t CountAtStart,
                 milliseconds Ran, int Running, Time Now);
 
-  /// Returns whether the next call of the route is admitted.
-  bool admit(std::string_view Route, int Priority, Time Now);
+  /// Returns the share of an account's calls to admit if the given share of all
+  /// calls is admitted.
+  using AccountShare = std::function<double(double OfAll)>;
+
+  /// Returns whether the next call of the route is admitted. Without \p ShareOf
+  /// all calls are admitted to the same share.
+  bool admit(std::string_view Route, int Priority, Time Now,
+             const AccountShare &ShareOf = {});
 
   /// Returns the share of the route's calls that is currently refused.
   double refusedShare(std::string_view Route) const;
--- a/tests/ctl/test_ctl.cpp
+++ b/tests/ctl/test_ctl.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <iterator>
 #include <thread>
 
 using namespace persimmon;
@@ -39,6 +40,12 @@
   }
   std::string address() const { return "127.62.0.1:7101"; }
 
+  /// Returns what the daemon wrote.
+  std::string logText() const {
+    std::ifstream In(this->Folder.file("log"));
+    return {std::istreambuf_iterator<char>(In), {}};
+  }
+
   std::string writeFile(const std::string &Name,
                         const std::string &Text) const {
     std::string File = this->Folder.file(Name);
@@ -152,3 +159,51 @@
       RunWithToken("labels-token", {"delete", "labels/services/work"}).Status ==
       0);
 }
+
+// The keys of accounts are secret: no output, error or log line shows them.
+TEST_CASE("keys of client accounts are masked in every output") {
+  const ControlFixture Control;
+  std::string Outputs;
+  const auto Run = [&](std::vector<std::string> Arguments) {
+    std::vector<std::string> All = {"-c", Control.address(), "-t",
+                                    "labels-token"};
+    All.insert(All.end(), Arguments.begin(), Arguments.end());
+    ProgramRun Out = runClient(std::move(All));
+    Outputs += Out.Output;
+    return Out;
+  };
+  CHECK(runClient({"-c", Control.address(), "-t", "admin-token", "init"})
+            .Status == 0);
+  CHECK(runClient({"-c", Control.address(), "-t", "admin-token", "team",
+                   "labels", "labels-token"})
+            .Status == 0);
+  const std::string File = Control.writeFile(
+      "accounts.json", R"({"labels/accounts/acme":{"keys":["secret-1"]},
+                           "labels/accounts/bare":{"keys":["secret-2"]},
+                           "labels/access/callers":{"keyRequired":true}})");
+  REQUIRE(Run({"apply", File}).Status == 0);
+  const ProgramRun Read = Run({"--json", "get", "labels"});
+  CHECK(Read.outputContains("masked:"));
+  CHECK(Run({"diff", File}).outputContains("equal labels/accounts/acme"));
+  const std::string Changed = Control.writeFile(
+      "changed.json", R"({"labels/accounts/acme":{"keys":["secret-3"]}})");
+  CHECK(Run({"diff", Changed}).outputContains("changed labels/accounts/acme"));
+  const std::string Taken = Control.writeFile(
+      "taken.json", R"({"labels/accounts/acme":{"keys":["secret-2"]}})");
+  CHECK(Run({"apply", Taken}).outputContains("218 KeyTaken"));
+  const std::string Twice = Control.writeFile(
+      "twice.json",
+      R"({"labels/accounts/acme":{"keys":["secret-4","secret-4"]}})");
+  CHECK(Run({"apply", Twice}).outputContains("218 KeyTaken"));
+  const std::string Odd = Control.writeFile(
+      "odd.json", R"({"labels/accounts/acme":{"keys":{"secret-5":1}}})");
+  CHECK(Run({"apply", Odd}).outputContains("203 ValueInvalid"));
+  const std::string Masked =
+      Control.writeFile("masked.json", R"({"keys":["masked:0a1b"]})");
+  CHECK(Run({"put", "labels/accounts/acme", Masked})
+            .outputContains("203 ValueInvalid"));
+  CHECK(Run({"diff", File}).outputContains("equal labels/accounts/acme"));
+  CHECK(Outputs.find("secret-") == std::string::npos);
+  CHECK(Control.logText().find("secret-") == std::string::npos);
+  CHECK(!Control.logText().empty());
+}
--- a/tests/policies/test_accountfairness.cpp
+++ b/tests/policies/test_accountfairness.cpp
@@ -1,6 +1,7 @@
 #include "loadsimulation.h"
 
 #include "libpersimmon/admissionqueue.h"
+#include "libpersimmon/nestedloadlimiter.h"
 
 #include <catch2/catch.hpp>
 
@@ -339,3 +340,61 @@
   CHECK(Queue.takeNext().Id.Number == Large.Id.Number);
   CHECK(Queue.takeNext().Id.Number == Small.Id.Number);
 }
+
+// Guards against a shortage of a service that runs call, caused by one account,
+// that is paid for by all.
+TEST_CASE("calls refused for a nested shortage are those of a hot account") {
+  AccountFairness Fairness;
+  constexpr int Priority = 5;
+  const auto Arrive = [&](const std::string &Account, int Count) {
+    for (int I = 0; I < Count; ++I)
+      Fairness.arrived(Priority, Account, Start);
+  };
+  Arrive("hot", 90);
+  for (int I = 0; I < 10; ++I)
+    Arrive("small-" + std::to_string(I), 1);
+  const auto Share = [&](const std::string &Account, double OfAll) {
+    return Fairness.admittedShare(Priority, Account, OfAll, Start);
+  };
+  // Half of the 100 calls: ten of the small accounts, 40 of the hot one.
+  CHECK(Share("small-3", 0.5) == 1);
+  CHECK(Share("hot", 0.5) == Approx(40.0 / 90));
+  CHECK(Share("hot", 1) == 1);
+  // Less than an equal part for each; the hot account keeps its promised share.
+  CHECK(Share("small-3", 0.055) == Approx(0.5));
+  CHECK(Share("hot", 0.055) == Approx(0.4 * 0.055));
+  CHECK(Share("unknown", 0.5) == 0.5);
+  CHECK(Fairness.admittedShare(Priority + 1, "hot", 0.5, Start) == 0.5);
+}
+
+TEST_CASE("the nested load limiter refuses by account") {
+  NestedLoadLimiter Limiter(5);
+  RunTimeEstimates RunTimes;
+  AdmissionQueue Queue(RunTimes);
+  Time Now = Start;
+  std::map<std::string, int> Arrived;
+  std::map<std::string, int> Admitted;
+  const auto Call = [&](const std::string &Account, bool Counted) {
+    Queue.arrived(waiting(0, Account, 300, 5), Now);
+    const bool Ok = Limiter.admit("calls", 5, Now, [&](double OfAll) {
+      return Queue.admittedShare(5, Account, OfAll, Now);
+    });
+    if (!Counted)
+      return;
+    Arrived[Account] += 1;
+    Admitted[Account] += Ok ? 1 : 0;
+  };
+  // The hot account asks nine times in ten. Nested calls fail until half of the
+  // calls are refused.
+  for (int I = 0; I < 1000; ++I, Now += milliseconds(10)) {
+    const std::int64_t Before = Limiter.nestedCount();
+    Call(I % 10 == 0 ? "usual" : "hot", I > 200);
+    Limiter.nestedEnded({Limiter.refusedShare("calls") < 0.5, {}}, Now);
+    Limiter.runEnded("calls", Before, milliseconds(10), 1, Now);
+  }
+  CHECK(Limiter.refusedShare("calls") > 0.4);
+  // The refused share overshoots now and then.
+  CHECK(Admitted["usual"] > Arrived["usual"] * 0.9);
+  CHECK(Admitted["hot"] < Arrived["hot"] * 0.6);
+  CHECK(Admitted["hot"] > 0);
+}
