Test the order of a backlog and the age of a control instance's proof

Removing the virtual time of waiting calls, or the event that makes a control instance's proof older after a suspension, failed no test.

--- a/tests/accounts/test_revocation.cpp
+++ b/tests/accounts/test_revocation.cpp
@@ -1,5 +1,6 @@
 #include "libhost/suspensionclock.h"
 #include "support/fakecluster.h"
+#include "support/lonecontrol.h"
 
 #include <catch2/catch.hpp>
 
@@ -157,6 +158,48 @@
   }
 }
 
+// The age that a control instance states would be too short by the suspension.
+TEST_CASE("a control instance answers by no proof from before a suspension") {
+  constexpr milliseconds TickInterval{20};
+  const std::string Address = "c1:1";
+  const LeastOfTwo Choice;
+  const PeerTopology VersionTopology;
+  Time Now{std::chrono::hours(1)};
+  const auto Control =
+      makeLoneControl(Address, {}, {Choice, VersionTopology}, Now);
+  std::int64_t Nonce = 0;
+  const auto Submit = [&](EventBody Body) {
+    Event Next;
+    Next.At = Now;
+    Next.Body = std::move(Body);
+    return Control->reduce(Next);
+  };
+  // Returns the age in an answer that is sent at once; -1 if there is none.
+  const auto AgeAnswered = [&] {
+    wire::StampRequest Request;
+    Request.Nonce = ++Nonce;
+    Request.MaxAgeMs = 200;
+    Request.Who.Name = "p1";
+    Request.Who.Address = "p1:1";
+    for (const Effect &Item : Submit(MessageReceived{"p1:1", Request})) {
+      const auto *Sent = std::get_if<SendMessage>(&Item);
+      const auto *Reply = Sent == nullptr
+                              ? nullptr
+                              : std::get_if<wire::StampReply>(&Sent->Body);
+      if (Reply != nullptr && Reply->Nonce == Nonce)
+        return Reply->AgeMs;
+    }
+    return -1;
+  };
+  Submit(BootstrapRequested{{Address}});
+  for (int I = 0; I < 300; ++I, Now += TickInterval)
+    Submit(Tick());
+  REQUIRE(Control->control()->consensus().ready());
+  CHECK(AgeAnswered() > 0);
+  Submit(ProcessSuspended{milliseconds(5000)});
+  CHECK(AgeAnswered() <= 0);
+}
+
 TEST_CASE("calls without a key are served whatever was confirmed") {
   FakeCluster Cluster(1);
   prepare(Cluster, Revocation);
--- a/tests/policies/test_accountfairness.cpp
+++ b/tests/policies/test_accountfairness.cpp
@@ -294,6 +294,22 @@
   CHECK(Queue.takeNext().Id.Number == 2);
 }
 
+TEST_CASE("the waiting calls of one account lie one behind the other") {
+  RunTimeEstimates RunTimes;
+  RunTimes.addSample("route", 100);
+  AdmissionQueue Queue(RunTimes);
+  for (const WaitingCall &Call :
+       {waiting(1, "hot", 300), waiting(2, "hot", 310), waiting(3, "hot", 320),
+        waiting(4, "other", 400)}) {
+    Queue.arrived(Call, Start);
+    Queue.add(Call);
+  }
+  std::vector<std::int64_t> Order;
+  for (const WaitingCall &Call : Queue.takeAll())
+    Order.push_back(Call.Id.Number);
+  CHECK(Order == std::vector<std::int64_t>{1, 4, 2, 3});
+}
+
 TEST_CASE("a higher priority goes first whatever its account") {
   RunTimeEstimates RunTimes;
   RunTimes.addSample("route", 100);
