--- a/tests/allowance/test_shares.cpp
+++ b/tests/allowance/test_shares.cpp
@@ -361,3 +361,34 @@
   REQUIRE(Reply->Shares.size() == 1);
   CHECK(Reply->Shares[0].MilliPerSecond == 0);
 }
+
+// Guards against tokens that are used after the share went to others.
+TEST_CASE("saved tokens end with their share") {
+  Proxy P;
+  P.take(1, Start);
+  P.reply(0, TenPerSecond, 1, Start + milliseconds(5));
+  SECTION("before") {
+    CHECK(P.grants(Start + ShareValidity - milliseconds(1)) == 10);
+  }
+  SECTION("after") {
+    CHECK(P.grants(Start + ShareValidity + milliseconds(1)) == 0);
+  }
+}
+
+// Guards against a new leader that grants the whole rate as tokens while shares
+// of the former one are in use.
+TEST_CASE("a new leader grants as tokens only what no share can have") {
+  Leader Of(false);
+  int Tokens = 0;
+  constexpr milliseconds Step{100};
+  constexpr milliseconds Time1{4000};
+  for (Time Now = Start + Step; Now < Start + Time1; Now += Step) {
+    Of.confirm(Now);
+    Tokens += tokensIn(*Of.request("a:1", 300, 60, Now));
+    if (Now <= Start + milliseconds(700))
+      CHECK(Tokens == 0);
+  }
+  CHECK(Tokens > 150);
+  // A fifth of the rate for 3.2 s, and 4.
+  CHECK(Tokens <= 0.2 * 300 * 3.2 + 4);
+}
