--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -147,7 +147,7 @@
       this->Scheduler.nestedEnded(Outcome, Now);
   }
   if (this->Control) {
-    // Before the changes, as the first leader knows all that follow.
+    // A leader that starts with an empty store knows all rates that follow.
     this->updateLedger(Now);
     if (this->Control->takeStateReplaced()) {
       this->Config.replaceContent(this->Control->store().settings(),
@@ -179,7 +179,7 @@
   const Consensus &Replica = this->Control->consensus();
   this->Ledger.update(
       {Replica.ready(), Replica.term(), this->Control->verifiedAt()},
-      this->Config.version() == 0, Now);
+      this->Control->store().version() == 0, Now);
 }
 
 void Node::setAllRates(Time Now) {
--- a/tests/allowance/allowancesimulation.cpp
+++ b/tests/allowance/allowancesimulation.cpp
@@ -232,7 +232,7 @@
 }
 
 void AllowanceSimulation::transmit(std::size_t Size, Time Disconnected,
-                                   std::function<void()> Deliver) {
+                                   const std::function<void()> &Deliver) {
   this->Bytes += Size;
   this->Messages += 1;
   const int Copies = this->uniform() < this->Faults.Repeated ? 2 : 1;
