--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -6,13 +6,15 @@
 
 namespace persimmon {
 
-bool BodyStore::storeCallerBody(std::int64_t CallNumber, std::string Body) {
+bool BodyStore::storeCallerBody(std::int64_t CallNumber, std::string Body,
+                                std::shared_ptr<void> Held) {
   if (Body.empty())
     return true;
   if (!this->hasRoomFor(Body.size()))
     return false;
   this->CallerBytes += Body.size();
-  this->CallerBodies.emplace(CallNumber, std::move(Body));
+  this->CallerBodies.emplace(CallNumber,
+                             CallerBody{std::move(Body), std::move(Held)});
   return true;
 }
 
@@ -22,21 +24,22 @@
     return true;
   std::size_t Largest = Size;
   for (const auto &[Number, Body] : this->CallerBodies)
-    Largest = std::max(Largest, Body.size());
+    Largest = std::max(Largest, Body.Bytes.size());
   return Total - Largest <= this->MaxCallerBytes;
 }
 
 std::string_view BodyStore::callerBody(std::int64_t CallNumber) const {
   const auto Found = this->CallerBodies.find(CallNumber);
-  return Found == this->CallerBodies.end() ? std::string_view()
-                                           : std::string_view(Found->second);
+  return Found == this->CallerBodies.end()
+             ? std::string_view()
+             : std::string_view(Found->second.Bytes);
 }
 
 void BodyStore::removeCallerBody(std::int64_t CallNumber) {
   const auto Found = this->CallerBodies.find(CallNumber);
   if (Found == this->CallerBodies.end())
     return;
-  this->CallerBytes -= Found->second.size();
+  this->CallerBytes -= Found->second.Bytes.size();
   this->CallerBodies.erase(Found);
 }
 
@@ -110,6 +113,8 @@
   if (Found == this->IncomingResponses.end())
     return {};
   IncomingResponse &Item = Found->second;
+  if (Item.Body.empty())
+    Item.Body.reserve(static_cast<std::size_t>(Item.Header.BodySize));
   if (!append(Item.Body, Part, Item.Header.BodySize)) {
     this->IncomingResponses.erase(Found);
     return {};
@@ -129,6 +134,9 @@
   // Parts after a complete body are ignored.
   if (static_cast<std::int64_t>(Item.Body.size()) == Header.BodySize)
     return {};
+  // The length is known, so the body is not moved while it grows.
+  if (Item.Body.empty())
+    Item.Body.reserve(static_cast<std::size_t>(Header.BodySize));
   if (!append(Item.Body, Part, Header.BodySize)) {
     this->Requests.erase(Found);
     return BodyLost{Part.Id};
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,9 +42,11 @@
   /// not counted, so that one large body leaves room for small ones.
   void setMaxCallerBytes(std::size_t Bytes) { this->MaxCallerBytes = Bytes; }
 
-  /// Stores a caller's body until removeCallerBody(). Returns false and stores
-  /// nothing if the limit would be exceeded.
-  bool storeCallerBody(std::int64_t CallNumber, std::string Body);
+  /// Stores a caller's body until removeCallerBody(), and as long \p Held,
+  /// which counts its memory. Returns false and stores nothing if the limit
+  /// would be exceeded.
+  bool storeCallerBody(std::int64_t CallNumber, std::string Body,
+                       std::shared_ptr<void> Held = nullptr);
   std::string_view callerBody(std::int64_t CallNumber) const;
   void removeCallerBody(std::int64_t CallNumber);
 
@@ -97,7 +100,12 @@
 
   bool hasRoomFor(std::size_t Size) const;
 
-  std::map<std::int64_t, std::string> CallerBodies;
+  struct CallerBody {
+    std::string Bytes;
+    std::shared_ptr<void> Held;
+  };
+
+  std::map<std::int64_t, CallerBody> CallerBodies;
   std::size_t CallerBytes = 0;
   std::size_t MaxCallerBytes = DefaultMaxCallerBytes;
   std::map<wire::AttemptId, Request> Requests;
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -141,19 +141,23 @@
 }
 
 leaf::result<void> DaemonHost::openPorts() {
+  const MemoryShares Shares =
+      MemoryShares::fromSettings(this->Settings.MemoryMb);
+  this->Requests = RequestMemory::make(
+      {Shares.maxCallerBodyBytes(), Shares.maxRequestBytes()});
   BOOST_LEAF_ASSIGN(this->Network,
                     PeerNetwork::open(this->Io, this->Settings.Listen, *this));
   if (this->Settings.Role == DaemonRole::Control) {
     BOOST_LEAF_ASSIGN(this->Operators,
                       OperatorApi::open(this->Io, this->Settings,
-                                        this->Protocols.Operators.get(),
-                                        *this));
+                                        this->Protocols.Operators.get(), *this,
+                                        this->Requests));
     return {};
   }
   BOOST_LEAF_ASSIGN(this->Proxy,
                     ProxyApi::open(this->Io, this->Settings,
                                    {*this, this->Bodies, this->DaemonMetrics,
-                                    this->Protocols}));
+                                    this->Protocols, this->Requests}));
   return {};
 }
 
@@ -524,6 +528,20 @@
   Set("persimmon_leading", Source.leader() ? 1 : 0);
 }
 
+void DaemonHost::setRequestGauges() {
+  this->DaemonMetrics.setGauge("persimmon_request_bytes",
+                               static_cast<double>(this->Requests->bytes()));
+  this->DaemonMetrics.setGauge(
+      "persimmon_request_bytes_arriving",
+      static_cast<double>(this->Requests->arrivingBytes()));
+  for (std::size_t I = 0; I < RequestEndCount; ++I) {
+    const auto End = static_cast<RequestEnd>(I);
+    this->DaemonMetrics.setGauge(
+        "persimmon_requests_ended{reason=\"" + std::string(nameOf(End)) + "\"}",
+        static_cast<double>(this->Requests->counted(End)));
+  }
+}
+
 std::string DaemonHost::metricsText() {
   const Time Now = std::chrono::steady_clock::now();
   const Membership &Members = this->LocalNode->members();
@@ -539,6 +557,7 @@
                                this->LocalNode->serving() ? 1 : 0);
   if (const ControlService *Control = this->LocalNode->control())
     this->setConsensusGauges(Control->consensus());
+  this->setRequestGauges();
   const OutgoingLink &Link = this->LocalNode->scheduler().link();
   this->DaemonMetrics.setGauge("persimmon_link_backlog_ms",
                                static_cast<double>(Link.backlog(Now).count()));
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -48,6 +48,7 @@
   /// Logs what was found on the disk.
   void logDisk();
   void setConsensusGauges(const Consensus &Source);
+  void setRequestGauges();
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
   /// this start as the first one.
@@ -110,6 +111,7 @@
   std::array<TrafficCounters, std::variant_size_v<Message>> LoggedTraffic{};
   std::unique_ptr<ChoicePolicy> TargetPolicy;
   std::unique_ptr<Topology> VersionTopology;
+  std::shared_ptr<RequestMemory> Requests;
   BodyStore Bodies;
   Metrics DaemonMetrics;
   std::optional<DiskStore> Disk;
--- a/src/libhost/daemonprogram.cpp
+++ b/src/libhost/daemonprogram.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <thread>
 
 namespace persimmon {
@@ -42,6 +43,15 @@
   bool CheckOnly = false;
 };
 
+/// Large bodies go back to the system at once. By default the allocator learns
+/// from them to keep up to 64 MB of what was freed.
+void boundKeptMemory() {
+  constexpr int MappedFromBytes = 256 << 10;
+  constexpr int KeptBytes = 2 << 20;
+  ::mallopt(M_MMAP_THRESHOLD, MappedFromBytes);
+  ::mallopt(M_TRIM_THRESHOLD, KeptBytes);
+}
+
 int reportFailure(const Failure &Error) {
   std::cerr << "persimmonwheeld: " << describe(Error) << '\n';
   return ExitFailure;
@@ -101,6 +111,7 @@
     std::cout << ParsedOptions.SettingsFile << ": valid\n";
     return 0;
   }
+  boundKeptMemory();
   std::signal(SIGPIPE, SIG_IGN);
   startLogging(Settings.Log);
   std::unique_ptr<DaemonHost> Host;
--- a/src/libhost/daemonsettings.cpp
+++ b/src/libhost/daemonsettings.cpp
@@ -129,6 +129,21 @@
   return {};
 }
 
+RequestSettings readRequests(const json &Requests) {
+  constexpr int BytesPerKib = 1024;
+  RequestSettings Out;
+  const auto ReadTime = [&](const char *Key, milliseconds &Into) {
+    Into = milliseconds(Requests.value(Key, Into.count()));
+  };
+  ReadTime("headerTimeoutMs", Out.HeaderTimeout);
+  ReadTime("bodyTimeoutMs", Out.BodyTimeout);
+  ReadTime("idleTimeoutMs", Out.IdleTimeout);
+  Out.ReceiveBufferBytes =
+      BytesPerKib *
+      Requests.value("receiveBufferKb", Out.ReceiveBufferBytes / BytesPerKib);
+  return Out;
+}
+
 } // namespace
 
 std::string Endpoint::toString() const {
@@ -196,6 +211,7 @@
     Out.Stop.ServeOn = milliseconds(Stop.value("serveOnMs", 0));
     Out.Stop.GiveUp = milliseconds(Stop.value("giveUpMs", 0));
   }
+  Out.Requests = readRequests(Document.value("requests", json::object()));
   if (Document.contains("log")) {
     const json &Log = Document.at("log");
     Out.Log.Level = Log.value("level", Out.Log.Level);
--- a/src/libhost/daemonsettings.h
+++ b/src/libhost/daemonsettings.h
@@ -32,6 +32,19 @@
   milliseconds ProbeInterval{1000};
 };
 
+/// Limits for clients of the HTTP ports. No client that keeps the limits of the
+/// configuration meets the defaults.
+struct RequestSettings {
+  /// Time from the first byte of a request to the end of its headers.
+  milliseconds HeaderTimeout{10'000};
+  /// Time that a body may pause.
+  milliseconds BodyTimeout{20'000};
+  /// Time that a connection may be idle while others wait for one.
+  milliseconds IdleTimeout{15'000};
+  /// What the kernel keeps of the unread bytes of a connection.
+  int ReceiveBufferBytes = 64 << 10;
+};
+
 struct LogSettings {
   std::string Level = "info";
   bool Decisions = true;
@@ -79,6 +92,7 @@
   std::int64_t MemoryMb = 0;
   /// Bandwidth of the instance's link in Mbit/s; 0 if not set.
   double LinkMbps = 0;
+  RequestSettings Requests;
   LogSettings Log;
   BaselineSettings Baselines;
 
--- a/src/libhost/httpserver.cpp
+++ b/src/libhost/httpserver.cpp
@@ -1,72 +1,34 @@
 #include "httpserver.h"
 
+#include "httpconnection.h"
 #include "logging.h"
 
-#include <restinio/all.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <map>
+#include <set>
 
 namespace persimmon {
 
 namespace {
 
-constexpr std::size_t MaxUrlBytes = 16u << 10;
-constexpr std::size_t MaxFieldNameBytes = 1u << 10;
-constexpr std::size_t MaxFieldValueBytes = 64u << 10;
-constexpr std::size_t MaxFields = 200;
-constexpr std::size_t MaxBodyBytes = 34u << 20;
-constexpr std::size_t MaxPipelinedRequests = 4;
-constexpr std::chrono::seconds ReadTimeout{120};
-constexpr std::chrono::seconds HandleTimeout{660};
-constexpr std::chrono::seconds WriteTimeout{60};
+/// Precision of the time limits of connections.
+constexpr milliseconds CheckInterval{250};
+/// Pause after accepting has failed, for want of a file descriptor for example.
+constexpr milliseconds AcceptRetryInterval{100};
+/// The limits of a server that does not share the memory of requests with other
+/// ports.
+constexpr RequestMemory::Limits NoLimits{
+    std::numeric_limits<std::size_t>::max(),
+    std::numeric_limits<std::size_t>::max()};
 
 char toLower(char C) {
   return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
 }
 
-/// Receives notifications of closed connections.
-class ConnectionCloseListener {
-public:
-  virtual ~ConnectionCloseListener() = default;
-  virtual void onConnectionClosed(std::uint64_t ConnectionId) = 0;
-};
-
-class ConnectionStateListener {
-public:
-  explicit ConnectionStateListener(ConnectionCloseListener &TheListener)
-      : Listener(TheListener) {}
-
-  void state_changed(const restinio::connection_state::notice_t &Notice) {
-    if (std::holds_alternative<restinio::connection_state::closed_t>(
-            Notice.cause()))
-      this->Listener.onConnectionClosed(Notice.connection_id());
-  }
-
-private:
-  ConnectionCloseListener &Listener;
-};
-
-using RequestHandler = std::function<restinio::request_handling_status_t(
-    restinio::request_handle_t)>;
-
-struct Traits
-    : public restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
-                                              restinio::null_logger_t,
-                                              RequestHandler> {
-  using connection_state_listener_t = ConnectionStateListener;
-  // RESTinio never accepts again once accepting has failed for want of a file
-  // descriptor.
-  // NOLINTNEXTLINE(readability-identifier-naming)
-  static constexpr bool use_connection_count_limiter = true;
-};
-
-using RestinioServer = restinio::http_server_t<Traits>;
-
-std::string methodName(const restinio::http_request_header_t &Header) {
-  return std::string(Header.method().c_str());
-}
-
 } // namespace
 
 bool sameHeaderName(std::string_view Left, std::string_view Right) {
@@ -88,131 +50,132 @@
                                       : std::string_view(Found->Value);
 }
 
-class HttpServer::Impl : public ConnectionCloseListener {
+std::size_t HttpHandler::maxBodyBytes() const {
+  return std::numeric_limits<std::size_t>::max();
+}
+
+HttpResponse HttpHandler::makeRefusal(const HttpRequest &,
+                                      const Failure &Error) {
+  HttpResponse Out;
+  Out.Status = httpStatusOf(Error.Code);
+  Out.Body = describe(Error) + "\n";
+  return Out;
+}
+
+class HttpServer::Impl : public HttpConnectionOwner {
 public:
-  explicit Impl(HttpHandler &TheHandler) : Handler(TheHandler) {}
+  Impl(asio::io_context &Context, HttpHandler &TheHandler,
+       const HttpServerLimits &TheLimits)
+      : Handler(TheHandler), Limits(TheLimits), Acceptor(Context),
+        AcceptTimer(Context), CheckTimer(Context) {
+    if (!this->Limits.Memory)
+      this->Limits.Memory = RequestMemory::make(NoLimits);
+  }
 
   ~Impl() override {
-    this->OpenRequests.clear();
-    if (this->Server)
-      this->Server->close_async([] {}, [](const std::exception_ptr &) {});
+    std::error_code Ignored;
+    this->Acceptor.close(Ignored);
+    for (const HttpConnectionPtr &Connection : this->Connections)
+      Connection->abandon();
   }
 
-  leaf::result<void> listen(asio::io_context &Io, const Endpoint &Listen,
-                            std::size_t MaxConnections) {
-    auto Limits = restinio::incoming_http_msg_limits_t{}
-                      .max_url_size(MaxUrlBytes)
-                      .max_field_name_size(MaxFieldNameBytes)
-                      .max_field_value_size(MaxFieldValueBytes)
-                      .max_field_count(MaxFields)
-                      .max_body_size(MaxBodyBytes);
-    this->Server = std::make_unique<RestinioServer>(
-        restinio::external_io_context(Io), [&](auto &Settings) {
-          Settings.address(Listen.Ip)
-              .port(Listen.Port)
-              .incoming_http_msg_limits(Limits)
-              .max_pipelined_requests(MaxPipelinedRequests)
-              .max_parallel_connections(MaxConnections)
-              .read_next_http_message_timelimit(ReadTimeout)
-              .handle_request_timeout(HandleTimeout)
-              .write_http_response_timelimit(WriteTimeout)
-              .connection_state_listener(
-                  std::make_shared<ConnectionStateListener>(*this))
-              .socket_options_setter([](auto &Options) {
-                Options.set_option(asio::ip::tcp::no_delay(true));
-              })
-              .request_handler([this](restinio::request_handle_t Request) {
-                return this->acceptRequest(std::move(Request));
-              });
-        });
-    bool Opened = false;
-    std::string ErrorText;
-    this->Server->open_async([&] { Opened = true; },
-                             [&](const std::exception_ptr &Error) {
-                               Opened = true;
-                               ErrorText = exceptionText(Error);
-                             });
-    while (!Opened)
-      Io.run_one();
-    if (!ErrorText.empty())
-      return fail(ResultCode::PortInUse, Listen.toString(), ErrorText);
+  leaf::result<void> listen(const Endpoint &Listen) {
+    using asio::ip::tcp;
+    std::error_code Error;
+    const auto Check = [&](const std::error_code &Result) {
+      if (!Error)
+        Error = Result;
+    };
+    std::error_code Result;
+    const tcp::endpoint Local(asio::ip::make_address(Listen.Ip, Result),
+                              Listen.Port);
+    Check(Result);
+    if (!Error)
+      Check(this->Acceptor.open(Local.protocol(), Result));
+    if (!Error)
+      Check(this->Acceptor.set_option(tcp::acceptor::reuse_address(true),
+                                      Result));
+    // Accepted sockets take over the size, which bounds what the kernel keeps
+    // of their unread bytes.
+    if (!Error && this->Limits.Requests.ReceiveBufferBytes > 0)
+      Check(this->Acceptor.set_option(
+          asio::socket_base::receive_buffer_size(
+              this->Limits.Requests.ReceiveBufferBytes),
+          Result));
+    if (!Error)
+      Check(this->Acceptor.bind(Local, Result));
+    if (!Error)
+      Check(this->Acceptor.listen(asio::socket_base::max_listen_connections,
+                                  Result));
+    if (Error)
+      return fail(ResultCode::PortInUse, Listen.toString(), Error.message());
+    this->Address = Listen.toString();
+    this->accept();
     return {};
   }
 
   void respond(std::int64_t Id, HttpResponse Response) {
-    const auto Found = this->OpenRequests.find(Id);
-    if (Found == this->OpenRequests.end())
-      return;
-    const restinio::request_handle_t Request = std::move(Found->second);
-    this->removeRequest(Found);
-    auto ResponseBuilder =
-        Request->create_response(restinio::http_status_line_t(
-            restinio::http_status_code_t(
-                static_cast<std::uint16_t>(Response.Status)),
-            ""));
-    for (wire::Header &Item : Response.Headers)
-      ResponseBuilder.header().add_field(std::move(Item.Name),
-                                         std::move(Item.Value));
-    if (Response.CloseConnection)
-      ResponseBuilder.connection_close();
-    ResponseBuilder.set_body(std::move(Response.Body));
-    ++*this->UnwrittenResponses;
-    ResponseBuilder.done(
-        [Count = this->UnwrittenResponses](const auto &) { --*Count; });
+    const HttpConnectionPtr Connection = this->takeRequest(Id);
+    if (Connection)
+      Connection->respond(Id, std::move(Response));
   }
 
   void sendTruncatedResponse(std::int64_t Id) {
-    const auto Found = this->OpenRequests.find(Id);
-    if (Found == this->OpenRequests.end())
-      return;
-    const restinio::request_handle_t Request = std::move(Found->second);
-    this->removeRequest(Found);
-    constexpr std::size_t DeclaredBytes = 100;
-    auto ResponseBuilder =
-        Request->create_response<restinio::user_controlled_output_t>();
-    ResponseBuilder.set_content_length(DeclaredBytes);
-    ResponseBuilder.connection_close();
-    ResponseBuilder.append_body("short");
-    ResponseBuilder.done();
+    const HttpConnectionPtr Connection = this->takeRequest(Id);
+    if (Connection)
+      Connection->respondTruncated(Id);
   }
 
   std::size_t pendingResponses() const {
-    return this->OpenRequests.size() + *this->UnwrittenResponses;
+    return this->OpenRequests.size() + this->Unwritten;
   }
 
 private:
-  using RequestMap = std::map<std::int64_t, restinio::request_handle_t>;
-
-  static std::string exceptionText(const std::exception_ptr &Error) {
-    try {
-      std::rethrow_exception(Error);
-    } catch (const std::exception &Exception) {
-      return Exception.what();
-    }
+  const HttpServerLimits &limits() const override { return this->Limits; }
+  std::size_t maxBodyBytes() const override {
+    return std::min(this->Limits.MaxBodyBytes, this->Handler.maxBodyBytes());
   }
+  std::array<char, ReadBytes> &readBuffer() override { return this->Buffer; }
 
-  restinio::request_handling_status_t
-  acceptRequest(restinio::request_handle_t Request) {
-    HttpRequest Out;
-    Out.Id = ++this->LastId;
-    Out.Method = methodName(Request->header());
-    Out.Url = std::string(Request->header().request_target());
-    for (const auto &Field : Request->header()) {
-      wire::Header Item;
-      Item.Name = Field.name();
-      Item.Value = Field.value();
-      Out.Headers.push_back(std::move(Item));
-    }
-    Out.Body = Request->body();
-    this->RequestsByConnection.emplace(Request->connection_id(), Out.Id);
-    this->OpenRequests.emplace(Out.Id, std::move(Request));
-    const std::int64_t Id = Out.Id;
+  void onRequest(HttpConnection &From, HttpRequest Request) override {
+    this->OpenRequests.emplace(Request.Id, From.shared_from_this());
+    const std::int64_t Id = Request.Id;
     try {
-      this->Handler.onRequest(std::move(Out));
+      this->Handler.onRequest(std::move(Request));
     } catch (const std::exception &Error) {
       this->refuseFailed(Id, Error);
     }
-    return restinio::request_accepted();
+  }
+
+  HttpResponse makeRefusal(const HttpRequest &Request,
+                           const Failure &Error) override {
+    return this->Handler.makeRefusal(Request, Error);
+  }
+
+  std::int64_t nextId() override { return ++this->LastId; }
+  void onResponseQueued() override { ++this->Unwritten; }
+  void onResponsesGone(std::size_t Count) override { this->Unwritten -= Count; }
+
+  void onEnded(RequestEnd End, const std::string &Client,
+               std::size_t Bytes) override {
+    const auto LeftOut =
+        this->Limits.Memory->count(End, std::chrono::steady_clock::now());
+    if (LeftOut)
+      logWarning("event=request-refused port=" + this->Address +
+                 " reason=" + std::string(nameOf(End)) + " client=" + Client +
+                 " bytes=" + std::to_string(Bytes) +
+                 " leftOut=" + std::to_string(*LeftOut));
+  }
+
+  void onClosed(HttpConnection &Connection,
+                const std::vector<std::int64_t> &OpenIds) override {
+    const HttpConnectionPtr Kept = Connection.shared_from_this();
+    this->Connections.erase(Kept);
+    for (const std::int64_t Id : OpenIds) {
+      if (this->OpenRequests.erase(Id) != 0)
+        this->Handler.onRequestAborted(Id);
+    }
+    this->accept();
   }
 
   /// Answers a request whose handler failed. Other requests are not affected.
@@ -226,33 +189,91 @@
     this->Handler.onRequestAborted(Id);
   }
 
-  void removeRequest(RequestMap::iterator Item) {
-    const std::int64_t Id = Item->first;
-    std::erase_if(this->RequestsByConnection,
-                  [&](const auto &Entry) { return Entry.second == Id; });
-    this->OpenRequests.erase(Item);
+  HttpConnectionPtr takeRequest(std::int64_t Id) {
+    const auto Found = this->OpenRequests.find(Id);
+    if (Found == this->OpenRequests.end())
+      return nullptr;
+    HttpConnectionPtr Out = std::move(Found->second);
+    this->OpenRequests.erase(Found);
+    return Out;
   }
 
-  void onConnectionClosed(std::uint64_t ConnectionId) override {
-    const auto [First, Last] =
-        this->RequestsByConnection.equal_range(ConnectionId);
-    std::vector<std::int64_t> AbortedIds;
-    for (auto Item = First; Item != Last; ++Item)
-      AbortedIds.push_back(Item->second);
-    this->RequestsByConnection.erase(ConnectionId);
-    for (const std::int64_t Id : AbortedIds) {
-      this->OpenRequests.erase(Id);
-      this->Handler.onRequestAborted(Id);
-    }
+  bool full() const {
+    return this->Connections.size() >= this->Limits.MaxConnections;
+  }
+
+  void accept() {
+    if (this->Accepting || this->full() || !this->Acceptor.is_open())
+      return;
+    this->Accepting = true;
+    this->Acceptor.async_accept(
+        [this, Alive = std::weak_ptr(this->Alive)](
+            std::error_code Error, asio::ip::tcp::socket Socket) {
+          if (Alive.expired())
+            return;
+          this->Accepting = false;
+          if (Error)
+            return this->acceptLater();
+          this->addConnection(std::move(Socket));
+          this->accept();
+        });
+  }
+
+  void acceptLater() {
+    this->AcceptTimer.expires_after(AcceptRetryInterval);
+    this->AcceptTimer.async_wait(
+        [this, Alive = std::weak_ptr(this->Alive)](std::error_code Error) {
+          if (!Error && !Alive.expired())
+            this->accept();
+        });
+  }
+
+  void addConnection(asio::ip::tcp::socket Socket) {
+    const auto Connection =
+        std::make_shared<HttpConnection>(std::move(Socket), *this);
+    this->Connections.insert(Connection);
+    if (this->Connections.size() == 1)
+      this->checkLater();
+    Connection->start();
+  }
+
+  void checkLater() {
+    this->CheckTimer.expires_after(CheckInterval);
+    this->CheckTimer.async_wait(
+        [this, Alive = std::weak_ptr(this->Alive)](std::error_code Error) {
+          if (Error || Alive.expired() || this->Connections.empty())
+            return;
+          this->checkTimes();
+          this->checkLater();
+        });
+  }
+
+  void checkTimes() {
+    const Time Now = std::chrono::steady_clock::now();
+    const bool Full = this->full();
+    // Closing a connection removes it from the set.
+    const std::vector<HttpConnectionPtr> Checked(this->Connections.begin(),
+                                                 this->Connections.end());
+    for (const HttpConnectionPtr &Connection : Checked)
+      Connection->checkTimes(Now, Full);
   }
 
   HttpHandler &Handler;
-  std::unique_ptr<RestinioServer> Server;
-  RequestMap OpenRequests;
-  std::multimap<std::uint64_t, std::int64_t> RequestsByConnection;
+  HttpServerLimits Limits;
+  std::string Address;
+  asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
+  asio::steady_timer CheckTimer;
+  bool Accepting = false;
+  std::set<HttpConnectionPtr> Connections;
+  std::map<std::int64_t, HttpConnectionPtr> OpenRequests;
   std::int64_t LastId = 0;
-  std::shared_ptr<std::size_t> UnwrittenResponses =
-      std::make_shared<std::size_t>(0);
+  /// Responses that have not been written.
+  std::size_t Unwritten = 0;
+  /// Filled and emptied within one call, so all connections share it.
+  std::array<char, ReadBytes> Buffer{};
+  /// Ends before the operations of the ports and timers are called back.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 HttpServer::HttpServer(std::unique_ptr<Impl> NewImplementation)
@@ -262,9 +283,9 @@
 
 leaf::result<std::unique_ptr<HttpServer>>
 HttpServer::open(asio::io_context &Io, const Endpoint &Listen,
-                 HttpHandler &Handler, std::size_t MaxConnections) {
-  auto NewImplementation = std::make_unique<Impl>(Handler);
-  BOOST_LEAF_CHECK(NewImplementation->listen(Io, Listen, MaxConnections));
+                 HttpHandler &Handler, const HttpServerLimits &Limits) {
+  auto NewImplementation = std::make_unique<Impl>(Io, Handler, Limits);
+  BOOST_LEAF_CHECK(NewImplementation->listen(Listen));
   return std::unique_ptr<HttpServer>(
       new HttpServer(std::move(NewImplementation)));
 }
--- a/src/libhost/httpserver.h
+++ b/src/libhost/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemonsettings.h"
+#include "requestmemory.h"
 
 #include <asio/io_context.hpp>
 
@@ -19,6 +20,8 @@
   std::string Url;
   std::vector<wire::Header> Headers;
   std::string Body;
+  /// The memory that the request takes. Whoever keeps the body keeps it too.
+  std::shared_ptr<RequestMemory::Share> Held;
 
   /// Returns the value of a header, or an empty string. The name is matched
   /// case-insensitively.
@@ -47,21 +50,43 @@
 
   /// Called when the connection of an unanswered request was closed.
   virtual void onRequestAborted(std::int64_t Id) = 0;
+
+  /// Returns the largest body that the handler accepts at present, in bytes.
+  virtual std::size_t maxBodyBytes() const;
+
+  /// Returns the response to a request that is refused before its body has
+  /// arrived, and that is not passed to onRequest(). \p Request has no body.
+  virtual HttpResponse makeRefusal(const HttpRequest &Request,
+                                   const Failure &Error);
+};
+
+/// What clients of an HTTP server may use.
+struct HttpServerLimits {
+  HttpServerLimits() = default;
+  HttpServerLimits(const RequestSettings &Settings, std::size_t Connections,
+                   std::shared_ptr<RequestMemory> SharedMemory)
+      : MaxConnections(Connections), Requests(Settings),
+        Memory(std::move(SharedMemory)) {}
+
+  /// Further connections wait until one is closed.
+  std::size_t MaxConnections = 1000;
+  std::size_t MaxBodyBytes = 34u << 20;
+  RequestSettings Requests;
+  /// Shared by the ports of a process. Null for no limit.
+  std::shared_ptr<RequestMemory> Memory;
 };
 
 /// An HTTP server that listens on one address. It uses the io_context of its
 /// owner, which must run on a single thread.
 class HttpServer {
 public:
-  /// Listens on \p Listen. \p Handler must outlive the server. Has at most
-  /// \p MaxConnections connections; further ones wait until one is closed.
-  /// Errors: PortInUse.
+  /// Listens on \p Listen. \p Handler must outlive the server. Errors:
+  /// PortInUse.
   static leaf::result<std::unique_ptr<HttpServer>>
   open(asio::io_context &Io, const Endpoint &Listen, HttpHandler &Handler,
-       std::size_t MaxConnections = DefaultMaxConnections);
+       const HttpServerLimits &Limits = {});
 
   ~HttpServer();
-  static constexpr std::size_t DefaultMaxConnections = 1000;
 
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/src/libhost/memoryshares.h
+++ b/src/libhost/memoryshares.h
@@ -24,11 +24,16 @@
   /// messages, so a quarter takes up to half of the memory.
   std::size_t maxResponseBytes() const { return this->TotalBytes / 4; }
 
-  /// Limit for the bodies of callers whose calls have no response yet, except
-  /// for the largest. Each is in memory twice, as read from the caller and for
-  /// its call, so an eighth takes a quarter of the memory.
+  /// Limit for the large requests of HTTP clients that are arriving or whose
+  /// calls have no response yet, except for the largest.
   std::size_t maxCallerBodyBytes() const { return this->TotalBytes / 8; }
 
+  /// The same for all requests; a sixteenth is left for small ones if there are
+  /// as many large ones as there may be.
+  std::size_t maxRequestBytes() const {
+    return this->TotalBytes / 8 + this->TotalBytes / 16;
+  }
+
   /// Limit for the replicated log in memory, for the changes that wait for it,
   /// and for the deltas kept for peers: a sixteenth each. Encoding and sending
   /// them takes as much again.
--- a/src/libhost/operatorapi.cpp
+++ b/src/libhost/operatorapi.cpp
@@ -3,6 +3,8 @@
 #include "descriptorshares.h"
 #include "logging.h"
 
+#include "libwire/jsonfilter.h"
+
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
@@ -19,6 +21,7 @@
 
 constexpr std::size_t SaltDigits = 32;
 constexpr std::size_t MinTokenBytes = 8;
+constexpr std::size_t MaxGrantBytes = 64u << 10;
 /// Documents that are read at the same time; operators send few at once.
 constexpr std::size_t MaxReadings = 16;
 constexpr std::string_view BearerPrefix = "Bearer ";
@@ -54,18 +57,97 @@
   return Edit;
 }
 
+/// Takes the edits out of a change while it is parsed, so that not all of them
+/// are in memory as JSON at once. Stops storing at the limits of the store,
+/// which refuses what exceeds them.
+class EditCollector {
+public:
+  /// Returns whether a part of the document is to be kept; see JsonFilter.
+  bool keep(int Depth, JsonPart Part, json &Item) {
+    constexpr int MemberDepth = 1;
+    constexpr int EditDepth = 2;
+    if (Depth < MemberDepth)
+      return true;
+    if (Depth == MemberDepth) {
+      if (Part == JsonPart::Name)
+        this->startMember(Item.get<std::string>());
+      return this->InEdits || this->Known;
+    }
+    // The other members have no parts.
+    if (!this->InEdits)
+      return false;
+    if (Depth > EditDepth)
+      return ++this->PartsOfEdit <= MaxPartsOfEdit &&
+             this->Edits.size() <= MaxKeptEdits;
+    if (Part == JsonPart::Begin || Part == JsonPart::Name)
+      this->PartsOfEdit = 0;
+    else
+      this->addEdit(Item);
+    return Part == JsonPart::Begin || Part == JsonPart::Name;
+  }
+
+  /// Returns the edits, of which the last stands for all beyond the limit.
+  leaf::result<std::vector<wire::PathEdit>> take(const json &Member) {
+    // A member that is no list counts as its only edit.
+    if (!Member.is_structured() && !Member.is_null())
+      this->addEdit(Member);
+    if (this->Error.failed())
+      return fail(this->Error.Code, this->Error.Where, this->Error.What);
+    return std::move(this->Edits);
+  }
+
+private:
+  /// A value of the largest size has fewer parts.
+  static constexpr std::size_t MaxPartsOfEdit = 20'000;
+  /// The store takes as many edits.
+  static constexpr std::size_t MaxKeptEdits = 20'000;
+
+  void startMember(const std::string &Name) {
+    this->InEdits = Name == "edits";
+    this->Known = Name == "changeId" || Name == "basedOn" || Name == "team";
+    if (!this->InEdits)
+      return;
+    // The last of several members of one name counts.
+    this->Edits.clear();
+    this->Error = Failure();
+  }
+
+  void addEdit(const json &Item) {
+    if (this->Error.failed() || this->Edits.size() > MaxKeptEdits)
+      return;
+    if (this->PartsOfEdit > MaxPartsOfEdit) {
+      this->Error = {ResultCode::LimitExceeded, "edits", "value too large"};
+      return;
+    }
+    try {
+      this->Error = handleResult(
+          [&] { return readEdit(Item); },
+          [&](wire::PathEdit Edit) { this->Edits.push_back(std::move(Edit)); });
+    } catch (const json::exception &Wrong) {
+      this->Error = {ResultCode::ValueInvalid, "request", Wrong.what()};
+    }
+  }
+
+  bool InEdits = false;
+  bool Known = false;
+  std::size_t PartsOfEdit = 0;
+  std::vector<wire::PathEdit> Edits;
+  Failure Error;
+};
+
 leaf::result<wire::Change> readChange(const std::string &Text) {
+  EditCollector Collector;
   BOOST_LEAF_AUTO(Document,
-                  parseJson(Text, ResultCode::ValueInvalid, "request"));
+                  parseJson(Text, ResultCode::ValueInvalid, "request",
+                            [&](int Depth, JsonPart Part, json &Item) {
+                              return Collector.keep(Depth, Part, Item);
+                            }));
   try {
     wire::Change Out;
     Out.ChangeId = Document.at("changeId").get<std::string>();
     Out.BasedOn = Document.at("basedOn").get<std::int64_t>();
     Out.Team = Document.at("team").get<std::string>();
-    for (const json &Item : Document.at("edits")) {
-      BOOST_LEAF_AUTO(Edit, readEdit(Item));
-      Out.Edits.push_back(std::move(Edit));
-    }
+    BOOST_LEAF_ASSIGN(Out.Edits, Collector.take(Document.at("edits")));
     return Out;
   } catch (const json::exception &Error) {
     return fail(ResultCode::ValueInvalid, "request", Error.what());
@@ -86,6 +168,8 @@
 
 leaf::result<wire::TeamGrant> readGrant(const std::string &Text,
                                         bool ForAdministrator) {
+  if (Text.size() > MaxGrantBytes)
+    return fail(ResultCode::LimitExceeded, "request", "larger than 64 KiB");
   BOOST_LEAF_AUTO(Document,
                   parseJson(Text, ResultCode::ValueInvalid, "request"));
   if (!Document.is_object())
@@ -130,13 +214,16 @@
 
 leaf::result<std::unique_ptr<OperatorApi>>
 OperatorApi::open(asio::io_context &Io, const DaemonSettings &Settings,
-                  const OperatorProtocol *ExternalProtocol, EventSink &Sink) {
+                  const OperatorProtocol *ExternalProtocol, EventSink &Sink,
+                  std::shared_ptr<RequestMemory> Requests) {
   std::unique_ptr<OperatorApi> Out(
       new OperatorApi(Io, Settings, ExternalProtocol, Sink));
   BOOST_LEAF_ASSIGN(
       Out->Server,
       HttpServer::open(Io, *Settings.Operators, *Out,
-                       DescriptorShares::ofProcess().maxCallerConnections()));
+                       {Settings.Requests,
+                        DescriptorShares::ofProcess().maxCallerConnections(),
+                        std::move(Requests)}));
   return Out;
 }
 
@@ -180,9 +267,9 @@
   const Failure Error = handleResult(
       [&] { return this->ExternalProtocol->openDocument(Request); },
       [&](std::unique_ptr<DocumentReader> Reader) {
-        this->Readings.emplace(
-            Request.Id,
-            Reading{std::move(Reader), std::move(Event), Request.Url});
+        this->Readings.emplace(Request.Id,
+                               Reading{std::move(Reader), std::move(Event),
+                                       Request.Url, Request.Held});
       });
   if (Error.failed())
     return this->refuseExternal(Request.Id, Error);
@@ -332,6 +419,22 @@
   this->Writings.erase(Id);
 }
 
+HttpResponse OperatorApi::makeRefusal(const HttpRequest &Request,
+                                      const Failure &Error) {
+  // The codes of refused calls say nothing to operators.
+  const bool TooLarge = Error.Code == ResultCode::BodyTooLarge;
+  const Failure Reason{TooLarge ? ResultCode::LimitExceeded : ResultCode::Busy,
+                       "body", Error.What};
+  HttpResponse Out;
+  if (this->ExternalProtocol != nullptr &&
+      this->ExternalProtocol->decode(Request))
+    Out = this->ExternalProtocol->makeErrorResponse(Reason, {});
+  else
+    Out.Body = toText(failureToJson(Reason)) + "\n";
+  Out.Status = httpStatusOf(Reason.Code);
+  return Out;
+}
+
 void OperatorApi::handleChange(const HttpRequest &Request) {
   const Failure Error = handleResult(
       [&] { return readChange(Request.Body); },
--- a/src/libhost/operatorapi.h
+++ b/src/libhost/operatorapi.h
@@ -24,7 +24,8 @@
   /// \p Sink must outlive the API. Errors: PortInUse.
   static leaf::result<std::unique_ptr<OperatorApi>>
   open(asio::io_context &Io, const DaemonSettings &Settings,
-       const OperatorProtocol *ExternalProtocol, EventSink &Sink);
+       const OperatorProtocol *ExternalProtocol, EventSink &Sink,
+       std::shared_ptr<RequestMemory> Requests = nullptr);
 
   /// Sends the response to a request that was submitted as an event.
   void respond(const AnswerOperator &Answer);
@@ -42,12 +43,16 @@
 
   void onRequest(HttpRequest Request) override;
   void onRequestAborted(std::int64_t Id) override;
+  HttpResponse makeRefusal(const HttpRequest &Request,
+                           const Failure &Error) override;
 
   /// A document that is read in steps, and the request that it belongs to.
   struct Reading {
     std::unique_ptr<DocumentReader> Reader;
     ReplaceRequested Event;
     std::string Url;
+    /// Counts the memory of the request, which the reader copies.
+    std::shared_ptr<RequestMemory::Share> Held;
   };
 
   bool handleExternalRequest(const HttpRequest &Request);
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace persimmon {
 
@@ -67,6 +68,13 @@
     this->Owner.ArrivedAt.erase(Id);
     this->Owner.Sink.submit(CallerDisconnected{Id});
   }
+  std::size_t maxBodyBytes() const override {
+    return static_cast<std::size_t>(this->Owner.callerLimits().MaxBodyBytes);
+  }
+  HttpResponse makeRefusal(const HttpRequest &Request,
+                           const Failure &Error) override {
+    return this->Owner.refuseArriving(Request, Error);
+  }
 
 private:
   ProxyApi &Owner;
@@ -113,21 +121,24 @@
   Out->Client.setMaxConnections(DefaultConnections);
   const MemoryShares Shares = MemoryShares::fromSettings(Settings.MemoryMb);
   Out->Client.setMaxHeldBytes(Shares.maxResponseBytes());
-  Required.Bodies.setMaxCallerBytes(Shares.maxCallerBodyBytes());
+  Required.Bodies.setMaxCallerBytes(Shares.maxRequestBytes());
   const DescriptorShares Descriptors = DescriptorShares::ofProcess();
-  BOOST_LEAF_ASSIGN(Out->CallerServer,
-                    HttpServer::open(Io, *Settings.Callers,
-                                     *Out->CallerHttpHandler,
-                                     Descriptors.maxCallerConnections()));
+  HttpServerLimits LocalLimits(
+      Settings.Requests, Descriptors.maxLocalConnections(), Required.Requests);
+  LocalLimits.MaxBodyBytes = MaxAnnouncementBytes;
+  BOOST_LEAF_ASSIGN(
+      Out->CallerServer,
+      HttpServer::open(Io, *Settings.Callers, *Out->CallerHttpHandler,
+                       {Settings.Requests, Descriptors.maxCallerConnections(),
+                        Required.Requests}));
   BOOST_LEAF_ASSIGN(Out->LocalServer,
                     HttpServer::open(Io, *Settings.Local,
-                                     *Out->LocalHttpHandler,
-                                     Descriptors.maxLocalConnections()));
+                                     *Out->LocalHttpHandler, LocalLimits));
   if (Settings.Readiness) {
     BOOST_LEAF_ASSIGN(Out->ReadinessServer,
                       HttpServer::open(Io, *Settings.Readiness,
                                        *Out->ReadinessHttpHandler,
-                                       Descriptors.maxLocalConnections()));
+                                       LocalLimits));
   }
   if (Out->ProbeInterval.count() > 0)
     Out->scheduleProbe();
@@ -136,14 +147,19 @@
   return Out;
 }
 
-Failure ProxyApi::checkSize(const HttpRequest &Request) const {
+CallerLimits ProxyApi::callerLimits() const {
+  const auto &Table = this->Sink.node().distribution().table();
+  return Table ? Table->limits() : CallerLimits();
+}
+
+Failure ProxyApi::checkSize(const HttpRequest &Request,
+                            std::size_t BodyBytes) const {
   const Distribution &Config = this->Sink.node().distribution();
-  const auto &Table = Config.table();
-  const CallerLimits Limits = Table ? Table->limits() : CallerLimits();
+  const CallerLimits Limits = this->callerLimits();
   const bool HeadersTooLarge =
       static_cast<std::int64_t>(headerBytes(Request)) > Limits.MaxHeaderBytes;
   const bool BodyTooLarge =
-      static_cast<std::int64_t>(Request.Body.size()) > Limits.MaxBodyBytes;
+      static_cast<std::int64_t>(BodyBytes) > Limits.MaxBodyBytes;
   // A newer configuration version may have larger limits.
   if ((HeadersTooLarge || BodyTooLarge) && Config.superseded())
     return {ResultCode::NotCurrent, {}, {}};
@@ -159,7 +175,7 @@
   this->ArrivedAt.emplace(Request.Id, Now);
   std::string Job;
   CallMetadata Metadata;
-  Failure Error = this->checkSize(Request);
+  Failure Error = this->checkSize(Request, Request.Body.size());
   if (!Error.failed())
     Error = handleResult([&] { return takeJob(Request); },
                          [&](std::string Taken) { Job = std::move(Taken); });
@@ -184,7 +200,8 @@
   Call.BodySize = static_cast<std::int64_t>(Request.Body.size());
   Call.Deadline = Metadata.Deadline;
   Call.IdempotencyKey = std::move(Metadata.IdempotencyKey);
-  if (!this->Bodies.storeCallerBody(Request.Id, std::move(Request.Body)))
+  if (!this->Bodies.storeCallerBody(Request.Id, std::move(Request.Body),
+                                    std::move(Request.Held)))
     return this->sendError({Request.Id,
                             {ResultCode::TooManyCalls, "body",
                              "not enough memory for the request body"},
@@ -192,6 +209,23 @@
   this->Sink.submit(std::move(Call));
 }
 
+HttpResponse ProxyApi::refuseArriving(const HttpRequest &Request,
+                                      Failure Error) {
+  RefuseCaller Refusal;
+  if (Error.Code == ResultCode::BodyTooLarge) {
+    const Failure Checked =
+        this->checkSize(Request, std::numeric_limits<std::int64_t>::max());
+    if (Checked.failed())
+      Error = Checked;
+  } else {
+    Refusal.RetryAfter = BodyMemoryRetryAfter;
+  }
+  this->DaemonMetrics.incrementCounter("persimmon_calls_total{result=\"" +
+                                       std::string(nameOf(Error.Code)) + "\"}");
+  Refusal.Error = std::move(Error);
+  return this->Protocols.Calls->makeErrorResponse(Refusal, true);
+}
+
 void ProxyApi::recordCall(std::int64_t CallNumber, ResultCode Code) {
   this->DaemonMetrics.incrementCounter("persimmon_calls_total{result=\"" +
                                        std::string(nameOf(Code)) + "\"}");
--- a/src/libhost/proxyapi.h
+++ b/src/libhost/proxyapi.h
@@ -27,6 +27,7 @@
     BodyStore &Bodies;
     Metrics &DaemonMetrics;
     const EdgeProtocols &Protocols;
+    std::shared_ptr<RequestMemory> Requests;
   };
 
   /// Listens on the addresses in \p Settings. Errors: PortInUse.
@@ -67,7 +68,9 @@
   HttpResponse execute(const TargetAnnouncement &Announcement);
   HttpResponse execute(const TargetLeaving &Leave);
   HttpResponse execute(const ReadinessQuery &Query);
-  Failure checkSize(const HttpRequest &Request) const;
+  CallerLimits callerLimits() const;
+  Failure checkSize(const HttpRequest &Request, std::size_t BodyBytes) const;
+  HttpResponse refuseArriving(const HttpRequest &Request, Failure Error);
   void applyConnectionLimit();
   void onTargetFinished(const wire::AttemptId &Id, const std::string &TargetRun,
                         TargetResponse Answer);
--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -31,6 +31,10 @@
 
 std::string serialize(const TargetRequest &Request) {
   std::string Out = Request.Method + " " + Request.Url + " HTTP/1.1\r\n";
+  std::size_t HeaderBytes = 64;
+  for (const wire::Header &Item : Request.Headers)
+    HeaderBytes += Item.Name.size() + Item.Value.size() + 4;
+  Out.reserve(Out.size() + HeaderBytes + Request.Body.size());
   for (const wire::Header &Item : Request.Headers)
     Out += Item.Name + ": " + Item.Value + "\r\n";
   if (!Request.Body.empty() || requiresContentLength(Request.Method))
@@ -142,6 +146,9 @@
         // and then its end. If this write took the socket's error, the read
         // reports an ordinary end of stream.
         Self->RequestWritten = !Error;
+        // Up to 34 MB, which an idle connection would keep.
+        if (!Error)
+          Self->RequestBytes = std::string();
         Self->WriteFailed = static_cast<bool>(Error);
       });
 }
--- a/src/libwire/jsontext.cpp
+++ b/src/libwire/jsontext.cpp
@@ -1,5 +1,7 @@
 #include "jsontext.h"
 
+#include "jsonfilter.h"
+
 #include <nlohmann/json.hpp>
 
 namespace persimmon {
@@ -31,15 +33,39 @@
   return false;
 }
 
+JsonPart partOf(json::parse_event_t Event) {
+  switch (Event) {
+  case json::parse_event_t::key:
+    return JsonPart::Name;
+  case json::parse_event_t::value:
+    return JsonPart::Value;
+  case json::parse_event_t::object_end:
+  case json::parse_event_t::array_end:
+    return JsonPart::End;
+  default:
+    return JsonPart::Begin;
+  }
+}
+
 } // namespace
 
 leaf::result<json> parseJson(std::string_view Text, ResultCode Code,
                              std::string_view Where) {
+  return parseJson(Text, Code, Where, JsonFilter());
+}
+
+leaf::result<json> parseJson(std::string_view Text, ResultCode Code,
+                             std::string_view Where, const JsonFilter &Keep) {
   if (nestsTooDeep(Text))
     return fail(Code, std::string(Where), "the JSON nests too deep");
   // The library's messages quote the text and may cut it inside a character.
   try {
-    return json::parse(Text);
+    if (!Keep)
+      return json::parse(Text);
+    return json::parse(Text,
+                       [&](int Depth, json::parse_event_t Event, json &Parsed) {
+                         return Keep(Depth, partOf(Event), Parsed);
+                       });
   } catch (const json::parse_error &Error) {
     return fail(Code, std::string(Where),
                 "not valid JSON at byte " + std::to_string(Error.byte));
--- a/tests/httpserver/test_httpserver.cpp
+++ b/tests/httpserver/test_httpserver.cpp
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <deque>
 #include <future>
 #include <stdexcept>
 
@@ -198,10 +199,12 @@
 
 /// A server whose requests the test answers, and one connection to it.
 struct KeptServer {
-  KeptServer() {
+  explicit KeptServer(const HttpServerLimits &Limits = {}) {
     const Endpoint Listen = freeEndpoint();
     const Failure Error = handleResult(
-        [&] { return HttpServer::open(this->Io, Listen, this->Handler); },
+        [&] {
+          return HttpServer::open(this->Io, Listen, this->Handler, Limits);
+        },
         [&](std::unique_ptr<HttpServer> Opened) {
           this->Server = std::move(Opened);
         });
@@ -366,3 +369,112 @@
   Test.respond(0, "");
   CHECK(Test.receive() == answer("", "keep-alive"));
 }
+
+// Guards against bodies that are read before they are refused.
+TEST_CASE("a body over the limit is refused before it has arrived") {
+  HttpServerLimits Limits;
+  Limits.MaxBodyBytes = 100;
+  for (const std::string &Request :
+       {std::string(
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n"),
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            std::string("65\r\n") + std::string(101, 'x')}) {
+    KeptServer Test(Limits);
+    // The answers to earlier requests come first.
+    Test.send(get("/1") + Request);
+    CHECK(Test.receive().empty());
+    Test.respond(0, "first");
+    const std::string Answer = Test.receive();
+    INFO(Answer);
+    const std::string First = answer("first", "keep-alive");
+    REQUIRE(Answer.starts_with(First + "HTTP/1.1 413"));
+    CHECK(Answer.find("Connection: close", First.size()) != std::string::npos);
+    CHECK(Test.Ended);
+    CHECK(Test.Handler.Requests.size() == 1);
+    CHECK(Test.Handler.Aborted.empty());
+    CHECK(Test.Server->pendingResponses() == 0);
+  }
+}
+
+// Guards against refusals that a client cannot read because the connection was
+// reset while it was still sending.
+TEST_CASE("the rest of a refused body is read and dropped") {
+  HttpServerLimits Limits;
+  Limits.MaxBodyBytes = 100;
+  KeptServer Test(Limits);
+  const std::string Body(5'000'000, 'z');
+  auto Sent = std::async(std::launch::async, [&] {
+    asio::write(Test.Client,
+                asio::buffer("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                             std::to_string(Body.size()) + "\r\n\r\n" + Body));
+  });
+  while (Sent.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
+    Test.run();
+  Sent.get();
+  CHECK(Test.receive().starts_with("HTTP/1.1 413"));
+  CHECK(Test.Ended);
+}
+
+// Guards against clients that hold connections and memory without sending.
+TEST_CASE("a request that makes no progress closes its connection") {
+  for (const std::string &Bytes :
+       {std::string("GET / HT"),
+        std::string("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n1234")}) {
+    HttpServerLimits Limits;
+    Limits.Requests.HeaderTimeout = milliseconds(300);
+    Limits.Requests.BodyTimeout = milliseconds(300);
+    Limits.Memory = RequestMemory::make({1'000'000, 1'000'000});
+    KeptServer Test(Limits);
+    Test.send(Bytes);
+    CHECK(Limits.Memory->bytes() > 0);
+    for (int I = 0; I < 50 && !Test.Ended; ++I)
+      CHECK(Test.receive().empty());
+    CHECK(Test.Ended);
+    CHECK(Limits.Memory->bytes() == 0);
+    CHECK(Limits.Memory->counted(RequestEnd::HeadersLate) +
+              Limits.Memory->counted(RequestEnd::BodyLate) ==
+          1);
+  }
+}
+
+// Guards against idle connections that keep others out.
+TEST_CASE("an idle connection is closed when others wait for one") {
+  HttpServerLimits Limits;
+  Limits.MaxConnections = 1;
+  Limits.Requests.IdleTimeout = milliseconds(300);
+  Limits.Memory = RequestMemory::make({1'000'000, 1'000'000});
+  KeptServer Test(Limits);
+  Test.run();
+  tcp::socket Second(Test.Io);
+  Second.connect(Test.Client.remote_endpoint());
+  asio::write(Second, asio::buffer(get("/second")));
+  for (int I = 0; I < 50 && Test.Handler.Requests.empty(); ++I)
+    Test.run();
+  REQUIRE(Test.Handler.Requests.size() == 1);
+  CHECK(Limits.Memory->counted(RequestEnd::Idle) == 1);
+  Test.receive();
+  CHECK(Test.Ended);
+}
+
+// Guards against large open bodies that keep small requests out.
+TEST_CASE("a small request is served while large bodies stay open") {
+  HttpServerLimits Limits;
+  Limits.Memory = RequestMemory::make({400'000, 500'000});
+  KeptServer Test(Limits);
+  std::deque<tcp::socket> Large;
+  const std::string Open =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 150000\r\n\r\n" +
+      std::string(149'999, 'x');
+  for (int I = 0; I < 12; ++I) {
+    Large.emplace_back(Test.Io);
+    Large.back().connect(Test.Client.remote_endpoint());
+    asio::write(Large.back(), asio::buffer(Open));
+    Test.run();
+  }
+  CHECK(Limits.Memory->counted(RequestEnd::NoMemory) > 0);
+  CHECK(Limits.Memory->bytes() <= 400'000 + 150'500);
+  Test.send("POST /small HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n\r\n" +
+            std::string(20'000, 's'));
+  REQUIRE(Test.Handler.Requests.size() == 1);
+  CHECK(Test.Handler.Requests.front().Url == "/small");
+}
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -154,9 +154,34 @@
   CHECK(Read(0, "") == 64'000'000);
   std::istringstream In(Large);
   CHECK(MemoryShares::fromSettings(100, In).maxCallerBodyBytes() == 12'500'000);
+  CHECK(MemoryShares::fromSettings(100, In).maxRequestBytes() == 18'750'000);
   CHECK(Read(0, "MemTotal: many kB\n") == 64'000'000);
 }
 
+TEST_CASE("the limits for clients are settings") {
+  DaemonSettings Settings;
+  const Failure Error = handleResult(
+      [&] {
+        return DaemonSettings::parse(
+            replaceOnce(Proxy, "\"name\"",
+                        "\"requests\":{\"headerTimeoutMs\":400,"
+                        "\"receiveBufferKb\":8},\"name\""),
+            "settings");
+      },
+      [&](DaemonSettings Read) { Settings = std::move(Read); });
+  CHECK(!Error.failed());
+  CHECK(Settings.Requests.HeaderTimeout == milliseconds(400));
+  CHECK(Settings.Requests.ReceiveBufferBytes == 8192);
+  CHECK(Settings.Requests.BodyTimeout == RequestSettings().BodyTimeout);
+  CHECK(Settings.Requests.IdleTimeout == RequestSettings().IdleTimeout);
+  for (const char *Wrong : {"{\"bodyTimeoutMs\":0}", "{\"other\":1}"}) {
+    const std::string Requests =
+        "\"requests\":" + std::string(Wrong) + ",\"name\"";
+    CHECK(parse(replaceOnce(Proxy, "\"name\"", Requests)).Code ==
+          ResultCode::SettingsInvalid);
+  }
+}
+
 TEST_CASE("the memory and the link that a proxy may use are settings") {
   DaemonSettings Settings;
   const Failure Error = handleResult(
