--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -54,6 +54,7 @@
   /// Sets the gauges of the roll-outs that run, summed over them.
   void setRolloutGauges(const RolloutController &Source);
   void setConsensusGauges(const Consensus &Source);
+  void setRequestGauges();
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
   /// this start as the first one.
@@ -116,6 +117,7 @@
   std::array<TrafficCounters, std::variant_size_v<Message>> LoggedTraffic{};
   std::unique_ptr<ChoicePolicy> TargetPolicy;
   std::unique_ptr<Topology> VersionTopology;
+  std::shared_ptr<RequestMemory> Requests;
   BodyStore Bodies;
   SuspensionClock Suspension;
   Metrics DaemonMetrics;
