Judge roll-outs with fewer false alarms and end them in time

Zones' first proxies sent all counts to every control instance. The protocol of tests/httpserver lacked the new response, so that test did not compile.

--- a/src/libpersimmon/reporttree.h
+++ b/src/libpersimmon/reporttree.h
@@ -40,6 +40,14 @@
     this->DrainingTo = std::move(DrainingTo);
   }
 
+  /// Records that the control instance at \p Address led recently. Reports in
+  /// which only counts of roll-outs changed are sent to no other one until
+  /// \p Until.
+  void noteLeader(std::string_view Address, Time Until) {
+    this->Leader = Address;
+    this->LeaderUntil = Until;
+  }
+
   /// Sends the report for this proxy's subtree if it changed or is due.
   void tick(const Membership &Members, std::int64_t VersionInForce, Time Now,
             Effects &Out);
@@ -69,6 +77,8 @@
   std::vector<wire::VersionAnswers> OwnAnswers;
   milliseconds AnswersInterval{0};
   std::string DrainingTo;
+  std::string Leader;
+  Time LeaderUntil;
   Time NextKeepalive;
   Time NextReport;
   Time NextAnswers;
--- a/src/libpersimmon/versionfilter.cpp
+++ b/src/libpersimmon/versionfilter.cpp
@@ -81,9 +81,9 @@
                                    const Rollout &Order, bool Repeated,
                                    bool Confirmed) {
   using Kind = VersionRule::Kind;
-  const VersionRule NewOnly = makeRule(Kind::Only, Order.Version,
-                                       Order.State == RolloutState::Completed);
-  const VersionRule NotNew = makeRule(Kind::Except, Order.Version, false);
+  VersionRule NewOnly = makeRule(Kind::Only, Order.Version,
+                                 Order.State == RolloutState::Completed);
+  VersionRule NotNew = makeRule(Kind::Except, Order.Version, false);
   const bool Drawn =
       Order.running() && Confirmed &&
       (Order.Stage == RolloutStage::Full ||
--- a/tests/httpserver/test_httpserver.cpp
+++ b/tests/httpserver/test_httpserver.cpp
@@ -95,6 +95,9 @@
   writeSubtree(const SettingsMap &, std::string_view) const override {
     return std::make_unique<FailingWriter>();
   }
+  HttpResponse makeRolloutResponse(const Rollout &) const override {
+    return {};
+  }
   HttpResponse makeAcceptedResponse() const override { return {}; }
   HttpResponse makeErrorResponse(const Failure &Error,
                                  std::string_view) const override {
--- a/tests/rollouts/test_versionfilter.cpp
+++ b/tests/rollouts/test_versionfilter.cpp
@@ -1,4 +1,5 @@
 #include "libpersimmon/targetchooser.h"
+#include "libpersimmon/targetconfirmation.h"
 #include "libpersimmon/versionfilter.h"
 
 #include <catch2/catch.hpp>
@@ -235,3 +236,46 @@
                 *table(rollout(RolloutState::Completed, RolloutStage::Full, 0)))
             .empty());
 }
+
+// Guards against calls to a target of a bad version because its daemon
+// restarted and has not heard of the version yet.
+TEST_CASE("a daemon that restarted takes its target's version from members") {
+  TargetConfirmation Evidence;
+  wire::MemberRecord Former = record("a", "v2", 10);
+  Evidence.receive(Former);
+  TargetFound Found;
+  Found.Service = Service;
+  Found.InstanceId = "a";
+  Found.Slots = 4;
+  Evidence.find(Found, Now);
+  const auto Confirmed = Evidence.confirmed();
+  REQUIRE(Confirmed);
+  CHECK(Confirmed->Target.Version == "v2");
+}
+
+// Guards against a roll-out that costs the daemons too much.
+TEST_CASE("a report with the counts of a roll-out is small") {
+  constexpr int Routes = 4;
+  wire::Report Report;
+  Report.From = "proxy-1";
+  Report.Count = 9;
+  const std::size_t Before = encode(Report).size();
+  for (int I = 0; I < Routes; ++I) {
+    for (const char *Version : {"v1", "v2"}) {
+      wire::VersionAnswers &Item = Report.Versions.emplace_back();
+      Item.RolloutId = "0a1b2c";
+      Item.Version = Version;
+      Item.Route = "route-" + std::to_string(I);
+      Item.Answers = Item.Timed = 500;
+      Item.Started = 510;
+      Item.UnderWay = 10;
+      Item.Failures = 3;
+      Item.RunMs = 60'000;
+      Item.LogRunMs = 2'400'000;
+    }
+  }
+  const std::size_t Added = encode(Report).size() - Before;
+  INFO(Added << " bytes");
+  // Two reports a second stay under 1 KB/s.
+  CHECK(Added < 500);
+}
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -116,6 +116,32 @@
   CHECK(Checked > 0);
 }
 
+TEST_CASE("the bounds of roll-outs are read, and absent without the key") {
+  const auto Read = [](const std::string &Text) {
+    DaemonSettings Out;
+    const Failure Error =
+        handleResult([&] { return DaemonSettings::parse(Text, "settings"); },
+                     [&](DaemonSettings Parsed) { Out = std::move(Parsed); });
+    INFO(describe(Error));
+    REQUIRE(!Error.failed());
+    return Out;
+  };
+  for (const std::string &Role : {Control, Proxy}) {
+    CHECK(!Read(Role).Rollouts);
+    const DaemonSettings Given =
+        Read(replaceOnce(Role, "\"name\"",
+                         R"("rollouts":{"exposureShare":0.1,"exposureSlack":50,
+                            "rollbackS":2.5},"name")"));
+    REQUIRE(Given.Rollouts);
+    CHECK(Given.Rollouts->ExposureShare == 0.1);
+    CHECK(Given.Rollouts->ExposureSlack == 50);
+    CHECK(Given.Rollouts->RollbackTime == milliseconds(2500));
+    CHECK(parse(replaceOnce(Role, "\"name\"",
+                            R"("rollouts":{"exposureShare":10},"name")"))
+              .Code == ResultCode::SettingsInvalid);
+  }
+}
+
 TEST_CASE("seeds take the place of named control instances") {
   const std::string Seeds =
       R"("seeds":["10.0.0.1:8144"],"seedPort":7100,"lossesBorne":2,)";
