Cross zones only towards zones with free capacity on average

At 1.2 times the capacity 5% of the bytes crossed zones without serving more calls: a target of a full zone has room for moments, which its report shows and which are over when the call arrives.

A call crosses only if the mean load of the service in the other zone is below its slots. The price of the bytes is lowered, since crossing now uses capacity that is idle. Load.RunMs is left out of messages where it is not set; its default value marked it as set.

--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -61,7 +61,6 @@
   Out.Running = static_cast<std::int32_t>(this->RunningIds.size());
   Out.Queued = static_cast<std::int32_t>(this->Queue.size());
   Out.Slots = this->SlotCount;
-  Out.__isset.RunMs = false;
   return Out;
 }
 
--- a/src/libpersimmon/evenplacement.cpp
+++ b/src/libpersimmon/evenplacement.cpp
@@ -37,9 +37,14 @@
 /// choose the same target.
 constexpr int Draws = 3;
 /// Value of the bytes of a mean call that crosses zones, as a share of the
-/// value of an answer: a day on which half of all bytes cross costs up to 0.4
+/// value of an answer. A day on which half of all bytes cross costs 0.15 to 0.4
 /// of its worth.
-constexpr double CrossingPrice = 0.4;
+constexpr double CrossingPrice = 0.25;
+/// Mean load of a service in another zone, as a share of its slots, from which
+/// on no call crosses. Targets of a full zone have room for moments only:
+/// without this limit 5% of the bytes cross at 1.2 times the capacity, instead
+/// of 1.4%, and no more calls are served.
+constexpr double MaxFarShare = 1;
 /// A call crosses only for a gain above the errors of the prediction.
 constexpr double CrossingMargin = 0.05;
 /// A refused nested call wastes the run that made it.
@@ -264,7 +269,10 @@
     bool AnyKnown = false;
     for (const Estimate &Item : Far) {
       AnyKnown = AnyKnown || isKnown(Item.Result);
-      if (isKnown(Item.Result) && Item.Result.Chance >= MinFarChance)
+      const double Share =
+          this->meanShare(this->stateOf(*Item.Result.Record), Now);
+      if (isKnown(Item.Result) && Item.Result.Chance >= MinFarChance &&
+          Share < MaxFarShare)
         Room.push_back(Item);
     }
     if (!Room.empty())
--- a/src/libwire/gen/persimmon_types.h
+++ b/src/libwire/gen/persimmon_types.h
@@ -2977,7 +2977,7 @@
 std::ostream& operator<<(std::ostream& out, const BodyPart& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true), PacePercent(true), RunMs(true) {}
+  _Load__isset() : Running(false), Queued(false), Slots(false), LinkMs(true), PacePercent(true), RunMs(false) {}
   bool Running :1;
   bool Queued :1;
   bool Slots :1;
@@ -2990,7 +2990,7 @@
  * LinkMs is the time that the daemon's link needs for the answers that wait or are
  * expected. PacePercent is how long work takes on the target's machine, 100 as
  * usual; 0 if the target does not tell it. RunMs is the mean run time on this
- * target of the route of the call that the load is sent for; 0 if unknown.
+ * target of the route of the call that the load is sent for; absent if unknown.
  */
 class Load : public virtual ::apache::thrift::TBase {
  public:
--- a/src/libwire/persimmon.thrift
+++ b/src/libwire/persimmon.thrift
@@ -408,7 +408,7 @@
  * LinkMs is the time that the daemon's link needs for the answers that wait or are
  * expected. PacePercent is how long work takes on the target's machine, 100 as
  * usual; 0 if the target does not tell it. RunMs is the mean run time on this
- * target of the route of the call that the load is sent for; 0 if unknown.
+ * target of the route of the call that the load is sent for; absent if unknown.
  */
 struct Load {
   1: i32 Running
@@ -416,7 +416,7 @@
   3: i32 Slots
   4: i32 LinkMs = 0
   5: i32 PacePercent = 0
-  6: optional i32 RunMs = 0
+  6: optional i32 RunMs
 }
 
 /**
--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -115,7 +115,7 @@
   for (const double Share : {0.6, 0.9}) {
     PlacementLoad Load;
     Load.Load = Share;
-    checkBetter("load " + std::to_string(Share).substr(0, 3), Load, 0.06);
+    checkBetter("load " + std::to_string(Share).substr(0, 3), Load, 0.05);
   }
 }
 
@@ -123,7 +123,7 @@
   for (const double Share : {1.2, 1.6}) {
     PlacementLoad Load;
     Load.Load = Share;
-    checkBetter("load " + std::to_string(Share).substr(0, 3), Load, 0.1);
+    checkBetter("load " + std::to_string(Share).substr(0, 3), Load, 0.03);
   }
 }
 
@@ -132,14 +132,14 @@
 TEST_CASE("targets that tell their pace are used in time and evenly") {
   PlacementLoad Load;
   Load.TellsPace = true;
-  checkBetter("load 0.9, pace told", Load, 0.06);
+  checkBetter("load 0.9, pace told", Load, 0.05);
 }
 
 TEST_CASE("a burst of one kind of calls is served") {
   PlacementLoad Load;
   Load.Load = 0.7;
   Load.BurstFactor = 2.5;
-  checkBetter("burst", Load, 0.1);
+  checkBetter("burst", Load, 0.04);
 }
 
 // Guards against idle capacity elsewhere while the own zone is short of it.
@@ -147,7 +147,7 @@
   PlacementLoad Load;
   Load.Load = 0.75;
   Load.LosesTargets = true;
-  checkBetter("loss of targets", Load, 0.1);
+  checkBetter("loss of targets", Load, 0.07);
 }
 
 TEST_CASE("four zones of a larger deployment are served") {
@@ -155,7 +155,7 @@
   Load.Zones = 4;
   Load.Slots = 11;
   Load.TargetsByService = {32, 20, 26};
-  checkBetter("four zones", Load, 0.06);
+  checkBetter("four zones", Load, 0.05);
 }
 
 // Guards against leaving the zone as soon as some of its targets are full.
@@ -205,6 +205,22 @@
   CHECK(F.placeMany(20).count("b1") == 0);
 }
 
+// Guards against crossing for the moments in which a target of a full zone has
+// room.
+TEST_CASE("no call crosses to a zone that is full on average") {
+  PlacementFixture F;
+  F.report("a1", 40);
+  F.report("a2", 40);
+  for (int I = 0; I < 50; ++I)
+    F.report("b1", 15);
+  F.report("b1", 2);
+  F.Request.Bytes = 400;
+  CHECK(F.placeMany(20).count("b1") == 0);
+  for (int I = 0; I < 50; ++I)
+    F.report("b1", 2);
+  CHECK(F.placeMany(20)["b1"] == 20);
+}
+
 TEST_CASE("a refused call is given up when no zone has room") {
   PlacementFixture F;
   F.report("a1", 40);
