--- a/tests/placement/test_placement.cpp
+++ b/tests/placement/test_placement.cpp
@@ -384,3 +384,46 @@
   Daemon.setTarget(Event, Start, Out);
   CHECK(Run(4, 0).PacePercent == 0);
 }
+
+// Not part of a normal run, since it measures times.
+TEST_CASE("processor time of a placement", "[.cost]") {
+  for (const int Count : {30, 100, 300}) {
+    EvenPlacement UnderTest("zone-0", 1);
+    std::vector<wire::MemberRecord> Records(static_cast<std::size_t>(Count));
+    std::vector<PlacementCandidate> Candidates;
+    for (int I = 0; I < Count; ++I) {
+      wire::MemberRecord &Record = Records[static_cast<std::size_t>(I)];
+      Record.Name = "node-" + std::to_string(I);
+      Record.Zone = "zone-" + std::to_string(I % 3);
+      Record.Service = "team/work";
+      Record.Slots = 10;
+      Candidates.push_back({&Record});
+    }
+    PlacementRequest Request;
+    Request.Service = "team/work";
+    Request.Route = "route";
+    Request.Bytes = 1000;
+    Request.UsefulUntil = Start + milliseconds(150);
+    wire::Load Load;
+    Load.Slots = 10;
+    Load.__set_RunMs(100);
+    constexpr int Rounds = 20'000;
+    // Idle zones, then a full one, where the other zones are looked at.
+    for (const int Running : {2, 30}) {
+      const auto From = std::chrono::steady_clock::now();
+      for (int I = 0; I < Rounds; ++I) {
+        const Placement Placed = UnderTest.place(Candidates, Request, Start);
+        Load.Running = Running;
+        if (Placed.Record != nullptr) {
+          UnderTest.ended(Placed.Record->Name);
+          UnderTest.reported(Placed.Record->Name, "route", Load, false, Start);
+        }
+        UnderTest.heard(UnderTest.loadsFor(Records.front(), Start), Start);
+      }
+      const std::chrono::duration<double, std::micro> Took =
+          std::chrono::steady_clock::now() - From;
+      std::cout << "targets=" << Count << " running=" << Running
+                << " us=" << Took.count() / Rounds << std::endl;
+    }
+  }
+}
