Count an account's calls by spans and weigh accounts by their rates

An account that asked for more than its rate all the time got its rate only, although each span of 5 s has room for the burst besides; and within a priority all accounts had equal parts, so that large ones lost most when capacity was short.

The bucket of an account now spreads half of the burst over the span and keeps the other half in its depth; what it may start in any span is as before. Parts within a priority go by the rates of the accounts.

--- a/src/libpersimmon/accountfairness.h
+++ b/src/libpersimmon/accountfairness.h
@@ -18,16 +18,18 @@
 /// more. Unused parts go to whoever asks, and using them is not held against
 /// anyone later.
 ///
-/// Accounts have equal parts, so a large one may get a small fraction of what
-/// it asks for. No account is to be served less than a quarter as often as all
-/// calls together, so the first call of an account that comes near this goes
-/// ahead of the others.
+/// Accounts have parts by their weights. An account whose part is small may get
+/// a small fraction of what it asks for. No account is to be served less than a
+/// quarter as often as all calls together, so the first call of an account that
+/// comes near this goes ahead of the others.
 ///
 /// Calls without an account count as one account, with an empty name.
 class AccountFairness {
 public:
   /// Counts a call that arrived, whether or not it is admitted.
-  void arrived(int Priority, std::string_view Account, Time Now);
+  /// \p Weight is the account's part relative to those of others; above 0.
+  void arrived(int Priority, std::string_view Account, Time Now,
+               double Weight = 1);
 
   /// Counts a call that starts and is expected to take \p RunMs.
   void started(int Priority, std::string_view Account, double RunMs, Time Now);
@@ -42,7 +44,7 @@
 
   /// Returns the share of the account's calls to admit if the share \p OfAll of
   /// all calls of the priority is admitted. Accounts that ask for no more than
-  /// an equal part get all of it.
+  /// their part get all of it.
   double admittedShare(int Priority, std::string_view Account, double OfAll,
                        Time Now) const;
 
@@ -61,6 +63,7 @@
   struct AccountState {
     /// Virtual time at which the last started call ends.
     double End = 0;
+    double Weight = 1;
     Counts Recent;
   };
   struct PriorityState {
--- a/src/libpersimmon/admissionqueue.cpp
+++ b/src/libpersimmon/admissionqueue.cpp
@@ -73,7 +73,8 @@
   // Nested calls are the consequence of others and go first in any case.
   this->HasAccounts = this->HasAccounts || !Call.Account.empty();
   if (this->HasAccounts && !Call.Nested)
-    this->Fairness.arrived(Call.Priority, Call.Account, Now);
+    this->Fairness.arrived(Call.Priority, Call.Account, Now,
+                           Call.AccountWeight);
 }
 
 void AdmissionQueue::started(const WaitingCall &Call, Time Now) {
@@ -124,7 +125,7 @@
       continue;
     }
     Item.Start = std::floor(Next->second / QuantumMs) * QuantumMs;
-    Next->second += this->fairCostMs(*Call);
+    Next->second += this->fairCostMs(*Call) / Call->AccountWeight;
   }
   std::stable_sort(Ranked.begin(), Ranked.end(),
                    [](const RankedCall &Left, const RankedCall &Right) {
--- a/src/libpersimmon/admissionqueue.h
+++ b/src/libpersimmon/admissionqueue.h
@@ -32,6 +32,8 @@
   std::string Route;
   /// Name of the client account; empty if there is none.
   std::string Account;
+  /// Part of the capacity that the account may take relative to others.
+  double AccountWeight = 1;
   int Priority = 0;
   /// End of the time in which an answer has full value for the caller; never
   /// after Deadline.
--- a/src/libpersimmon/allowanceledger.cpp
+++ b/src/libpersimmon/allowanceledger.cpp
@@ -19,7 +19,15 @@
 /// How long a former leader's shares may be valid.
 constexpr milliseconds FormerShares =
     MaxVerifiedAge + ShareValidity + ClockMargin;
-/// Tokens that may accumulate beyond the burst, so that accounts of one call
+/// Span over which an account's calls are counted. In any span, an account may
+/// start its rate times the span and its burst.
+constexpr double SpanSeconds = 5;
+/// Part of that number that may be exceeded in a span. A tenth is tolerated;
+/// the rest is left for clocks that run at different rates.
+constexpr double OveragePart = 0.08;
+/// Part of the burst that may be saved up; the rest is spread over the span.
+constexpr double BurstInDepth = 0.5;
+/// Tokens that may accumulate beyond that, so that accounts of one call
 /// per second are served though their calls arrive at random times. A part of
 /// the 20 calls that are tolerated in any span.
 constexpr double ExtraDepth = 8;
@@ -92,6 +100,16 @@
   return static_cast<std::int64_t>(std::floor(Value * Milli));
 }
 
+/// Returns the token bucket by which an account may start as many calls in any
+/// span as \p Rate allows. A bucket refilled at the rate itself would refuse
+/// calls of an account that asks for more all the time, although each span has
+/// room for the burst; one of no depth would refuse short bursts.
+AccountRate bucketOf(const AccountRate &Rate) {
+  const double PerSpan = Rate.PerSecond * SpanSeconds + Rate.Burst;
+  const double Depth = BurstInDepth * Rate.Burst;
+  return {(PerSpan - Depth) / SpanSeconds, Depth + OveragePart * PerSpan};
+}
+
 bool isClose(std::int64_t Left, std::int64_t Right) {
   return std::abs(static_cast<double>(Left - Right)) <=
          MinChange * static_cast<double>(Left);
@@ -134,14 +152,14 @@
   }
   if (Found != this->Accounts.end()) {
     refill(Found->second, Now);
-    Found->second.Rate = *Rate;
+    Found->second.Rate = bucketOf(*Rate);
     Found->second.RemovedAt = NoDeadline;
     Found->second.Level = std::min(Found->second.Level, depthOf(Found->second));
     return;
   }
   Account New;
   New.Path = std::string(Path);
-  New.Rate = *Rate;
+  New.Rate = bucketOf(*Rate);
   const bool FormerSharesEnded =
       this->Status.Ready &&
       (this->NoFormerRates || Now >= this->StartedAt + FormerShares);
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -311,6 +311,7 @@
   Call.Id = Item.Id;
   Call.Route = Item.Route;
   Call.Account = Item.Account;
+  Call.AccountWeight = Item.AccountWeight;
   Call.Priority = Item.Priority;
   Call.UsefulUntil = Item.UsefulUntil;
   Call.Deadline = Item.Deadline;
@@ -398,6 +399,7 @@
   Item.Deadline = Now + milliseconds(Request.RemainingMs);
   Item.Route = Request.Route;
   Item.Account = Request.Account;
+  Item.AccountWeight = Context.AccountWeight;
   Item.CallId = Request.CallId;
   Item.ForLocalDaemon = Context.FromLocalDaemon;
   Item.Nested = Nested;
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -41,6 +41,8 @@
     const ServiceSpec *Limits = nullptr;
     /// The call was sent by this daemon itself.
     bool FromLocalDaemon = false;
+    /// As in WaitingCall.
+    double AccountWeight = 1;
   };
 
   /// Handles a complete call, or the header of a call whose body follows. An
@@ -137,6 +139,7 @@
     int Priority = 0;
     bool Acknowledged = false;
     bool Nested = false;
+    double AccountWeight = 1;
     bool Late = false;
     /// Count of ended nested calls at the start of the run.
     std::int64_t NestedAtStart = 0;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int MissedProbesUntilGone = 3;
+/// Keeps virtual times of accounts with tiny rates bounded.
+constexpr double MinAccountWeight = 0.01;
 constexpr milliseconds LeaveAnnounceTime{300};
 /// How long a control instance that stops waits for another one to take over
 /// its vote.
@@ -805,6 +807,15 @@
   this->updateConfirmation(Now, Out);
 }
 
+double Node::accountWeight(const wire::CallRequest &Call) const {
+  const auto &Table = this->Config.table();
+  if (Call.Account.empty() || !Table)
+    return 1;
+  const std::string Team = Call.Service.substr(0, Call.Service.find('/'));
+  return std::max(MinAccountWeight,
+                  Table->relativeRate(Team + "/accounts/" + Call.Account));
+}
+
 template <typename MessageT>
 void Node::receive(const MessageT &Body, const std::string &From, Time Now,
                    Effects &Out) {
@@ -844,7 +855,8 @@
         Body, From,
         {this->Members.hadIncarnation(Body.ReceiverIncarnation),
          this->nested(Body), Table ? Table->service(Body.Service) : nullptr,
-         Body.Id.Sender == this->Members.self().Name},
+         Body.Id.Sender == this->Members.self().Name,
+         this->accountWeight(Body)},
         Now, Out);
   } else if constexpr (std::is_same_v<T, wire::CallQuery>)
     this->Scheduler.receive(
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -183,6 +183,8 @@
   void advanceStop(Time Now, Effects &Out);
   bool drained() const;
   bool nested(const wire::CallRequest &Request);
+  /// Returns the weight of the call's account when capacity is short.
+  double accountWeight(const wire::CallRequest &Call) const;
   /// Tells the router how far the version in force is confirmed, and asks for
   /// a confirmation if one is due.
   void updateConfirmation(Time Now, Effects &Out);
--- a/src/libpersimmon/routetable.cpp
+++ b/src/libpersimmon/routetable.cpp
@@ -277,6 +277,14 @@
   return Found == nullptr ? nullptr : Found->Spec.get();
 }
 
+double RouteTable::relativeRate(std::string_view Path) const {
+  const AccountSpec *Found = this->account(Path);
+  if (Found == nullptr || Found->RatePerSecond <= 0 || this->RateSum <= 0)
+    return 1;
+  return Found->RatePerSecond * static_cast<double>(this->LimitedAccounts) /
+         this->RateSum;
+}
+
 bool RouteTable::requiresKey(std::string_view Team) const {
   if (this->KeyRequiredBy.empty())
     return false;
@@ -548,6 +556,10 @@
       this->ownKeys(Index).erase(Index);
     }
     this->Result->Accounts -= 1;
+    if (Old->RatePerSecond > 0) {
+      this->Result->LimitedAccounts -= 1;
+      this->Result->RateSum -= Old->RatePerSecond;
+    }
   }
   for (const auto &[Path, Spec] : this->ChangedAccounts) {
     if (!Spec)
@@ -563,6 +575,10 @@
                         : Slot->second->Path + " holds the same key");
     }
     this->Result->Accounts += 1;
+    if (Spec->RatePerSecond > 0) {
+      this->Result->LimitedAccounts += 1;
+      this->Result->RateSum += Spec->RatePerSecond;
+    }
   }
   return {};
 }
--- a/src/libpersimmon/routetable.h
+++ b/src/libpersimmon/routetable.h
@@ -150,6 +150,10 @@
 
   std::size_t accountCount() const { return this->Accounts; }
 
+  /// Returns the rate of the account at the settings path \p Path relative to
+  /// the mean of all limited accounts; 1 if it has no limit or does not exist.
+  double relativeRate(std::string_view Path) const;
+
   /// Returns whether calls on the routes of \p Team need the key of an account.
   bool requiresKey(std::string_view Team) const;
 
@@ -213,6 +217,9 @@
   RolloutMap Rollouts;
   std::size_t Routes = 0;
   std::size_t Accounts = 0;
+  /// Number of accounts with a limited rate, and the sum of these rates.
+  std::size_t LimitedAccounts = 0;
+  double RateSum = 0;
 };
 
 /// Compiles a changed version of a RouteTable. The work is in proportion to the
