Expect the refill of a span in the tests of shares

The tests expected shares of four fifths of the rate itself. Half of the burst is refilled with the rate since, so they expect four fifths of that pace; the bounds are as strict as before.

--- a/tests/allowance/test_shares.cpp
+++ b/tests/allowance/test_shares.cpp
@@ -119,8 +119,10 @@
 };
 
 constexpr ShareSize TenPerSecond{10'000, 10'000};
-/// Four fifths of the pace at which a rate of 300 with a burst of 300 is
-/// refilled, which spreads half of the burst over the 5 s of a span: 330.
+/// Pace at which a rate of 300 with a burst of 300 is refilled: half of the
+/// burst is spread over the 5 s of a span.
+constexpr double RefillPerSecond = 330;
+/// Four fifths of it are granted as shares.
 constexpr std::int64_t SharedMilliPace = 264'000;
 
 } // namespace
@@ -393,5 +395,5 @@
   }
   CHECK(Tokens > 150);
   // A fifth of the rate for 3.2 s, and 4.
-  CHECK(Tokens <= 0.2 * 300 * 3.2 + 4);
+  CHECK(Tokens <= 0.2 * RefillPerSecond * 3.2 + 4);
 }
