--- a/src/libpersimmon/allowanceledger.cpp
+++ b/src/libpersimmon/allowanceledger.cpp
@@ -23,8 +23,9 @@
 /// start its rate times the span and its burst.
 constexpr double SpanSeconds = 5;
 /// Part of that number that may be exceeded in a span. A tenth is tolerated;
-/// the rest is left for clocks that run at different rates.
-constexpr double OveragePart = 0.08;
+/// the rest is left for tokens, which are taken up to TokenValidity after they
+/// were granted.
+constexpr double OveragePart = 0.06;
 /// Part of the burst that may be saved up; the rest is spread over the span.
 constexpr double BurstInDepth = 0.5;
 /// Tokens that may accumulate beyond that, so that accounts of one call
