--- a/src/libpersimmon/targetchooser.cpp
+++ b/src/libpersimmon/targetchooser.cpp
@@ -149,6 +149,24 @@
   Out.Reason = Out.Even->Reason;
 }
 
+std::pair<const wire::MemberRecord *, double>
+TargetChooser::pickOfTwo(const std::vector<const wire::MemberRecord *> &From,
+                         bool UseUnwellHints, const LinkUse &Use, Time Now) {
+  const std::size_t First = this->Rng.below(From.size());
+  std::size_t Second = First;
+  if (From.size() > 1) {
+    Second = this->Rng.below(From.size() - 1);
+    Second += Second >= First ? 1 : 0;
+  }
+  const double Scores[2] = {
+      this->score(*From[First], this->statsOf(*From[First], Now),
+                  UseUnwellHints, Use, Now),
+      this->score(*From[Second], this->statsOf(*From[Second], Now),
+                  UseUnwellHints, Use, Now)};
+  const std::size_t Best = this->Policy.pick(Scores[0], Scores[1]);
+  return {From[Best == 0 ? First : Second], Scores[Best]};
+}
+
 TargetChoice TargetChooser::chooseAny(const Membership &Members,
                                       std::string_view Service,
                                       const std::set<std::string> &Excluded,
@@ -216,31 +234,16 @@
     if (Record->Zone == this->Zone)
       SameZone.push_back(Record);
   }
-  const auto PickOfTwo =
-      [&](const std::vector<const wire::MemberRecord *> &From) {
-        const std::size_t First = this->Rng.below(From.size());
-        std::size_t Second = First;
-        if (From.size() > 1) {
-          Second = this->Rng.below(From.size() - 1);
-          Second += Second >= First ? 1 : 0;
-        }
-        const double Scores[2] = {
-            this->score(*From[First], this->statsOf(*From[First], Now),
-                        UseUnwellHints, Use, Now),
-            this->score(*From[Second], this->statsOf(*From[Second], Now),
-                        UseUnwellHints, Use, Now)};
-        const std::size_t Best = this->Policy.pick(Scores[0], Scores[1]);
-        return std::pair(From[Best == 0 ? First : Second], Scores[Best]);
-      };
   if (!SameZone.empty()) {
-    const auto [Record, Score] = PickOfTwo(SameZone);
+    const auto [Record, Score] =
+        this->pickOfTwo(SameZone, UseUnwellHints, Use, Now);
     if (Score < SaturatedScore || SameZone.size() == Eligible.size()) {
       Out.Record = Record;
       Out.Reason = AllSilent ? "all-silent" : "own-zone";
       return Out;
     }
   }
-  Out.Record = PickOfTwo(Eligible).first;
+  Out.Record = this->pickOfTwo(Eligible, UseUnwellHints, Use, Now).first;
   Out.Reason = AllSilent          ? "all-silent"
                : SameZone.empty() ? "no-target-in-zone"
                                   : "zone-loaded";
--- a/src/libpersimmon/targetchooser.h
+++ b/src/libpersimmon/targetchooser.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace persimmon {
@@ -164,6 +165,10 @@
   TargetChoice chooseAny(const Membership &Members, std::string_view Service,
                          const std::set<std::string> &Excluded, Time Now,
                          const LinkUse &Use, const VersionRule &Versions);
+  /// Draws two of \p From and returns the better one with its score.
+  std::pair<const wire::MemberRecord *, double>
+  pickOfTwo(const std::vector<const wire::MemberRecord *> &From,
+            bool UseUnwellHints, const LinkUse &Use, Time Now);
   void placeEvenly(const std::vector<const wire::MemberRecord *> &Eligible,
                    std::string_view Service, bool UseUnwellHints, Time Now,
                    const LinkUse &Use, TargetChoice &Out);
