Log who votes, what an exchange of voters waits for and which losses are borne

New lines: election-failed, vote-refused, replica-waiting, losses-borne; joining has the number of voters and of the answers needed before the list. Each is logged at intervals or on change only. New gauges: persimmon_voters_needed, persimmon_voter_losses_borne.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -533,7 +533,7 @@
       [this, Timer](std::error_code) { this->stopWhenResponsesWritten(); });
 }
 
-void DaemonHost::setConsensusGauges(const Consensus &Source) {
+void DaemonHost::setConsensusGauges(const Consensus &Source, Time Now) {
   const auto Set = [this](std::string_view Name, auto Value) {
     this->DaemonMetrics.setGauge(Name, static_cast<double>(Value));
   };
@@ -541,6 +541,8 @@
   Set("persimmon_log_last_index", Source.lastIndex());
   Set("persimmon_log_commit_index", Source.commitIndex());
   Set("persimmon_voters", Source.voters().size());
+  Set("persimmon_voters_needed", Source.quorum());
+  Set("persimmon_voter_losses_borne", Source.lossesBorne(Now));
   Set("persimmon_voter", Source.voter() ? 1 : 0);
   Set("persimmon_leading", Source.leader() ? 1 : 0);
 }
@@ -608,7 +610,7 @@
   this->DaemonMetrics.setGauge("persimmon_serving",
                                this->LocalNode->serving() ? 1 : 0);
   if (const ControlService *Control = this->LocalNode->control()) {
-    this->setConsensusGauges(Control->consensus());
+    this->setConsensusGauges(Control->consensus(), Now);
     const AllowanceLedger &Ledger = this->LocalNode->allowanceLedger();
     this->DaemonMetrics.setGauge("persimmon_allowance_daemons",
                                  static_cast<double>(Ledger.daemonCount()));
--- a/src/libhost/daemonhost.h
+++ b/src/libhost/daemonhost.h
@@ -53,7 +53,7 @@
   void setAllowanceGauges(const AccountAllowance &Source, Time Now);
   /// Sets the gauges of the roll-outs that run, summed over them.
   void setRolloutGauges(const RolloutController &Source);
-  void setConsensusGauges(const Consensus &Source);
+  void setConsensusGauges(const Consensus &Source, Time Now);
   void setRequestGauges();
   leaf::result<void> openPorts();
   /// Requests that the control instances form the system if the settings mark
--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -22,7 +22,11 @@
 /// are read only after the tick.
 constexpr milliseconds PauseThreshold{100};
 constexpr milliseconds JoinInterval{300};
-constexpr milliseconds JoinLogInterval{5000};
+/// Interval of the lines about a state that lasts.
+constexpr milliseconds StateLogInterval{5000};
+constexpr milliseconds LossesLogInterval{1000};
+/// An exchange of voters that takes longer is logged.
+constexpr milliseconds ExchangeLogDelay{1000};
 constexpr milliseconds LearnerTimeout{5000};
 /// A quarter of the learner timeout, so that lost datagrams are made up for.
 constexpr milliseconds JoinRenewalInterval{1250};
@@ -43,6 +47,14 @@
   return Out;
 }
 
+/// Returns the ids of \p Disks, for the log.
+std::string describeDisks(const std::set<std::int64_t> &Disks) {
+  std::string Out;
+  for (const std::int64_t DiskId : Disks)
+    Out += (Out.empty() ? "" : ",") + std::to_string(DiskId);
+  return Out;
+}
+
 } // namespace
 
 Consensus::Consensus(wire::Replica Self, std::vector<ControlPeer> Peers,
@@ -198,13 +210,56 @@
 void Consensus::logJoining(Time Now, Effects &Out) {
   if (Now < this->NextJoinLog)
     return;
-  this->NextJoinLog = Now + JoinLogInterval;
+  this->NextJoinLog = Now + StateLogInterval;
+  Out.emplace_back(
+      LogDecision{"event=joining disk=" + std::to_string(this->Self.DiskId) +
+                  " voter=" + (this->voter() ? "yes" : "no") +
+                  " term=" + std::to_string(this->HardState.Term) +
+                  " lastIndex=" + std::to_string(this->Log.lastIndex()) +
+                  " leader=" + this->leaderAddress() +
+                  " count=" + std::to_string(this->Log.voters().size()) +
+                  " needed=" + std::to_string(this->quorum()) +
+                  " voters=" + describeVoters(this->Log.voters())});
+}
+
+void Consensus::logFailedElection(Time Now, Effects &Out) {
+  const bool IsElection = this->CurrentRole == Role::PreCandidate ||
+                          this->CurrentRole == Role::Candidate;
+  if (!IsElection || Now < this->NextElectionLog)
+    return;
+  this->NextElectionLog = Now + StateLogInterval;
+  std::set<std::int64_t> Silent;
+  for (const wire::Replica &Voter : this->Log.voters()) {
+    if (this->Votes.count(Voter.DiskId) == 0 &&
+        this->Refusals.count(Voter.DiskId) == 0)
+      Silent.insert(Voter.DiskId);
+  }
   Out.emplace_back(LogDecision{
-      "event=joining disk=" + std::to_string(this->Self.DiskId) +
-      " voter=" + (this->voter() ? "yes" : "no") +
+      "event=election-failed phase=" +
+      std::string(this->CurrentRole == Role::Candidate ? "vote" : "pre-vote") +
       " term=" + std::to_string(this->HardState.Term) +
-      " lastIndex=" + std::to_string(this->Log.lastIndex()) + " leader=" +
-      this->leaderAddress() + " voters=" + describeVoters(this->Log.voters())});
+      " lastIndex=" + std::to_string(this->Log.lastIndex()) +
+      " lastTerm=" + std::to_string(this->Log.lastTerm()) +
+      " count=" + std::to_string(this->Log.voters().size()) +
+      " needed=" + std::to_string(this->quorum()) + " granted=" +
+      describeDisks(this->Votes) + " refused=" + describeDisks(this->Refusals) +
+      " silent=" + describeDisks(Silent)});
+}
+
+void Consensus::logRefusedVote(const wire::VoteRequest &Request,
+                               std::string_view Reason, Time Now,
+                               Effects &Out) {
+  if (Now < this->NextRefusalLog)
+    return;
+  this->NextRefusalLog = Now + StateLogInterval;
+  Out.emplace_back(
+      LogDecision{"event=vote-refused candidate=" + Request.Candidate.Instance +
+                  " reason=" + std::string(Reason) +
+                  " preVote=" + (Request.PreVote ? "yes" : "no") +
+                  " askedTerm=" + std::to_string(Request.Term) +
+                  " askedLastIndex=" + std::to_string(Request.LastIndex) +
+                  " term=" + std::to_string(this->HardState.Term) +
+                  " lastIndex=" + std::to_string(this->Log.lastIndex())});
 }
 
 void Consensus::sendJoinRequests(Time Now, Effects &Out) {
@@ -233,6 +288,8 @@
 }
 
 void Consensus::startPreVote(Time Now, Effects &Out) {
+  this->logFailedElection(Now, Out);
+  this->Refusals.clear();
   this->CurrentRole = Role::PreCandidate;
   this->CurrentLeader.reset();
   this->Votes = {this->Self.DiskId};
@@ -250,6 +307,7 @@
   this->HardState.VotedFor = this->Self.DiskId;
   Out.emplace_back(PersistHardState{this->HardState});
   this->Votes = {this->Self.DiskId};
+  this->Refusals.clear();
   this->resetElection(Now);
   if (this->Votes.size() >= this->quorum()) {
     this->becomeLeader(Now, Out);
@@ -286,11 +344,18 @@
     Reply.Granted = !LeaderActive && Request.Term > this->HardState.Term &&
                     this->upToDate(Request);
     Reply.Term = Reply.Granted ? Request.Term : this->HardState.Term;
+    if (!Reply.Granted)
+      this->logRefusedVote(Request,
+                           LeaderActive               ? "leader-active"
+                           : !this->upToDate(Request) ? "older-log"
+                                                      : "older-term",
+                           Now, Out);
     send(Out, From, Reply, Channel::Datagram);
     return;
   }
   if (LeaderActive && Request.Term > this->HardState.Term) {
     // A candidate that skipped the pre-vote must not disrupt an active leader.
+    this->logRefusedVote(Request, "leader-active", Now, Out);
     return;
   }
   if (Request.Term > this->HardState.Term)
@@ -306,6 +371,13 @@
     this->HardState.VotedFor = Request.Candidate.DiskId;
     Out.emplace_back(PersistHardState{this->HardState});
     this->resetElection(Now);
+  } else {
+    this->logRefusedVote(Request,
+                         Request.Term < this->HardState.Term ? "older-term"
+                         : !this->upToDate(Request)          ? "older-log"
+                         : !VoteAvailable                    ? "vote-given"
+                                                             : "not-follower",
+                         Now, Out);
   }
   send(Out, From, Reply, Channel::Datagram);
 }
@@ -314,6 +386,7 @@
   if (!Reply.Granted) {
     if (Reply.Term > this->HardState.Term)
       this->stepDown(Reply.Term, Now, Out);
+    this->Refusals.insert(Reply.FromDisk);
     return;
   }
   if (!this->isVoter(Reply.FromDisk))
@@ -465,6 +538,7 @@
                                     ? this->PreviousLeaderReplaceableAt
                                     : Now + UnresponsiveVoterTimeout;
     NewProgress.ReplyDeadline = Now + ReplyTimeout;
+    NewProgress.Since = Now;
     this->Followers.emplace(Voter.DiskId, NewProgress);
   }
 }
@@ -597,18 +671,77 @@
     this->CommitIndex = QuorumMatch;
 }
 
+bool Consensus::isActive(const wire::Replica &Voter, Time Now) const {
+  if (Voter.DiskId == this->Self.DiskId)
+    return true;
+  const auto Found = this->Followers.find(Voter.DiskId);
+  return Found != this->Followers.end() && Now < Found->second.ActiveUntil;
+}
+
 bool Consensus::isQuorumActive(Time Now) const {
-  std::size_t ActiveCount = 0;
-  for (const wire::Replica &Voter : this->Log.voters()) {
-    if (Voter.DiskId == this->Self.DiskId) {
-      ++ActiveCount;
-      continue;
+  const auto &Voters = this->Log.voters();
+  const auto ActiveCount =
+      std::count_if(Voters.begin(), Voters.end(), [&](const auto &Voter) {
+        return this->isActive(Voter, Now);
+      });
+  return static_cast<std::size_t>(ActiveCount) >= this->quorum();
+}
+
+std::size_t Consensus::lossesBorne(Time Now) const {
+  const auto &Voters = this->Log.voters();
+  const auto ActiveCount =
+      std::count_if(Voters.begin(), Voters.end(), [&](const auto &Voter) {
+        return this->isActive(Voter, Now);
+      });
+  const auto Active = static_cast<std::size_t>(ActiveCount);
+  return this->leader() && Active > this->quorum() ? Active - this->quorum()
+                                                   : 0;
+}
+
+void Consensus::logVoterState(Time Now, Effects &Out) {
+  const std::size_t Losses = this->lossesBorne(Now);
+  if (Losses != this->LoggedLossesBorne && Now >= this->NextLossesLog) {
+    this->NextLossesLog = Now + LossesLogInterval;
+    this->LoggedLossesBorne = Losses;
+    std::set<std::int64_t> Silent;
+    for (const wire::Replica &Voter : this->Log.voters()) {
+      if (!this->isActive(Voter, Now))
+        Silent.insert(Voter.DiskId);
     }
-    const auto Found = this->Followers.find(Voter.DiskId);
-    if (Found != this->Followers.end() && Now < Found->second.ActiveUntil)
-      ++ActiveCount;
+    Out.emplace_back(LogDecision{
+        "event=losses-borne now=" + std::to_string(Losses) +
+        " count=" + std::to_string(this->Log.voters().size()) + " needed=" +
+        std::to_string(this->quorum()) + " silent=" + describeDisks(Silent) +
+        " votersIndex=" + std::to_string(this->Log.votersIndex()) +
+        " commit=" + std::to_string(this->CommitIndex)});
+  }
+  const bool Uncommitted = this->CommitIndex < this->Log.votersIndex();
+  for (auto &[DiskId, Item] : this->Followers) {
+    if (Now < Item.Since + ExchangeLogDelay || Now < Item.NextWaitLog)
+      continue;
+    const bool Behind = Item.Match < this->CommitIndex;
+    const bool HasVote = this->isVoter(DiskId);
+    if (HasVote ? !Uncommitted || Item.Match >= this->Log.votersIndex()
+                : !Behind && !Uncommitted && this->ready())
+      continue;
+    Item.NextWaitLog = Now + StateLogInterval;
+    std::string Reason = "leader-not-ready";
+    if (HasVote)
+      Reason = "voters-not-stored";
+    else if (Behind)
+      Reason = "behind";
+    else if (Uncommitted)
+      Reason = "voters-not-committed";
+    Out.emplace_back(LogDecision{
+        "event=replica-waiting instance=" + Item.Replica.Instance +
+        " disk=" + std::to_string(DiskId) + " reason=" + Reason +
+        " ageMs=" + std::to_string((Now - Item.Since) / milliseconds(1)) +
+        " match=" + std::to_string(Item.Match) +
+        " next=" + std::to_string(Item.Next) +
+        " commit=" + std::to_string(this->CommitIndex) +
+        " votersIndex=" + std::to_string(this->Log.votersIndex()) +
+        " active=" + (Now < Item.ActiveUntil ? "yes" : "no")});
   }
-  return ActiveCount >= this->quorum();
 }
 
 void Consensus::leaderTick(Time Now, Effects &Out) {
@@ -623,6 +756,7 @@
     return;
   }
   this->updateVoters(Now, Out);
+  this->logVoterState(Now, Out);
   if (this->leader() && Now >= this->NextHeartbeat)
     this->broadcast(Now, Out);
 }
@@ -648,6 +782,7 @@
     Learner.Replica = Request.Joiner;
     Learner.Next = 1;
     Learner.ReplyDeadline = Now + ReplyTimeout;
+    Learner.Since = Now;
     this->replicate(Learner, Now, Out);
   }
   Learner.ActiveUntil = Now + LearnerTimeout;
@@ -756,7 +891,8 @@
       continue;
     Out.emplace_back(
         LogWarning{"event=replica-added instance=" + Learner.Replica.Instance +
-                   " disk=" + std::to_string(DiskId)});
+                   " disk=" + std::to_string(DiskId) + " waitedMs=" +
+                   std::to_string((Now - Learner.Since) / milliseconds(1))});
     wire::LogEntry Entry;
     Entry.Kind = wire::EntryKind::Voters;
     Entry.Voters = this->Log.voters();
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -158,6 +158,13 @@
   /// Returns the leader's address, or an empty string if no leader is known.
   std::string leaderAddress() const;
 
+  /// Returns how many voters must answer, this one among them.
+  std::size_t quorum() const { return this->Log.voters().size() / 2 + 1; }
+
+  /// Returns how many of the voters that answer may be lost without the loss of
+  /// the quorum, as far as this leader knows. Returns 0 if it does not lead.
+  std::size_t lossesBorne(Time Now) const;
+
 private:
   /// Replication progress of another replica, kept by the leader.
   struct Progress {
@@ -173,10 +180,14 @@
     Time ReplaceableAt;
     Time NextSnapshotSend;
     Time ReplyDeadline;
+    /// When the leader began to replicate to this replica.
+    Time Since;
+    /// When the next line about a learner that waits may be logged.
+    Time NextWaitLog;
   };
 
-  std::size_t quorum() const { return this->Log.voters().size() / 2 + 1; }
   bool isVoter(std::int64_t DiskId) const;
+  bool isActive(const wire::Replica &Voter, Time Now) const;
   bool upToDate(const wire::VoteRequest &Request) const;
   void resetElection(Time Now);
   /// Extends the timeouts by a pause of this process, so that it is not taken
@@ -208,6 +219,14 @@
   void sendJoinRequests(Time Now, Effects &Out);
   /// Logs at intervals that this replica asks to join.
   void logJoining(Time Now, Effects &Out);
+  /// Logs at intervals who answered in an election that found no quorum.
+  void logFailedElection(Time Now, Effects &Out);
+  /// Logs at intervals why a vote was not granted.
+  void logRefusedVote(const wire::VoteRequest &Request, std::string_view Reason,
+                      Time Now, Effects &Out);
+  /// Logs what an exchange of voters waits for, and each change of the losses
+  /// that are borne.
+  void logVoterState(Time Now, Effects &Out);
   void sendAppendReply(std::string_view To, bool Success, std::int64_t Round,
                        std::int64_t Match, Effects &Out);
   void appendLocally(std::vector<wire::LogEntry> Entries, Effects &Out);
@@ -227,6 +246,8 @@
   std::int64_t DeliveredIndex = 0;
   std::optional<wire::Replica> CurrentLeader;
   std::set<std::int64_t> Votes;
+  /// Voters that refused their vote in the present election.
+  std::set<std::int64_t> Refusals;
   std::map<std::int64_t, Progress> Followers;
   Time LastTick;
   Time ElectionDeadline;
@@ -238,6 +259,10 @@
   Time NextHeartbeat;
   Time NextJoin;
   Time NextJoinLog;
+  Time NextElectionLog;
+  Time NextRefusalLog;
+  Time NextLossesLog;
+  std::optional<std::size_t> LoggedLossesBorne;
   std::int64_t TermStart = 0;
   std::int64_t Round = 0;
 };
