--- a/tests/consensus/test_consensus.cpp
+++ b/tests/consensus/test_consensus.cpp
@@ -372,3 +372,47 @@
     CHECK((Request.ToDisk != 2 || Request.PrevIndex == 5));
   CHECK(F.Subject.commitIndex() == 5);
 }
+
+// Guards against a new disk that stays empty because the control instances that
+// it knows of do not lead.
+TEST_CASE("a follower passes a join request on to the leader") {
+  Fixture F(4);
+  wire::AppendRequest Heartbeat;
+  Heartbeat.Term = 4;
+  Heartbeat.Leader = Voters[1];
+  Heartbeat.ToDisk = 1;
+  F.Subject.receive(Heartbeat, "c2:1", F.Now, F.Out);
+  wire::JoinRequest Request;
+  Request.Joiner = replica("c4", 4);
+  F.Out.clear();
+  F.Subject.receive(Request, F.Now, F.Out);
+  REQUIRE(F.Out.size() == 1);
+  const auto *Sent = std::get_if<SendMessage>(&F.Out[0]);
+  REQUIRE(Sent != nullptr);
+  CHECK(Sent->Address == "c2:1");
+  CHECK(F.sent<wire::JoinRequest>()[0].Joiner.DiskId == 4);
+}
+
+// Guards against a new disk that waits for its membership table while the
+// leader sends entries to its predecessor.
+TEST_CASE("a new disk asks the leader that sends to its predecessor") {
+  Consensus Subject(replica("c1", 11), {}, {}, 1);
+  Subject.restore({}, Start);
+  Effects Out;
+  wire::AppendRequest ToPredecessor;
+  ToPredecessor.Term = 4;
+  ToPredecessor.Leader = Voters[1];
+  ToPredecessor.ToDisk = 1;
+  Subject.receive(ToPredecessor, "path", Start, Out);
+  for (Time Now = Start; Now < Start + milliseconds(400);
+       Now += milliseconds(20))
+    Subject.tick(Now, Out);
+  std::size_t Asked = 0;
+  for (const Effect &Item : Out) {
+    const auto *Sent = std::get_if<SendMessage>(&Item);
+    Asked += Sent != nullptr && Sent->Address == "c2:1" &&
+             std::holds_alternative<wire::JoinRequest>(Sent->Body);
+  }
+  CHECK(Asked >= 1);
+  CHECK(Asked <= 2);
+}
--- a/tests/diskpower/diskcluster.cpp
+++ b/tests/diskpower/diskcluster.cpp
@@ -6,11 +6,13 @@
 
 namespace {
 
-constexpr int MemberCount = 5;
 constexpr std::size_t MostWiped = 2;
 constexpr std::int64_t EntriesPerSnapshot = 8;
 constexpr milliseconds TickInterval{20};
 constexpr milliseconds RecoveryLimit{30000};
+/// A member counts as lost until then after it is back (catchUpS).
+constexpr milliseconds CatchUpTime{6000};
+constexpr milliseconds AcknowledgementLimit{20000};
 
 bool isPersist(const Effect &What) {
   return std::holds_alternative<PersistHardState>(What) ||
@@ -20,9 +22,9 @@
 
 } // namespace
 
-DiskCluster::DiskCluster(std::uint64_t Seed)
-    : Random(Seed), Now(std::chrono::hours(1)) {
-  for (int I = 1; I <= MemberCount; ++I) {
+DiskCluster::DiskCluster(std::uint64_t Seed, ClusterSize TheSize)
+    : Random(Seed), Size(TheSize), Now(std::chrono::hours(1)) {
+  for (int I = 1; I <= this->Size.Members; ++I) {
     const std::string Address = "10.0.0." + std::to_string(I) + ":1";
     this->Members[Address].Self = initialVoterAt(Address);
   }
@@ -64,6 +66,7 @@
   Item.AppliedIndex = State.Snapshot.LastIndex;
   Item.AppliedTerm = State.Snapshot.LastTerm;
   Item.SnapshotIndex = State.Snapshot.LastIndex;
+  Item.AcknowledgedIndex = 0;
   Item.Voters = State.Snapshot.Voters;
   Item.Applied.clear();
   for (const wire::Setting &Setting : State.Snapshot.Settings)
@@ -71,12 +74,15 @@
   std::vector<ControlPeer> Peers;
   std::vector<std::string> Addresses;
   for (const auto &[Address, Other] : this->Members) {
+    if (Addresses.size() == static_cast<std::size_t>(this->Size.Initial))
+      break;
     Addresses.push_back(Address);
+    // A member that has just started knows of the others what its settings say.
     if (Address != Item.Self.Address)
       Peers.push_back({Address, Address});
   }
   VoterPolicy Policy;
-  Policy.Count = MemberCount;
+  Policy.Count = this->Size.Voters;
   Item.Logic = std::make_unique<Consensus>(Item.Self, std::move(Peers), Policy,
                                            this->Random());
   Item.Logic->restore(State, this->Now);
@@ -140,7 +146,12 @@
   const auto Found = this->Members.find(What.Address);
   if (Found == this->Members.end())
     return;
-  this->InFlight.emplace(this->Now + milliseconds(1),
+  const bool Split = this->isSplit(Item.Self.Address, What.Address);
+  if (Split && What.Via == Channel::Datagram)
+    return;
+  const Time Sent =
+      std::max({this->Now, Item.BusyUntil, Split ? this->SplitUntil : Time()});
+  this->InFlight.emplace(Sent + milliseconds(1),
                          Delivery{What.Address, Found->second.Start,
                                   Item.Self.Address, What.Body});
 }
@@ -160,8 +171,11 @@
   for (const Effect &Next : What) {
     if (const auto *Sent = std::get_if<SendMessage>(&Next))
       this->perform(Item, *Sent);
+    if (const auto *Renewed = std::get_if<RenewConnection>(&Next))
+      this->dropStream(Item.Self.Address, Renewed->Address);
     if (!isPersist(Next))
       continue;
+    Item.BusyUntil = std::max(Item.BusyUntil, this->Now) + Item.SyncTime;
     const Failure Error = handleResult(
         [&]() -> leaf::result<void> {
           if (const auto *Hard = std::get_if<PersistHardState>(&Next))
@@ -177,9 +191,11 @@
     }
   }
   // Acknowledged last: a leader answers only after what it wrote was synced.
-  if (Item.Logic->leader())
-    for (const auto &[Id, Value] : Item.Applied)
-      this->Acknowledged.emplace(Id, Value);
+  if (!Item.Logic->leader() || Item.AcknowledgedIndex == Item.AppliedIndex)
+    return;
+  Item.AcknowledgedIndex = Item.AppliedIndex;
+  for (const auto &[Id, Value] : Item.Applied)
+    this->Acknowledged.emplace(Id, Value);
 }
 
 void DiskCluster::applyCommitted(Member &Item, Effects &Out) {
@@ -260,9 +276,14 @@
   for (; this->Now < End; this->Now += milliseconds(1)) {
     while (!this->InFlight.empty() &&
            this->InFlight.begin()->first <= this->Now) {
-      const Delivery Next = std::move(this->InFlight.begin()->second);
+      Delivery Next = std::move(this->InFlight.begin()->second);
       this->InFlight.erase(this->InFlight.begin());
-      this->deliver(Next);
+      const Member &To = this->Members.at(Next.To);
+      const Time Free = std::max(To.FrozenUntil, To.BusyUntil);
+      if (To.Logic && Free > this->Now)
+        this->InFlight.emplace(Free, std::move(Next));
+      else
+        this->deliver(Next);
     }
     const bool TickIsDue = (this->Now.time_since_epoch() / milliseconds(1)) %
                                TickInterval.count() ==
@@ -270,7 +291,8 @@
     for (auto &[Address, Item] : this->Members) {
       if (!Item.Logic && this->Now >= Item.RestartAt)
         this->start(Item);
-      if (!Item.Logic || !TickIsDue)
+      if (!Item.Logic || !TickIsDue || this->Now < Item.FrozenUntil ||
+          this->Now < Item.BusyUntil)
         continue;
       Effects Out;
       Item.Logic->tick(this->Now, Out);
@@ -307,8 +329,9 @@
 void DiskCluster::injectFault() {
   const auto Kind = this->below(10);
   const bool LosesPower = this->below(2) == 0;
-  const auto Chosen = std::next(this->Members.begin(),
-                                static_cast<int>(this->below(MemberCount)));
+  const auto Chosen =
+      std::next(this->Members.begin(),
+                static_cast<int>(this->below(this->Members.size())));
   if (Kind < 3) {
     this->endAfter(Chosen->second, this->below(12), LosesPower);
     return;
@@ -360,13 +383,159 @@
   if (Leading == this->Members.end())
     return false;
   const Consensus &Leader = *Leading->second.Logic;
-  return Leader.voters().size() == MemberCount &&
-         std::all_of(this->Members.begin(), this->Members.end(),
-                     [&](const auto &Other) {
-                       const Member &Item = Other.second;
-                       return Item.Logic && Item.Logic->voter() &&
-                              Item.AppliedIndex == Leader.lastIndex();
-                     });
+  const auto Holds = [&](const auto &Other) {
+    return Other.second.Logic &&
+           Other.second.AppliedIndex == Leader.lastIndex();
+  };
+  const auto VotersBack = std::count_if(
+      this->Members.begin(), this->Members.end(), [&](const auto &Other) {
+        return Holds(Other) && Other.second.Logic->voter();
+      });
+  return Leader.voters().size() == this->Size.Voters &&
+         static_cast<std::size_t>(VotersBack) == this->Size.Voters &&
+         std::all_of(this->Members.begin(), this->Members.end(), Holds);
+}
+
+bool DiskCluster::isSplit(const std::string &Left,
+                          const std::string &Right) const {
+  return this->Now < this->SplitUntil &&
+         this->Half.contains(Left) != this->Half.contains(Right);
+}
+
+void DiskCluster::dropStream(const std::string &From, const std::string &To) {
+  std::erase_if(this->InFlight, [&](const auto &Item) {
+    return Item.second.From == From && Item.second.To == To;
+  });
+}
+
+void DiskCluster::splitFor(milliseconds For) {
+  this->Half.clear();
+  while (this->Half.size() < this->Members.size() / 2)
+    this->Half.insert(
+        std::next(this->Members.begin(),
+                  static_cast<int>(this->below(this->Members.size())))
+            ->first);
+  this->SplitUntil = this->Now + For;
+  for (auto &[Address, Item] : this->Members)
+    if (this->Now < Item.LostUntil)
+      Item.LostUntil = std::max(Item.LostUntil, this->SplitUntil + CatchUpTime);
+}
+
+std::vector<DiskCluster::Member *> DiskCluster::drawMembers(std::size_t Count) {
+  std::vector<Member *> Sound;
+  for (auto &[Address, Item] : this->Members)
+    if (this->Now >= Item.LostUntil && Item.Logic)
+      Sound.push_back(&Item);
+  const std::size_t Lost = this->Members.size() - Sound.size();
+  if (Lost + Count > MostWiped)
+    return {};
+  std::shuffle(Sound.begin(), Sound.end(), this->Random);
+  Sound.resize(Count);
+  return Sound;
+}
+
+void DiskCluster::loseDisk(Member &Item, milliseconds Down) {
+  this->endProcess(Item);
+  Item.Disk.wipe();
+  Item.Bootstrap = false;
+  Item.FrozenUntil = Time();
+  Item.BusyUntil = Time();
+  Item.RestartAt = this->Now + Down;
+  // Whoever is split from the leader cannot be filled.
+  Item.LostUntil = std::max(Item.RestartAt, this->SplitUntil) + CatchUpTime;
+}
+
+void DiskCluster::loseDisks(const std::vector<Member *> &Lost, bool All) {
+  const milliseconds Down(static_cast<int>(this->below(3000)) + 50);
+  for (Member *Item : Lost)
+    this->loseDisk(*Item, Down);
+  if (!All)
+    return;
+  for (auto &[Address, Item] : this->Members) {
+    if (std::find(Lost.begin(), Lost.end(), &Item) != Lost.end())
+      continue;
+    Item.FrozenUntil = Time();
+    Item.BusyUntil = Time();
+    this->endAfter(Item, 0, true);
+  }
+}
+
+bool DiskCluster::runUntilAcknowledged(milliseconds Limit) {
+  const std::size_t Before = this->Acknowledged.size();
+  const Time End = this->Now + Limit;
+  Time NextChange = this->Now;
+  while (this->Acknowledged.size() == Before && this->Now < End) {
+    if (this->Now >= NextChange) {
+      this->proposeChange();
+      NextChange = this->Now + milliseconds(200);
+    }
+    this->run(milliseconds(1));
+  }
+  return this->Acknowledged.size() != Before;
+}
+
+void DiskCluster::runChanges(milliseconds For, milliseconds Pause) {
+  for (const Time End = this->Now + For; this->Now < End;) {
+    this->proposeChange();
+    this->run(
+        milliseconds(1 + static_cast<int>(this->below(
+                             static_cast<std::uint64_t>(Pause.count())))));
+  }
+}
+
+void DiskCluster::injectBorneFault() {
+  const auto Kind = this->below(8);
+  if (Kind < 4) {
+    const std::vector<Member *> Lost = this->drawMembers(1 + this->below(2));
+    if (Lost.empty())
+      return;
+    if (Kind < 2)
+      this->runUntilAcknowledged(AcknowledgementLimit);
+    this->loseDisks(Lost, Kind == 0);
+    return;
+  }
+  if (Kind == 4) {
+    for (Member *Item : this->drawMembers(1)) {
+      Item->FrozenUntil =
+          this->Now + milliseconds(static_cast<int>(this->below(6000)));
+      Item->LostUntil = Item->FrozenUntil + CatchUpTime;
+    }
+    return;
+  }
+  if (Kind == 5)
+    return this->splitFor(milliseconds(static_cast<int>(this->below(6000))));
+  if (Kind == 6) {
+    for (Member *Item : this->drawMembers(1)) {
+      Item->SyncTime = milliseconds(30);
+      Item->SlowUntil = this->Now + milliseconds(4000);
+      Item->LostUntil = Item->SlowUntil + CatchUpTime;
+    }
+    return;
+  }
+  for (auto &[Address, Item] : this->Members)
+    this->endAfter(Item, this->below(8), this->below(2) == 0);
+}
+
+void DiskCluster::runBorneLosses(int Rounds) {
+  for (auto &[Address, Item] : this->Members)
+    Item.SyncTime = milliseconds(1);
+  this->run(milliseconds(3000));
+  for (int Round = 0; Round < Rounds; ++Round) {
+    this->injectBorneFault();
+    const auto Limit = this->below(2) == 0 ? 9000U : 1500U;
+    this->runChanges(milliseconds(static_cast<int>(this->below(Limit))),
+                     milliseconds(this->below(2) == 0 ? 30 : 400));
+    for (auto &[Address, Item] : this->Members)
+      if (this->Now >= Item.SlowUntil)
+        Item.SyncTime = milliseconds(1);
+  }
+  std::vector<Member *> Lost;
+  const Time Limit = this->Now + milliseconds(60000);
+  while ((Lost = this->drawMembers(MostWiped)).empty() && this->Now < Limit)
+    this->runChanges(milliseconds(20), milliseconds(20));
+  if (!this->runUntilAcknowledged(AcknowledgementLimit))
+    this->addViolation("nothing is acknowledged before the last loss");
+  this->loseDisks(Lost, true);
 }
 
 void DiskCluster::checkRecovery() {
--- a/tests/diskpower/diskcluster.h
+++ b/tests/diskpower/diskcluster.h
@@ -16,16 +16,32 @@
 
 namespace persimmon {
 
-/// Five control instances on simulated disks, whose processes are killed and
-/// whose machines lose power at random steps of their disk operations. Runs
-/// with the same seed are identical.
+/// How many control instances a cluster has.
+struct ClusterSize {
+  int Members = 5;
+  /// The members that are voters from the start.
+  int Initial = 5;
+  std::size_t Voters = 5;
+};
+
+/// Control instances on simulated disks, whose processes are killed and whose
+/// machines lose power at random steps of their disk operations. Runs with the
+/// same seed are identical.
 class DiskCluster {
 public:
-  explicit DiskCluster(std::uint64_t Seed);
+  explicit DiskCluster(std::uint64_t Seed, ClusterSize Size = {});
 
   /// Runs a random series of changes and faults.
   void runFaults(int Count);
 
+  /// Runs changes and losses for \p Rounds rounds and ends with the loss of as
+  /// many disks as may be lost, right after an acknowledgement, while all
+  /// others lose power. A member counts as lost from the loss of its disk, from
+  /// its freeze or its end until catchUpS after it is back; never more than
+  /// MostWiped count as lost. Beyond that, all processes may be killed, and
+  /// the members may be split into halves, for some seconds.
+  void runBorneLosses(int Rounds);
+
   /// Ends the faults and checks that a quorum forms and all instances hold all
   /// that was acknowledged.
   void checkRecovery();
@@ -46,10 +62,19 @@
     /// Whether the end of the process is a loss of power.
     bool LosesPower = false;
     Time RestartAt;
+    Time FrozenUntil;
+    /// The disk is busy with what was written last.
+    Time BusyUntil;
+    milliseconds SyncTime{0};
+    Time SlowUntil;
+    /// Counts as lost until then.
+    Time LostUntil;
     std::int64_t Start = 0;
     std::int64_t AppliedIndex = 0;
     std::int64_t AppliedTerm = 0;
     std::int64_t SnapshotIndex = 0;
+    /// What this process acknowledged as the leader.
+    std::int64_t AcknowledgedIndex = 0;
     std::vector<wire::Replica> Voters;
     std::map<std::string, std::string> Applied;
   };
@@ -79,14 +104,32 @@
   void noteVote(std::int64_t DiskId, std::int64_t Term, std::int64_t For);
   bool recovered() const;
   Member *leader();
+  /// Draws \p Count members that do not count as lost, if so many may be.
+  std::vector<Member *> drawMembers(std::size_t Count);
+  /// Takes the disk of \p Item, which is back after \p Down.
+  void loseDisk(Member &Item, milliseconds Down);
+  /// Takes the disks of \p Lost and, if \p All, the power of all members.
+  void loseDisks(const std::vector<Member *> &Lost, bool All);
+  void injectBorneFault();
+  /// Proposes changes at intervals of up to \p Pause for \p For.
+  void runChanges(milliseconds For, milliseconds Pause);
+  /// Runs until a change that is proposed now is acknowledged, or for \p Limit.
+  bool runUntilAcknowledged(milliseconds Limit);
+  void splitFor(milliseconds For);
+  bool isSplit(const std::string &Left, const std::string &Right) const;
+  void dropStream(const std::string &From, const std::string &To);
   std::uint64_t below(std::uint64_t Count) { return this->Random() % Count; }
   void addViolation(const std::string &Text);
 
   std::mt19937_64 Random;
+  ClusterSize Size;
   Time Now;
   std::map<std::string, Member> Members;
   std::multimap<Time, Delivery> InFlight;
   std::set<std::string> Wiped;
+  /// One half of the members while they are split.
+  std::set<std::string> Half;
+  Time SplitUntil;
   std::int64_t LastChange = 0;
   std::int64_t LastStart = 0;
   int Ends = 0;
