Let a new disk find the leader through whoever hears from it

Callers saw a configuration that was not served any more: after the loss of two disks no control instance led, though only as many disks were lost as are to be borne.

Cause: a control instance that lost its disk asks the seeds and the control instances of its membership table to let it join. A follower dropped such a request although it knows the leader, and the instance itself dropped what the leader sent to its former disk. If the leader is no seed and the table is new, the instance found the leader only at the next comparison of tables, up to ten seconds later. Until then the lost disk is a voter that cannot answer, and the next two losses take the quorum.

A follower now passes the request on to the leader that it hears from, and an instance whose former disk is sent entries asks their sender. One of the two needs no table: the leader sends to each voter of its list.

--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -281,6 +281,9 @@
     if (Recipients.insert(Peer.Address).second)
       send(Out, Peer.Address, Request, Channel::Datagram);
   }
+  if (!this->LeaderOfPredecessor.empty() &&
+      Recipients.insert(this->LeaderOfPredecessor).second)
+    send(Out, this->LeaderOfPredecessor, Request, Channel::Datagram);
   for (const std::string &Address : this->JoinAddresses) {
     if (Recipients.insert(Address).second)
       send(Out, Address, Request, Channel::Datagram);
@@ -438,8 +441,10 @@
 
 void Consensus::receive(const wire::AppendRequest &Request,
                         std::string_view From, Time Now, Effects &Out) {
-  if (Request.ToDisk != this->Self.DiskId)
+  if (Request.ToDisk != this->Self.DiskId) {
+    this->LeaderOfPredecessor = Request.Leader.Address;
     return;
+  }
   if (Request.Term < this->HardState.Term) {
     this->sendAppendReply(From, false, 0, 0, Out);
     return;
@@ -475,8 +480,10 @@
 
 bool Consensus::acceptsSnapshot(const wire::InstallRequest &Request,
                                 std::string_view From, Time Now, Effects &Out) {
-  if (Request.ToDisk != this->Self.DiskId)
+  if (Request.ToDisk != this->Self.DiskId) {
+    this->LeaderOfPredecessor = Request.Leader.Address;
     return false;
+  }
   if (Request.Term < this->HardState.Term) {
     this->sendAppendReply(From, false, 0, 0, Out);
     return false;
@@ -763,7 +770,15 @@
 
 void Consensus::receive(const wire::JoinRequest &Request, Time Now,
                         Effects &Out) {
-  if (!this->leader() || this->isVoter(Request.Joiner.DiskId))
+  if (!this->leader()) {
+    // The joiner knows of few control instances at first. Whom a follower
+    // follows led in a later term than the follower itself, so that a request
+    // is not passed on in a circle.
+    if (this->CurrentLeader && Now < this->LeaderActiveUntil)
+      send(Out, this->CurrentLeader->Address, Request, Channel::Datagram);
+    return;
+  }
+  if (this->isVoter(Request.Joiner.DiskId))
     return;
   const bool Expected =
       this->Policy.open() ||
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -235,6 +235,8 @@
   std::vector<ControlPeer> Peers;
   VoterPolicy Policy;
   std::vector<std::string> JoinAddresses;
+  /// The last leader that sent entries to a former disk of this instance.
+  std::string LeaderOfPredecessor;
   std::vector<std::string> Departed;
   bool Leaving = false;
   Random Rng;
