Simulate the late table of members, and check the list of voters

An instance of tests/diskpower now learns of those that its settings do not name up to ten seconds after its start, as the real one does, instead of never. Half of the runs end with the loss of two disks alone, so that the leader goes on. Right before the last loss, when no instance counts as lost, the leader's list must bear the loss of two voters.

The test of the membership table shows what remains of the cause there.

--- a/tests/diskpower/diskcluster.cpp
+++ b/tests/diskpower/diskcluster.cpp
@@ -13,6 +13,9 @@
 /// A member counts as lost until then after it is back (catchUpS).
 constexpr milliseconds CatchUpTime{6000};
 constexpr milliseconds AcknowledgementLimit{20000};
+/// An instance that has just started may know of those that its settings do not
+/// name only after it has compared its table of members.
+constexpr std::uint64_t TableTimeMs = 10000;
 
 bool isPersist(const Effect &What) {
   return std::holds_alternative<PersistHardState>(What) ||
@@ -77,7 +80,6 @@
     if (Addresses.size() == static_cast<std::size_t>(this->Size.Initial))
       break;
     Addresses.push_back(Address);
-    // A member that has just started knows of the others what its settings say.
     if (Address != Item.Self.Address)
       Peers.push_back({Address, Address});
   }
@@ -85,6 +87,8 @@
   Policy.Count = this->Size.Voters;
   Item.Logic = std::make_unique<Consensus>(Item.Self, std::move(Peers), Policy,
                                            this->Random());
+  Item.TableKnownAt =
+      this->Now + milliseconds(static_cast<int>(this->below(TableTimeMs)));
   Item.Logic->restore(State, this->Now);
   Item.Store->releaseState();
   Effects Out;
@@ -294,6 +298,8 @@
       if (!Item.Logic || !TickIsDue || this->Now < Item.FrozenUntil ||
           this->Now < Item.BusyUntil)
         continue;
+      if (this->Now >= Item.TableKnownAt)
+        this->fillTable(Item);
       Effects Out;
       Item.Logic->tick(this->Now, Out);
       this->execute(Item, std::move(Out));
@@ -301,6 +307,14 @@
   }
 }
 
+void DiskCluster::fillTable(Member &Item) {
+  Item.TableKnownAt = NoDeadline;
+  std::vector<std::string> Addresses;
+  for (const auto &[Address, Other] : this->Members)
+    Addresses.push_back(Address);
+  Item.Logic->setJoinAddresses(std::move(Addresses));
+}
+
 DiskCluster::Member *DiskCluster::leader() {
   Member *Out = nullptr;
   for (auto &[Address, Item] : this->Members)
@@ -533,9 +547,26 @@
   const Time Limit = this->Now + milliseconds(60000);
   while ((Lost = this->drawMembers(MostWiped)).empty() && this->Now < Limit)
     this->runChanges(milliseconds(20), milliseconds(20));
+  for (auto &[Address, Item] : this->Members)
+    Item.SyncTime = milliseconds(1);
   if (!this->runUntilAcknowledged(AcknowledgementLimit))
     this->addViolation("nothing is acknowledged before the last loss");
-  this->loseDisks(Lost, true);
+  this->checkVoters();
+  this->loseDisks(Lost, this->below(2) == 0);
+}
+
+void DiskCluster::checkVoters() {
+  const Member *Leading = this->leader();
+  if (Leading == nullptr)
+    return;
+  const std::vector<wire::Replica> &Voters = Leading->Logic->voters();
+  const auto Living = static_cast<std::size_t>(
+      std::count_if(Voters.begin(), Voters.end(), [&](const auto &Voter) {
+        return this->Members.at(Voter.Address).Self.DiskId == Voter.DiskId;
+      }));
+  if (Living < Leading->Logic->quorum() + MostWiped)
+    this->addViolation(std::to_string(Living) + " of " +
+                       std::to_string(Voters.size()) + " voters live");
 }
 
 void DiskCluster::checkRecovery() {
--- a/tests/diskpower/diskcluster.h
+++ b/tests/diskpower/diskcluster.h
@@ -62,6 +62,8 @@
     /// Whether the end of the process is a loss of power.
     bool LosesPower = false;
     Time RestartAt;
+    /// When the instance knows of all others.
+    Time TableKnownAt;
     Time FrozenUntil;
     /// The disk is busy with what was written last.
     Time BusyUntil;
@@ -103,6 +105,9 @@
   void takeSnapshot(Member &Item, Effects &Out);
   void noteVote(std::int64_t DiskId, std::int64_t Term, std::int64_t For);
   bool recovered() const;
+  /// Checks that the leader's list of voters bears the loss of MostWiped disks.
+  void checkVoters();
+  void fillTable(Member &Item);
   Member *leader();
   /// Draws \p Count members that do not count as lost, if so many may be.
   std::vector<Member *> drawMembers(std::size_t Count);
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -157,6 +157,22 @@
   CHECK(M.sent<wire::SyncRequest>().size() >= 2);
 }
 
+// Guards against a new member that compares its table with another new one and
+// knows few members for ten seconds.
+TEST_CASE("a new member compares its table again soon") {
+  Member M("p1");
+  M.learn(record("p2", 1));
+  M.run(milliseconds(1100));
+  const std::size_t Before = M.sent<wire::SyncRequest>().size();
+  REQUIRE(Before >= 1);
+  wire::SyncReply Equal;
+  Equal.WantsRecords = true;
+  Effects Out;
+  M.Table.receive(Equal, "p2:1", M.Now, Out);
+  M.run(milliseconds(1100));
+  CHECK(M.sent<wire::SyncRequest>().size() > Before);
+}
+
 TEST_CASE("a sync makes both tables equal") {
   Member Left("p1");
   Member Right("p2");
