Log only replicas that do wait

The time of a voter now counts from the proposal, and silent learners are left out. Logging only; no decision changes.

--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -524,6 +524,7 @@
       " lastIndex=" + std::to_string(this->Log.lastIndex()) +
       " voters=" + describeVoters(this->Log.voters())});
   this->Followers.clear();
+  this->VotersSince = Now;
   this->trackVoters(Now);
   wire::LogEntry Entry;
   Entry.Kind = wire::EntryKind::Noop;
@@ -554,6 +555,8 @@
   Entry.Index = this->Log.lastIndex() + 1;
   Entry.Term = this->HardState.Term;
   const std::int64_t Index = Entry.Index;
+  if (Entry.Kind == wire::EntryKind::Voters)
+    this->VotersSince = Now;
   this->appendLocally({std::move(Entry)}, Out);
   this->trackVoters(Now);
   this->advanceCommit();
@@ -724,12 +727,15 @@
   }
   const bool Uncommitted = this->CommitIndex < this->Log.votersIndex();
   for (auto &[DiskId, Item] : this->Followers) {
-    if (Now < Item.Since + ExchangeLogDelay || Now < Item.NextWaitLog)
+    const bool HasVote = this->isVoter(DiskId);
+    const Time Since = HasVote ? this->VotersSince : Item.Since;
+    if (Now < Since + ExchangeLogDelay || Now < Item.NextWaitLog)
       continue;
     const bool Behind = Item.Match < this->CommitIndex;
-    const bool HasVote = this->isVoter(DiskId);
-    if (HasVote ? !Uncommitted || Item.Match >= this->Log.votersIndex()
-                : !Behind && !Uncommitted && this->ready())
+    const bool LearnerWaits =
+        Now < Item.ActiveUntil && (Behind || Uncommitted || !this->ready());
+    const bool VoterWaits = Uncommitted && Item.Match < this->Log.votersIndex();
+    if (HasVote ? !VoterWaits : !LearnerWaits)
       continue;
     Item.NextWaitLog = Now + StateLogInterval;
     std::string Reason = "leader-not-ready";
@@ -742,7 +748,7 @@
     Out.emplace_back(LogDecision{
         "event=replica-waiting instance=" + Item.Replica.Instance +
         " disk=" + std::to_string(DiskId) + " reason=" + Reason +
-        " ageMs=" + std::to_string((Now - Item.Since) / milliseconds(1)) +
+        " ageMs=" + std::to_string((Now - Since) / milliseconds(1)) +
         " match=" + std::to_string(Item.Match) +
         " next=" + std::to_string(Item.Next) +
         " commit=" + std::to_string(this->CommitIndex) +
--- a/src/libpersimmon/consensus.h
+++ b/src/libpersimmon/consensus.h
@@ -264,6 +264,8 @@
   Time NextElectionLog;
   Time NextRefusalLog;
   Time NextLossesLog;
+  /// When this leader began to lead or proposed its newest list of voters.
+  Time VotersSince;
   std::optional<std::size_t> LoggedLossesBorne;
   std::int64_t TermStart = 0;
   std::int64_t Round = 0;
