Build the line about traffic in place

GCC 12 at -O3 stops at the temporary strings of logTraffic (-Werror=restrict) on x86-64, so that a Release build with warnings as errors failed. The file compiles with -O3 and these warnings now; it did not before.

--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -198,8 +198,9 @@
         Traffic[I].ReceivedBytes - this->LoggedTraffic[I].ReceivedBytes;
     if (Sent + Received == 0)
       continue;
-    Line += " " + std::string(messageKindName(I)) + "=" + std::to_string(Sent) +
-            "/" + std::to_string(Received);
+    Line.append(" ").append(messageKindName(I)).append("=");
+    Line.append(std::to_string(Sent)).append("/");
+    Line.append(std::to_string(Received));
   }
   this->LoggedTraffic = Traffic;
   logDecision(Line);
