--- a/tests/hostile/hostilesystem.cpp
+++ b/tests/hostile/hostilesystem.cpp
@@ -55,8 +55,10 @@
 
 } // namespace
 
-HostileSystem::HostileSystem() {
-  const std::string Memory = R"(,"memoryMb":)" + std::to_string(MemoryMb);
+HostileSystem::HostileSystem(const HostileSettings &TheSettings)
+    : Settings(TheSettings) {
+  const std::string Memory =
+      R"(,"memoryMb":)" + std::to_string(this->Settings.ControlMemoryMb);
   this->startDaemon(
       this->Control, "c1",
       std::string(R"({"role":"control","name":"c1","availabilityZone":"zone-a",
@@ -76,26 +78,58 @@
       std::string(R"({"role":"proxy","name":"p1","availabilityZone":"zone-a",
         "listen":"127.66.0.2:7100","callers":"127.66.0.2:8080",
         "local":"127.66.0.2:7102","readiness":"127.66.0.2:7103",)") +
-          Peers + Memory + "}");
+          Peers + R"(,"memoryMb":)" +
+          std::to_string(this->Settings.ProxyMemoryMb) + "}");
   this->ProxyId = this->Proxy.id();
-  REQUIRE(this->Target.start({TARGET_PROGRAM, "--name", "t1", "--listen",
-                              "127.66.0.2:9000", "--daemon", "127.66.0.2:7102",
-                              "--service", "shop/orders", "--slots", "4",
-                              "--delay-ms", "2"},
-                             this->Folder.file("target.log")));
-  const std::string Settings = this->Folder.file("settings.json");
-  std::ofstream(Settings) << R"({"shop/services/orders":{"queue":16},
+  REQUIRE(this->Target.start(
+      {TARGET_PROGRAM, "--name", "t1", "--listen", "127.66.0.2:9000",
+       "--daemon", "127.66.0.2:7102", "--service", "shop/orders", "--slots",
+       std::to_string(this->Settings.Slots), "--delay-ms", "2"},
+      this->Folder.file("target.log")));
+  const std::string File = this->Folder.file("settings.json");
+  std::ofstream(File) << R"({"shop/services/orders":{"queue":)"
+                      << this->Settings.Queue << R"(},
       "shop/routes/orders":{"job":"orders","service":"shop/orders"},
       "shop/limits/callers":{"maxBodyBytes":)"
-                          << LegalBodyBytes << "}}";
-  this->runClient(TeamToken, {"apply", Settings});
+                      << this->Settings.BodyBytes << "}}";
+  this->runClient(TeamToken, {"apply", File});
   checkOrdinary(ProxyIp, CallerPort);
+  for (std::size_t I = 0; I < this->Settings.EntryProxies; ++I)
+    this->startEntry(I);
+  for (std::size_t I = 0; I < this->Settings.EntryProxies; ++I)
+    checkOrdinary(entryIp(I), CallerPort);
+}
+
+std::string HostileSystem::entryIp(std::size_t Index) {
+  constexpr std::size_t FirstHost = 10;
+  return "127.66.0." + std::to_string(FirstHost + Index);
+}
+
+void HostileSystem::startEntry(std::size_t Index) {
+  const std::string Name = "e" + std::to_string(Index);
+  const std::string Ip = entryIp(Index);
+  Entry &Item = this->Entries.emplace_back();
+  this->startDaemon(Item.Daemon, Name,
+                    R"({"role":"proxy","name":")" + Name +
+                        R"(","availabilityZone":"zone-a","listen":")" + Ip +
+                        R"(:7100","callers":")" + Ip + R"(:8080","local":")" +
+                        Ip + R"(:7102",)" + Peers + R"(,"memoryMb":)" +
+                        std::to_string(this->Settings.EntryMemoryMb) + "}");
+  Item.Id = Item.Daemon.id();
+}
+
+void HostileSystem::setTargetDelay(int DelayMs) {
+  const std::string Body = R"({"delayMs":)" + std::to_string(DelayMs) + "}";
+  REQUIRE(ask(ProxyIp, TargetPort,
+              "POST /standin HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                  std::to_string(Body.size()) + "\r\n\r\n" + Body)
+              .Status == 200);
 }
 
 void HostileSystem::startDaemon(Process &Daemon, const std::string &Name,
-                                const std::string &Settings) {
+                                const std::string &Document) {
   const std::string File = this->Folder.file(Name + ".json");
-  std::ofstream(File) << Settings;
+  std::ofstream(File) << Document;
   REQUIRE(Daemon.start({DAEMON_PROGRAM, "--settings", File},
                        this->Folder.file(Name + ".log")));
 }
@@ -112,25 +146,32 @@
   });
 }
 
-void HostileSystem::checkProcess(Process &Daemon, pid_t Id,
+void HostileSystem::checkProcess(Process &Daemon, pid_t Id, std::size_t LimitMb,
                                  std::size_t CrowdSize) {
   REQUIRE(Daemon.running());
   REQUIRE(Daemon.id() == Id);
   constexpr std::size_t BytesPerMb = 1'000'000;
   constexpr std::size_t BytesPerKib = 1024;
   CHECK(statusKib(Id, "VmHWM") * BytesPerKib / BytesPerMb <=
-        MemoryMb + FixedBaseMb);
+        LimitMb + FixedBaseMb);
   CHECK(openDescriptors(Id) <= CrowdSize + FixedDescriptors);
 }
 
 void HostileSystem::checkBounds(std::size_t CrowdSize) {
   {
     INFO("control instance");
-    checkProcess(this->Control, this->ControlId, CrowdSize);
+    checkProcess(this->Control, this->ControlId, this->Settings.ControlMemoryMb,
+                 CrowdSize);
   }
   {
     INFO("proxy");
-    checkProcess(this->Proxy, this->ProxyId, CrowdSize);
+    checkProcess(this->Proxy, this->ProxyId, this->Settings.ProxyMemoryMb,
+                 CrowdSize);
+  }
+  for (std::size_t I = 0; I < this->Entries.size(); ++I) {
+    INFO("entry proxy " << I);
+    checkProcess(this->Entries[I].Daemon, this->Entries[I].Id,
+                 this->Settings.EntryMemoryMb, CrowdSize);
   }
 }
 
