Show the memory of answers that callers do not read

A daemon keeps the answers that its callers do not read for up to 60 s, however many bytes they are.

--- a/tests/hostile/crowd.cpp
+++ b/tests/hostile/crowd.cpp
@@ -25,8 +25,20 @@
 /// A server that has not answered by then counts as hanging.
 constexpr int AnswerSeconds = 20;
 
-int connectTo(const std::string &Ip, std::uint16_t Port) {
+/// Returns the status of an answer, or 0 if \p Answer does not begin as one.
+int statusOf(std::string_view Answer) {
+  constexpr std::string_view StatusLine = "HTTP/1.1 ";
+  if (!Answer.starts_with(StatusLine))
+    return 0;
+  return std::atoi(std::string(Answer.substr(StatusLine.size())).c_str());
+}
+
+int connectTo(const std::string &Ip, std::uint16_t Port,
+              int ReceiveBufferBytes = 0) {
   const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (ReceiveBufferBytes > 0)
+    ::setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
+                 sizeof ReceiveBufferBytes);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Port);
@@ -66,7 +78,7 @@
                 const HostileStream &Stream) {
   Member Item;
   Item.Stream = Stream;
-  Item.Socket = connectTo(Ip, Port);
+  Item.Socket = connectTo(Ip, Port, Stream.ReceiveBufferBytes);
   if (Item.Socket < 0)
     return false;
   ::fcntl(Item.Socket, F_SETFL, O_NONBLOCK);
@@ -111,8 +123,8 @@
         continue;
       const bool Unsent = Item.Sent < Item.Stream.size();
       Sending = Sending || Unsent;
-      const auto Events =
-          static_cast<short>(Unsent ? POLLIN | POLLOUT : POLLIN);
+      const auto Events = static_cast<short>(
+          (Item.Stream.ReadsAnswers ? POLLIN : 0) | (Unsent ? POLLOUT : 0));
       Polled.push_back({Item.Socket, Events, 0});
       Owners.push_back(&Item);
     }
@@ -121,7 +133,8 @@
     ::poll(Polled.data(), Polled.size(), PollMs);
     for (std::size_t I = 0; I < Polled.size(); ++I) {
       Member &Item = *Owners[I];
-      if ((Polled[I].revents & (POLLIN | POLLERR | POLLHUP)) != 0)
+      if (Item.Stream.ReadsAnswers &&
+          (Polled[I].revents & (POLLIN | POLLERR | POLLHUP)) != 0)
         receive(Item);
       if (Item.Socket >= 0 && (Polled[I].revents & POLLOUT) != 0 &&
           sendPiece(Item) > 0)
@@ -130,6 +143,19 @@
   }
 }
 
+int Crowd::awaitLastAnswer() const {
+  const int Socket = this->Members.back().Socket;
+  pollfd Polled{Socket, POLLIN, 0};
+  constexpr int MsPerSecond = 1000;
+  if (::poll(&Polled, 1, AnswerSeconds * MsPerSecond) <= 0)
+    return 0;
+  std::array<char, 32> Begin{};
+  const ssize_t Got = ::recv(Socket, Begin.data(), Begin.size(), MSG_PEEK);
+  if (Got <= 0)
+    return 0;
+  return statusOf({Begin.data(), static_cast<std::size_t>(Got)});
+}
+
 std::size_t Crowd::closed() const {
   return static_cast<std::size_t>(
       std::count_if(this->Members.begin(), this->Members.end(),
@@ -163,11 +189,9 @@
     }
   }
   ::close(Socket);
-  constexpr std::string_view StatusLine = "HTTP/1.1 ";
-  if (Answer.find("\r\n\r\n") == std::string::npos ||
-      !Answer.starts_with(StatusLine))
+  if (Answer.find("\r\n\r\n") == std::string::npos)
     return Out;
-  Out.Status = std::atoi(Answer.c_str() + StatusLine.size());
+  Out.Status = statusOf(Answer);
   constexpr std::string_view RetryName = "\r\nRetry-After: ";
   const std::size_t Retry = Answer.find(RetryName);
   if (Retry != std::string::npos)
--- a/tests/hostile/crowd.h
+++ b/tests/hostile/crowd.h
@@ -16,6 +16,9 @@
   std::string Tail;
   /// Bytes that are sent before the next connection has its turn.
   std::size_t PieceBytes = 256u << 10;
+  bool ReadsAnswers = true;
+  /// Bytes that the kernel may keep for the client; 0 for the default.
+  int ReceiveBufferBytes = 0;
 
   std::size_t size() const {
     return this->Head.size() + this->Unit.size() * this->Count +
@@ -41,6 +44,10 @@
   /// the server, or until the server has taken nothing for some seconds.
   void send();
 
+  /// Waits until an answer begins on the last connection, without reading it.
+  /// Returns its status, or 0 if none came.
+  int awaitLastAnswer() const;
+
   std::size_t size() const { return this->Members.size(); }
   /// Connections that the server has closed.
   std::size_t closed() const;
