Play crowds against the usual limits of memory

The crowds ran against 64 MB only. Bodies of twice the memory are left open at 88, 110, 160 and 260 MB, and 128 documents of 4 MB at the operators' port at 256 MB.

--- a/tests/hostile/test_hostile.cpp
+++ b/tests/hostile/test_hostile.cpp
@@ -108,8 +108,9 @@
 /// to be complete.
 void checkAgainst(const Port &To, std::size_t Size,
                   const std::function<HostileStream(bool)> &StreamOf,
-                  std::size_t CompletedOneIn) {
-  HostileSystem System;
+                  std::size_t CompletedOneIn,
+                  const HostileSettings &Settings = {}) {
+  HostileSystem System(Settings);
   {
     Crowd Clients;
     for (std::size_t I = 0; I < Size; ++I)
@@ -133,6 +134,18 @@
   checkAgainst(To, Size, StreamOf, CompletedOneIn);
 }
 
+/// Sends bodies of legal size to a proxy, together twice its memory or more.
+void checkCallersAt(std::size_t ProxyMemoryMb) {
+  constexpr std::size_t BytesPerMb = 1'000'000;
+  HostileSettings Settings;
+  Settings.ProxyMemoryMb = ProxyMemoryMb;
+  Settings.BodyBytes = 2 * ProxyMemoryMb * BytesPerMb / CrowdSize;
+  const auto StreamOf = [&](bool Complete) {
+    return inPieces(announced(Callers, Settings.BodyBytes, Complete));
+  };
+  checkAgainst(Callers, CrowdSize, StreamOf, CompletedOneIn, Settings);
+}
+
 } // namespace
 
 // Guards against processes that run out of memory because bodies are counted
@@ -214,3 +227,28 @@
     return inLargeChunks(Readiness, LegalBodyBytes, Complete);
   });
 }
+
+// Guards against shares of the memory that fit small limits only.
+TEST_CASE("hostile callers leave bodies open at 88 MB") { checkCallersAt(88); }
+
+TEST_CASE("hostile callers leave bodies open at 110 MB") {
+  checkCallersAt(110);
+}
+
+TEST_CASE("hostile callers leave bodies open at 160 MB") {
+  checkCallersAt(160);
+}
+
+TEST_CASE("hostile callers leave bodies open at 260 MB") {
+  checkCallersAt(260);
+}
+
+TEST_CASE("hostile operators leave documents open at 256 MB") {
+  constexpr std::size_t OperatorCrowdSize = 128;
+  HostileSettings Settings;
+  Settings.ControlMemoryMb = 256;
+  checkAgainst(
+      Operators, OperatorCrowdSize,
+      [](bool Complete) { return inPieces(document(Operators, Complete)); },
+      CompletedOneIn, Settings);
+}
