Bound the bodies that a daemon holds for its target

Callers of many daemons that upload to one slow target made the daemon of that target exceed its memory; a process that does is killed, and the calls that it holds end with an unknown outcome.

Cause: the daemon admitted bodies by number only (slots and queue), and each running request was in memory twice, in BodyStore and in the connection to the target until it was written.

The daemon now admits bodies of more than 16 KiB up to a quarter of memoryMb, the largest not counted, from the admission until the run has ended. The header of such a call comes before its body, so a refused call has not run, its body is not sent and the refusal is immediate. The body moves from the store to the connection when it runs and is freed when it is written.

--- a/src/libhost/bodystore.cpp
+++ b/src/libhost/bodystore.cpp
@@ -3,6 +3,7 @@
 #include "responsehead.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace persimmon {
 
@@ -132,7 +133,8 @@
   Request &Item = Found->second;
   const wire::CallRequest &Header = Item.Header;
   // Parts after a complete body are ignored.
-  if (static_cast<std::int64_t>(Item.Body.size()) == Header.BodySize)
+  if (Item.BodyTaken ||
+      static_cast<std::int64_t>(Item.Body.size()) == Header.BodySize)
     return {};
   // The length is known, so the body is not moved while it grows.
   if (Item.Body.empty())
@@ -157,7 +159,7 @@
   std::erase_if(this->Requests, [&](const auto &Item) {
     const Request &Stored = Item.second;
     const bool Lost =
-        Stored.Path == Path &&
+        Stored.Path == Path && !Stored.BodyTaken &&
         static_cast<std::int64_t>(Stored.Body.size()) < Stored.Header.BodySize;
     if (Lost)
       Out.push_back({Item.first});
@@ -171,6 +173,14 @@
   return Found == this->Requests.end() ? nullptr : &Found->second;
 }
 
+std::string BodyStore::takeBody(const wire::AttemptId &Id) {
+  const auto Found = this->Requests.find(Id);
+  if (Found == this->Requests.end())
+    return {};
+  Found->second.BodyTaken = true;
+  return std::exchange(Found->second.Body, std::string());
+}
+
 void BodyStore::storeResponse(const wire::AttemptId &Id, Response NewResponse) {
   this->StoredResponses[Id] = std::move(NewResponse);
 }
--- a/src/libhost/bodystore.h
+++ b/src/libhost/bodystore.h
@@ -27,6 +27,8 @@
     wire::CallRequest Header;
     std::string Body;
     std::string Path;
+    /// The body is with the run on the target.
+    bool BodyTaken = false;
     /// The deadline of the caller, which comes with the first part of the body.
     Time Deadline = NoDeadline;
   };
@@ -74,6 +76,8 @@
   std::vector<BodyLost> removeIncompleteRequests(std::string_view Path);
 
   const Request *request(const wire::AttemptId &Id) const;
+  /// Moves the body of a request out of the store, for its run on the target.
+  std::string takeBody(const wire::AttemptId &Id);
   /// Stores the response of the local target until removeAttempt().
   void storeResponse(const wire::AttemptId &Id, Response NewResponse);
   const Response *storedResponse(const wire::AttemptId &Id) const;
--- a/src/libhost/daemonhost.cpp
+++ b/src/libhost/daemonhost.cpp
@@ -94,6 +94,8 @@
       MemoryShares::fromSettings(this->Settings.MemoryMb);
   Identity.Snapshots.MaxLogBytes = Shares.maxLogBytes();
   Identity.MaxHistoryBytes = Shares.maxHistoryBytes();
+  Identity.MaxTargetBodyBytes =
+      static_cast<std::int64_t>(Shares.maxTargetBodyBytes());
   this->TargetPolicy = makeChoicePolicy(this->Settings.Baselines.Choice);
   this->VersionTopology = makeTopology(this->Settings.Baselines.Distribution);
   if (this->Settings.Role == DaemonRole::Proxy) {
@@ -626,6 +628,9 @@
   this->DaemonMetrics.setGauge(
       "persimmon_calls_refused_by_link",
       static_cast<double>(this->LocalNode->scheduler().refusedByLink()));
+  this->DaemonMetrics.setGauge(
+      "persimmon_calls_refused_by_memory",
+      static_cast<double>(this->LocalNode->scheduler().refusedByMemory()));
   this->DaemonMetrics.setGauge("persimmon_target_calls_per_second",
                                this->LocalNode->scheduler().callsPerSecond());
   if (const CallRouter *Router = this->LocalNode->router()) {
--- a/src/libhost/memoryshares.h
+++ b/src/libhost/memoryshares.h
@@ -34,6 +34,10 @@
     return this->TotalBytes / 8 + this->TotalBytes / 16;
   }
 
+  /// Limit for the large bodies of requests that wait for the target or run on
+  /// it, except for the largest.
+  std::size_t maxTargetBodyBytes() const { return this->TotalBytes / 4; }
+
   /// Limit for the replicated log in memory, for the changes that wait for it,
   /// and for the deltas kept for peers: a sixteenth each. Encoding and sending
   /// them takes as much again.
--- a/src/libhost/proxyapi.cpp
+++ b/src/libhost/proxyapi.cpp
@@ -282,7 +282,7 @@
   Request.Headers =
       Calls.targetHeaders(Stored->Header, this->Sink.node().target().InstanceId,
                           milliseconds(millisecondsUntil(Run.Deadline, Now)));
-  Request.Body = Stored->Body;
+  Request.Body = this->Bodies.takeBody(Run.Id);
   Request.Deadline = Run.Deadline;
   std::string TargetRun = this->Sink.node().target().InstanceId;
   Request.ResponseMatches =
@@ -290,7 +290,8 @@
         return Calls.matchesCall(Answer, Id);
       };
   this->Running[Run.Id] = this->Client.start(
-      Request, [this, Id = Run.Id, TargetRun](TargetResponse Answer) {
+      std::move(Request),
+      [this, Id = Run.Id, TargetRun](TargetResponse Answer) {
         this->onTargetFinished(Id, TargetRun, std::move(Answer));
       });
 }
@@ -432,7 +433,7 @@
   Request.Method = "GET";
   Request.Headers = {makeHeader("Host", this->TargetAddress)};
   Request.Deadline = std::chrono::steady_clock::now() + ProbeTimeout;
-  this->Client.start(Request, std::move(OnResponse));
+  this->Client.start(std::move(Request), std::move(OnResponse));
 }
 
 void ProxyApi::scheduleDiscovery(milliseconds Pause) {
--- a/src/libhost/targetclient.cpp
+++ b/src/libhost/targetclient.cpp
@@ -40,7 +40,7 @@
       this->IdleConnections.back()->close();
   }
 
-  std::int64_t start(const TargetRequest &Request, ResponseHandler WhenDone) {
+  std::int64_t start(TargetRequest Request, ResponseHandler WhenDone) {
     const std::int64_t Number = ++this->LastNumber;
     const std::shared_ptr<TargetConnection> Connection =
         this->acquireConnection(Request);
@@ -53,11 +53,12 @@
       return Number;
     }
     this->Requests.emplace(Number, Connection);
-    Connection->run(Request, [this, Number, Handler = std::move(WhenDone)](
-                                 TargetResponse Response) {
-      this->Requests.erase(Number);
-      Handler(std::move(Response));
-    });
+    Connection->run(
+        std::move(Request),
+        [this, Number, Handler = std::move(WhenDone)](TargetResponse Response) {
+          this->Requests.erase(Number);
+          Handler(std::move(Response));
+        });
     return Number;
   }
 
@@ -158,9 +159,9 @@
   this->Implementation->closeIdleConnections();
 }
 
-std::int64_t TargetClient::start(const TargetRequest &Request,
+std::int64_t TargetClient::start(TargetRequest Request,
                                  ResponseHandler WhenDone) {
-  return this->Implementation->start(Request, std::move(WhenDone));
+  return this->Implementation->start(std::move(Request), std::move(WhenDone));
 }
 
 void TargetClient::cancel(std::int64_t Number) {
--- a/src/libhost/targetclient.h
+++ b/src/libhost/targetclient.h
@@ -35,7 +35,7 @@
   /// Path and query string.
   std::string Url;
   std::vector<wire::Header> Headers;
-  std::string_view Body;
+  std::string Body;
   Time Deadline = NoDeadline;
   /// Returns whether a response belongs to this request. Other responses are
   /// skipped.
@@ -70,7 +70,7 @@
   /// Starts a request. \p WhenDone is called exactly once, later. The End of
   /// the response tells how the request ended: NotConnected only if no byte was
   /// sent. Returns the number to pass to cancel().
-  std::int64_t start(const TargetRequest &Request, ResponseHandler WhenDone);
+  std::int64_t start(TargetRequest Request, ResponseHandler WhenDone);
 
   /// Cancels a request by closing its connection. It is reported as Broken, or
   /// as NotSent if no connection was open yet.
--- a/src/libhost/targetconnection.cpp
+++ b/src/libhost/targetconnection.cpp
@@ -29,18 +29,18 @@
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
 
-std::string serialize(const TargetRequest &Request) {
+/// Returns the request without its body.
+std::string serializeHead(const TargetRequest &Request) {
   std::string Out = Request.Method + " " + Request.Url + " HTTP/1.1\r\n";
   std::size_t HeaderBytes = 64;
   for (const wire::Header &Item : Request.Headers)
     HeaderBytes += Item.Name.size() + Item.Value.size() + 4;
-  Out.reserve(Out.size() + HeaderBytes + Request.Body.size());
+  Out.reserve(Out.size() + HeaderBytes);
   for (const wire::Header &Item : Request.Headers)
     Out += Item.Name + ": " + Item.Value + "\r\n";
   if (!Request.Body.empty() || requiresContentLength(Request.Method))
     Out += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
   Out += "\r\n";
-  Out += Request.Body;
   return Out;
 }
 
@@ -73,10 +73,11 @@
   return !this->Closed && Now < this->ReusableUntil;
 }
 
-void TargetConnection::run(const TargetRequest &Request,
+void TargetConnection::run(TargetRequest Request,
                            TargetClient::ResponseHandler Handler) {
   this->Address = Request.Address;
-  this->RequestBytes = serialize(Request);
+  this->RequestHead = serializeHead(Request);
+  this->RequestBody = std::move(Request.Body);
   this->Deadline = Request.Deadline;
   this->ResponseMatches = Request.ResponseMatches;
   this->WhenDone = std::move(Handler);
@@ -137,8 +138,10 @@
 void TargetConnection::send() {
   this->SendStarted = true;
   this->startTimer(this->Deadline);
+  const std::array<asio::const_buffer, 2> Buffers = {
+      asio::buffer(this->RequestHead), asio::buffer(this->RequestBody)};
   asio::async_write(
-      this->Socket, asio::buffer(this->RequestBytes),
+      this->Socket, Buffers,
       [Self = this->shared_from_this()](std::error_code Error, std::size_t) {
         if (Self->Closed)
           return;
@@ -148,7 +151,7 @@
         Self->RequestWritten = !Error;
         // Up to 34 MB, which an idle connection would keep.
         if (!Error)
-          Self->RequestBytes = std::string();
+          Self->RequestBody = std::string();
         Self->WriteFailed = static_cast<bool>(Error);
       });
 }
--- a/src/libhost/targetconnection.h
+++ b/src/libhost/targetconnection.h
@@ -37,8 +37,7 @@
   TargetConnection(asio::io_context &Io, TargetConnectionOwner &Owner);
 
   /// Connects if necessary and sends \p Request. \p WhenDone is called once.
-  void run(const TargetRequest &Request,
-           TargetClient::ResponseHandler WhenDone);
+  void run(TargetRequest Request, TargetClient::ResponseHandler WhenDone);
 
   /// Closes the connection. A pending request ends as Broken if it may have
   /// been sent, otherwise as NotSent.
@@ -76,7 +75,8 @@
   asio::steady_timer Timer;
   TargetConnectionOwner *Owner;
   std::string Address;
-  std::string RequestBytes;
+  std::string RequestHead;
+  std::string RequestBody;
   TargetClient::ResponseHandler WhenDone;
   std::function<bool(const TargetResponse &)> ResponseMatches;
   Time Deadline = NoDeadline;
--- a/src/libpersimmon/attemptscheduler.cpp
+++ b/src/libpersimmon/attemptscheduler.cpp
@@ -347,6 +347,7 @@
     this->Queue.add(this->waitingCall(Item));
   }
   this->BodyFlow.add(Item.Id, BodySize, !Context.FromLocalDaemon);
+  this->Bodies.add(Item.Id, BodySize);
   return ResultCode::Ok;
 }
 
@@ -468,6 +469,12 @@
       !this->reserveLink(Item, Request.BodyFollows ? Request.BodySize : 0, Now);
   if (LinkFull)
     Code = ResultCode::DeadlineCannotBeMet;
+  const bool MemoryFull = Code == ResultCode::Ok && Request.BodyFollows &&
+                          !this->Bodies.hasRoomFor(Request.BodySize);
+  if (MemoryFull) {
+    Code = ResultCode::Overloaded;
+    this->RefusedByMemory += 1;
+  }
   // Calls that wait for the target's rate go first.
   const bool SlotFree =
       this->startableCalls(Now) > 0 && !this->Queue.hasReady();
@@ -475,11 +482,12 @@
     Code = this->reserve(Item, Request.BodySize, Context, Now, Out);
   else if (Code == ResultCode::Ok && !SlotFree)
     Code = this->enqueue(Item, Limits, Now, Out);
-  // A full link says nothing about the slots that nested calls need.
-  if (!LinkFull)
+  // A full link or memory says nothing about the slots that nested calls need.
+  if (!LinkFull && !MemoryFull)
     this->recordShedding(Item, Code, Now);
   this->logAdmission(Request, Context.Nested,
                      LinkFull                 ? "refuse-link"
+                     : MemoryFull             ? "refuse-memory"
                      : Code != ResultCode::Ok ? "refuse"
                      : Request.BodyFollows    ? "reserve"
                      : SlotFree               ? "run"
@@ -567,6 +575,7 @@
 void AttemptScheduler::refuse(Attempt &Item, ResultCode Code, Time Now,
                               Effects &Out) {
   this->BodyFlow.remove(Item.Id);
+  this->Bodies.remove(Item.Id);
   this->releaseLink(Item);
   Item.State = Stage::Refused;
   Item.Outcome = wire::CallOutcome::NotRun;
@@ -602,6 +611,7 @@
                                  Now);
   }
   this->RunningIds.erase(Run.Id);
+  this->Bodies.remove(Run.Id);
   this->releaseLink(Item);
   switch (Run.End) {
   case RunEnd::NotConnected:
@@ -762,6 +772,7 @@
   Mark.KeepUntil = Now + KeepWatermark;
   this->HeldAnswerBytes -= Item->second.AnswerBytes;
   this->BodyFlow.remove(Item->second.Id);
+  this->Bodies.remove(Item->second.Id);
   this->Link.remove(Item->second.Id);
   this->releaseLink(Item->second);
   Out.emplace_back(DropAttempt{Item->second.Id});
--- a/src/libpersimmon/attemptscheduler.h
+++ b/src/libpersimmon/attemptscheduler.h
@@ -6,6 +6,7 @@
 #include "callratelimit.h"
 #include "effects.h"
 #include "events.h"
+#include "heldbodies.h"
 #include "nestedloadlimiter.h"
 #include "outgoinglink.h"
 #include "placementpolicy.h"
@@ -86,6 +87,9 @@
     this->Link.setRate(MegabitsPerSecond);
   }
 
+  /// Limits the bytes of the bodies that are held for the target; 0 for none.
+  void setMaxBodyBytes(std::int64_t Bytes) { this->Bodies.setLimit(Bytes); }
+
   /// Counts bytes of this daemon's own calls that leave by the link.
   void chargeLink(std::int64_t Bytes, Time Now) {
     this->Link.charge(Bytes, Now);
@@ -120,6 +124,10 @@
   /// carried their answers in time.
   std::uint64_t refusedByLink() const { return this->RefusedByLink; }
 
+  /// Returns how many calls were refused because the bodies that are held take
+  /// the memory that they may use.
+  std::uint64_t refusedByMemory() const { return this->RefusedByMemory; }
+
   /// Returns whether no call runs, waits or has an unacknowledged answer.
   bool idle() const;
 
@@ -235,9 +243,11 @@
   RunTimeEstimates RunTimes;
   AdmissionQueue Queue{RunTimes};
   BodyFlowControl BodyFlow;
+  HeldBodies Bodies;
   AnswerSizes AnswerLengths;
   OutgoingLink Link;
   std::uint64_t RefusedByLink = 0;
+  std::uint64_t RefusedByMemory = 0;
   CallRateLimit RateLimit;
   TargetPace Pace;
   bool EvenPlacement = false;
--- a/src/libpersimmon/node.cpp
+++ b/src/libpersimmon/node.cpp
@@ -95,6 +95,7 @@
   Out->Router->setRetryBurst(Identity.RetryBurst);
   Out->Router->setEvenPlacement(Identity.EvenPlacement);
   Out->Scheduler.setLinkRate(Identity.LinkMbps);
+  Out->Scheduler.setMaxBodyBytes(Identity.MaxTargetBodyBytes);
   Out->Scheduler.setEvenPlacement(Identity.EvenPlacement);
   Out->Scheduler.setPeerLoads(&*Out->Router);
   if (Identity.Rollouts) {
--- a/src/libpersimmon/node.h
+++ b/src/libpersimmon/node.h
@@ -55,6 +55,8 @@
   std::string TextPrefixTeam;
   /// Rate of this daemon's network link in Mbit/s; 0 if unknown.
   double LinkMbps = 0;
+  /// Limit for the bodies that are held for the target, in bytes; 0 for none.
+  std::int64_t MaxTargetBodyBytes = 0;
   /// Time after the removal of a key from which no call with it may run, on
   /// disconnected daemons too; 0 if these may go on serving.
   milliseconds Revocation{0};
--- a/tests/bodies/test_bodies.cpp
+++ b/tests/bodies/test_bodies.cpp
@@ -3,6 +3,8 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace persimmon;
 
 namespace {
@@ -35,6 +37,18 @@
 
 std::string largeBody(char Fill) { return std::string(200'000, Fill); }
 
+/// Returns whether the scheduler of \p Out refused the attempt.
+bool refuses(const Effects &Out, std::int64_t Number) {
+  return std::any_of(Out.begin(), Out.end(), [&](const Effect &Item) {
+    const auto *Sent = std::get_if<SendMessage>(&Item);
+    const auto *Reply =
+        Sent == nullptr ? nullptr : std::get_if<wire::CallReply>(&Sent->Body);
+    return Reply != nullptr && Reply->Id.Number == Number &&
+           Reply->Outcome == wire::CallOutcome::NotRun &&
+           Reply->Code == static_cast<int>(ResultCode::Overloaded);
+  });
+}
+
 bool isAnswer(const BodyStore::PartResult &Result) {
   return std::holds_alternative<wire::CallReply>(Result);
 }
@@ -298,3 +312,76 @@
     CHECK(Store.takeReceivedResponse(attempt(1))->Headers == Reply.Headers);
   }
 }
+
+// Guards against parts that come again and would be taken as a new body.
+TEST_CASE("a body that was taken for its run is not filled again") {
+  BodyStore Store;
+  wire::CallRequest Header;
+  Header.Id = attempt(1);
+  Header.BodySize = static_cast<std::int64_t>(largeBody('a').size());
+  Header.BodyFollows = true;
+  REQUIRE(Store.begin(Header, "#1"));
+  const auto Parts = splitBody(attempt(1), false, largeBody('a'));
+  for (const wire::BodyPart &Part : Parts)
+    Store.addPart(Part, Start);
+  CHECK(Store.takeBody(attempt(1)) == largeBody('a'));
+  for (const wire::BodyPart &Part : Parts)
+    CHECK(std::holds_alternative<std::monostate>(Store.addPart(Part, Start)));
+  CHECK(Store.removeIncompleteRequests("#1").empty());
+  REQUIRE(Store.request(attempt(1)) != nullptr);
+  CHECK(Store.request(attempt(1))->Body.empty());
+}
+
+// Guards against bodies that are admitted for a slow target without a bound in
+// bytes.
+TEST_CASE("a large body beyond the limit is refused before it is sent") {
+  constexpr std::int64_t BodyBytes = 200'000;
+  AttemptScheduler Scheduler(1);
+  Scheduler.setMaxBodyBytes(2 * BodyBytes);
+  ServiceSpec Limits;
+  Limits.Queue = 100;
+  Effects Out;
+  TargetAnnounced Target;
+  Target.Service = "team/work";
+  Target.Slots = 9;
+  Target.State = wire::TargetState::Serving;
+  Scheduler.setTarget(Target, Start, Out);
+  const auto Arrive = [&](std::int64_t Number, std::int64_t Size) {
+    wire::CallRequest Request;
+    Request.Id = attempt(Number);
+    Request.Service = Target.Service;
+    Request.Route = "upload";
+    Request.RemainingMs = 1500;
+    Request.BodySize = Size;
+    Request.BodyFollows = Size > static_cast<std::int64_t>(InlineBodyBytes);
+    Scheduler.receive(Request, "#1", {true, false, &Limits, false}, Start, Out);
+  };
+  // The largest one is not counted.
+  Arrive(1, 10 * BodyBytes);
+  Arrive(2, BodyBytes);
+  Arrive(3, BodyBytes);
+  CHECK_FALSE(refuses(Out, 1));
+  CHECK_FALSE(refuses(Out, 3));
+  Arrive(4, BodyBytes);
+  CHECK(refuses(Out, 4));
+  CHECK(Scheduler.refusedByMemory() == 1);
+  Arrive(5, 1000);
+  CHECK_FALSE(refuses(Out, 5));
+  // A body counts until its run has ended.
+  Scheduler.bodyArrived({attempt(2), "c2", NoDeadline}, Start, Out);
+  Arrive(6, BodyBytes);
+  CHECK(refuses(Out, 6));
+  RunFinished Run;
+  Run.Id = attempt(2);
+  Scheduler.finished(Run, Start, Out);
+  Arrive(7, BodyBytes);
+  CHECK_FALSE(refuses(Out, 7));
+  // So does one that is cancelled while it waits.
+  wire::CallCancel Cancel;
+  Cancel.Id = attempt(3);
+  Arrive(8, BodyBytes);
+  CHECK(refuses(Out, 8));
+  Scheduler.receive(Cancel, "#1", Start, Out);
+  Arrive(9, BodyBytes);
+  CHECK_FALSE(refuses(Out, 9));
+}
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -183,6 +183,7 @@
   std::istringstream In(Large);
   CHECK(MemoryShares::fromSettings(100, In).maxCallerBodyBytes() == 12'500'000);
   CHECK(MemoryShares::fromSettings(100, In).maxRequestBytes() == 18'750'000);
+  CHECK(MemoryShares::fromSettings(100, In).maxTargetBodyBytes() == 25'000'000);
   CHECK(Read(0, "MemTotal: many kB\n") == 64'000'000);
 }
 
