Play crowds against two ports of the platform's program

Only the ports of persimmonwheeld were tested. The port for callers is not covered: it needs a target that speaks the platform's protocol.

--- a/tests/hostile/hostilesystem.cpp
+++ b/tests/hostile/hostilesystem.cpp
@@ -72,7 +72,7 @@
                .Status == 200;
   });
   this->runClient(AdminToken, {"init"});
-  this->runClient(AdminToken, {"team", "shop", TeamToken});
+  this->runClient(AdminToken, {"team", this->team(), TeamToken});
   this->startDaemon(
       this->Proxy, "p1",
       std::string(R"({"role":"proxy","name":"p1","availabilityZone":"zone-a",
@@ -81,25 +81,32 @@
           Peers + R"(,"memoryMb":)" +
           std::to_string(this->Settings.ProxyMemoryMb) + "}");
   this->ProxyId = this->Proxy.id();
-  REQUIRE(this->Target.start(
-      {TARGET_PROGRAM, "--name", "t1", "--listen", "127.66.0.2:9000",
-       "--daemon", "127.66.0.2:7102", "--service", "shop/orders", "--slots",
-       std::to_string(this->Settings.Slots), "--delay-ms", "2"},
-      this->Folder.file("target.log")));
+  if (!this->Settings.ForPlatform)
+    this->startTarget();
   const std::string File = this->Folder.file("settings.json");
-  std::ofstream(File) << R"({"shop/services/orders":{"queue":)"
-                      << this->Settings.Queue << R"(},
-      "shop/routes/orders":{"job":"orders","service":"shop/orders"},
-      "shop/limits/callers":{"maxBodyBytes":)"
+  const std::string Team = this->team();
+  std::ofstream(File) << "{\"" << Team << R"(/services/orders":{"queue":)"
+                      << this->Settings.Queue << "},\"" << Team
+                      << R"(/routes/orders":{"job":"orders","service":")"
+                      << Team << "/orders\"},\"" << Team
+                      << R"(/limits/callers":{"maxBodyBytes":)"
                       << this->Settings.BodyBytes << "}}";
   this->runClient(TeamToken, {"apply", File});
-  checkOrdinary(ProxyIp, CallerPort);
+  checkOrdinary(ProxyIp, this->Settings.ForPlatform ? LocalPort : CallerPort);
   for (std::size_t I = 0; I < this->Settings.EntryProxies; ++I)
     this->startEntry(I);
   for (std::size_t I = 0; I < this->Settings.EntryProxies; ++I)
     checkOrdinary(entryIp(I), CallerPort);
 }
 
+void HostileSystem::startTarget() {
+  REQUIRE(this->Target.start(
+      {TARGET_PROGRAM, "--name", "t1", "--listen", "127.66.0.2:9000",
+       "--daemon", "127.66.0.2:7102", "--service", this->team() + "/orders",
+       "--slots", std::to_string(this->Settings.Slots), "--delay-ms", "2"},
+      this->Folder.file("target.log")));
+}
+
 std::string HostileSystem::entryIp(std::size_t Index) {
   constexpr std::size_t FirstHost = 10;
   return "127.66.0." + std::to_string(FirstHost + Index);
@@ -130,7 +137,9 @@
                                 const std::string &Document) {
   const std::string File = this->Folder.file(Name + ".json");
   std::ofstream(File) << Document;
-  REQUIRE(Daemon.start({DAEMON_PROGRAM, "--settings", File},
+  const char *Program =
+      this->Settings.ForPlatform ? PLATFORM_PROGRAM : DAEMON_PROGRAM;
+  REQUIRE(Daemon.start({Program, "--settings", File},
                        this->Folder.file(Name + ".log")));
 }
 
--- a/tests/hostile/hostilesystem.h
+++ b/tests/hostile/hostilesystem.h
@@ -31,6 +31,9 @@
   std::size_t BodyBytes = LegalBodyBytes;
   int Slots = 4;
   int Queue = 16;
+  /// Runs the program that speaks the protocols of the operators' platform,
+  /// without a target.
+  bool ForPlatform = false;
 };
 
 /// A control instance, and a proxy with its target, as processes of their own
@@ -68,6 +71,10 @@
   void runClient(const std::string &Token,
                  const std::vector<std::string> &Arguments) const;
   void startEntry(std::size_t Index);
+  void startTarget();
+  std::string team() const {
+    return this->Settings.ForPlatform ? "mesh" : "shop";
+  }
   static void checkProcess(Process &Daemon, pid_t Id, std::size_t LimitMb,
                            std::size_t CrowdSize);
 
--- a/tests/hostile/test_hostile.cpp
+++ b/tests/hostile/test_hostile.cpp
@@ -46,6 +46,11 @@
                  "/v1/target"};
 const Port Readiness{HostileSystem::ProxyIp, HostileSystem::ReadinessPort,
                      "/ready"};
+const Port PlatformOperators{HostileSystem::ControlIp,
+                             HostileSystem::OperatorPort,
+                             "/persimmonwheel/Config.Replace"};
+const Port PlatformLocal{HostileSystem::ProxyIp, HostileSystem::LocalPort,
+                         "/persimmonwheel/Instances.Heartbeat/t1"};
 
 /// Sends a body whose length is announced; without its last byte unless
 /// \p Complete.
@@ -124,8 +129,9 @@
     HostileSystem::checkOrdinary(To.Ip, To.Number);
   }
   HostileSystem::checkOrdinary(To.Ip, To.Number);
-  HostileSystem::checkOrdinary(HostileSystem::ProxyIp,
-                               HostileSystem::CallerPort);
+  if (!Settings.ForPlatform)
+    HostileSystem::checkOrdinary(HostileSystem::ProxyIp,
+                                 HostileSystem::CallerPort);
   System.checkBounds(Size);
 }
 
@@ -134,6 +140,18 @@
   checkAgainst(To, Size, StreamOf, CompletedOneIn);
 }
 
+/// Sends bodies in pieces to a port of the platform's program.
+void checkPlatformPort(const Port &To, std::size_t BodyBytes) {
+  HostileSettings Settings;
+  Settings.ForPlatform = true;
+  checkAgainst(
+      To, CrowdSize,
+      [&](bool Complete) {
+        return inPieces(announced(To, BodyBytes, Complete));
+      },
+      CompletedOneIn, Settings);
+}
+
 /// Sends bodies of legal size to a proxy, together twice its memory or more.
 void checkCallersAt(std::size_t ProxyMemoryMb) {
   constexpr std::size_t BytesPerMb = 1'000'000;
@@ -252,3 +270,12 @@
       [](bool Complete) { return inPieces(document(Operators, Complete)); },
       CompletedOneIn, Settings);
 }
+
+// Guards against ports of the platform's program that the limits do not cover.
+TEST_CASE("hostile clients leave bodies open at the platform's local port") {
+  checkPlatformPort(PlatformLocal, LegalBodyBytes);
+}
+
+TEST_CASE("hostile operators leave documents open at the platform's port") {
+  checkPlatformPort(PlatformOperators, OperatorDocumentBytes);
+}
