--- a/tests/hostile/test_hostile.cpp
+++ b/tests/hostile/test_hostile.cpp
@@ -46,6 +46,11 @@
                  "/v1/target"};
 const Port Readiness{HostileSystem::ProxyIp, HostileSystem::ReadinessPort,
                      "/ready"};
+const Port PlatformOperators{HostileSystem::ControlIp,
+                             HostileSystem::OperatorPort,
+                             "/persimmonwheel/Config.Replace"};
+const Port PlatformLocal{HostileSystem::ProxyIp, HostileSystem::LocalPort,
+                         "/persimmonwheel/Instances.Heartbeat/t1"};
 
 /// Sends a body whose length is announced; without its last byte unless
 /// \p Complete.
@@ -108,8 +113,9 @@
 /// to be complete.
 void checkAgainst(const Port &To, std::size_t Size,
                   const std::function<HostileStream(bool)> &StreamOf,
-                  std::size_t CompletedOneIn) {
-  HostileSystem System;
+                  std::size_t CompletedOneIn,
+                  const HostileSettings &Settings = {}) {
+  HostileSystem System(Settings);
   {
     Crowd Clients;
     for (std::size_t I = 0; I < Size; ++I)
@@ -123,8 +129,9 @@
     HostileSystem::checkOrdinary(To.Ip, To.Number);
   }
   HostileSystem::checkOrdinary(To.Ip, To.Number);
-  HostileSystem::checkOrdinary(HostileSystem::ProxyIp,
-                               HostileSystem::CallerPort);
+  if (!Settings.ForPlatform)
+    HostileSystem::checkOrdinary(HostileSystem::ProxyIp,
+                                 HostileSystem::CallerPort);
   System.checkBounds(Size);
 }
 
@@ -133,6 +140,30 @@
   checkAgainst(To, Size, StreamOf, CompletedOneIn);
 }
 
+/// Sends bodies in pieces to a port of the platform's program.
+void checkPlatformPort(const Port &To, std::size_t BodyBytes) {
+  HostileSettings Settings;
+  Settings.ForPlatform = true;
+  checkAgainst(
+      To, CrowdSize,
+      [&](bool Complete) {
+        return inPieces(announced(To, BodyBytes, Complete));
+      },
+      CompletedOneIn, Settings);
+}
+
+/// Sends bodies of legal size to a proxy, together twice its memory or more.
+void checkCallersAt(std::size_t ProxyMemoryMb) {
+  constexpr std::size_t BytesPerMb = 1'000'000;
+  HostileSettings Settings;
+  Settings.ProxyMemoryMb = ProxyMemoryMb;
+  Settings.BodyBytes = 2 * ProxyMemoryMb * BytesPerMb / CrowdSize;
+  const auto StreamOf = [&](bool Complete) {
+    return inPieces(announced(Callers, Settings.BodyBytes, Complete));
+  };
+  checkAgainst(Callers, CrowdSize, StreamOf, CompletedOneIn, Settings);
+}
+
 } // namespace
 
 // Guards against processes that run out of memory because bodies are counted
@@ -214,3 +245,37 @@
     return inLargeChunks(Readiness, LegalBodyBytes, Complete);
   });
 }
+
+// Guards against shares of the memory that fit small limits only.
+TEST_CASE("hostile callers leave bodies open at 88 MB") { checkCallersAt(88); }
+
+TEST_CASE("hostile callers leave bodies open at 110 MB") {
+  checkCallersAt(110);
+}
+
+TEST_CASE("hostile callers leave bodies open at 160 MB") {
+  checkCallersAt(160);
+}
+
+TEST_CASE("hostile callers leave bodies open at 260 MB") {
+  checkCallersAt(260);
+}
+
+TEST_CASE("hostile operators leave documents open at 256 MB") {
+  constexpr std::size_t OperatorCrowdSize = 128;
+  HostileSettings Settings;
+  Settings.ControlMemoryMb = 256;
+  checkAgainst(
+      Operators, OperatorCrowdSize,
+      [](bool Complete) { return inPieces(document(Operators, Complete)); },
+      CompletedOneIn, Settings);
+}
+
+// Guards against ports of the platform's program that the limits do not cover.
+TEST_CASE("hostile clients leave bodies open at the platform's local port") {
+  checkPlatformPort(PlatformLocal, LegalBodyBytes);
+}
+
+TEST_CASE("hostile operators leave documents open at the platform's port") {
+  checkPlatformPort(PlatformOperators, OperatorDocumentBytes);
+}
