--- a/src/libpersimmon/consensus.cpp
+++ b/src/libpersimmon/consensus.cpp
@@ -777,9 +777,9 @@
 void Consensus::receive(const wire::JoinRequest &Request, Time Now,
                         Effects &Out) {
   if (!this->leader()) {
-    // The joiner knows of few control instances at first. Whom a follower
-    // follows led in a later term than the follower itself, so that a request
-    // is not passed on in a circle.
+    // The joiner knows of few control instances at first. No circle: a replica
+    // that follows another one has not led in that term or a later one, so the
+    // term grows with each hop.
     if (this->CurrentLeader && Now < this->LeaderActiveUntil)
       send(Out, this->CurrentLeader->Address, Request, Channel::Datagram);
     return;
